--- a/Makefile
+++ b/Makefile
@@ -3,10 +3,12 @@
 #   build/san   tests, under ASan and UBSan, with planted faults compiled in
 #   build/tst   optimised, with planted faults compiled in (explore)
 
+# Everything that is made goes below this folder.
+OUT = build
 CC = gcc
 PKGS = glib-2.0 gio-2.0 libsoup-3.0 msgpack json-glib-1.0 libxxhash
 PKG_CFLAGS := $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
-PKG_LIBS := $(shell pkg-config --libs $(PKGS) 2>/dev/null) -lcsv -lm
+PKG_LIBS := $(shell pkg-config --libs $(PKGS) 2>/dev/null) -lcsv -lhttp_parser -lm
 CHECK_LIBS := $(shell pkg-config --libs check 2>/dev/null)
 WARN = -Wall -Wextra -Wshadow -Wstrict-prototypes -Wmissing-prototypes \
        -Wvla -Werror
@@ -19,8 +21,9 @@
 
 CORE_DIRS = base core config fleet limit idem route request order operate node
 CORE := $(sort $(wildcard $(CORE_DIRS:%=src/%/*.c)))
-IO := $(sort $(wildcard src/io/*.c))
-DAEMON := $(sort $(wildcard src/daemon/*.c))
+IO := $(sort $(wildcard src/io/*.c src/http/*.c src/relay/*.c \
+      src/relayd/*.c platform/*.c) src/daemon/ini.c)
+DAEMON := $(sort $(filter-out src/daemon/ini.c,$(wildcard src/daemon/*.c)))
 CTL := $(sort $(wildcard src/ctl/*.c))
 STAND := $(sort $(wildcard stand/*.c))
 LOAD := $(sort $(wildcard bench/load/*.c))
@@ -30,66 +33,66 @@
 TEST_LIB := $(sort $(filter-out $(TESTS),$(wildcard tests/*/*.c)))
 SOURCES := $(CORE) $(IO) $(DAEMON) $(CTL) $(STAND) $(LOAD) $(BENCH) \
            $(EXPLORE) $(TESTS) $(TEST_LIB)
-HEADERS := $(sort $(wildcard src/*/*.h stand/*.h bench/*.h bench/*/*.h \
+HEADERS := $(sort $(wildcard src/*/*.h platform/*.h stand/*.h bench/*.h bench/*/*.h \
            explore/*.h tests/*/*.h))
 
 # A main file is linked into its own program only, never into the libraries.
 NOMAIN = $(filter-out %/main.c,$(1))
-OBJ = $(patsubst %.c,build/$(1)/%.o,$(2))
+OBJ = $(patsubst %.c,$(OUT)/$(1)/%.o,$(2))
 
-PROGRAMS := build/fuchsiawardd
+PROGRAMS := $(OUT)/fuchsiawardd
 ifneq ($(CTL),)
-PROGRAMS += build/fuchsiaward
+PROGRAMS += $(OUT)/fuchsiaward
 endif
 ifneq ($(STAND),)
-PROGRAMS += build/fwstand
+PROGRAMS += $(OUT)/fwstand
 endif
 ifneq ($(LOAD),)
-PROGRAMS += build/fwload
+PROGRAMS += $(OUT)/fwload
 endif
 ifneq ($(EXPLORE),)
-PROGRAMS += build/explore
+PROGRAMS += $(OUT)/explore
 endif
-BENCHES := $(patsubst bench/%.c,build/%,$(BENCH))
-TEST_BINS := $(patsubst tests/%.c,build/san/bin/%,$(TESTS))
+BENCHES := $(patsubst bench/%.c,$(OUT)/%,$(BENCH))
+TEST_BINS := $(patsubst tests/%.c,$(OUT)/san/bin/%,$(TESTS))
 
 all: $(PROGRAMS)
 
-build/fuchsiawardd: $(call OBJ,obj,$(CORE) $(IO) $(DAEMON))
-build/fuchsiaward: $(call OBJ,obj,$(CORE) $(call NOMAIN,$(IO)) $(CTL))
-build/fwstand: $(call OBJ,obj,$(STAND))
-build/fwload: $(call OBJ,obj,$(CORE) $(IO) $(LOAD))
-build/explore: $(call OBJ,tst,$(CORE) $(EXPLORE))
+$(OUT)/fuchsiawardd: $(call OBJ,obj,$(CORE) $(IO) $(DAEMON))
+$(OUT)/fuchsiaward: $(call OBJ,obj,$(CORE) $(call NOMAIN,$(IO)) $(CTL))
+$(OUT)/fwstand: $(call OBJ,obj,$(STAND))
+$(OUT)/fwload: $(call OBJ,obj,$(CORE) $(IO) $(LOAD))
+$(OUT)/explore: $(call OBJ,tst,$(CORE) $(EXPLORE))
 $(PROGRAMS):
 	@mkdir -p $(@D)
 	@echo "LD $@"
 	@$(CC) -o $@ $^ $(PKG_LIBS)
 
-$(BENCHES): build/%: build/obj/bench/%.o \
+$(BENCHES): $(OUT)/%: $(OUT)/obj/bench/%.o \
                     $(call OBJ,obj,$(CORE) $(IO) $(call NOMAIN,$(EXPLORE)))
 	@echo "LD $@"
 	@$(CC) -o $@ $^ $(PKG_LIBS)
 
-build/san/libfw.a: $(call OBJ,san,$(CORE) $(IO) $(call NOMAIN,$(DAEMON)) \
+$(OUT)/san/libfw.a: $(call OBJ,san,$(CORE) $(IO) $(call NOMAIN,$(DAEMON)) \
                    $(call NOMAIN,$(CTL)) $(call NOMAIN,$(STAND)) \
                    $(call NOMAIN,$(EXPLORE)) $(call NOMAIN,$(LOAD)) \
                    $(TEST_LIB))
 	@rm -f $@
 	@ar rcs $@ $^
-$(TEST_BINS): build/san/bin/%: build/san/tests/%.o build/san/libfw.a
+$(TEST_BINS): $(OUT)/san/bin/%: $(OUT)/san/tests/%.o $(OUT)/san/libfw.a
 	@mkdir -p $(@D)
 	@echo "LD $@"
 	@$(CC) $(LD_san) -o $@ $^ $(PKG_LIBS) $(CHECK_LIBS)
 
-build/obj/%.o: %.c
+$(OUT)/obj/%.o: %.c
 	@mkdir -p $(@D)
 	@echo "CC $@"
 	@$(CC) $(CFLAGS_obj) -c -o $@ $<
-build/tst/%.o: %.c
+$(OUT)/tst/%.o: %.c
 	@mkdir -p $(@D)
 	@echo "CC $@"
 	@$(CC) $(CFLAGS_tst) -c -o $@ $<
-build/san/%.o: %.c
+$(OUT)/san/%.o: %.c
 	@mkdir -p $(@D)
 	@echo "CC $@"
 	@$(CC) $(CFLAGS_san) -c -o $@ $<
@@ -114,8 +117,8 @@
 	clang-format -i $(SOURCES) $(HEADERS)
 
 # Stamps keep a second lint run to what changed.
-LINT := $(patsubst %.c,build/lint/%.ok,$(SOURCES))
-build/lint/%.ok: %.c $(HEADERS) .clang-tidy
+LINT := $(patsubst %.c,$(OUT)/lint/%.ok,$(SOURCES))
+$(OUT)/lint/%.ok: %.c $(HEADERS) .clang-tidy
 	@mkdir -p $(@D)
 	@clang-tidy --quiet $< -- $(BASE) -Wno-unknown-warning-option \
 	    $(if $(filter tests/% explore/%,$<),-DFW_TEST_BUILD) \
@@ -126,8 +129,8 @@
 lint: format-check $(LINT)
 
 clean:
-	rm -rf build
+	rm -rf $(OUT)
 
 .PHONY: all check check-run demo bench format format-check lint clean
 .SECONDARY:
--include $(shell find build -name '*.d' 2>/dev/null)
+-include $(shell find $(OUT) -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/src/daemon/ini.c
@@ -0,0 +1,312 @@
+#include "daemon/ini.h"
+
+#include <errno.h>
+#include <string.h>
+
+#include "io/addr.h"
+
+#define FW_SECRET_MIN 16 /* bytes */
+#define FW_MILLIONTHS 1e6
+
+static char *
+complain(const char *path, const char *group, const char *name,
+         const char *what)
+{
+    return g_strdup_printf("%s: [%s] %s: %s", path, group, name, what);
+}
+
+static const char *
+read_listen(const char *text, int reachable, char *out)
+{
+    GSocketAddress *addr = Fw_Addr_Parse(text);
+    int any;
+
+    if (!addr || strlen(text) >= FW_URL_MAX) {
+        g_clear_object(&addr);
+        return "must be an IP number with a port, like 127.0.0.1:0";
+    }
+    any = g_inet_address_get_is_any(
+        g_inet_socket_address_get_address(G_INET_SOCKET_ADDRESS(addr)));
+    g_object_unref(addr);
+    if (reachable && any) {
+        return "must be an address that other instances can connect to";
+    }
+    g_strlcpy(out, text, FW_URL_MAX);
+    return NULL;
+}
+
+static const char *
+read_url(const char *text, char *out)
+{
+    GUri *uri = g_uri_parse(text, G_URI_FLAGS_NONE, NULL);
+    int ok = uri && g_strcmp0(g_uri_get_scheme(uri), "http") == 0 &&
+             g_uri_get_host(uri) && g_uri_get_host(uri)[0] &&
+             !g_uri_get_query(uri) && !g_uri_get_fragment(uri);
+    size_t len = strlen(text);
+
+    if (uri) {
+        g_uri_unref(uri);
+    }
+    if (!ok || len >= FW_URL_MAX) {
+        return "must be a URL like http://127.0.0.1:8080";
+    }
+    g_strlcpy(out, text, FW_URL_MAX);
+    if (out[len - 1] == '/') {
+        out[len - 1] = '\0';
+    }
+    return NULL;
+}
+
+static const char *
+read_secret(const char *text, GBytes **out)
+{
+    size_t len = strlen(text);
+    guint8 *data;
+
+    if (len % 2 || len / 2 < FW_SECRET_MIN) {
+        return "must be 32 hex digits at least, two a byte";
+    }
+    data = g_malloc(len / 2);
+    for (size_t i = 0; i < len; i++) {
+        int digit = g_ascii_xdigit_value(text[i]);
+
+        if (digit < 0) {
+            g_free(data);
+            return "must be hex digits";
+        }
+        data[i / 2] = (guint8)(i % 2 ? data[i / 2] << 4 | digit : digit);
+    }
+    *out = g_bytes_new_take(data, len / 2);
+    return NULL;
+}
+
+static const char *
+read_path(const char *text, char *out)
+{
+    return text[0] == '/' && g_strlcpy(out, text, FW_URL_MAX) < FW_URL_MAX
+               ? NULL
+               : "must begin with a slash";
+}
+
+/* Return: NULL, or what is wrong; told without the words. */
+static const char *
+read_choice(const char *const *words, const char *text, int64_t *out)
+{
+    for (int i = 0; words[i]; i++) {
+        if (strcmp(words[i], text) == 0) {
+            *out = i;
+            return NULL;
+        }
+    }
+    return "must be";
+}
+
+static const char *
+read_decimal(const struct fw_ini_key *key, const char *text, int64_t *out)
+{
+    char *end;
+    double v = g_ascii_strtod(text, &end);
+
+    if (end == text || *end) {
+        return "must be a number";
+    }
+    *out = (int64_t)(v * FW_MILLIONTHS);
+    return *out >= key->min && *out <= key->max ? NULL : "is out of bounds";
+}
+
+static const char *
+read_name(const char *text, char *out)
+{
+    for (const char *c = text; *c; c++) {
+        if (!g_ascii_isalnum(*c) && !strchr("-_", *c)) {
+            return "must be letters, digits, - and _ only";
+        }
+    }
+    return text[0] && g_strlcpy(out, text, FW_NAME_MAX) < FW_NAME_MAX
+               ? NULL
+               : "must be 1 to 47 characters";
+}
+
+/* Return: NULL, or what is wrong. */
+static const char *
+read_value(const struct fw_ini_key *key, const char *text, void *at)
+{
+    switch (key->kind) {
+    case FW_INI_NAME:
+        return read_name(text, at);
+    case FW_INI_LISTEN:
+        return read_listen(text, 0, at);
+    case FW_INI_PEERS:
+        return read_listen(text, 1, at);
+    case FW_INI_URL:
+        return read_url(text, at);
+    case FW_INI_SECRET:
+        return read_secret(text, at);
+    case FW_INI_PATH:
+        return read_path(text, at);
+    case FW_INI_CHOICE:
+        return read_choice(key->words, text, at);
+    case FW_INI_DECIMAL:
+        return read_decimal(key, text, at);
+    case FW_INI_INT:
+        return g_ascii_string_to_signed(text, 10, key->min, key->max, at, NULL)
+                   ? NULL
+                   : "must be a whole number";
+    }
+    return "unknown kind";
+}
+
+/* A word that isn't known is told with those that are. */
+static char *
+complain_choice(const char *path, const struct fw_ini_key *key,
+                const char *what)
+{
+    GString *text = g_string_new(what);
+    char *out;
+
+    for (int i = 0; key->words[i]; i++) {
+        const char *sep = i == 0 ? " " : key->words[i + 1] ? ", " : " or ";
+
+        g_string_append_printf(text, "%s%s", sep, key->words[i]);
+    }
+    out = complain(path, key->group, key->name, text->str);
+    g_string_free(text, TRUE);
+    return out;
+}
+
+/* A number out of bounds is told with its bounds. */
+static char *
+complain_value(const char *path, const struct fw_ini_key *key, const char *what)
+{
+    char *text;
+    char *out;
+
+    if (key->kind == FW_INI_CHOICE) {
+        return complain_choice(path, key, what);
+    }
+    if (key->kind != FW_INI_INT) {
+        return complain(path, key->group, key->name, what);
+    }
+    text = g_strdup_printf("%s from %" G_GINT64_FORMAT " to %" G_GINT64_FORMAT,
+                           what, key->min, key->max);
+    out = complain(path, key->group, key->name, text);
+    g_free(text);
+    return out;
+}
+
+static char *
+read_key(const char *path, GKeyFile *file, const struct fw_ini_key *key,
+         void *values)
+{
+    char *text = g_key_file_get_string(file, key->group, key->name, NULL);
+    const char *what;
+    char *error = NULL;
+
+    if (!text && g_key_file_has_key(file, key->group, key->name, NULL)) {
+        return complain(path, key->group, key->name, "is not valid UTF-8");
+    }
+    if (text && !text[0]) {
+        g_clear_pointer(&text, g_free);
+    }
+    if (!text && !key->fallback) {
+        return complain(path, key->group, key->name, "is missing");
+    }
+    what = read_value(key, text ? text : key->fallback, (char *)values + key->at);
+    if (what) {
+        error = complain_value(path, key, what);
+    }
+    g_free(text);
+    return error;
+}
+
+/** struct table - the keys that a file may have. */
+struct table {
+    const struct fw_ini_key *keys;
+    size_t n;
+};
+
+static int
+is_known(const struct table *t, const char *group, const char *name)
+{
+    for (size_t i = 0; i < t->n; i++) {
+        if (strcmp(t->keys[i].group, group) == 0 &&
+            (!name || strcmp(t->keys[i].name, name) == 0)) {
+            return 1;
+        }
+    }
+    return 0;
+}
+
+static char *
+find_unknown_key(const char *path, GKeyFile *file, const struct table *t,
+                 const char *group)
+{
+    char **names = g_key_file_get_keys(file, group, NULL, NULL);
+    char *error = NULL;
+
+    for (char **n = names; n && *n && !error; n++) {
+        if (!is_known(t, group, *n)) {
+            error = complain(path, group, *n, "is not a known key");
+        }
+    }
+    g_strfreev(names);
+    return error;
+}
+
+static char *
+find_unknown(const char *path, GKeyFile *file, const struct table *t)
+{
+    char **groups = g_key_file_get_groups(file, NULL);
+    char *error = NULL;
+
+    for (char **g = groups; *g && !error; g++) {
+        error =
+            is_known(t, *g, NULL)
+                ? find_unknown_key(path, file, t, *g)
+                : g_strdup_printf("%s: [%s] is not a known group", path, *g);
+    }
+    g_strfreev(groups);
+    return error;
+}
+
+static char *
+read_all(const char *path, GKeyFile *file, const struct table *t,
+         void *values)
+{
+    char *error = find_unknown(path, file, t);
+
+    for (size_t i = 0; i < t->n && !error; i++) {
+        error = read_key(path, file, &t->keys[i], values);
+    }
+    return error;
+}
+
+int
+Fw_Ini_Load(const char *path, const struct fw_ini_key *keys, size_t n,
+            void *values, char **error)
+{
+    const struct table t = {keys, n};
+    GKeyFile *file = g_key_file_new();
+    GError *err = NULL;
+
+    if (!g_key_file_load_from_file(file, path, G_KEY_FILE_NONE, &err)) {
+        *error = g_strdup_printf("%s: %s", path, err->message);
+        g_error_free(err);
+    }
+    else {
+        *error = read_all(path, file, &t, values);
+    }
+    g_key_file_free(file);
+    return *error ? -EINVAL : 0;
+}
+
+int
+Fw_Ini_HasGroup(const char *path, const char *group)
+{
+    GKeyFile *file = g_key_file_new();
+    int found = g_key_file_load_from_file(file, path, G_KEY_FILE_NONE, NULL) &&
+                g_key_file_has_group(file, group);
+
+    g_key_file_free(file);
+    return found;
+}
--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -3,10 +3,13 @@
 #include <stdio.h>
 #include <sys/resource.h>
 #include <sysexits.h>
+#include <unistd.h>
 
+#include "daemon/ini.h"
 #include "daemon/settings.h"
 #include "io/note.h"
 #include "io/shell.h"
+#include "relayd/relayd.h"
 
 const char *argp_program_version = "fuchsiawardd 0.1";
 
@@ -38,6 +41,9 @@
         args->file = arg;
         return 0;
     case ARGP_KEY_END:
+        if (!args->file) {
+            args->file = g_getenv("FUCHSIAWARD_CONFIG");
+        }
         if (!args->file) {
             argp_usage(state);
         }
@@ -50,8 +56,9 @@
 static const struct argp parser = {
     .options = options,
     .parser = parse_opt,
-    .args_doc = "SETTINGS.ini",
-    .doc = "One instance of the router for prefill and decode pools.\v"
+    .args_doc = "[SETTINGS.ini]",
+    .doc = "One instance of the router for prefill and decode pools. Without "
+           "an argument the file is the one named by FUCHSIAWARD_CONFIG.\v"
            "Exit status: 0 stopped as asked (SIGTERM or SIGINT), 64 bad "
            "arguments, 69 an address can't be listened on, 78 bad settings.",
 };
@@ -129,6 +136,39 @@
     return serve(s, shell);
 }
 
+/* Settings with a group [relay] are those of a relay on a platform. */
+static int
+run_relay(const char *path, int check)
+{
+    struct fw_relayd_opts opts;
+    struct fw_relayd *d;
+    char *error = NULL;
+    int err = 0;
+
+    if (Fw_Relayd_Load(path, &opts, &error)) {
+        fprintf(stderr, "fuchsiawardd: %s\n", error);
+        g_free(error);
+        return EX_CONFIG;
+    }
+    if (check) {
+        return 0;
+    }
+    raise_descriptor_limit();
+    opts.relay.boot = (uint64_t)(g_get_real_time() / FW_MSEC);
+    opts.relay.seed = g_random_int();
+    Fw_Note_SetupBounded(opts.relay.name, STDOUT_FILENO,
+                         (size_t)opts.log_bytes);
+    d = Fw_Relayd_New(&opts, path, &err);
+    if (!d) {
+        Fw_Note_Log(LOG_ERR, "listen_failed", "callers", opts.callers,
+                    "error", g_strerror(-err), NULL);
+        return EX_UNAVAILABLE;
+    }
+    Fw_Relayd_Run(d);
+    Fw_Relayd_Free(d);
+    return 0;
+}
+
 int
 main(int argc, char **argv)
 {
@@ -139,6 +179,9 @@
 
     argp_err_exit_status = EX_USAGE;
     argp_parse(&parser, argc, argv, 0, NULL, &args);
+    if (Fw_Ini_HasGroup(args.file, "relay")) {
+        return run_relay(args.file, args.check);
+    }
     if (Fw_Settings_Load(args.file, &settings, &error)) {
         fprintf(stderr, "fuchsiawardd: %s\n", error);
         g_free(error);
--- /dev/null
+++ b/src/http/answer.c
@@ -0,0 +1,131 @@
+/* Answers to callers. */
+#include <inttypes.h>
+#include <string.h>
+
+#include "http/http_internal.h"
+
+const char *
+Fw_Http_Reason(int status)
+{
+    static const struct {
+        int status;
+        const char *text;
+    } reasons[] = {
+        {200, "OK"},
+        {202, "Accepted"},
+        {204, "No Content"},
+        {304, "Not Modified"},
+        {400, "Bad Request"},
+        {401, "Unauthorized"},
+        {403, "Forbidden"},
+        {404, "Not Found"},
+        {408, "Request Timeout"},
+        {409, "Conflict"},
+        {413, "Content Too Large"},
+        {421, "Misdirected Request"},
+        {429, "Too Many Requests"},
+        {431, "Request Header Fields Too Large"},
+        {500, "Internal Server Error"},
+        {502, "Bad Gateway"},
+        {503, "Service Unavailable"},
+        {504, "Gateway Timeout"},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(reasons); i++) {
+        if (reasons[i].status == status) {
+            return reasons[i].text;
+        }
+    }
+    return "Status";
+}
+
+static int
+is_head(const struct fw_http_caller *c)
+{
+    return c->head.method_len == 4 && memcmp(c->head.method, "HEAD", 4) == 0;
+}
+
+void
+Fw_Caller_Start(struct fw_http_caller *c, int status, const char *fields,
+                int64_t length)
+{
+    GString *out = g_string_sized_new(256);
+
+    c->last |= c->server->draining;
+    c->bodyless = is_head(c) || status == 204 || status == 304;
+    c->chunked = length < 0 && !c->bodyless && c->head.minor >= 1;
+    c->last |= length < 0 && !c->bodyless && !c->chunked;
+    g_string_append_printf(out, "HTTP/1.1 %d %s\r\n%s", status,
+                           Fw_Http_Reason(status), fields);
+    if (c->chunked) {
+        g_string_append(out, "Transfer-Encoding: chunked\r\n");
+    }
+    else if (length >= 0 && status != 204 && status != 304) {
+        g_string_append_printf(out, "Content-Length: %" PRId64 "\r\n", length);
+    }
+    if (c->last) {
+        g_string_append(out, "Connection: close\r\n");
+    }
+    g_string_append(out, "\r\n");
+    c->started = 1;
+    Fw_Conn_Write(c->conn, out->str, out->len);
+    g_string_free(out, TRUE);
+}
+
+void
+Fw_Caller_Data(struct fw_http_caller *c, const void *data, size_t len)
+{
+    char size[24];
+
+    if (!len || c->bodyless) {
+        return;
+    }
+    if (!c->chunked) {
+        Fw_Conn_Write(c->conn, data, len);
+        return;
+    }
+    g_snprintf(size, sizeof(size), "%zx\r\n", len);
+    GString *out = g_string_sized_new(len + 32);
+    g_string_append(out, size);
+    g_string_append_len(out, data, (gssize)len);
+    g_string_append(out, "\r\n");
+    Fw_Conn_Write(c->conn, out->str, out->len);
+    g_string_free(out, TRUE);
+}
+
+void
+Fw_Caller_End(struct fw_http_caller *c)
+{
+    if (c->chunked) {
+        Fw_Conn_Write(c->conn, "0\r\n\r\n", 5);
+    }
+    c->chunked = 0;
+    Fw_Caller_Done(c);
+}
+
+void
+Fw_Caller_Cut(struct fw_http_caller *c)
+{
+    Fw_Caller_Free(c, 1);
+}
+
+void
+Fw_Caller_Answer(struct fw_http_caller *c, int status, const char *fields,
+                 const char *body)
+{
+    Fw_Caller_Start(c, status, fields, (int64_t)strlen(body));
+    Fw_Caller_Data(c, body, strlen(body));
+    Fw_Caller_End(c);
+}
+
+size_t
+Fw_Caller_Pending(const struct fw_http_caller *c)
+{
+    return Fw_Conn_Pending(c->conn);
+}
+
+int
+Fw_Caller_Started(const struct fw_http_caller *c)
+{
+    return c->started;
+}
--- /dev/null
+++ b/src/http/conn.c
@@ -0,0 +1,362 @@
+#include "http/conn.h"
+
+#include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <time.h>
+
+#include "io/addr.h"
+
+/* One read; larger bodies take several turns of the loop. */
+#define FW_READ_SIZE 16384
+/* Bytes that may wait unconsumed before reading pauses by itself. */
+#define FW_IN_MAX (256 * 1024)
+/*
+ * A peer that answers no probe or acknowledges nothing for so long is taken
+ * as gone, milliseconds: without it a connection through a partition hangs
+ * for minutes. Five times the longest round trip between failure domains
+ * with one retransmission after the kernel's least timeout of 200 ms.
+ */
+#define FW_SILENT_MS 2000
+
+/**
+ * struct fw_conn - also a GSource; freed with its last reference.
+ * @used: bytes at the front of @out that the kernel has taken
+ */
+struct fw_conn {
+    GSource source;
+    GSocket *sock;
+    gpointer tag;
+    const struct fw_conn_ops *ops;
+    void *ctx;
+    GByteArray *in;
+    GByteArray *out;
+    size_t used;
+    uint64_t sent;
+    int connected;
+    int reading;
+    int finish;
+    int dead;
+};
+
+int64_t
+Fw_Conn_Now(void)
+{
+    struct timespec t;
+
+    clock_gettime(CLOCK_BOOTTIME, &t);
+    return (int64_t)t.tv_sec * 1000000 + t.tv_nsec / 1000;
+}
+
+static void
+watch(struct fw_conn *c)
+{
+    GIOCondition want = 0;
+
+    if (c->dead) {
+        return;
+    }
+    if (c->connected && c->reading && c->in->len < FW_IN_MAX) {
+        want |= G_IO_IN;
+    }
+    if (!c->connected || Fw_Conn_Pending(c)) {
+        want |= G_IO_OUT;
+    }
+    g_source_modify_unix_fd(&c->source, c->tag, want);
+}
+
+static void
+end(struct fw_conn *c, int err)
+{
+    if (c->dead) {
+        return;
+    }
+    c->dead = 1;
+    g_source_modify_unix_fd(&c->source, c->tag, 0);
+    c->ops->closed(c->ctx, err);
+}
+
+static int
+errno_of(const GError *error)
+{
+    switch (error->code) {
+    case G_IO_ERROR_CONNECTION_REFUSED:
+        return -ECONNREFUSED;
+    case G_IO_ERROR_TIMED_OUT:
+        return -ETIMEDOUT;
+    case G_IO_ERROR_HOST_UNREACHABLE:
+    case G_IO_ERROR_NETWORK_UNREACHABLE:
+        return -EHOSTUNREACH;
+    default:
+        return -ECONNRESET;
+    }
+}
+
+/* 1: go on, 0: would block, negative: the connection is over. */
+static int
+settle(GError *error)
+{
+    int rc;
+
+    if (!error) {
+        return 1;
+    }
+    rc = error->code == G_IO_ERROR_WOULD_BLOCK ? 0 : errno_of(error);
+    g_error_free(error);
+    return rc;
+}
+
+static int
+flush(struct fw_conn *c)
+{
+    while (Fw_Conn_Pending(c)) {
+        GError *error = NULL;
+        gssize n = g_socket_send(c->sock, (char *)c->out->data + c->used,
+                                 Fw_Conn_Pending(c), NULL, &error);
+        int rc = settle(error);
+
+        if (rc <= 0) {
+            return rc;
+        }
+        c->used += (size_t)n;
+        c->sent += (uint64_t)n;
+    }
+    if (c->out->len) {
+        g_byte_array_set_size(c->out, 0);
+        c->used = 0;
+    }
+    if (c->finish) {
+        g_socket_shutdown(c->sock, FALSE, TRUE, NULL);
+        c->finish = 0;
+    }
+    return 1;
+}
+
+static void
+on_writable(struct fw_conn *c)
+{
+    GError *error = NULL;
+    int rc;
+
+    if (!c->connected && !g_socket_check_connect_result(c->sock, &error)) {
+        end(c, settle(error));
+        return;
+    }
+    c->connected = 1;
+    rc = flush(c);
+    if (rc < 0) {
+        end(c, rc);
+    }
+    else if (rc > 0 && c->ops->drained) {
+        c->ops->drained(c->ctx);
+    }
+}
+
+static void
+on_readable(struct fw_conn *c)
+{
+    static char buf[FW_READ_SIZE];
+    GError *error = NULL;
+    gssize n = g_socket_receive(c->sock, buf, sizeof(buf), NULL, &error);
+    int rc = settle(error);
+
+    if (rc < 0 || (rc > 0 && n == 0)) {
+        end(c, rc < 0 ? rc : 0);
+        return;
+    }
+    if (rc > 0) {
+        g_byte_array_append(c->in, (guint8 *)buf, (guint)n);
+        c->ops->data(c->ctx);
+    }
+}
+
+static gboolean
+dispatch(GSource *source, GSourceFunc fn, gpointer data)
+{
+    struct fw_conn *c = (struct fw_conn *)source;
+    GIOCondition got = g_source_query_unix_fd(source, c->tag);
+
+    (void)fn;
+    (void)data;
+    if (got & (G_IO_OUT | (c->connected ? 0 : G_IO_ERR | G_IO_HUP))) {
+        on_writable(c);
+    }
+    if (!c->dead && c->connected && (got & (G_IO_IN | G_IO_HUP | G_IO_ERR)) &&
+        (c->reading || (got & G_IO_ERR))) {
+        on_readable(c);
+    }
+    watch(c);
+    return G_SOURCE_CONTINUE;
+}
+
+static void
+finalize(GSource *source)
+{
+    struct fw_conn *c = (struct fw_conn *)source;
+
+    g_clear_object(&c->sock);
+    g_byte_array_unref(c->in);
+    g_byte_array_unref(c->out);
+}
+
+static GSourceFuncs funcs = {.dispatch = dispatch, .finalize = finalize};
+
+static struct fw_conn *
+conn_new(GSocket *sock, const struct fw_conn_ops *ops, void *ctx)
+{
+    GSource *source = g_source_new(&funcs, sizeof(struct fw_conn));
+    struct fw_conn *c = (struct fw_conn *)source;
+
+    c->sock = sock;
+    c->ops = ops;
+    c->ctx = ctx;
+    c->in = g_byte_array_new();
+    c->out = g_byte_array_new();
+    c->reading = 1;
+    g_socket_set_blocking(sock, FALSE);
+    g_socket_set_option(sock, IPPROTO_TCP, TCP_NODELAY, 1, NULL);
+    g_socket_set_option(sock, IPPROTO_TCP, TCP_USER_TIMEOUT, FW_SILENT_MS,
+                        NULL);
+    c->tag = g_source_add_unix_fd(source, g_socket_get_fd(sock), 0);
+    g_source_attach(source, NULL);
+    return c;
+}
+
+struct fw_conn *
+Fw_Conn_Accept(GSocket *sock, const struct fw_conn_ops *ops, void *ctx)
+{
+    struct fw_conn *c = conn_new(sock, ops, ctx);
+
+    c->connected = 1;
+    watch(c);
+    return c;
+}
+
+struct fw_conn *
+Fw_Conn_Open(const char *addr, const struct fw_conn_ops *ops, void *ctx,
+             int *err)
+{
+    GSocketAddress *to = Fw_Addr_Parse(addr);
+    GError *error = NULL;
+    GSocket *sock;
+    struct fw_conn *c;
+    gboolean ok;
+
+    *err = -EINVAL;
+    if (!to) {
+        return NULL;
+    }
+    sock = g_socket_new(g_socket_address_get_family(to), G_SOCKET_TYPE_STREAM,
+                        G_SOCKET_PROTOCOL_TCP, NULL);
+    if (!sock) {
+        *err = -EMFILE;
+        g_object_unref(to);
+        return NULL;
+    }
+    c = conn_new(sock, ops, ctx);
+    ok = g_socket_connect(sock, to, NULL, &error);
+    g_object_unref(to);
+    if (!ok && error->code != G_IO_ERROR_PENDING) {
+        *err = errno_of(error);
+        g_error_free(error);
+        Fw_Conn_Free(c, 0);
+        return NULL;
+    }
+    g_clear_error(&error);
+    c->connected = ok;
+    watch(c);
+    return c;
+}
+
+void
+Fw_Conn_SetOwner(struct fw_conn *c, const struct fw_conn_ops *ops, void *ctx)
+{
+    c->ops = ops;
+    c->ctx = ctx;
+}
+
+const char *
+Fw_Conn_In(const struct fw_conn *c, size_t *len)
+{
+    *len = c->in->len;
+    return (const char *)c->in->data;
+}
+
+void
+Fw_Conn_Consume(struct fw_conn *c, size_t n)
+{
+    if (n) {
+        g_byte_array_remove_range(c->in, 0, (guint)n);
+        watch(c);
+    }
+}
+
+/* Tries at once: most messages fit the kernel's buffer. */
+void
+Fw_Conn_Write(struct fw_conn *c, const void *data, size_t len)
+{
+    if (c->dead) {
+        return;
+    }
+    g_byte_array_append(c->out, data, (guint)len);
+    if (c->connected && flush(c) < 0) {
+        /* The reading side reports it: its owner isn't called from here. */
+        g_byte_array_set_size(c->out, 0);
+        c->used = 0;
+    }
+    watch(c);
+}
+
+size_t
+Fw_Conn_Pending(const struct fw_conn *c)
+{
+    return c->out->len - c->used;
+}
+
+uint64_t
+Fw_Conn_Sent(const struct fw_conn *c)
+{
+    return c->sent;
+}
+
+int
+Fw_Conn_Connected(const struct fw_conn *c)
+{
+    return c->connected;
+}
+
+void
+Fw_Conn_SetReading(struct fw_conn *c, int on)
+{
+    if (c->reading != on) {
+        c->reading = on;
+        watch(c);
+    }
+}
+
+void
+Fw_Conn_Shutdown(struct fw_conn *c)
+{
+    c->finish = 1;
+    if (!c->dead && c->connected) {
+        flush(c);
+        watch(c);
+    }
+}
+
+void
+Fw_Conn_Free(struct fw_conn *c, int reset)
+{
+    struct linger hard = {.l_onoff = 1, .l_linger = 0};
+
+    c->dead = 1;
+    if (reset) {
+        setsockopt(g_socket_get_fd(c->sock), SOL_SOCKET, SO_LINGER, &hard,
+                   sizeof(hard));
+    }
+    g_source_destroy(&c->source);
+    g_socket_close(c->sock, NULL);
+    g_source_unref(&c->source);
+}
--- /dev/null
+++ b/src/http/head.c
@@ -0,0 +1,352 @@
+#include "http/head.h"
+
+#include <errno.h>
+#include <glib.h>
+#include <http_parser.h>
+#include <string.h>
+
+/* Digits of a length that can't overflow 64 bits. */
+#define FW_LENGTH_DIGITS 18
+
+static int
+is_token(unsigned char c)
+{
+    return g_ascii_isalnum(c) || (c && strchr("!#$%&'*+-.^_`|~", c));
+}
+
+int
+Fw_Http_FieldIs(const struct fw_http_field *f, const char *name)
+{
+    return f->name_len == strlen(name) &&
+           g_ascii_strncasecmp(f->name, name, f->name_len) == 0;
+}
+
+const struct fw_http_field *
+Fw_Http_Find(const struct fw_http_head *h, const char *name)
+{
+    for (int i = 0; i < h->n_fields; i++) {
+        if (Fw_Http_FieldIs(&h->fields[i], name)) {
+            return &h->fields[i];
+        }
+    }
+    return NULL;
+}
+
+int
+Fw_Http_HasToken(const struct fw_http_field *f, const char *token)
+{
+    size_t want = strlen(token);
+    const char *p = f->value;
+    const char *end = f->value + f->value_len;
+
+    while (p < end) {
+        const char *stop = memchr(p, ',', (size_t)(end - p));
+        const char *last = stop ? stop : end;
+
+        while (p < last && (*p == ' ' || *p == '\t')) {
+            p++;
+        }
+        while (last > p && (last[-1] == ' ' || last[-1] == '\t')) {
+            last--;
+        }
+        if ((size_t)(last - p) == want &&
+            g_ascii_strncasecmp(p, token, want) == 0) {
+            return 1;
+        }
+        p = stop ? stop + 1 : end;
+    }
+    return 0;
+}
+
+int
+Fw_Http_HopByHop(const struct fw_http_head *h, const struct fw_http_field *f)
+{
+    static const char *const names[] = {
+        "connection", "keep-alive", "proxy-connection",
+        "te",         "trailer",    "transfer-encoding",
+        "upgrade",    "expect",     "proxy-authenticate",
+    };
+    char name[64];
+
+    for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+        if (Fw_Http_FieldIs(f, names[i])) {
+            return 1;
+        }
+    }
+    if (f->name_len >= sizeof(name)) {
+        return 0;
+    }
+    memcpy(name, f->name, f->name_len);
+    name[f->name_len] = 0;
+    for (int i = 0; i < h->n_fields; i++) {
+        if (Fw_Http_FieldIs(&h->fields[i], "connection") &&
+            Fw_Http_HasToken(&h->fields[i], name)) {
+            return 1;
+        }
+    }
+    return 0;
+}
+
+/* Length of the head with its empty line; 0 when that hasn't come yet. */
+static size_t
+head_length(const char *data, size_t len)
+{
+    const char *end = memmem(data, len, "\r\n\r\n", 4);
+
+    return end ? (size_t)(end - data) + 4 : 0;
+}
+
+static int
+lines_are_plain(const char *raw, size_t len)
+{
+    for (size_t i = 0; i < len; i++) {
+        if (raw[i] == 0 || (raw[i] == '\n' && (i == 0 || raw[i - 1] != '\r')) ||
+            (raw[i] == '\r' && raw[i + 1] != '\n')) {
+            return 0;
+        }
+    }
+    return 1;
+}
+
+/* Each line after the first: a token, a colon at once, no folding. */
+static int
+names_are_tokens(const char *raw, size_t len)
+{
+    const char *p = strstr(raw, "\r\n") + 2;
+    const char *end = raw + len - 2;
+
+    while (p < end) {
+        const char *c = p;
+
+        while (is_token((unsigned char)*c)) {
+            c++;
+        }
+        if (c == p || *c != ':') {
+            return 0;
+        }
+        p = strstr(c, "\r\n") + 2;
+    }
+    return 1;
+}
+
+static struct fw_http_head *
+head_of(http_parser *p)
+{
+    return p->data;
+}
+
+static int
+on_url(http_parser *p, const char *at, size_t len)
+{
+    head_of(p)->target = at;
+    head_of(p)->target_len = len;
+    return 0;
+}
+
+static int
+on_name(http_parser *p, const char *at, size_t len)
+{
+    struct fw_http_head *h = head_of(p);
+
+    if (h->n_fields == FW_HTTP_FIELDS_MAX) {
+        return -1;
+    }
+    h->fields[h->n_fields++] =
+        (struct fw_http_field){.name = at, .name_len = len, .value = at + len};
+    return 0;
+}
+
+static int
+on_value(http_parser *p, const char *at, size_t len)
+{
+    struct fw_http_head *h = head_of(p);
+    struct fw_http_field *f = &h->fields[h->n_fields - 1];
+
+    while (len && (at[len - 1] == ' ' || at[len - 1] == '\t')) {
+        len--;
+    }
+    f->value = at;
+    f->value_len = len;
+    return 0;
+}
+
+/* The body is framed by frame.c: the parser stops at the end of the head. */
+static int
+on_head_done(http_parser *p)
+{
+    p->upgrade = 0;
+    return 1;
+}
+
+static int
+read_length(struct fw_http_head *h, const struct fw_http_field *f)
+{
+    if (!f->value_len || f->value_len > FW_LENGTH_DIGITS) {
+        return -EBADMSG;
+    }
+    h->length = 0;
+    for (size_t i = 0; i < f->value_len; i++) {
+        if (!g_ascii_isdigit(f->value[i])) {
+            return -EBADMSG;
+        }
+        h->length = h->length * 10 + (uint64_t)(f->value[i] - '0');
+    }
+    h->framing = FW_HTTP_LENGTH;
+    return 0;
+}
+
+static int
+count_of(const struct fw_http_head *h, const char *name)
+{
+    int n = 0;
+
+    for (int i = 0; i < h->n_fields; i++) {
+        n += Fw_Http_FieldIs(&h->fields[i], name);
+    }
+    return n;
+}
+
+static int
+has_no_body(const struct fw_http_head *h)
+{
+    return h->status && (h->status < 200 || h->status == 204 ||
+                         h->status == 304);
+}
+
+static int
+read_framing(enum fw_http_side side, struct fw_http_head *h)
+{
+    const struct fw_http_field *length = Fw_Http_Find(h, "content-length");
+    const struct fw_http_field *coding = Fw_Http_Find(h, "transfer-encoding");
+
+    if (count_of(h, "content-length") > 1 ||
+        count_of(h, "transfer-encoding") > 1 || (length && coding)) {
+        return -EBADMSG;
+    }
+    h->framing = side == FW_HTTP_REQUEST ? FW_HTTP_NONE : FW_HTTP_UNTIL_CLOSE;
+    if (coding) {
+        if (h->minor < 1 || coding->value_len != 7 ||
+            g_ascii_strncasecmp(coding->value, "chunked", 7) != 0) {
+            return -EBADMSG;
+        }
+        h->framing = FW_HTTP_CHUNKED;
+    }
+    if (length && read_length(h, length)) {
+        return -EBADMSG;
+    }
+    if (has_no_body(h)) {
+        h->framing = FW_HTTP_NONE;
+    }
+    return 0;
+}
+
+static int
+read_keep_alive(const struct fw_http_head *h)
+{
+    for (int i = 0; i < h->n_fields; i++) {
+        const struct fw_http_field *f = &h->fields[i];
+
+        if (!Fw_Http_FieldIs(f, "connection")) {
+            continue;
+        }
+        if (Fw_Http_HasToken(f, "close")) {
+            return 0;
+        }
+        if (Fw_Http_HasToken(f, "keep-alive")) {
+            return 1;
+        }
+    }
+    return h->minor >= 1;
+}
+
+static int
+target_is_plain(const struct fw_http_head *h)
+{
+    if (!h->target_len || h->target[0] != '/') {
+        return 0;
+    }
+    for (size_t i = 0; i < h->target_len; i++) {
+        unsigned char c = (unsigned char)h->target[i];
+
+        if (c <= ' ' || c >= 0x7f || c == '#') {
+            return 0;
+        }
+    }
+    return 1;
+}
+
+static int
+check_request(struct fw_http_head *h)
+{
+    const char *space = strchr(h->raw, ' ');
+
+    h->method = h->raw;
+    h->method_len = (size_t)(space - h->raw);
+    if (!target_is_plain(h) || count_of(h, "host") != 1) {
+        return -EBADMSG;
+    }
+    /* One space on each side of the target, as the target's place shows. */
+    if (h->target != space + 1 ||
+        strncmp(h->target + h->target_len, " HTTP/1.", 8) != 0) {
+        return -EBADMSG;
+    }
+    return 0;
+}
+
+/*
+ * The parser takes lines as the raw check left them; what it accepts beyond
+ * that (versions, methods, folded values) is looked at again here.
+ */
+static int
+parse(enum fw_http_side side, size_t len, struct fw_http_head *h)
+{
+    static const http_parser_settings settings = {
+        .on_url = on_url,
+        .on_header_field = on_name,
+        .on_header_value = on_value,
+        .on_headers_complete = on_head_done,
+    };
+    http_parser p;
+
+    http_parser_init(&p, side == FW_HTTP_REQUEST ? HTTP_REQUEST
+                                                 : HTTP_RESPONSE);
+    p.data = h;
+    p.allow_chunked_length = 1; /* refused below, with a reason of our own */
+    http_parser_execute(&p, &settings, h->raw, len);
+    if (HTTP_PARSER_ERRNO(&p) != HPE_OK || p.http_major != 1 ||
+        p.http_minor > 1 || p.method == HTTP_CONNECT) {
+        return -EBADMSG;
+    }
+    h->minor = p.http_minor;
+    if (side == FW_HTTP_RESPONSE) {
+        h->status = p.status_code;
+        return h->status >= 100 && h->status <= 599 ? 0 : -EBADMSG;
+    }
+    return check_request(h);
+}
+
+int
+Fw_Http_ReadHead(enum fw_http_side side, const char *data, size_t len,
+                 struct fw_http_head *out)
+{
+    size_t n = head_length(data, len);
+
+    if (!n) {
+        return 0;
+    }
+    *out = (struct fw_http_head){.raw = g_strndup(data, n)};
+    if (!lines_are_plain(out->raw, n) || !names_are_tokens(out->raw, n) ||
+        parse(side, n, out) || read_framing(side, out)) {
+        Fw_Http_ClearHead(out);
+        return -EBADMSG;
+    }
+    out->keep_alive = read_keep_alive(out);
+    return (int)n;
+}
+
+void
+Fw_Http_ClearHead(struct fw_http_head *h)
+{
+    g_free(h->raw);
+    *h = (struct fw_http_head){0};
+}
--- /dev/null
+++ b/src/http/server.c
@@ -0,0 +1,180 @@
+#include "http/server.h"
+
+#include <errno.h>
+#include <string.h>
+
+#include "base/limits.h"
+#include "base/list.h"
+#include "http/conn.h"
+#include "http/frame.h"
+#include "http/http_internal.h"
+#include "io/addr.h"
+
+/*
+ * After an answer to a request that wasn't read to its end, what still comes
+ * is read and dropped for so long: closing at once would reset the
+ * connection and the caller could lose the answer. A round trip across the
+ * region is 40 ms; the rest is for a sender that is slow to notice.
+ */
+#define FW_LINGER_US (500 * FW_MSEC)
+
+static const struct fw_http_limits default_limits = {
+    .header_bytes = 16384,
+    .body_bytes = 4 << 20,
+    .held_bytes = 32 << 20,
+    .head_us = 5 * FW_SEC,
+    .body_us = 15 * FW_SEC,
+    .idle_us = 60 * FW_SEC,
+};
+
+static gboolean
+on_accept(GSocket *listener, GIOCondition cond, gpointer data)
+{
+    struct fw_http_server *s = data;
+    GSocket *sock;
+
+    (void)cond;
+    while ((sock = g_socket_accept(listener, NULL, NULL))) {
+        Fw_Caller_New(s, sock);
+    }
+    return G_SOURCE_CONTINUE;
+}
+
+static GSocket *
+listen_on(const char *addr, int *err)
+{
+    GSocketAddress *at = Fw_Addr_Parse(addr);
+    GSocket *sock;
+
+    *err = -EINVAL;
+    if (!at) {
+        return NULL;
+    }
+    sock = g_socket_new(g_socket_address_get_family(at), G_SOCKET_TYPE_STREAM,
+                        G_SOCKET_PROTOCOL_TCP, NULL);
+    *err = -EADDRINUSE;
+    if (sock) {
+        g_socket_set_blocking(sock, FALSE);
+        g_socket_set_listen_backlog(sock, 1024);
+        if (!g_socket_bind(sock, at, TRUE, NULL) ||
+            !g_socket_listen(sock, NULL)) {
+            g_clear_object(&sock);
+        }
+    }
+    g_object_unref(at);
+    return sock;
+}
+
+struct fw_http_server *
+Fw_Server_New(const char *addr, const struct fw_http_ops *ops, void *ctx,
+              int *err)
+{
+    GSocket *sock = listen_on(addr, err);
+    struct fw_http_server *s;
+
+    if (!sock) {
+        return NULL;
+    }
+    s = g_new0(struct fw_http_server, 1);
+    s->ops = ops;
+    s->ctx = ctx;
+    s->limits = default_limits;
+    s->listener = sock;
+    Fw_List_Init(&s->callers);
+    s->source = g_socket_create_source(sock, G_IO_IN, NULL);
+    g_source_set_callback(s->source, G_SOURCE_FUNC(on_accept), s, NULL);
+    g_source_attach(s->source, NULL);
+    return s;
+}
+
+void
+Fw_Server_Free(struct fw_http_server *s)
+{
+    if (!s) {
+        return;
+    }
+    while (!Fw_List_Empty(&s->callers)) {
+        Fw_Caller_Free(
+            FW_LIST_ENTRY(s->callers.next, struct fw_http_caller, link), 0);
+    }
+    g_source_destroy(s->source);
+    g_source_unref(s->source);
+    g_object_unref(s->listener);
+    g_free(s);
+}
+
+void
+Fw_Server_SetLimits(struct fw_http_server *s, const struct fw_http_limits *l)
+{
+    s->limits = *l;
+}
+
+void
+Fw_Server_Drain(struct fw_http_server *s)
+{
+    s->draining = 1;
+}
+
+int
+Fw_Server_Busy(const struct fw_http_server *s)
+{
+    const struct fw_list *pos;
+    int n = 0;
+
+    FW_LIST_EACH (pos, &s->callers) {
+        const struct fw_http_caller *c = FW_LIST_ENTRY(pos, struct fw_http_caller, link);
+        n += c->state == FW_CALLER_ANSWER || c->state == FW_CALLER_BODY ||
+             (c->state == FW_CALLER_CLOSE && Fw_Conn_Pending(c->conn) > 0);
+    }
+    return n;
+}
+
+int
+Fw_Server_Port(const struct fw_http_server *s)
+{
+    GSocketAddress *at = g_socket_get_local_address(s->listener, NULL);
+    int port = at ? g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(at))
+                  : 0;
+
+    g_clear_object(&at);
+    return port;
+}
+
+static int64_t
+allowed_us(const struct fw_http_server *s, const struct fw_http_caller *c)
+{
+    switch (c->state) {
+    case FW_CALLER_IDLE:
+        return s->limits.idle_us;
+    case FW_CALLER_HEAD:
+        return s->limits.head_us;
+    case FW_CALLER_BODY:
+        return s->limits.body_us;
+    case FW_CALLER_CLOSE:
+        return FW_LINGER_US;
+    case FW_CALLER_ANSWER:
+        break;
+    }
+    return INT64_MAX;
+}
+
+void
+Fw_Server_Tick(struct fw_http_server *s, int64_t now_us)
+{
+    struct fw_list *pos;
+    struct fw_list *tmp;
+
+    FW_LIST_EACH_SAFE (pos, tmp, &s->callers) {
+        struct fw_http_caller *c = FW_LIST_ENTRY(pos, struct fw_http_caller, link);
+
+        if (now_us - c->since_us < allowed_us(s, c)) {
+            continue;
+        }
+        if (c->state == FW_CALLER_HEAD || c->state == FW_CALLER_BODY) {
+            Fw_Caller_Refuse(c, 408, "request took too long to arrive");
+        }
+        else {
+            Fw_Caller_Free(c, 0);
+        }
+    }
+}
--- a/src/io/note.c
+++ b/src/io/note.c
@@ -1,12 +1,20 @@
 #include "io/note.h"
 
+#include <limits.h>
+#include <poll.h>
 #include <stdarg.h>
+#include <unistd.h>
 
 #include "io/json.h"
 
 static struct {
     char instance[FW_NAME_MAX];
     FILE *to;
+    int fd;
+    size_t bound;
+    GString *waiting; /* NULL unless bounded */
+    int64_t untold;   /* lines dropped since the last word on it */
+    struct fw_metric dropped;
 } log_state;
 
 void
@@ -53,17 +61,112 @@
     Fw_Json_AddStr(line, value ? value : "");
 }
 
+/*
+ * Lines for a pipe whose reader may stop reading. A write of up to
+ * PIPE_BUF bytes to a pipe that polls as writable never blocks; the rest
+ * waits in memory up to a bound, beyond which lines are dropped and counted.
+ */
+static void
+flush_waiting(void)
+{
+    struct pollfd p = {.fd = log_state.fd, .events = POLLOUT};
+
+    while (log_state.waiting->len && poll(&p, 1, 0) == 1 &&
+           (p.revents & POLLOUT)) {
+        size_t n = MIN(log_state.waiting->len, (size_t)PIPE_BUF);
+        ssize_t done = write(log_state.fd, log_state.waiting->str, n);
+
+        if (done <= 0) {
+            return;
+        }
+        g_string_erase(log_state.waiting, 0, done);
+    }
+}
+
+static void
+queue_line(const GString *line)
+{
+    if (log_state.waiting->len + line->len > log_state.bound) {
+        log_state.dropped.value++;
+        log_state.untold++;
+        return;
+    }
+    g_string_append_len(log_state.waiting, line->str, (gssize)line->len);
+}
+
+static void
+emit_bounded(const GString *line)
+{
+    flush_waiting();
+    if (log_state.untold && !log_state.waiting->len) {
+        GString *told = begin_line(LOG_WARNING, "log_lines_dropped");
+
+        g_string_append_printf(told, ",\"lines\":%" G_GINT64_FORMAT "}\n",
+                               log_state.untold);
+        log_state.untold = 0;
+        queue_line(told);
+        g_string_free(told, TRUE);
+    }
+    queue_line(line);
+    flush_waiting();
+}
+
 static void
 end_line(GString *line)
 {
     FILE *to = log_state.to ? log_state.to : stderr;
 
     g_string_append(line, "}\n");
-    fwrite(line->str, 1, line->len, to);
-    fflush(to);
+    if (log_state.waiting) {
+        emit_bounded(line);
+    }
+    else {
+        fwrite(line->str, 1, line->len, to);
+        fflush(to);
+    }
     g_string_free(line, TRUE);
 }
 
+void
+Fw_Note_SetupBounded(const char *instance, int fd, size_t bound)
+{
+    Fw_Note_Setup(instance, NULL);
+    log_state.fd = fd;
+    log_state.bound = bound;
+    if (!log_state.waiting) {
+        log_state.waiting = g_string_new(NULL);
+    }
+    log_state.dropped = (struct fw_metric){
+        .name = "fw_log_lines_dropped_total",
+        .help = "Log lines dropped because their reader was too slow"};
+}
+
+void
+Fw_Note_AddMetrics(struct fw_metrics *m)
+{
+    Fw_Metrics_Add(m, &log_state.dropped);
+}
+
+void
+Fw_Note_Flush(void)
+{
+    if (log_state.waiting) {
+        flush_waiting();
+    }
+}
+
+void
+Fw_Note_Members(int severity, const char *event, const char *members)
+{
+    GString *line = begin_line(severity, event);
+
+    if (members[0]) {
+        g_string_append_c(line, ',');
+        g_string_append(line, members);
+    }
+    end_line(line);
+}
+
 void
 Fw_Note_Write(const struct fw_note *note)
 {
--- /dev/null
+++ b/src/relay/members.c
@@ -0,0 +1,425 @@
+/*
+ * Other instances, and the digests that they send each other: what each has
+ * spent of the teams' allowances, what it has at the engines, and requests
+ * that took servers down. A digest repeats the whole, so a lost one costs
+ * only time. Each instance tells all others: right for some ten instances;
+ * docs/CAPACITY.md says what takes its place beyond.
+ */
+#include <errno.h>
+#include <msgpack.h>
+#include <string.h>
+
+#include "base/hash.h"
+#include "relay/relay_internal.h"
+
+#define FW_DIGEST_FORM 1
+/* An instance that was silent for so long isn't counted as in touch. */
+#define FW_TOUCH_US (1200 * FW_MSEC)
+/*
+ * One that was silent for so long has left for good. Until then its part of
+ * the allowances stays unused: it may only be cut off.
+ */
+#define FW_MEMBER_LIFE_US (20 * FW_SEC)
+/* Entries of one kind in a digest that are taken in. */
+#define FW_ENTRIES_MAX 20000
+
+static gint64 *
+key_of(uint64_t hash)
+{
+    gint64 *k = g_new(gint64, 1);
+
+    *k = (gint64)hash;
+    return k;
+}
+
+static GHashTable *
+table_new(GDestroyNotify free_value)
+{
+    return g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+                                 free_value);
+}
+
+static struct fw_rl_member *
+find(const struct fw_relay *r, const char *name)
+{
+    struct fw_list *pos;
+
+    FW_LIST_EACH (pos, &r->members) {
+        struct fw_rl_member *m = FW_LIST_ENTRY(pos, struct fw_rl_member, link);
+
+        if (strcmp(m->name, name) == 0) {
+            return m;
+        }
+    }
+    return NULL;
+}
+
+static struct fw_rl_member *
+add(struct fw_relay *r, const char *name, int64_t now_us)
+{
+    struct fw_rl_member *m = g_new0(struct fw_rl_member, 1);
+
+    g_strlcpy(m->name, name, sizeof(m->name));
+    m->added_us = now_us;
+    m->spent = table_new(g_free);
+    m->load = table_new(g_free);
+    m->strikes = table_new(NULL);
+    Fw_List_Append(&r->members, &m->link);
+    return m;
+}
+
+static void
+member_free(struct fw_rl_member *m)
+{
+    Fw_List_Remove(&m->link);
+    g_hash_table_destroy(m->spent);
+    g_hash_table_destroy(m->load);
+    g_hash_table_destroy(m->strikes);
+    g_free(m);
+}
+
+void
+Fw_Members_Clear(struct fw_relay *r)
+{
+    while (!Fw_List_Empty(&r->members)) {
+        member_free(
+            FW_LIST_ENTRY(r->members.next, struct fw_rl_member, link));
+    }
+}
+
+void
+Fw_Relay_AddMember(struct fw_relay *r, const char *name, const char *addr,
+                   int64_t now_us)
+{
+    struct fw_rl_member *m;
+
+    if (strcmp(name, r->opts.name) == 0) {
+        return;
+    }
+    m = find(r, name);
+    if (!m) {
+        m = add(r, name, now_us);
+    }
+    if (!m->heard_us) {
+        g_strlcpy(m->addr, addr, sizeof(m->addr));
+    }
+}
+
+void
+Fw_Relay_Members(const struct fw_relay *r, GPtrArray *addrs)
+{
+    struct fw_list *pos;
+
+    FW_LIST_EACH (pos, &r->members) {
+        g_ptr_array_add(addrs,
+                        FW_LIST_ENTRY(pos, struct fw_rl_member, link)->addr);
+    }
+}
+
+int
+Fw_Members_Count(const struct fw_relay *r, int64_t now_us, int *heard)
+{
+    struct fw_list *pos;
+    int in_touch = 1;
+    int n = 1;
+
+    FW_LIST_EACH (pos, &r->members) {
+        const struct fw_rl_member *m =
+            FW_LIST_ENTRY(pos, struct fw_rl_member, link);
+
+        n++;
+        in_touch += m->heard_us && now_us - m->heard_us < FW_TOUCH_US;
+    }
+    if (heard) {
+        *heard = in_touch;
+    }
+    return n;
+}
+
+void
+Fw_Members_Tick(struct fw_relay *r, int64_t now_us, struct fw_rl_acts *out)
+{
+    struct fw_list *pos;
+    struct fw_list *tmp;
+
+    FW_LIST_EACH_SAFE (pos, tmp, &r->members) {
+        struct fw_rl_member *m = FW_LIST_ENTRY(pos, struct fw_rl_member, link);
+
+        if (now_us - MAX(m->heard_us, m->added_us) >= FW_MEMBER_LIFE_US) {
+            Fw_Acts_Log(out, r, LOG_NOTICE, "member_gone",
+                        "\"member\":\"%s\",\"addr\":\"%s\"", m->name,
+                        m->addr);
+            member_free(m);
+        }
+    }
+    r->n.members.value = Fw_Members_Count(r, now_us, NULL);
+}
+
+static void
+pack_spent(struct fw_relay *r, msgpack_packer *pk)
+{
+    GHashTableIter it;
+    gpointer v;
+
+    msgpack_pack_array(pk, g_hash_table_size(r->purses));
+    g_hash_table_iter_init(&it, r->purses);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        const struct fw_rl_purse *p = v;
+
+        msgpack_pack_array(pk, 2);
+        msgpack_pack_uint64(pk, p->hash);
+        msgpack_pack_int64(pk, p->spent);
+    }
+}
+
+static int
+has_load(const struct fw_rl_server *s)
+{
+    return s->running || s->reserved || s->reading;
+}
+
+static void
+pack_load(struct fw_relay *r, msgpack_packer *pk)
+{
+    struct fw_list *pos;
+    size_t n = 0;
+
+    FW_LIST_EACH (pos, &r->servers) {
+        n += (size_t)has_load(FW_LIST_ENTRY(pos, struct fw_rl_server, link));
+    }
+    msgpack_pack_array(pk, n);
+    FW_LIST_EACH (pos, &r->servers) {
+        const struct fw_rl_server *s =
+            FW_LIST_ENTRY(pos, struct fw_rl_server, link);
+
+        if (has_load(s)) {
+            msgpack_pack_array(pk, 4);
+            msgpack_pack_uint64(pk, s->hash);
+            msgpack_pack_int64(pk, s->running);
+            msgpack_pack_int64(pk, s->reserved);
+            msgpack_pack_int64(pk, s->reading);
+        }
+    }
+}
+
+static void
+pack_strikes(struct fw_relay *r, msgpack_packer *pk)
+{
+    msgpack_pack_array(pk, (size_t)r->n_strikes);
+    for (int i = 0; i < r->n_strikes; i++) {
+        msgpack_pack_array(pk, 2);
+        msgpack_pack_uint64(pk, r->strikes[i].digest);
+        msgpack_pack_int64(pk, r->strikes[i].count);
+    }
+}
+
+static void
+pack_str(msgpack_packer *pk, const char *s)
+{
+    msgpack_pack_str(pk, strlen(s));
+    msgpack_pack_str_body(pk, s, strlen(s));
+}
+
+static int
+write_bytes(void *data, const char *buf, size_t len)
+{
+    g_byte_array_append(data, (const guint8 *)buf, (guint)len);
+    return 0;
+}
+
+void
+Fw_Relay_WriteDigest(struct fw_relay *r, int64_t now_us, GByteArray *out)
+{
+    msgpack_packer pk;
+
+    (void)now_us;
+    msgpack_packer_init(&pk, out, write_bytes);
+    msgpack_pack_array(&pk, 8);
+    msgpack_pack_int(&pk, FW_DIGEST_FORM);
+    pack_str(&pk, r->opts.name);
+    msgpack_pack_uint64(&pk, r->opts.boot);
+    msgpack_pack_uint64(&pk, ++r->digest_seq);
+    msgpack_pack_int(&pk, r->queue.n);
+    pack_spent(r, &pk);
+    pack_load(r, &pk);
+    pack_strikes(r, &pk);
+}
+
+/* An array of rows of @width whole numbers; NULL if it is not that. */
+static const msgpack_object_array *
+rows_of(const msgpack_object *o, uint32_t width)
+{
+    const msgpack_object_array *a = &o->via.array;
+
+    if (o->type != MSGPACK_OBJECT_ARRAY || a->size > FW_ENTRIES_MAX) {
+        return NULL;
+    }
+    for (uint32_t i = 0; i < a->size; i++) {
+        const msgpack_object *row = &a->ptr[i];
+
+        if (row->type != MSGPACK_OBJECT_ARRAY ||
+            row->via.array.size != width) {
+            return NULL;
+        }
+        for (uint32_t k = 0; k < width; k++) {
+            int type = (int)row->via.array.ptr[k].type;
+
+            if (type != MSGPACK_OBJECT_POSITIVE_INTEGER &&
+                type != MSGPACK_OBJECT_NEGATIVE_INTEGER) {
+                return NULL;
+            }
+        }
+    }
+    return a;
+}
+
+static int64_t
+cell(const msgpack_object_array *rows, uint32_t i, int k)
+{
+    return rows->ptr[i].via.array.ptr[k].via.i64;
+}
+
+/*
+ * The first figure of an instance that was met anew is where counting
+ * starts; one that has started anew starts from nothing.
+ */
+static void
+take_spent(struct fw_relay *r, struct fw_rl_member *m, int first,
+           const msgpack_object_array *rows)
+{
+    for (uint32_t i = 0; i < rows->size; i++) {
+        uint64_t hash = (uint64_t)cell(rows, i, 0);
+        int64_t now = cell(rows, i, 1);
+        int64_t *before = g_hash_table_lookup(m->spent, &hash);
+        int64_t delta = now - (before ? *before : 0);
+        int64_t *kept;
+
+        if (!first && delta) {
+            Fw_Purse_Others(r, hash, delta);
+        }
+        if (before) {
+            *before = now;
+            continue;
+        }
+        kept = g_new(int64_t, 1);
+        *kept = now;
+        g_hash_table_insert(m->spent, key_of(hash), kept);
+    }
+}
+
+static void
+take_load(struct fw_rl_member *m, const msgpack_object_array *rows)
+{
+    g_hash_table_remove_all(m->load);
+    for (uint32_t i = 0; i < rows->size; i++) {
+        struct fw_rl_load *l = g_new(struct fw_rl_load, 1);
+
+        l->running = (int)cell(rows, i, 1);
+        l->reserved = cell(rows, i, 2);
+        l->reading = cell(rows, i, 3);
+        g_hash_table_insert(m->load, key_of((uint64_t)cell(rows, i, 0)), l);
+    }
+}
+
+static void
+take_strikes(struct fw_rl_member *m, const msgpack_object_array *rows)
+{
+    g_hash_table_remove_all(m->strikes);
+    for (uint32_t i = 0; i < rows->size; i++) {
+        g_hash_table_insert(m->strikes, key_of((uint64_t)cell(rows, i, 0)),
+                            GINT_TO_POINTER((int)cell(rows, i, 1)));
+    }
+}
+
+/** struct digest - a message, checked. */
+struct digest {
+    char name[FW_NAME_MAX];
+    uint64_t boot;
+    uint64_t seq;
+    int waiting;
+    const msgpack_object_array *spent;
+    const msgpack_object_array *load;
+    const msgpack_object_array *strikes;
+};
+
+static int
+check(const msgpack_object *o, struct digest *d)
+{
+    const msgpack_object *f = o->via.array.ptr;
+
+    if (o->type != MSGPACK_OBJECT_ARRAY || o->via.array.size != 8 ||
+        f[0].type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
+        f[0].via.u64 != FW_DIGEST_FORM ||
+        f[1].type != MSGPACK_OBJECT_STR || !f[1].via.str.size ||
+        f[1].via.str.size >= FW_NAME_MAX ||
+        f[2].type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
+        f[3].type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
+        f[4].type != MSGPACK_OBJECT_POSITIVE_INTEGER) {
+        return -EBADMSG;
+    }
+    memcpy(d->name, f[1].via.str.ptr, f[1].via.str.size);
+    d->name[f[1].via.str.size] = 0;
+    d->boot = f[2].via.u64;
+    d->seq = f[3].via.u64;
+    d->waiting = (int)MIN(f[4].via.u64, FW_ENTRIES_MAX);
+    d->spent = rows_of(&f[5], 2);
+    d->load = rows_of(&f[6], 4);
+    d->strikes = rows_of(&f[7], 2);
+    return d->spent && d->load && d->strikes ? 0 : -EBADMSG;
+}
+
+/* Datagrams overtake each other: an older one says nothing new. */
+static int
+is_old(const struct fw_rl_member *m, const struct digest *d)
+{
+    return d->boot < m->boot || (d->boot == m->boot && d->seq <= m->seq);
+}
+
+static int
+take(struct fw_relay *r, const struct digest *d, const char *addr,
+     int64_t now_us)
+{
+    struct fw_rl_member *m = find(r, d->name);
+    int known = m && m->heard_us;
+    int first;
+
+    if (strcmp(d->name, r->opts.name) == 0) {
+        return 0;
+    }
+    if (!m) {
+        m = add(r, d->name, now_us);
+    }
+    if (known && is_old(m, d)) {
+        return 0;
+    }
+    first = !known;
+    if (d->boot != m->boot) {
+        g_hash_table_remove_all(m->spent);
+    }
+    m->boot = d->boot;
+    m->seq = d->seq;
+    m->heard_us = now_us;
+    m->waiting = d->waiting;
+    g_strlcpy(m->addr, addr, sizeof(m->addr));
+    take_spent(r, m, first, d->spent);
+    take_load(m, d->load);
+    take_strikes(m, d->strikes);
+    return !known;
+}
+
+int
+Fw_Relay_ReadDigest(struct fw_relay *r, const char *addr, const void *data,
+                    size_t len, int64_t now_us)
+{
+    msgpack_unpacked u;
+    struct digest d;
+    int rc = -EBADMSG;
+
+    msgpack_unpacked_init(&u);
+    if (msgpack_unpack_next(&u, data, len, NULL) == MSGPACK_UNPACK_SUCCESS &&
+        check(&u.data, &d) == 0) {
+        rc = take(r, &d, addr, now_us);
+    }
+    msgpack_unpacked_destroy(&u);
+    return rc;
+}
--- /dev/null
+++ b/src/relay/order.c
@@ -0,0 +1,278 @@
+/*
+ * Stages of engines: how many prefill, set by orders of one instance at a
+ * time.
+ *
+ * The instance that would order claims the role by a record that the
+ * platform's log takes only where the claimant saw its end; the record's
+ * offset is the fencing token. The role lasts for one lease from when the
+ * claim was sent, and a new claim follows the last one only after that has
+ * surely run out for its holder. So two instances never order at once, and
+ * an order that is late bears an old token. Orders are rare, so no lease is
+ * kept up: a claim is made when there is something to order.
+ */
+#include <string.h>
+
+#include "base/hash.h"
+#include "relay/relay_internal.h"
+
+/* Engines are looked at so often. */
+#define FW_LOOK_US (1 * FW_SEC)
+/* An order or report that has no answer by then. */
+#define FW_ORDER_WAIT_US (800 * FW_MSEC)
+/* An order that was not answered may be carried out this much later. */
+#define FW_ORDER_LATE_US (13 * FW_SEC)
+/* Of the lease's end, for the way of an order and for clocks' drift. */
+#define FW_LEASE_MARGIN_US (900 * FW_MSEC)
+/* Before the first look: entries and other instances become known. */
+#define FW_SETTLE_US (700 * FW_MSEC)
+
+static int
+engine_of(const struct fw_relay *r, const struct fw_rl_server *s,
+          const struct fw_rl_service_rule **rule)
+{
+    if (s->gone || s->e.draining || s->e.stage == FW_RL_STAGE_NONE) {
+        return 0;
+    }
+    *rule = Fw_Rules_Service(r->rules, s->e.service);
+    return *rule && (*rule)->engines;
+}
+
+/* The instance that orders: of those in touch the one of the lowest name. */
+static int
+is_mine(const struct fw_relay *r, int64_t now_us)
+{
+    struct fw_list *pos;
+
+    FW_LIST_EACH (pos, &r->members) {
+        const struct fw_rl_member *m =
+            FW_LIST_ENTRY(pos, struct fw_rl_member, link);
+
+        if (m->heard_us && now_us - m->heard_us < FW_SEC &&
+            strcmp(m->name, r->opts.name) < 0) {
+            return 0;
+        }
+    }
+    return 1;
+}
+
+static int
+holds_role(const struct fw_relay *r, int64_t now_us)
+{
+    return r->lead.fence && now_us < r->lead.until_us - FW_LEASE_MARGIN_US;
+}
+
+/* Has the last claim surely run out, as seen from here? */
+static int
+role_is_free(const struct fw_relay *r, int64_t now_us)
+{
+    return !r->lead.asking &&
+           (!r->lead.seen_us ||
+            now_us - r->lead.seen_us > r->opts.lease_us + FW_SEC);
+}
+
+static int64_t
+wanted_readers(const struct fw_relay *r, int engines)
+{
+    int64_t n = (engines * r->opts.prefill_permille + 500) / 1000;
+
+    return CLAMP(n, 1, MAX(engines - 1, 1));
+}
+
+/*
+ * The next engine whose stage should change, or NULL: one change at a time,
+ * so that capacity never leaves at once. Prefill engines with the highest
+ * id hash go first: all instances agree without a word.
+ */
+static struct fw_rl_server *
+next_change(struct fw_relay *r, int64_t now_us, enum fw_rl_stage *to)
+{
+    const struct fw_rl_service_rule *rule;
+    struct fw_rl_server *best = NULL;
+    struct fw_list *pos;
+    int readers = 0;
+    int engines = 0;
+    int64_t want;
+
+    FW_LIST_EACH (pos, &r->servers) {
+        struct fw_rl_server *s = FW_LIST_ENTRY(pos, struct fw_rl_server, link);
+
+        if (engine_of(r, s, &rule)) {
+            engines++;
+            readers += s->e.stage == FW_RL_STAGE_PREFILL &&
+                       now_us >= s->stage_us;
+        }
+    }
+    want = wanted_readers(r, engines);
+    if (engines < 2 || readers == want) {
+        return NULL;
+    }
+    *to = readers > want ? FW_RL_STAGE_DECODE : FW_RL_STAGE_PREFILL;
+    FW_LIST_EACH (pos, &r->servers) {
+        struct fw_rl_server *s = FW_LIST_ENTRY(pos, struct fw_rl_server, link);
+
+        if (engine_of(r, s, &rule) && s->e.stage != *to &&
+            now_us >= s->stage_us && Fw_Servers_Usable(s, now_us) &&
+            (!best || s->hash > best->hash)) {
+            best = s;
+        }
+    }
+    return best;
+}
+
+static void
+ask_report(struct fw_relay *r, struct fw_rl_server *s, int64_t now_us,
+           struct fw_rl_acts *out)
+{
+    struct fw_rl_up_call up = {.kind = FW_RL_UP_REPORT,
+                               .urgency = -1,
+                               .whole = 1,
+                               .reuse_us = FW_RL_REUSE_US,
+                               .connect_us = FW_RL_CONNECT_US};
+
+    Fw_Call_Ask(r, NULL, s, &up, now_us + FW_ORDER_WAIT_US, now_us, out);
+}
+
+/* The role is looked at again right before the order goes out. */
+static void
+order(struct fw_relay *r, struct fw_rl_server *s, enum fw_rl_stage to,
+      int64_t orders, int64_t now_us, struct fw_rl_acts *out)
+{
+    struct fw_rl_up_call up = {.kind = FW_RL_UP_STAGE,
+                               .urgency = -1,
+                               .whole = 1,
+                               .connect_us = FW_RL_CONNECT_US,
+                               .stage = to,
+                               .fence = r->lead.fence,
+                               .expected = orders};
+
+    if (!holds_role(r, now_us)) {
+        return;
+    }
+    Fw_Acts_Log(out, r, LOG_NOTICE, "order",
+                "\"server\":\"%s\",\"stage\":%d,\"fence\":%" G_GUINT64_FORMAT
+                ",\"expected\":%" G_GINT64_FORMAT,
+                s->e.id, (int)to, up.fence, orders);
+    Fw_Call_Ask(r, NULL, s, &up, now_us + FW_ORDER_WAIT_US, now_us, out);
+    /* Until its outcome is known nothing else is ordered there. */
+    s->stage_us = now_us + FW_ORDER_LATE_US;
+}
+
+void
+Fw_Order_Tick(struct fw_relay *r, int64_t now_us, struct fw_rl_acts *out)
+{
+    enum fw_rl_stage to;
+    struct fw_rl_server *s;
+
+    if (!r->rules || !r->list_known || r->draining ||
+        now_us < r->look_us) {
+        return;
+    }
+    if (!r->look_us) {
+        r->look_us = now_us + FW_SETTLE_US;
+        return;
+    }
+    r->look_us = now_us + FW_LOOK_US;
+    if (!is_mine(r, now_us) || !Fw_Relay_KeysFresh(r, now_us)) {
+        return;
+    }
+    s = next_change(r, now_us, &to);
+    if (!s) {
+        return;
+    }
+    if (holds_role(r, now_us)) {
+        ask_report(r, s, now_us, out);
+    }
+    else if (role_is_free(r, now_us)) {
+        r->lead.asking = 1;
+        Fw_Acts_Add(out, FW_RL_DO_LEAD)->u.lead_end = r->lead.end;
+    }
+}
+
+void
+Fw_Relay_Lead(struct fw_relay *r, enum fw_rl_claim claim, uint64_t offset,
+              int64_t sent_us, int64_t now_us)
+{
+    r->lead.asking = 0;
+    switch (claim) {
+    case FW_RL_CLAIM_MADE:
+        r->lead.fence = offset + 1;
+        r->lead.end = offset + 1;
+        r->lead.until_us = sent_us + r->opts.lease_us;
+        r->look_us = now_us;
+        break;
+    case FW_RL_CLAIM_TAKEN:
+        r->lead.fence = 0;
+        r->lead.end = offset;
+        break;
+    case FW_RL_CLAIM_UNKNOWN:
+        return;
+    }
+    r->lead.seen_us = now_us;
+}
+
+static void
+report_answered(struct fw_relay *r, struct fw_rl_server *s,
+                const struct fw_rl_up_answer *ans, int64_t now_us,
+                struct fw_rl_acts *out)
+{
+    enum fw_rl_stage to;
+
+    if (ans->status != 200 || ans->busy || ans->orders < 0 ||
+        next_change(r, now_us, &to) != s || ans->stage == to) {
+        return;
+    }
+    order(r, s, to, ans->orders, now_us, out);
+}
+
+static void
+stage_answered(struct fw_relay *r, struct fw_rl_server *s,
+               const struct fw_rl_up_answer *ans, int64_t now_us,
+               struct fw_rl_acts *out)
+{
+    const struct fw_rl_service_rule *rule =
+        r->rules ? Fw_Rules_Service(r->rules, s->e.service) : NULL;
+
+    Fw_Acts_Log(out, r, LOG_NOTICE, "ordered", "\"server\":\"%s\",\"status\":%d",
+                s->e.id, ans->status);
+    if (ans->status == 202 || ans->status == 200) {
+        s->stage_us = now_us + (rule ? rule->engine.switch_us : 0) + FW_SEC;
+        r->look_us = now_us;
+        return;
+    }
+    s->stage_us = 0;
+    if (ans->status == 412) {
+        /* Another holds a newer token: this one must not be used again. */
+        r->lead.fence = 0;
+        r->lead.seen_us = now_us;
+    }
+}
+
+void
+Fw_Order_Answered(struct fw_relay *r, struct fw_rl_op *op,
+                  const struct fw_rl_up_answer *ans, int64_t now_us,
+                  struct fw_rl_acts *out)
+{
+    struct fw_rl_server *s = Fw_Servers_Ref(op->server);
+    enum fw_rl_up_kind kind = op->kind;
+
+    Fw_Op_End(r, op);
+    if (kind == FW_RL_UP_REPORT) {
+        report_answered(r, s, ans, now_us, out);
+    }
+    else if (kind == FW_RL_UP_STAGE) {
+        stage_answered(r, s, ans, now_us, out);
+    }
+    Fw_Servers_Unref(s);
+}
+
+void
+Fw_Order_Failed(struct fw_relay *r, struct fw_rl_op *op, int64_t now_us,
+                struct fw_rl_acts *out)
+{
+    (void)now_us;
+    if (op->kind == FW_RL_UP_STAGE) {
+        Fw_Acts_Log(out, r, LOG_WARNING, "order_unanswered",
+                    "\"server\":\"%s\"", op->server->e.id);
+    }
+    Fw_Op_End(r, op);
+}
--- /dev/null
+++ b/src/relay/place.c
@@ -0,0 +1,208 @@
+/*
+ * Which server gets a request. Decisions only: nothing changes here.
+ */
+#include <string.h>
+
+#include "relay/relay_internal.h"
+
+/*
+ * Time that a plain server of unknown speed is expected to take. Only its
+ * size beside measured ones matters: unknown ones are tried early.
+ */
+#define FW_TOOK_GUESS_US (30.0 * FW_MSEC)
+/* A failed answer costs a caller about so many times a good one's wait. */
+#define FW_ERROR_WEIGHT 8.0
+/* Scores differ by less than chance: equal servers share the load. */
+#define FW_JITTER 0.3
+/* Tokens of a prompt that a prefill engine reads in a millisecond. */
+#define FW_READ_PER_MS 50.0
+/*
+ * How long an engine's "no room" counts for requests of that size or more.
+ * At capacity an engine ends a stream about every 400 ms (ten streams of
+ * four seconds); asking again much sooner costs calls and finds nothing.
+ */
+#define FW_FULL_US (60 * FW_MSEC)
+/* Digests of a member count as its load for so long after the last one. */
+#define FW_LOAD_LIFE_US (2 * FW_SEC)
+/* A transfer in the same failure domain is cheaper: worth a short wait. */
+#define FW_DOMAIN_BONUS_US (15 * FW_MSEC)
+
+int
+Fw_Call_Tried(const struct fw_rl_call *c, const struct fw_rl_server *s)
+{
+    for (int i = 0; i < c->n_tried; i++) {
+        if (c->tried[i] == s->hash) {
+            return 1;
+        }
+    }
+    return 0;
+}
+
+void
+Fw_Place_Load(const struct fw_relay *r, const struct fw_rl_server *s,
+              int64_t now_us, struct fw_rl_load *out)
+{
+    struct fw_list *pos;
+
+    *out = (struct fw_rl_load){.running = s->running,
+                               .reserved = s->reserved,
+                               .reading = s->reading};
+    FW_LIST_EACH (pos, &r->members) {
+        const struct fw_rl_member *m =
+            FW_LIST_ENTRY(pos, struct fw_rl_member, link);
+        const struct fw_rl_load *l = NULL;
+
+        if (now_us - m->heard_us < FW_LOAD_LIFE_US) {
+            l = g_hash_table_lookup(m->load, &s->hash);
+        }
+        if (l) {
+            out->running += l->running;
+            out->reserved += l->reserved;
+            out->reading += l->reading;
+        }
+    }
+}
+
+static int
+serves(const struct fw_rl_server *s, const struct fw_rl_call *c)
+{
+    return strcmp(s->e.service, c->service) == 0;
+}
+
+static double
+plain_score(struct fw_relay *r, const struct fw_rl_server *s)
+{
+    double took = s->took_us > 0 ? s->took_us : FW_TOOK_GUESS_US;
+    double busy = 1.0 + (double)s->running / MAX(s->e.slots, 1);
+
+    return took * busy * busy * (1.0 + FW_ERROR_WEIGHT * s->errors) *
+           (1.0 + g_rand_double_range(r->rand, 0, FW_JITTER));
+}
+
+/*
+ * A server that was not reached lately is taken only when no other is left:
+ * then trying is all that can be done.
+ */
+struct fw_rl_server *
+Fw_Place_Plain(struct fw_relay *r, const struct fw_rl_call *c, int64_t now_us)
+{
+    struct fw_rl_server *best = NULL;
+    struct fw_list *pos;
+    double best_score = 0;
+
+    FW_LIST_EACH (pos, &r->servers) {
+        struct fw_rl_server *s = FW_LIST_ENTRY(pos, struct fw_rl_server, link);
+        double score;
+
+        if (!serves(s, c) || s->gone || s->e.draining) {
+            continue;
+        }
+        score = plain_score(r, s);
+        if (Fw_Call_Tried(c, s)) {
+            score *= 100;
+        }
+        if (now_us < s->suspect_us) {
+            score *= 1000;
+        }
+        if (!best || score < best_score) {
+            best = s;
+            best_score = score;
+        }
+    }
+    return best;
+}
+
+static int64_t
+room(const struct fw_relay *r, const struct fw_rl_server *s,
+     const struct fw_rl_engine_spec *spec, int64_t need, int64_t now_us)
+{
+    struct fw_rl_load l;
+
+    if (now_us - s->full_us < FW_FULL_US && need >= s->full_tokens) {
+        return -1;
+    }
+    Fw_Place_Load(r, s, now_us, &l);
+    if (l.running >= spec->slots) {
+        return -1;
+    }
+    return spec->kv_tokens - l.reserved - need;
+}
+
+static int
+decodes(const struct fw_rl_server *s, int64_t now_us)
+{
+    return s->e.stage == FW_RL_STAGE_DECODE && now_us >= s->stage_us &&
+           Fw_Servers_Usable(s, now_us);
+}
+
+/*
+ * Of two engines drawn at random the one with more room: instances that see
+ * the same figures do not all go to the same engine.
+ */
+struct fw_rl_server *
+Fw_Place_Decode(struct fw_relay *r, const struct fw_rl_call *c,
+                int64_t now_us)
+{
+    const struct fw_rl_service_rule *rule =
+        Fw_Rules_Service(r->rules, c->service);
+    struct fw_rl_server *fit[64];
+    int64_t left[64];
+    struct fw_list *pos;
+    int n = 0;
+    int a;
+    int b;
+
+    if (!rule || !rule->engines) {
+        return NULL;
+    }
+    FW_LIST_EACH (pos, &r->servers) {
+        struct fw_rl_server *s = FW_LIST_ENTRY(pos, struct fw_rl_server, link);
+
+        if (n == 64 || !serves(s, c) || !decodes(s, now_us) ||
+            Fw_Call_Tried(c, s)) {
+            continue;
+        }
+        left[n] = room(r, s, &rule->engine, c->need, now_us);
+        if (left[n] >= 0) {
+            fit[n++] = s;
+        }
+    }
+    if (!n) {
+        return NULL;
+    }
+    a = g_rand_int_range(r->rand, 0, n);
+    b = g_rand_int_range(r->rand, 0, n);
+    return fit[left[a] >= left[b] ? a : b];
+}
+
+struct fw_rl_server *
+Fw_Place_Read(struct fw_relay *r, const struct fw_rl_call *c, int64_t now_us,
+              int64_t *wait_us)
+{
+    struct fw_rl_server *best = NULL;
+    int64_t best_us = 0;
+    struct fw_list *pos;
+
+    FW_LIST_EACH (pos, &r->servers) {
+        struct fw_rl_server *s = FW_LIST_ENTRY(pos, struct fw_rl_server, link);
+        struct fw_rl_load l;
+        int64_t us;
+
+        if (!serves(s, c) || s->e.stage != FW_RL_STAGE_PREFILL ||
+            now_us < s->stage_us || !Fw_Servers_Usable(s, now_us)) {
+            continue;
+        }
+        Fw_Place_Load(r, s, now_us, &l);
+        us = (int64_t)((double)(l.reading + c->ask.tokens_in) /
+                       FW_READ_PER_MS * FW_MSEC);
+        if (c->server && strcmp(s->e.domain, c->server->e.domain) == 0) {
+            us -= FW_DOMAIN_BONUS_US;
+        }
+        if (!best || us < best_us) {
+            best = s;
+            best_us = us;
+        }
+    }
+    *wait_us = best_us;
+    return best;
+}
--- /dev/null
+++ b/src/relay/plain.c
@@ -0,0 +1,176 @@
+/*
+ * Requests for plain services. A request that may be repeated goes to
+ * another server after a failure; any other is sent on only after a server
+ * has said that it did not run it.
+ */
+#include <errno.h>
+#include <string.h>
+
+#include "relay/relay_internal.h"
+
+/*
+ * A repeatable request that has no answer by then is tried elsewhere while
+ * its objective can still be met: three times the slowest usual answer, and
+ * well before the objective of such routes (300 ms) is passed twice.
+ */
+#define FW_TRY_US (350 * FW_MSEC)
+/* Wait for a server when none is known, before the caller is sent away. */
+#define FW_RETRY_NO_SERVER_US (1 * FW_SEC)
+/* Servers full of plain requests are free again after about one answer. */
+#define FW_RETRY_BUSY_US (300 * FW_MSEC)
+
+static int
+may_repeat(const struct fw_rl_call *c)
+{
+    return c->route.kind == FW_RL_IDEMPOTENT ||
+           (c->route.kind == FW_RL_STREAM && c->route.resumable &&
+            !c->passed);
+}
+
+void
+Fw_Plain_Send(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us,
+              struct fw_rl_acts *out)
+{
+    struct fw_rl_server *s = Fw_Place_Plain(r, c, now_us);
+    struct fw_rl_up_call up = {
+        .kind = FW_RL_UP_RUN,
+        .left_us = c->deadline_us - now_us,
+        .urgency = -1,
+        .whole = c->route.kind != FW_RL_STREAM,
+        .connect_us = FW_RL_CONNECT_US,
+        .reuse_us = may_repeat(c) ? FW_RL_REUSE_US : FW_RL_REUSE_ONCE_US,
+    };
+    int64_t until = c->deadline_us;
+
+    if (!s) {
+        Fw_Call_Refuse(r, c, 503, FW_RETRY_NO_SERVER_US, "no_server", now_us,
+                       out);
+        return;
+    }
+    if (may_repeat(c) && c->tries + 1 < c->route.attempts) {
+        until = MIN(until, now_us + FW_TRY_US);
+    }
+    c->server = Fw_Servers_Ref(s);
+    c->server->running++;
+    c->state = FW_RL_RUN;
+    c->tries++;
+    if (c->n_tried < FW_RL_TRIED_MAX) {
+        c->tried[c->n_tried++] = s->hash;
+    }
+    g_strlcpy(up.team, c->team, sizeof(up.team));
+    Fw_Call_Ask(r, c, s, &up, until, now_us, out);
+    Fw_Acts_Log(out, r, LOG_INFO, "sent",
+                "\"id\":\"%s\",\"route\":\"%s\",\"server\":\"%s\","
+                "\"try\":%d,\"running\":%d,\"left_ms\":%" G_GINT64_FORMAT,
+                c->ask.id, c->route.name, s->e.id, c->tries, s->running,
+                Fw_Relay_Ms(up.left_us));
+}
+
+/* Sends it elsewhere if that is allowed. Nonzero when it was. */
+static int
+try_again(struct fw_relay *r, struct fw_rl_call *c, const char *why,
+          int64_t now_us, struct fw_rl_acts *out)
+{
+    if (c->n_tried >= FW_RL_TRIED_MAX || now_us >= c->deadline_us) {
+        return 0;
+    }
+    if (!Fw_Relay_MayServe(r, c, now_us) ||
+        !Fw_Budget_Repeat(r, c->service, now_us)) {
+        return 0;
+    }
+    Fw_Acts_Log(out, r, LOG_NOTICE, "sent_again",
+                "\"id\":\"%s\",\"why\":\"%s\",\"server\":\"%s\",\"ran\":\"%s\"",
+                c->ask.id, why, c->server->e.id, Fw_Ran_Name(c->ran));
+    Fw_Call_LeaveServer(c);
+    Fw_Plain_Send(r, c, now_us, out);
+    return 1;
+}
+
+static int
+attempts_left(const struct fw_rl_call *c)
+{
+    return may_repeat(c) && c->tries < c->route.attempts;
+}
+
+void
+Fw_Plain_Answered(struct fw_relay *r, struct fw_rl_op *op,
+                  const struct fw_rl_up_answer *ans, int64_t now_us,
+                  struct fw_rl_acts *out)
+{
+    struct fw_rl_call *c = op->call;
+    int64_t took = now_us - op->sent_us;
+
+    if (c->passed) {
+        Fw_Call_Finish(r, c, 1, now_us, out);
+        return;
+    }
+    if (ans->not_run) {
+        Fw_Servers_Served(op->server, ans->moved, -1);
+        if (ans->moved) {
+            Fw_Servers_Missed(op->server, now_us);
+        }
+        c->tries--; /* it wasn't run there */
+        Fw_Op_End(r, op);
+        if (!try_again(r, c, "not run", now_us, out)) {
+            Fw_Call_Refuse(r, c, 503, FW_RETRY_BUSY_US, "servers_full",
+                           now_us, out);
+        }
+        return;
+    }
+    c->ran = FW_RAN_YES;
+    Fw_Servers_Served(op->server, ans->status >= 500, took);
+    if (ans->status >= 500 && attempts_left(c)) {
+        Fw_Acts_Add(out, FW_RL_DO_STOP_ASK)->u.xid = op->xid;
+        Fw_Op_End(r, op);
+        if (!try_again(r, c, "failed there", now_us, out)) {
+            Fw_Call_Refuse(r, c, 502, 0, "upstream_failed", now_us, out);
+        }
+        return;
+    }
+    Fw_Call_Pass(r, c, out);
+    Fw_Call_Finish(r, c, 1, now_us, out);
+}
+
+void
+Fw_Plain_Failed(struct fw_relay *r, struct fw_rl_op *op, int err, int sent,
+                int64_t now_us, struct fw_rl_acts *out)
+{
+    struct fw_rl_call *c = op->call;
+    struct fw_rl_server *s = op->server;
+
+    if (!sent) {
+        Fw_Servers_Missed(s, now_us);
+        if (err == -ECONNREFUSED) {
+            Fw_Poison_ServerLost(r, s, now_us, out);
+        }
+    }
+    else {
+        Fw_Servers_Served(s, 1, err == -ETIMEDOUT ? FW_TRY_US : -1);
+        if (err != -ETIMEDOUT) {
+            Fw_Poison_CutOff(r, c->ask.digest, s, now_us);
+        }
+    }
+    Fw_Op_End(r, op);
+    if (c->passed) {
+        Fw_Call_Finish(r, c, 0, now_us, out);
+        return;
+    }
+    if (sent) {
+        c->ran = MAX(c->ran, FW_RAN_MAYBE);
+    }
+    else {
+        c->tries--;
+    }
+    if ((!sent || attempts_left(c)) &&
+        try_again(r, c, err == -ETIMEDOUT ? "no answer" : "connection lost",
+                  now_us, out)) {
+        return;
+    }
+    if (now_us >= c->deadline_us) {
+        Fw_Call_Refuse(r, c, c->ran == FW_RAN_NO ? 503 : 504,
+                       FW_RETRY_NO_SERVER_US, "timeout", now_us, out);
+        return;
+    }
+    Fw_Call_Refuse(r, c, c->ran == FW_RAN_NO ? 503 : 502,
+                   FW_RETRY_NO_SERVER_US, "upstream_lost", now_us, out);
+}
--- /dev/null
+++ b/src/relay/poison.c
@@ -0,0 +1,96 @@
+/*
+ * Requests that crash each server that runs them. Their callers send them
+ * again, so one such request could take down a whole service.
+ *
+ * A connection that breaks proves little; a strike is counted only when the
+ * server's lifetime ends soon after it broke. Instances tell each other
+ * their strikes.
+ */
+#include "relay/relay_internal.h"
+
+/*
+ * A crash shows in the list within three heartbeats of 1.2 s and the read
+ * after it; a connection refused shows it at once.
+ */
+#define FW_SUSPICION_US (6 * FW_SEC)
+/* Strikes are forgotten: the fault may lie in a version that was replaced. */
+#define FW_STRIKE_US (120 * FW_SEC)
+
+void
+Fw_Poison_CutOff(struct fw_relay *r, uint64_t digest,
+                 const struct fw_rl_server *s, int64_t now_us)
+{
+    struct fw_rl_suspicion *q =
+        &r->suspicions[r->n_suspicions++ % FW_RL_SUSPICIONS];
+
+    *q = (struct fw_rl_suspicion){.digest = digest,
+                                  .server = s->hash ^
+                                            (uint64_t)s->e.born_ms,
+                                  .at_us = now_us};
+}
+
+static struct fw_rl_strike *
+strike_of(struct fw_relay *r, uint64_t digest)
+{
+    struct fw_rl_strike *oldest = &r->strikes[0];
+
+    for (int i = 0; i < r->n_strikes; i++) {
+        if (r->strikes[i].digest == digest) {
+            return &r->strikes[i];
+        }
+        if (r->strikes[i].at_us < oldest->at_us) {
+            oldest = &r->strikes[i];
+        }
+    }
+    if (r->n_strikes < FW_RL_STRIKES) {
+        oldest = &r->strikes[r->n_strikes++];
+    }
+    *oldest = (struct fw_rl_strike){.digest = digest};
+    return oldest;
+}
+
+void
+Fw_Poison_ServerLost(struct fw_relay *r, const struct fw_rl_server *s,
+                     int64_t now_us, struct fw_rl_acts *out)
+{
+    uint64_t server = s->hash ^ (uint64_t)s->e.born_ms;
+    int n = MIN(r->n_suspicions, FW_RL_SUSPICIONS);
+
+    for (int i = 0; i < n; i++) {
+        struct fw_rl_suspicion *q = &r->suspicions[i];
+        struct fw_rl_strike *k;
+
+        if (q->server != server || now_us - q->at_us > FW_SUSPICION_US) {
+            continue;
+        }
+        q->server = 0;
+        k = strike_of(r, q->digest);
+        k->count++;
+        k->at_us = now_us;
+        Fw_Acts_Log(out, r, LOG_WARNING, "strike",
+                    "\"digest\":\"%016" G_GINT64_MODIFIER
+                    "x\",\"count\":%d,\"server\":\"%s\"",
+                    q->digest, k->count, s->e.id);
+    }
+}
+
+int
+Fw_Poison_Count(const struct fw_relay *r, uint64_t digest, int64_t now_us)
+{
+    struct fw_list *pos;
+    int n = 0;
+
+    for (int i = 0; i < r->n_strikes; i++) {
+        if (r->strikes[i].digest == digest &&
+            now_us - r->strikes[i].at_us < FW_STRIKE_US) {
+            n += r->strikes[i].count;
+        }
+    }
+    FW_LIST_EACH (pos, &r->members) {
+        const struct fw_rl_member *m =
+            FW_LIST_ENTRY(pos, struct fw_rl_member, link);
+
+        n += GPOINTER_TO_INT(g_hash_table_lookup(m->strikes, &digest));
+    }
+    return n;
+}
--- /dev/null
+++ b/src/relay/purse.c
@@ -0,0 +1,111 @@
+/*
+ * Teams' allowances, over all instances together and without a leader.
+ *
+ * Each instance tells the others several times a second what it has spent
+ * for each team, and takes from one bucket for the whole fleet as it knows
+ * it: what others spent is taken off as it is heard, below zero if need be,
+ * so that what was granted twice in between is missing afterwards. The
+ * bucket refills with that part of the rate that belongs to the instances
+ * heard from: those cut off from each other keep to their parts, and the
+ * sum stays within the rate whatever is cut.
+ */
+#include <math.h>
+#include <string.h>
+
+#include "base/hash.h"
+#include "relay/relay_internal.h"
+
+/* Part of the burst that an instance starts with: it can't know the past. */
+#define FW_START_LEVEL 0.25
+/* Refused callers are told to wait between these. */
+#define FW_RETRY_LEAST_US (100 * FW_MSEC)
+#define FW_RETRY_MOST_US (4 * FW_SEC)
+
+static void
+settle(struct fw_relay *r, struct fw_rl_purse *p, int64_t now_us)
+{
+    int heard;
+    int count = Fw_Members_Count(r, now_us, &heard);
+    double part = (double)heard / count;
+    double more = (double)p->rate * part * (double)(now_us - p->at_us) /
+                  FW_SEC;
+
+    if (now_us > p->at_us) {
+        p->level = MIN(p->level + more, (double)p->burst);
+        p->at_us = now_us;
+    }
+}
+
+static struct fw_rl_purse *
+purse_of(struct fw_relay *r, const struct fw_rl_team_rule *t, int64_t now_us)
+{
+    struct fw_rl_purse *p = g_hash_table_lookup(r->purses, t->name);
+
+    if (!p) {
+        p = g_new0(struct fw_rl_purse, 1);
+        g_strlcpy(p->team, t->name, sizeof(p->team));
+        p->hash = Fw_Hash_Str(t->name);
+        p->level = FW_START_LEVEL * (double)t->burst;
+        p->at_us = now_us;
+        g_hash_table_insert(r->purses, p->team, p);
+    }
+    if (p->rate != t->rate || p->burst != t->burst) {
+        settle(r, p, now_us);
+        p->rate = t->rate;
+        p->burst = MAX(t->burst, 1);
+        p->level = MIN(p->level, (double)p->burst);
+    }
+    return p;
+}
+
+/* A request larger than the burst passes a full bucket. */
+int
+Fw_Purse_Take(struct fw_relay *r, const struct fw_rl_team_rule *t,
+              int64_t cost, int64_t now_us, int64_t *retry_us)
+{
+    struct fw_rl_purse *p;
+    double need;
+
+    if (t->rate <= 0) {
+        return 1;
+    }
+    p = purse_of(r, t, now_us);
+    settle(r, p, now_us);
+    need = MIN((double)cost, (double)p->burst);
+    if (p->level < need) {
+        *retry_us = (int64_t)((need - p->level) / (double)p->rate * FW_SEC);
+        *retry_us = CLAMP(*retry_us, FW_RETRY_LEAST_US, FW_RETRY_MOST_US);
+        return 0;
+    }
+    p->level -= (double)cost;
+    p->spent += cost;
+    return 1;
+}
+
+void
+Fw_Purse_Return(struct fw_relay *r, const char *team, int64_t cost)
+{
+    struct fw_rl_purse *p = g_hash_table_lookup(r->purses, team);
+
+    if (p) {
+        p->level = MIN(p->level + (double)cost, (double)p->burst);
+        p->spent -= cost;
+    }
+}
+
+void
+Fw_Purse_Others(struct fw_relay *r, uint64_t hash, int64_t tokens)
+{
+    GHashTableIter it;
+    gpointer v;
+
+    g_hash_table_iter_init(&it, r->purses);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        struct fw_rl_purse *p = v;
+
+        if (p->hash == hash) {
+            p->level = MIN(p->level - (double)tokens, (double)p->burst);
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/src/relay/relay.c
@@ -0,0 +1,295 @@
+/* The relay as a whole: what happens, handed to who decides about it. */
+#include <errno.h>
+#include <string.h>
+
+#include "relay/relay_internal.h"
+
+/* Tokens a team earns with each turn in the queue: about one request. */
+#define FW_QUANTUM 16384
+/* Ticks while something waits for room, and otherwise. */
+#define FW_TICK_BUSY_US (20 * FW_MSEC)
+#define FW_TICK_IDLE_US (100 * FW_MSEC)
+/*
+ * The time limit is watched a little late, so that an upstream that keeps
+ * to it answers first.
+ */
+#define FW_DEADLINE_SLACK_US (60 * FW_MSEC)
+
+struct fw_relay *
+Fw_Relay_New(const struct fw_relay_opts *opts, int64_t now_us)
+{
+    struct fw_relay *r = g_new0(struct fw_relay, 1);
+
+    r->opts = *opts;
+    r->rand = g_rand_new_with_seed(opts->seed);
+    r->fresh_us = now_us - opts->key_stale_us;
+    r->calls = g_hash_table_new(g_int64_hash, g_int64_equal);
+    r->ops = g_hash_table_new(g_int64_hash, g_int64_equal);
+    r->purses = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+    r->budgets = g_ptr_array_new_with_free_func(g_free);
+    Fw_List_Init(&r->servers);
+    Fw_List_Init(&r->call_list);
+    Fw_List_Init(&r->op_list);
+    Fw_List_Init(&r->members);
+    Fw_Queue_Init(&r->queue, FW_QUANTUM);
+    Fw_Metrics_Init(&r->metrics);
+    Fw_Relay_AddCounts(r);
+    return r;
+}
+
+void
+Fw_Relay_Free(struct fw_relay *r)
+{
+    struct fw_rl_acts out;
+
+    if (!r) {
+        return;
+    }
+    Fw_Acts_Init(&out);
+    Fw_Rules_Unref(r->rules);
+    r->rules = NULL;
+    while (!Fw_List_Empty(&r->call_list)) {
+        Fw_Call_End(r,
+                    FW_LIST_ENTRY(r->call_list.next, struct fw_rl_call, link),
+                    0, &out);
+    }
+    while (!Fw_List_Empty(&r->op_list)) {
+        Fw_Op_End(r, FW_LIST_ENTRY(r->op_list.next, struct fw_rl_op, link));
+    }
+    Fw_Acts_Clear(&out);
+    Fw_Servers_Clear(r);
+    Fw_Members_Clear(r);
+    Fw_Queue_Clear(&r->queue);
+    g_hash_table_destroy(r->calls);
+    g_hash_table_destroy(r->ops);
+    g_hash_table_destroy(r->purses);
+    g_ptr_array_unref(r->budgets);
+    g_rand_free(r->rand);
+    g_free(r);
+}
+
+void
+Fw_Relay_SetOpts(struct fw_relay *r, const struct fw_relay_opts *opts)
+{
+    uint64_t boot = r->opts.boot;
+
+    r->opts = *opts;
+    r->opts.boot = boot;
+}
+
+struct fw_metrics *
+Fw_Relay_Metrics(struct fw_relay *r)
+{
+    return &r->metrics;
+}
+
+void
+Fw_Relay_Rules(struct fw_relay *r, struct fw_rl_rules *rules, uint64_t offset,
+               int64_t now_us, struct fw_rl_acts *out)
+{
+    if (!rules) {
+        Fw_Acts_Log(out, r, LOG_ERR, "configuration_unreadable",
+                    "\"offset\":%" G_GUINT64_FORMAT, offset);
+        return;
+    }
+    /* Within a lifetime nothing older comes into force again. */
+    if (r->rules && (offset <= r->rules_offset ||
+                     rules->version <= r->rules->version)) {
+        return;
+    }
+    Fw_Rules_Unref(r->rules);
+    r->rules = Fw_Rules_Ref(rules);
+    r->rules_offset = offset;
+    r->n.version.value = rules->version;
+    Fw_Acts_Log(out, r, LOG_NOTICE, "configuration",
+                "\"version\":%" G_GINT64_FORMAT ",\"offset\":%" G_GUINT64_FORMAT
+                ",\"routes\":%u,\"services\":%u,\"teams\":%u",
+                rules->version, offset, rules->routes->len,
+                rules->services->len, rules->teams->len);
+    Fw_Stream_Pump(r, now_us, out);
+}
+
+void
+Fw_Relay_Fresh(struct fw_relay *r, int64_t as_of_us)
+{
+    r->fresh_us = MAX(r->fresh_us, as_of_us);
+}
+
+static struct fw_rl_op *
+op_named(const struct fw_relay *r, uint64_t xid)
+{
+    return g_hash_table_lookup(r->ops, &xid);
+}
+
+static int
+is_stream(const struct fw_rl_op *op)
+{
+    return op->call->need > 0;
+}
+
+void
+Fw_Relay_Begun(struct fw_relay *r, uint64_t xid,
+               const struct fw_rl_up_answer *ans, int64_t now_us,
+               struct fw_rl_acts *out)
+{
+    struct fw_rl_op *op = op_named(r, xid);
+
+    if (!op || !op->call || op->kind != FW_RL_UP_RUN || ans->not_run) {
+        return;
+    }
+    /* What it went on from is used up now. */
+    op->call->hold[0] = 0;
+    op->call->kv[0] = 0;
+    Fw_Servers_Served(op->server, ans->status >= 500,
+                      is_stream(op) ? -1 : now_us - op->sent_us);
+    Fw_Call_Pass(r, op->call, out);
+}
+
+void
+Fw_Relay_Answered(struct fw_relay *r, uint64_t xid,
+                  const struct fw_rl_up_answer *ans, int64_t now_us,
+                  struct fw_rl_acts *out)
+{
+    struct fw_rl_op *op = op_named(r, xid);
+
+    if (!op) {
+        return;
+    }
+    if (!op->call) {
+        Fw_Order_Answered(r, op, ans, now_us, out);
+    }
+    else if (is_stream(op)) {
+        Fw_Stream_Answered(r, op, ans, now_us, out);
+    }
+    else {
+        Fw_Plain_Answered(r, op, ans, now_us, out);
+    }
+}
+
+void
+Fw_Relay_Failed(struct fw_relay *r, uint64_t xid, int err, int sent,
+                int64_t now_us, struct fw_rl_acts *out)
+{
+    struct fw_rl_op *op = op_named(r, xid);
+
+    if (!op) {
+        return;
+    }
+    Fw_Acts_Log(out, r, LOG_NOTICE, "upstream_failed",
+                "\"id\":\"%s\",\"server\":\"%s\",\"kind\":%d,\"error\":%d,"
+                "\"sent\":%d,\"after_ms\":%" G_GINT64_FORMAT,
+                op->call ? op->call->ask.id : "", op->server->e.id,
+                (int)op->kind, err, sent, Fw_Relay_Ms(now_us - op->sent_us));
+    if (!op->call) {
+        Fw_Order_Failed(r, op, now_us, out);
+    }
+    else if (is_stream(op)) {
+        Fw_Stream_Failed(r, op, err, sent, now_us, out);
+    }
+    else {
+        Fw_Plain_Failed(r, op, err, sent, now_us, out);
+    }
+}
+
+static void
+tick_ops(struct fw_relay *r, int64_t now_us, struct fw_rl_acts *out)
+{
+    struct fw_list *pos = r->op_list.next;
+
+    while (pos != &r->op_list) {
+        struct fw_rl_op *op = FW_LIST_ENTRY(pos, struct fw_rl_op, link);
+        uint64_t xid = op->xid;
+
+        if (now_us < op->until_us ||
+            (op->call && op->until_us >= op->call->deadline_us)) {
+            pos = pos->next;
+            continue;
+        }
+        Fw_Acts_Add(out, FW_RL_DO_STOP_ASK)->u.xid = xid;
+        Fw_Relay_Failed(r, xid, -ETIMEDOUT, 1, now_us, out);
+        pos = r->op_list.next; /* the list may be another one now */
+    }
+}
+
+static int
+over(const struct fw_rl_call *c, int64_t now_us)
+{
+    return now_us >= c->deadline_us + FW_DEADLINE_SLACK_US;
+}
+
+static void
+tick_call(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us,
+          struct fw_rl_acts *out)
+{
+    if (over(c, now_us)) {
+        int sent = c->op && c->op->kind == FW_RL_UP_RUN;
+
+        if (c->passed) {
+            Fw_Call_Finish(r, c, 0, now_us, out);
+            return;
+        }
+        c->ran = sent ? MAX(c->ran, FW_RAN_MAYBE) : c->ran;
+        Fw_Call_Refuse(r, c, c->ran == FW_RAN_NO ? 503 : 504, FW_SEC,
+                       "timeout", now_us, out);
+        return;
+    }
+    if (c->need && c->state == FW_RL_QUEUED && now_us >= c->queue_until_us) {
+        Fw_Call_Refuse(r, c, 503, Fw_Stream_RetryAfter(r), "no_room", now_us,
+                       out);
+    }
+}
+
+void
+Fw_Relay_Tick(struct fw_relay *r, int64_t now_us, struct fw_rl_acts *out)
+{
+    struct fw_list *pos;
+    struct fw_list *tmp;
+
+    tick_ops(r, now_us, out);
+    FW_LIST_EACH_SAFE (pos, tmp, &r->call_list) {
+        tick_call(r, FW_LIST_ENTRY(pos, struct fw_rl_call, link), now_us,
+                  out);
+    }
+    Fw_Servers_Tick(r, now_us, out);
+    Fw_Members_Tick(r, now_us, out);
+    Fw_Order_Tick(r, now_us, out);
+    Fw_Stream_Pump(r, now_us, out);
+    r->n.open.value = g_hash_table_size(r->calls);
+    r->n.queued.value = r->queue.n;
+}
+
+int64_t
+Fw_Relay_Wake(const struct fw_relay *r, int64_t now_us)
+{
+    return now_us + (r->queue.n ? FW_TICK_BUSY_US : FW_TICK_IDLE_US);
+}
+
+void
+Fw_Relay_Drain(struct fw_relay *r, int64_t now_us, struct fw_rl_acts *out)
+{
+    if (r->draining) {
+        return;
+    }
+    r->draining = 1;
+    r->drain_us = now_us;
+    Fw_Acts_Log(out, r, LOG_NOTICE, "draining", "\"open\":%u",
+                g_hash_table_size(r->calls));
+}
+
+int
+Fw_Relay_Ready(const struct fw_relay *r, int64_t now_us)
+{
+    return !r->draining && r->list_known && Fw_Relay_KeysFresh(r, now_us);
+}
+
+int
+Fw_Relay_OpenCount(const struct fw_relay *r)
+{
+    return (int)g_hash_table_size(r->calls);
+}
+
+const struct fw_rl_rules *
+Fw_Relay_InForce(const struct fw_relay *r)
+{
+    return r->rules;
+}
--- /dev/null
+++ b/src/relay/relay_internal.h
@@ -0,0 +1,435 @@
+/* Shared by the files of src/relay. */
+#ifndef FW_RELAY_INTERNAL_H
+#define FW_RELAY_INTERNAL_H
+
+#include <syslog.h>
+
+#include "relay/relay.h"
+#include "route/queue.h"
+
+/* Servers that one request may meet before it is given up. */
+#define FW_RL_TRIED_MAX 6
+/*
+ * A kept connection is used again for a request that must not be repeated
+ * only when it was idle for less: one that went silent meanwhile takes the
+ * request with it, and a new connection costs a millisecond.
+ */
+#define FW_RL_REUSE_ONCE_US (1 * FW_SEC)
+/* For one that may be repeated: the upstream's own idle limit binds. */
+#define FW_RL_REUSE_US (60 * FW_SEC)
+/*
+ * A server that hasn't accepted by then is taken as unreachable: a hundred
+ * times the round trip in a region, less than half of the objective.
+ */
+#define FW_RL_CONNECT_US (250 * FW_MSEC)
+/* Giving back a reservation or a KV cache that lapse by themselves anyway. */
+#define FW_RL_HOUSEKEEPING_US (1 * FW_SEC)
+/* A prompt that would wait longer is read by its decode engine. */
+#define FW_RL_READ_HERE_US (1500 * FW_MSEC)
+/* Lists read before a silent store's lapses count, see servers.c. */
+#define FW_RL_STORE_RETURN_US (2200 * FW_MSEC)
+
+/**
+ * struct fw_rl_server - a server in one lifetime.
+ * @refs: calls that name it; it is freed when it is gone and none does
+ * @running, @reserved, @reading: requests, tokens of memory and tokens of
+ *     prompts that this instance has there
+ * @full_us: when it last had no room for @full_tokens
+ * @suspect_us: not chosen before, after it could not be reached
+ * @misses: failures to reach it in a row
+ * @errors: part of its answers that were failures, moving mean
+ * @took_us: moving mean of its time to answer
+ * @stage_us: stage changes ordered here are over by then
+ */
+struct fw_rl_server {
+    struct fw_list link;
+    struct fw_rl_server_entry e;
+    uint64_t hash;
+    int refs;
+    int gone;
+    int listed;
+    int64_t lapse_us;
+    int running;
+    int64_t reserved;
+    int64_t reading;
+    int64_t full_us;
+    int64_t full_tokens;
+    int64_t suspect_us;
+    int misses;
+    double errors;
+    double took_us;
+    int64_t stage_us;
+    int64_t orders;
+};
+
+/** struct fw_rl_load - what another instance has at a server. */
+struct fw_rl_load {
+    int running;
+    int64_t reserved;
+    int64_t reading;
+};
+
+/**
+ * struct fw_rl_member - another instance.
+ * @heard_us: when its last digest came, 0 for never
+ * @spent: team's hash to its tokens since its start
+ * @load: server's hash to struct fw_rl_load
+ * @strikes: request's digest to servers lost with it
+ * @waiting: requests that wait for engines there
+ */
+struct fw_rl_member {
+    struct fw_list link;
+    char name[FW_NAME_MAX];
+    char addr[FW_URL_MAX];
+    uint64_t boot;
+    uint64_t seq;
+    int64_t added_us;
+    int64_t heard_us;
+    GHashTable *spent;
+    GHashTable *load;
+    GHashTable *strikes;
+    int waiting;
+};
+
+/**
+ * struct fw_rl_purse - a team's allowance as known here.
+ * @level: tokens; below zero when others spent what was not known here yet
+ * @spent: tokens spent here since the start, told to the others
+ */
+struct fw_rl_purse {
+    char team[FW_NAME_MAX];
+    uint64_t hash;
+    int64_t rate;
+    int64_t burst;
+    double level;
+    int64_t at_us;
+    int64_t spent;
+};
+
+#define FW_RL_BUDGET_SLOTS 16
+
+/** struct fw_rl_budget - repeats of one service's requests; ring by time. */
+struct fw_rl_budget {
+    char service[FW_NAME_MAX];
+    int64_t slot;
+    int requests[FW_RL_BUDGET_SLOTS];
+    int repeats[FW_RL_BUDGET_SLOTS];
+};
+
+enum fw_rl_state {
+    FW_RL_QUEUED, /* waits for room at an engine */
+    FW_RL_HOLD,   /* asked an engine for a reservation */
+    FW_RL_READ,   /* its prompt is being read */
+    FW_RL_RUN,    /* sent to the server that answers */
+};
+
+/**
+ * struct fw_rl_call - a caller's request until its answer is out.
+ * @cost: tokens of its team's allowance, given back if it never runs
+ * @need: tokens reserved for it at an engine
+ * @server, @reader: where it runs, and where its prompt is read
+ * @op: the call to an upstream that it waits for
+ * @tries: servers that it was sent to run on
+ * @passed: its answer has begun
+ */
+struct fw_rl_call {
+    struct fw_list link;
+    uint64_t id;
+    struct fw_rl_ask ask;
+    struct fw_rl_route_rule route;
+    char service[FW_NAME_MAX];
+    char team[FW_NAME_MAX];
+    int urgency;
+    enum fw_rl_state state;
+    int64_t opened_us;
+    int64_t deadline_us;
+    int64_t queue_until_us;
+    int64_t cost;
+    int64_t need;
+    struct fw_rl_server *server;
+    struct fw_rl_server *reader;
+    char hold[FW_RL_KEY_MAX];
+    char kv[FW_RL_KEY_MAX];
+    char kv_addr[FW_URL_MAX];
+    int reading; /* its prompt counts as load of @reader */
+    int64_t run_us; /* when it was sent to run */
+    struct fw_rl_op *op;
+    int tries;
+    int reads;
+    int passed;
+    enum fw_ran ran;
+    uint64_t tried[FW_RL_TRIED_MAX];
+    int n_tried;
+    struct fw_queue_item item;
+};
+
+/** struct fw_rl_op - a call to an upstream under way. */
+struct fw_rl_op {
+    struct fw_list link;
+    uint64_t xid;
+    enum fw_rl_up_kind kind;
+    struct fw_rl_call *call; /* NULL for housekeeping */
+    struct fw_rl_server *server;
+    int64_t sent_us;
+    int64_t until_us; /* given up then */
+};
+
+/** struct fw_rl_strike - servers lost while they ran one request. */
+struct fw_rl_strike {
+    uint64_t digest;
+    int count;
+    int64_t at_us;
+};
+
+/** struct fw_rl_suspicion - a request was cut off by a server's end. */
+struct fw_rl_suspicion {
+    uint64_t digest;
+    uint64_t server;
+    int64_t at_us;
+};
+
+#define FW_RL_SUSPICIONS 64
+#define FW_RL_STRIKES 64
+
+/**
+ * struct fw_rl_lead - the order role; see order.c.
+ * @end: where the next claim would go
+ * @seen_us: when the last claim was learnt of
+ * @asking: a claim of ours is on its way
+ * @fence, @until_us: of the lease held here; @fence 0 for none
+ */
+struct fw_rl_lead {
+    uint64_t end;
+    int64_t seen_us;
+    int asking;
+    uint64_t fence;
+    int64_t until_us;
+};
+
+static inline int64_t
+Fw_Relay_Ms(int64_t us)
+{
+    return us / FW_MSEC;
+}
+
+/** struct fw_rl_counts - metrics of the relay. */
+struct fw_rl_counts {
+    struct fw_metric requests;
+    struct fw_metric passed;
+    struct fw_metric refused;
+    struct fw_metric failed;
+    struct fw_metric left;
+    struct fw_metric cut;
+    struct fw_metric repeats;
+    struct fw_metric holds;
+    struct fw_metric holds_refused;
+    struct fw_metric reads;
+    struct fw_metric open;
+    struct fw_metric queued;
+    struct fw_metric members;
+    struct fw_metric version;
+};
+
+struct fw_relay {
+    struct fw_relay_opts opts;
+    GRand *rand;
+    struct fw_metrics metrics;
+    struct fw_rl_counts n;
+    struct fw_rl_rules *rules;
+    uint64_t rules_offset;
+    int64_t fresh_us;
+    int64_t store_back_us;
+    int list_known;
+    struct fw_list servers;
+    GHashTable *calls; /* id to struct fw_rl_call */
+    struct fw_list call_list;
+    GHashTable *ops; /* xid to struct fw_rl_op */
+    struct fw_list op_list;
+    struct fw_queue queue;
+    uint64_t last_xid;
+    struct fw_list members;
+    GHashTable *purses; /* team to struct fw_rl_purse */
+    GPtrArray *budgets;
+    struct fw_rl_suspicion suspicions[FW_RL_SUSPICIONS];
+    int n_suspicions;
+    struct fw_rl_strike strikes[FW_RL_STRIKES];
+    int n_strikes;
+    struct fw_rl_lead lead;
+    double run_us; /* moving mean of a stream's time at an engine */
+    uint64_t digest_seq;
+    int64_t look_us; /* when engines are looked at next */
+    int draining;
+    int64_t drain_us;
+};
+
+/* acts.c */
+struct fw_rl_act *
+Fw_Acts_Add(struct fw_rl_acts *acts, enum fw_rl_act_kind kind);
+void
+Fw_Acts_Log(struct fw_rl_acts *acts, const struct fw_relay *r, int severity,
+            const char *event, const char *fmt, ...)
+    __attribute__((format(printf, 5, 6)));
+
+/* servers.c */
+struct fw_rl_server *
+Fw_Servers_Find(const struct fw_relay *r, const char *id);
+struct fw_rl_server *
+Fw_Servers_Ref(struct fw_rl_server *s);
+void
+Fw_Servers_Unref(struct fw_rl_server *s);
+/* May new work go there? */
+int
+Fw_Servers_Usable(const struct fw_rl_server *s, int64_t now_us);
+void
+Fw_Servers_Missed(struct fw_rl_server *s, int64_t now_us);
+void
+Fw_Servers_Served(struct fw_rl_server *s, int failed, int64_t took_us);
+void
+Fw_Servers_Tick(struct fw_relay *r, int64_t now_us, struct fw_rl_acts *out);
+void
+Fw_Servers_Clear(struct fw_relay *r);
+
+/* place.c */
+/* The server for a plain request of @c, or NULL. */
+struct fw_rl_server *
+Fw_Place_Plain(struct fw_relay *r, const struct fw_rl_call *c,
+               int64_t now_us);
+/* The engine that most likely has room for @c, or NULL. */
+struct fw_rl_server *
+Fw_Place_Decode(struct fw_relay *r, const struct fw_rl_call *c,
+                int64_t now_us);
+/* The engine that reads @c's prompt first, or NULL; @wait_us: until read. */
+struct fw_rl_server *
+Fw_Place_Read(struct fw_relay *r, const struct fw_rl_call *c, int64_t now_us,
+              int64_t *wait_us);
+void
+Fw_Place_Load(const struct fw_relay *r, const struct fw_rl_server *s,
+              int64_t now_us, struct fw_rl_load *out);
+int
+Fw_Call_Tried(const struct fw_rl_call *c, const struct fw_rl_server *s);
+
+/* call.c */
+struct fw_rl_op *
+Fw_Call_Ask(struct fw_relay *r, struct fw_rl_call *c, struct fw_rl_server *s,
+            struct fw_rl_up_call *up, int64_t until_us, int64_t now_us,
+            struct fw_rl_acts *out);
+void
+Fw_Op_End(struct fw_relay *r, struct fw_rl_op *op);
+/* Ends @c with an answer of our own. */
+void
+Fw_Call_Refuse(struct fw_relay *r, struct fw_rl_call *c, int status,
+               int64_t retry_us, const char *reason, int64_t now_us,
+               struct fw_rl_acts *out);
+/* Ends @c after its answer is out or cut, or its caller is gone. */
+void
+Fw_Call_End(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us,
+            struct fw_rl_acts *out);
+/* Frees what @c still holds at engines. */
+void
+Fw_Call_Release(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us,
+                struct fw_rl_acts *out);
+void
+Fw_Call_Pass(struct fw_relay *r, struct fw_rl_call *c,
+             struct fw_rl_acts *out);
+/* Lets go of @c's server without giving anything back there. */
+void
+Fw_Call_LeaveServer(struct fw_rl_call *c);
+/* The prompt is read, or won't be: no load at its reader any more. */
+void
+Fw_Call_ReadDone(struct fw_rl_call *c);
+/* The answer that was passed is whole, or never will be. */
+void
+Fw_Call_Finish(struct fw_relay *r, struct fw_rl_call *c, int whole,
+               int64_t now_us, struct fw_rl_acts *out);
+
+/* open.c */
+/* Do callers' keys count, see there. */
+int
+Fw_Relay_KeysFresh(const struct fw_relay *r, int64_t now_us);
+/* Looked at again right before a request goes to a server. */
+int
+Fw_Relay_MayServe(const struct fw_relay *r, const struct fw_rl_call *c,
+                  int64_t now_us);
+
+/* plain.c */
+void
+Fw_Plain_Send(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us,
+              struct fw_rl_acts *out);
+void
+Fw_Plain_Answered(struct fw_relay *r, struct fw_rl_op *op,
+                  const struct fw_rl_up_answer *ans, int64_t now_us,
+                  struct fw_rl_acts *out);
+void
+Fw_Plain_Failed(struct fw_relay *r, struct fw_rl_op *op, int err, int sent,
+                int64_t now_us, struct fw_rl_acts *out);
+
+/* stream.c */
+void
+Fw_Stream_Open(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us,
+               struct fw_rl_acts *out);
+/* Asks for room for as many waiting requests as there seems to be. */
+void
+Fw_Stream_Pump(struct fw_relay *r, int64_t now_us, struct fw_rl_acts *out);
+void
+Fw_Stream_Answered(struct fw_relay *r, struct fw_rl_op *op,
+                   const struct fw_rl_up_answer *ans, int64_t now_us,
+                   struct fw_rl_acts *out);
+void
+Fw_Stream_Failed(struct fw_relay *r, struct fw_rl_op *op, int err, int sent,
+                 int64_t now_us, struct fw_rl_acts *out);
+/* When a refused stream has a fair chance of room. */
+int64_t
+Fw_Stream_RetryAfter(struct fw_relay *r);
+
+/* purse.c */
+int
+Fw_Purse_Take(struct fw_relay *r, const struct fw_rl_team_rule *t,
+              int64_t cost, int64_t now_us, int64_t *retry_us);
+void
+Fw_Purse_Return(struct fw_relay *r, const char *team, int64_t cost);
+/* Another instance has spent @tokens of the team with @hash. */
+void
+Fw_Purse_Others(struct fw_relay *r, uint64_t hash, int64_t tokens);
+
+/* budget.c */
+void
+Fw_Budget_Request(struct fw_relay *r, const char *service, int64_t now_us);
+/* Nonzero when one more repeat is allowed; it is then counted. */
+int
+Fw_Budget_Repeat(struct fw_relay *r, const char *service, int64_t now_us);
+
+/* members.c */
+/* Instances that count, this one included; @heard: those in touch now. */
+int
+Fw_Members_Count(const struct fw_relay *r, int64_t now_us, int *heard);
+void
+Fw_Members_Tick(struct fw_relay *r, int64_t now_us, struct fw_rl_acts *out);
+void
+Fw_Members_Clear(struct fw_relay *r);
+
+/* poison.c */
+void
+Fw_Poison_CutOff(struct fw_relay *r, uint64_t digest,
+                 const struct fw_rl_server *s, int64_t now_us);
+void
+Fw_Poison_ServerLost(struct fw_relay *r, const struct fw_rl_server *s,
+                     int64_t now_us, struct fw_rl_acts *out);
+int
+Fw_Poison_Count(const struct fw_relay *r, uint64_t digest, int64_t now_us);
+
+/* order.c */
+void
+Fw_Order_Tick(struct fw_relay *r, int64_t now_us, struct fw_rl_acts *out);
+void
+Fw_Order_Answered(struct fw_relay *r, struct fw_rl_op *op,
+                  const struct fw_rl_up_answer *ans, int64_t now_us,
+                  struct fw_rl_acts *out);
+void
+Fw_Order_Failed(struct fw_relay *r, struct fw_rl_op *op, int64_t now_us,
+                struct fw_rl_acts *out);
+
+/* metrics.c */
+void
+Fw_Relay_AddCounts(struct fw_relay *r);
+
+#endif
--- /dev/null
+++ b/src/relay/rules.c
@@ -0,0 +1,150 @@
+#include "relay/types.h"
+
+#include <string.h>
+
+struct fw_rl_rules *
+Fw_Rules_New(void)
+{
+    struct fw_rl_rules *r = g_new0(struct fw_rl_rules, 1);
+
+    r->refs = 1;
+    r->routes = g_ptr_array_new_with_free_func(g_free);
+    r->services = g_ptr_array_new_with_free_func(g_free);
+    r->teams = g_ptr_array_new_with_free_func(g_free);
+    r->by_host = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+                                       (GDestroyNotify)g_ptr_array_unref);
+    r->keys = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    return r;
+}
+
+struct fw_rl_rules *
+Fw_Rules_Ref(struct fw_rl_rules *r)
+{
+    r->refs++;
+    return r;
+}
+
+void
+Fw_Rules_Unref(struct fw_rl_rules *r)
+{
+    if (!r || --r->refs) {
+        return;
+    }
+    g_hash_table_destroy(r->by_host);
+    g_hash_table_destroy(r->keys);
+    g_ptr_array_unref(r->routes);
+    g_ptr_array_unref(r->services);
+    g_ptr_array_unref(r->teams);
+    g_free(r);
+}
+
+struct fw_rl_route_rule *
+Fw_Rules_AddRoute(struct fw_rl_rules *r)
+{
+    struct fw_rl_route_rule *route = g_new0(struct fw_rl_route_rule, 1);
+
+    g_ptr_array_add(r->routes, route);
+    return route;
+}
+
+struct fw_rl_service_rule *
+Fw_Rules_AddService(struct fw_rl_rules *r)
+{
+    struct fw_rl_service_rule *s = g_new0(struct fw_rl_service_rule, 1);
+
+    g_ptr_array_add(r->services, s);
+    return s;
+}
+
+struct fw_rl_team_rule *
+Fw_Rules_AddTeam(struct fw_rl_rules *r)
+{
+    struct fw_rl_team_rule *t = g_new0(struct fw_rl_team_rule, 1);
+
+    g_ptr_array_add(r->teams, t);
+    return t;
+}
+
+void
+Fw_Rules_AddKey(struct fw_rl_rules *r, const char *key, struct fw_rl_team_rule *t)
+{
+    g_hash_table_insert(r->keys, g_strdup(key), t);
+}
+
+static int
+longer_first(gconstpointer a, gconstpointer b)
+{
+    const struct fw_rl_route_rule *const *x = a;
+    const struct fw_rl_route_rule *const *y = b;
+
+    return (int)strlen((*y)->prefix) - (int)strlen((*x)->prefix);
+}
+
+void
+Fw_Rules_Index(struct fw_rl_rules *r)
+{
+    GHashTableIter it;
+    gpointer at_host;
+
+    for (guint i = 0; i < r->routes->len; i++) {
+        struct fw_rl_route_rule *route = g_ptr_array_index(r->routes, i);
+        GPtrArray *list = g_hash_table_lookup(r->by_host, route->host);
+
+        if (!list) {
+            list = g_ptr_array_new();
+            g_hash_table_insert(r->by_host, route->host, list);
+        }
+        g_ptr_array_add(list, route);
+    }
+    g_hash_table_iter_init(&it, r->by_host);
+    while (g_hash_table_iter_next(&it, NULL, &at_host)) {
+        g_ptr_array_sort(at_host, longer_first);
+    }
+}
+
+const struct fw_rl_route_rule *
+Fw_Rules_Route(const struct fw_rl_rules *r, const char *host, const char *path)
+{
+    const GPtrArray *list = g_hash_table_lookup(r->by_host, host);
+
+    for (guint i = 0; list && i < list->len; i++) {
+        const struct fw_rl_route_rule *route = g_ptr_array_index(list, i);
+
+        if (g_str_has_prefix(path, route->prefix)) {
+            return route;
+        }
+    }
+    return NULL;
+}
+
+const struct fw_rl_service_rule *
+Fw_Rules_Service(const struct fw_rl_rules *r, const char *name)
+{
+    for (guint i = 0; i < r->services->len; i++) {
+        const struct fw_rl_service_rule *s = g_ptr_array_index(r->services, i);
+
+        if (strcmp(s->name, name) == 0) {
+            return s;
+        }
+    }
+    return NULL;
+}
+
+const struct fw_rl_team_rule *
+Fw_Rules_Team(const struct fw_rl_rules *r, const char *key)
+{
+    return g_hash_table_lookup(r->keys, key);
+}
+
+const struct fw_rl_team_rule *
+Fw_Rules_TeamNamed(const struct fw_rl_rules *r, const char *name)
+{
+    for (guint i = 0; i < r->teams->len; i++) {
+        const struct fw_rl_team_rule *t = g_ptr_array_index(r->teams, i);
+
+        if (strcmp(t->name, name) == 0) {
+            return t;
+        }
+    }
+    return NULL;
+}
--- /dev/null
+++ b/src/relay/servers.c
@@ -0,0 +1,253 @@
+/*
+ * Servers as the platform lists them, each in one lifetime.
+ *
+ * An entry that vanishes means that the server has left. While the store
+ * was away entries also lapse for servers that live; those are back within
+ * two seconds of its return. So a lapse seen around such a time counts only
+ * after that, or healthy servers would be dropped all at once.
+ */
+#include <errno.h>
+#include <string.h>
+
+#include "base/hash.h"
+#include "relay/relay_internal.h"
+
+/*
+ * After a server could not be reached it is left alone for so long, doubled
+ * with each further miss up to four times: a crashed server is back after
+ * some seconds, and each request that tries it meanwhile loses a connection
+ * timeout of its objective.
+ */
+#define FW_SUSPECT_US (700 * FW_MSEC)
+#define FW_SUSPECT_DOUBLINGS 2
+/* Weight of the newest answer in the moving means. */
+#define FW_MEAN_WEIGHT 0.15
+
+struct fw_rl_server *
+Fw_Servers_Find(const struct fw_relay *r, const char *id)
+{
+    struct fw_list *pos;
+
+    FW_LIST_EACH (pos, &r->servers) {
+        struct fw_rl_server *s = FW_LIST_ENTRY(pos, struct fw_rl_server, link);
+
+        if (strcmp(s->e.id, id) == 0) {
+            return s;
+        }
+    }
+    return NULL;
+}
+
+struct fw_rl_server *
+Fw_Servers_Ref(struct fw_rl_server *s)
+{
+    s->refs++;
+    return s;
+}
+
+void
+Fw_Servers_Unref(struct fw_rl_server *s)
+{
+    if (--s->refs == 0) {
+        Fw_List_Remove(&s->link);
+        g_free(s);
+    }
+}
+
+int
+Fw_Servers_Usable(const struct fw_rl_server *s, int64_t now_us)
+{
+    return !s->gone && !s->e.draining && now_us >= s->suspect_us;
+}
+
+void
+Fw_Servers_Missed(struct fw_rl_server *s, int64_t now_us)
+{
+    int doublings = MIN(s->misses, FW_SUSPECT_DOUBLINGS);
+
+    s->misses++;
+    s->suspect_us = now_us + (FW_SUSPECT_US << doublings);
+}
+
+void
+Fw_Servers_Served(struct fw_rl_server *s, int failed, int64_t took_us)
+{
+    s->misses = 0;
+    s->errors += FW_MEAN_WEIGHT * ((failed ? 1.0 : 0.0) - s->errors);
+    if (took_us >= 0) {
+        s->took_us = s->took_us == 0
+                         ? (double)took_us
+                         : s->took_us + FW_MEAN_WEIGHT *
+                                            ((double)took_us - s->took_us);
+    }
+}
+
+static void
+forget(const struct fw_rl_server *s, struct fw_rl_acts *out)
+{
+    g_strlcpy(Fw_Acts_Add(out, FW_RL_DO_FORGET)->u.addr, s->e.addr,
+              FW_URL_MAX);
+}
+
+static void
+drop(struct fw_relay *r, struct fw_rl_server *s, const char *why,
+     int64_t now_us, struct fw_rl_acts *out)
+{
+    Fw_Acts_Log(out, r, LOG_NOTICE, "server_gone",
+                "\"server\":\"%s\",\"addr\":\"%s\",\"why\":\"%s\"", s->e.id,
+                s->e.addr, why);
+    Fw_Poison_ServerLost(r, s, now_us, out);
+    forget(s, out);
+    s->gone = 1;
+    Fw_List_Remove(&s->link);
+    Fw_Servers_Unref(s);
+}
+
+static void
+add(struct fw_relay *r, const struct fw_rl_server_entry *e,
+    struct fw_rl_acts *out)
+{
+    struct fw_rl_server *s = g_new0(struct fw_rl_server, 1);
+
+    s->e = *e;
+    s->refs = 1;
+    s->listed = 1;
+    s->hash = Fw_Hash_Str(e->id);
+    s->orders = -1;
+    Fw_List_Append(&r->servers, &s->link);
+    Fw_Acts_Log(out, r, LOG_NOTICE, "server_seen",
+                "\"server\":\"%s\",\"addr\":\"%s\",\"service\":\"%s\","
+                "\"domain\":\"%s\",\"stage\":%d",
+                e->id, e->addr, e->service, e->domain, (int)e->stage);
+}
+
+static int
+same_lifetime(const struct fw_rl_server_entry *a,
+              const struct fw_rl_server_entry *b)
+{
+    return strcmp(a->addr, b->addr) == 0 &&
+           strcmp(a->service, b->service) == 0 &&
+           (a->born_ms == b->born_ms || !a->born_ms || !b->born_ms);
+}
+
+static void
+update(struct fw_relay *r, struct fw_rl_server *s,
+       const struct fw_rl_server_entry *e, struct fw_rl_acts *out)
+{
+    if (e->draining != s->e.draining || e->stage != s->e.stage) {
+        Fw_Acts_Log(out, r, LOG_NOTICE, "server_changed",
+                    "\"server\":\"%s\",\"draining\":%d,\"stage\":%d", e->id,
+                    e->draining, (int)e->stage);
+    }
+    if (e->draining && !s->e.draining) {
+        forget(s, out);
+    }
+    s->e = *e;
+    s->listed = 1;
+    s->lapse_us = 0;
+}
+
+static int
+store_was_away(const struct fw_relay *r, int64_t now_us)
+{
+    return r->store_back_us &&
+           now_us - r->store_back_us < FW_RL_STORE_RETURN_US;
+}
+
+static void
+lapse(struct fw_relay *r, struct fw_rl_server *s, int64_t now_us,
+      struct fw_rl_acts *out)
+{
+    if (store_was_away(r, now_us)) {
+        if (!s->lapse_us) {
+            s->lapse_us = r->store_back_us + FW_RL_STORE_RETURN_US;
+        }
+        return;
+    }
+    drop(r, s, "no longer listed", now_us, out);
+}
+
+void
+Fw_Relay_Server(struct fw_relay *r, const char *id,
+                const struct fw_rl_server_entry *entry, int64_t now_us,
+                struct fw_rl_acts *out)
+{
+    struct fw_rl_server *s = Fw_Servers_Find(r, id);
+
+    if (!entry) {
+        if (s) {
+            lapse(r, s, now_us, out);
+        }
+        return;
+    }
+    if (s && !same_lifetime(&s->e, entry)) {
+        drop(r, s, "started anew", now_us, out);
+        s = NULL;
+    }
+    if (s) {
+        update(r, s, entry, out);
+    }
+    else {
+        add(r, entry, out);
+    }
+    Fw_Stream_Pump(r, now_us, out);
+}
+
+void
+Fw_Relay_ListBegin(struct fw_relay *r)
+{
+    struct fw_list *pos;
+
+    FW_LIST_EACH (pos, &r->servers) {
+        FW_LIST_ENTRY(pos, struct fw_rl_server, link)->listed = 0;
+    }
+}
+
+void
+Fw_Relay_ListEnd(struct fw_relay *r, int64_t now_us, struct fw_rl_acts *out)
+{
+    struct fw_list *pos;
+    struct fw_list *tmp;
+
+    r->list_known = 1;
+    FW_LIST_EACH_SAFE (pos, tmp, &r->servers) {
+        struct fw_rl_server *s = FW_LIST_ENTRY(pos, struct fw_rl_server, link);
+
+        if (!s->listed) {
+            lapse(r, s, now_us, out);
+        }
+    }
+}
+
+void
+Fw_Relay_StoreBack(struct fw_relay *r, int64_t now_us)
+{
+    r->store_back_us = now_us;
+}
+
+void
+Fw_Servers_Tick(struct fw_relay *r, int64_t now_us, struct fw_rl_acts *out)
+{
+    struct fw_list *pos;
+    struct fw_list *tmp;
+
+    FW_LIST_EACH_SAFE (pos, tmp, &r->servers) {
+        struct fw_rl_server *s = FW_LIST_ENTRY(pos, struct fw_rl_server, link);
+
+        if (s->lapse_us && now_us >= s->lapse_us) {
+            drop(r, s, "not back after the store's return", now_us, out);
+        }
+    }
+}
+
+void
+Fw_Servers_Clear(struct fw_relay *r)
+{
+    while (!Fw_List_Empty(&r->servers)) {
+        struct fw_rl_server *s =
+            FW_LIST_ENTRY(r->servers.next, struct fw_rl_server, link);
+
+        Fw_List_Remove(&s->link);
+        Fw_Servers_Unref(s);
+    }
+}
--- /dev/null
+++ b/src/relay/stream.c
@@ -0,0 +1,375 @@
+/*
+ * Requests that carry a model's prompt. An engine's memory is what is short:
+ * so room for the whole answer is reserved at a decode engine before the
+ * prompt is read anywhere; then a prefill engine reads it, and the decode
+ * engine fetches the KV cache and streams. A prompt that was read for an
+ * engine without room would be read in vain.
+ */
+#include <errno.h>
+#include <string.h>
+
+#include "relay/relay_internal.h"
+
+/* Memory goes by blocks of so many tokens. */
+#define FW_BLOCK 16
+/* An engine that hasn't answered a reservation by then is left out. */
+#define FW_HOLD_WAIT_US (300 * FW_MSEC)
+/* Slack over the expected time until a prompt is read. */
+#define FW_READ_SLACK_US (1200 * FW_MSEC)
+/* A mean stream before one was seen. */
+#define FW_RUN_GUESS_US (4 * FW_SEC)
+/* Callers sent away are told to come back between these. */
+#define FW_RETRY_LEAST_US (1500 * FW_MSEC)
+#define FW_RETRY_MOST_US (4500 * FW_MSEC)
+/* Times that one request may start over at another engine. */
+#define FW_STARTS_MAX 3
+/* Beside its own connection no stream is kept waiting on an old one. */
+#define FW_RUN_REUSE_US FW_RL_REUSE_ONCE_US
+
+static struct fw_rl_call *
+call_of(struct fw_queue_item *it)
+{
+    return FW_LIST_ENTRY(it, struct fw_rl_call, item);
+}
+
+int64_t
+Fw_Stream_RetryAfter(struct fw_relay *r)
+{
+    double mean = r->run_us > 0 ? r->run_us : (double)FW_RUN_GUESS_US;
+
+    return CLAMP((int64_t)(mean * g_rand_double_range(r->rand, 0.4, 1.0)),
+                 FW_RETRY_LEAST_US, FW_RETRY_MOST_US);
+}
+
+static int64_t
+tokens_needed(const struct fw_relay *r, const struct fw_rl_call *c)
+{
+    int64_t out = c->ask.tokens_out * r->opts.reserve_permille / 1000;
+    int64_t need = c->ask.tokens_in + out;
+
+    return (need + FW_BLOCK - 1) / FW_BLOCK * FW_BLOCK;
+}
+
+static void
+refuse_full(struct fw_relay *r, struct fw_rl_call *c, const char *why,
+            int64_t now_us, struct fw_rl_acts *out)
+{
+    Fw_Call_Refuse(r, c, 503, Fw_Stream_RetryAfter(r), why, now_us, out);
+}
+
+void
+Fw_Stream_Open(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us,
+               struct fw_rl_acts *out)
+{
+    const struct fw_rl_service_rule *s =
+        Fw_Rules_Service(r->rules, c->service);
+
+    c->need = tokens_needed(r, c);
+    c->state = FW_RL_QUEUED;
+    c->queue_until_us = MIN(now_us + r->opts.queue_us, c->deadline_us);
+    if (c->need > s->engine.kv_tokens) {
+        Fw_Call_Refuse(r, c, 503, 0, "larger_than_an_engine", now_us, out);
+        return;
+    }
+    g_strlcpy(c->item.team_name, c->team, sizeof(c->item.team_name));
+    c->item.latest_us = c->queue_until_us;
+    c->item.tokens = c->need;
+    Fw_Queue_Put(&r->queue, &c->item);
+    Fw_Stream_Pump(r, now_us, out);
+}
+
+static void
+take_server(struct fw_rl_call *c, struct fw_rl_server *s)
+{
+    c->server = Fw_Servers_Ref(s);
+    s->running++;
+    s->reserved += c->need;
+}
+
+static void
+ask_hold(struct fw_relay *r, struct fw_rl_call *c, struct fw_rl_server *s,
+         int64_t now_us, struct fw_rl_acts *out)
+{
+    const struct fw_rl_service_rule *rule =
+        Fw_Rules_Service(r->rules, c->service);
+    struct fw_rl_up_call up = {
+        .kind = FW_RL_UP_HOLD,
+        .urgency = -1,
+        .whole = 1,
+        .reuse_us = FW_RL_REUSE_US,
+        .connect_us = FW_RL_CONNECT_US,
+        .tokens = c->need,
+        .ttl_us = rule->engine.hold_us,
+    };
+
+    take_server(c, s);
+    c->state = FW_RL_HOLD;
+    r->n.holds.value++;
+    Fw_Call_Ask(r, c, s, &up, now_us + FW_HOLD_WAIT_US, now_us, out);
+}
+
+void
+Fw_Stream_Pump(struct fw_relay *r, int64_t now_us, struct fw_rl_acts *out)
+{
+    struct fw_queue_item *it;
+
+    while (r->rules && (it = Fw_Queue_Take(&r->queue))) {
+        struct fw_rl_call *c = call_of(it);
+        struct fw_rl_server *s = Fw_Place_Decode(r, c, now_us);
+
+        if (!s) {
+            Fw_Queue_PutBack(&r->queue, it);
+            return;
+        }
+        ask_hold(r, c, s, now_us, out);
+    }
+}
+
+static void
+requeue(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us,
+        struct fw_rl_acts *out)
+{
+    c->state = FW_RL_QUEUED;
+    if (now_us >= c->queue_until_us) {
+        refuse_full(r, c, "no_room", now_us, out);
+        return;
+    }
+    Fw_Queue_PutBack(&r->queue, &c->item);
+    Fw_Stream_Pump(r, now_us, out);
+}
+
+/* Starts over after an engine did not run it. */
+static void
+start_over(struct fw_relay *r, struct fw_rl_call *c, const char *why,
+           int64_t now_us, struct fw_rl_acts *out)
+{
+    int again = c->n_tried < FW_STARTS_MAX && now_us < c->deadline_us &&
+                Fw_Budget_Repeat(r, c->service, now_us);
+
+    Fw_Acts_Log(out, r, LOG_NOTICE, "start_over",
+                "\"id\":\"%s\",\"why\":\"%s\",\"server\":\"%s\",\"again\":%d",
+                c->ask.id, why, c->server ? c->server->e.id : "", again);
+    if (c->server) {
+        c->tried[c->n_tried++] = c->server->hash;
+    }
+    Fw_Call_Release(r, c, now_us, out);
+    if (!again) {
+        refuse_full(r, c, why, now_us, out);
+        return;
+    }
+    c->queue_until_us = MAX(c->queue_until_us,
+                            MIN(now_us + r->opts.queue_us / 2,
+                                c->deadline_us));
+    requeue(r, c, now_us, out);
+}
+
+static void
+run(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us,
+    struct fw_rl_acts *out)
+{
+    struct fw_rl_up_call up = {
+        .kind = FW_RL_UP_RUN,
+        .left_us = c->deadline_us - now_us,
+        .urgency = -1,
+        .reuse_us = FW_RUN_REUSE_US,
+        .connect_us = FW_RL_CONNECT_US,
+    };
+
+    if (!Fw_Relay_MayServe(r, c, now_us)) {
+        Fw_Call_Refuse(r, c, 503, FW_SEC, "configuration_stale", now_us, out);
+        return;
+    }
+    g_strlcpy(up.team, c->team, sizeof(up.team));
+    g_strlcpy(up.hold, c->hold, sizeof(up.hold));
+    g_strlcpy(up.kv, c->kv, sizeof(up.kv));
+    g_strlcpy(up.kv_addr, c->kv_addr, sizeof(up.kv_addr));
+    c->state = FW_RL_RUN;
+    c->run_us = now_us;
+    c->tries++;
+    Fw_Call_Ask(r, c, c->server, &up, c->deadline_us, now_us, out);
+    Fw_Acts_Log(out, r, LOG_INFO, "sent",
+                "\"id\":\"%s\",\"route\":\"%s\",\"server\":\"%s\","
+                "\"reader\":\"%s\",\"tokens\":%" G_GINT64_FORMAT
+                ",\"after_ms\":%" G_GINT64_FORMAT,
+                c->ask.id, c->route.name, c->server->e.id,
+                c->reader ? c->reader->e.id : "", c->need,
+                Fw_Relay_Ms(now_us - c->opened_us));
+}
+
+static void
+read_prompt(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us,
+            struct fw_rl_acts *out)
+{
+    int64_t wait_us;
+    struct fw_rl_server *s = Fw_Place_Read(r, c, now_us, &wait_us);
+    struct fw_rl_up_call up = {
+        .kind = FW_RL_UP_PREFILL,
+        .left_us = c->deadline_us - now_us,
+        .urgency = -1,
+        .whole = 1,
+        .reuse_us = FW_RL_REUSE_US,
+        .connect_us = FW_RL_CONNECT_US,
+    };
+
+    if (!s || wait_us > FW_RL_READ_HERE_US) {
+        run(r, c, now_us, out); /* the decode engine reads it itself */
+        return;
+    }
+    if (!Fw_Relay_MayServe(r, c, now_us)) {
+        Fw_Call_Refuse(r, c, 503, FW_SEC, "configuration_stale", now_us, out);
+        return;
+    }
+    g_strlcpy(up.team, c->team, sizeof(up.team));
+    c->reader = Fw_Servers_Ref(s);
+    c->reading = 1;
+    s->reading += c->ask.tokens_in;
+    c->state = FW_RL_READ;
+    c->reads++;
+    r->n.reads.value++;
+    Fw_Call_Ask(r, c, s, &up,
+                MIN(now_us + wait_us + FW_READ_SLACK_US, c->deadline_us),
+                now_us, out);
+}
+
+static void
+hold_answered(struct fw_relay *r, struct fw_rl_call *c,
+              struct fw_rl_server *s, const struct fw_rl_up_answer *ans,
+              int64_t now_us, struct fw_rl_acts *out)
+{
+    if (ans->status == 200 && ans->name[0]) {
+        g_strlcpy(c->hold, ans->name, sizeof(c->hold));
+        Fw_Servers_Served(s, 0, -1);
+        read_prompt(r, c, now_us, out);
+        return;
+    }
+    r->n.holds_refused.value++;
+    if (ans->moved) {
+        Fw_Servers_Missed(s, now_us);
+    }
+    s->full_us = now_us;
+    s->full_tokens = c->need;
+    Fw_Call_LeaveServer(c);
+    requeue(r, c, now_us, out);
+}
+
+static void
+read_answered(struct fw_relay *r, struct fw_rl_call *c,
+              struct fw_rl_server *s, const struct fw_rl_up_answer *ans,
+              int64_t now_us, struct fw_rl_acts *out)
+{
+    Fw_Call_ReadDone(c);
+    if (ans->status == 200 && ans->name[0]) {
+        Fw_Servers_Served(s, 0, -1);
+        g_strlcpy(c->kv, ans->name, sizeof(c->kv));
+        g_strlcpy(c->kv_addr, s->e.addr, sizeof(c->kv_addr));
+        run(r, c, now_us, out);
+        return;
+    }
+    if (ans->moved) {
+        Fw_Servers_Missed(s, now_us);
+    }
+    start_over(r, c, "prompt_not_read", now_us, out);
+}
+
+static void
+run_answered(struct fw_relay *r, struct fw_rl_call *c,
+             const struct fw_rl_up_answer *ans, int64_t now_us,
+             struct fw_rl_acts *out)
+{
+    if (c->passed) {
+        int64_t took = now_us - c->run_us;
+
+        r->run_us = r->run_us > 0 ? r->run_us + 0.1 * ((double)took -
+                                                       r->run_us)
+                                  : (double)took;
+        Fw_Call_Finish(r, c, 1, now_us, out);
+        return;
+    }
+    if (ans->moved) {
+        Fw_Servers_Missed(c->server, now_us);
+    }
+    c->tries--;
+    start_over(r, c, "engine_full", now_us, out);
+}
+
+void
+Fw_Stream_Answered(struct fw_relay *r, struct fw_rl_op *op,
+                   const struct fw_rl_up_answer *ans, int64_t now_us,
+                   struct fw_rl_acts *out)
+{
+    struct fw_rl_call *c = op->call;
+    struct fw_rl_server *s = Fw_Servers_Ref(op->server);
+    enum fw_rl_up_kind kind = op->kind;
+
+    Fw_Op_End(r, op);
+    if (kind == FW_RL_UP_HOLD) {
+        hold_answered(r, c, s, ans, now_us, out);
+    }
+    else if (kind == FW_RL_UP_PREFILL) {
+        read_answered(r, c, s, ans, now_us, out);
+    }
+    else {
+        run_answered(r, c, ans, now_us, out);
+    }
+    Fw_Servers_Unref(s);
+}
+
+static void
+run_failed(struct fw_relay *r, struct fw_rl_call *c, int err, int sent,
+           int64_t now_us, struct fw_rl_acts *out)
+{
+    if (c->passed) {
+        Fw_Call_Finish(r, c, 0, now_us, out);
+        return;
+    }
+    if (!sent) {
+        c->tries--;
+        start_over(r, c, "engine_unreachable", now_us, out);
+        return;
+    }
+    c->ran = FW_RAN_MAYBE;
+    c->hold[0] = 0;
+    c->kv[0] = 0;
+    if (now_us >= c->deadline_us) {
+        Fw_Call_Refuse(r, c, 504, 0, "timeout", now_us, out);
+    }
+    else if (c->route.resumable && c->tries < c->route.attempts) {
+        start_over(r, c, "engine_lost", now_us, out);
+    }
+    else {
+        Fw_Call_Refuse(r, c, 502, 0, "engine_lost", now_us, out);
+    }
+    (void)err;
+}
+
+void
+Fw_Stream_Failed(struct fw_relay *r, struct fw_rl_op *op, int err, int sent,
+                 int64_t now_us, struct fw_rl_acts *out)
+{
+    struct fw_rl_call *c = op->call;
+    struct fw_rl_server *s = Fw_Servers_Ref(op->server);
+    enum fw_rl_up_kind kind = op->kind;
+
+    Fw_Op_End(r, op);
+    if (!sent || kind != FW_RL_UP_RUN) {
+        Fw_Servers_Missed(s, now_us);
+    }
+    if (err == -ECONNREFUSED) {
+        Fw_Poison_ServerLost(r, s, now_us, out);
+    }
+    else if (sent && kind != FW_RL_UP_HOLD && err != -ETIMEDOUT) {
+        Fw_Poison_CutOff(r, c->ask.digest, s, now_us);
+    }
+    if (kind == FW_RL_UP_HOLD) {
+        Fw_Call_LeaveServer(c);
+        requeue(r, c, now_us, out);
+    }
+    else if (kind == FW_RL_UP_PREFILL) {
+        Fw_Call_ReadDone(c);
+        start_over(r, c, "prompt_not_read", now_us, out);
+    }
+    else {
+        run_failed(r, c, err, sent, now_us, out);
+    }
+    Fw_Servers_Unref(s);
+}
--- /dev/null
+++ b/src/relayd/peers.c
@@ -0,0 +1,116 @@
+/* Digests between instances, as datagrams. */
+#include <string.h>
+
+#include "http/conn.h"
+#include "io/addr.h"
+#include "io/note.h"
+#include "relayd/relayd_internal.h"
+
+/* A datagram that passes any link unfragmented is smaller; ours are too. */
+#define FW_DATAGRAM_MAX 60000
+
+static void
+send_digest(struct fw_relayd *d, const char *only)
+{
+    GByteArray *msg = g_byte_array_new();
+    GPtrArray *addrs = g_ptr_array_new();
+
+    Fw_Relay_WriteDigest(d->relay, Fw_Conn_Now(), msg);
+    if (only) {
+        g_ptr_array_add(addrs, (gpointer)only);
+    }
+    else {
+        Fw_Relay_Members(d->relay, addrs);
+    }
+    for (guint i = 0; i < addrs->len; i++) {
+        GSocketAddress *to = Fw_Addr_Parse(g_ptr_array_index(addrs, i));
+
+        if (to) {
+            /* A digest that can't be sent now is old by the next one. */
+            g_socket_send_to(d->peers, to, (char *)msg->data, msg->len, NULL,
+                             NULL);
+            g_object_unref(to);
+        }
+    }
+    g_ptr_array_unref(addrs);
+    g_byte_array_unref(msg);
+}
+
+static void
+take(struct fw_relayd *d, GSocketAddress *from, const char *data, size_t len)
+{
+    char addr[FW_URL_MAX];
+    int rc;
+
+    Fw_Addr_Print(from, addr);
+    rc = Fw_Relay_ReadDigest(d->relay, addr, data, len, Fw_Conn_Now());
+    if (rc < 0) {
+        Fw_Note_Log(LOG_WARNING, "digest_unreadable", "from", addr, NULL);
+    }
+    else if (rc > 0) {
+        Fw_Note_Log(LOG_NOTICE, "member_met", "addr", addr, NULL);
+        send_digest(d, addr);
+    }
+}
+
+static gboolean
+on_readable(GSocket *sock, GIOCondition cond, gpointer data)
+{
+    static char buf[FW_DATAGRAM_MAX];
+    struct fw_relayd *d = data;
+    GSocketAddress *from = NULL;
+    gssize n;
+
+    (void)cond;
+    while ((n = g_socket_receive_from(sock, &from, buf, sizeof(buf), NULL,
+                                      NULL)) > 0) {
+        take(d, from, buf, (size_t)n);
+        g_clear_object(&from);
+    }
+    g_clear_object(&from);
+    return G_SOURCE_CONTINUE;
+}
+
+int
+Fw_Peer_Listen(struct fw_relayd *d)
+{
+    GSocketAddress *at = Fw_Addr_Parse(d->opts.peers);
+    int ok;
+
+    if (!at) {
+        return -EINVAL;
+    }
+    d->peers = g_socket_new(g_socket_address_get_family(at),
+                            G_SOCKET_TYPE_DATAGRAM, G_SOCKET_PROTOCOL_UDP,
+                            NULL);
+    ok = d->peers && g_socket_bind(d->peers, at, TRUE, NULL);
+    g_object_unref(at);
+    if (!ok) {
+        return -EADDRINUSE;
+    }
+    g_socket_set_blocking(d->peers, FALSE);
+    d->peers_source = g_socket_create_source(d->peers, G_IO_IN, NULL);
+    g_source_set_callback(d->peers_source, G_SOURCE_FUNC(on_readable), d,
+                          NULL);
+    g_source_attach(d->peers_source, NULL);
+    return 0;
+}
+
+void
+Fw_Peer_Tick(struct fw_relayd *d, int64_t now_us)
+{
+    if (now_us >= d->digest_us) {
+        d->digest_us = now_us + d->opts.digest_every_us;
+        send_digest(d, NULL);
+    }
+}
+
+void
+Fw_Peer_Close(struct fw_relayd *d)
+{
+    if (d->peers_source) {
+        g_source_destroy(d->peers_source);
+        g_source_unref(d->peers_source);
+    }
+    g_clear_object(&d->peers);
+}
--- /dev/null
+++ b/src/relayd/relayd_internal.h
@@ -0,0 +1,114 @@
+/* Shared by the files of src/relayd. */
+#ifndef FW_RELAYD_INTERNAL_H
+#define FW_RELAYD_INTERNAL_H
+
+#include <gio/gio.h>
+#include <syslog.h>
+
+#include "http/client.h"
+#include "platform/platform.h"
+#include "relayd/relayd.h"
+
+struct fw_follow;
+
+/** struct fw_caller_rec - a caller's request as the shell holds it. */
+struct fw_caller_rec {
+    uint64_t id;
+    struct fw_http_caller *caller;
+    const struct fw_http_head *head; /* of its connection */
+    GBytes *body;
+    char request_id[FW_ID_MAX];
+    uint64_t passing; /* xid whose response goes to it, 0 for none */
+};
+
+/**
+ * struct fw_up_rec - a call to an upstream.
+ * @call: the caller's request or 0
+ * @fields: header lines for the caller, @length of the body or -1
+ * @body: what is kept of the response
+ * @begun: the core knows of the response, its bytes go through
+ * @done: the response is whole
+ */
+struct fw_up_rec {
+    struct fw_relayd *d;
+    uint64_t xid;
+    uint64_t call;
+    enum fw_rl_up_kind kind;
+    char request_id[FW_ID_MAX];
+    struct fw_exchange *x;
+    struct fw_rl_up_answer ans;
+    GString *fields;
+    int64_t length;
+    GByteArray *body;
+    int whole;
+    int begun;
+    int done;
+};
+
+struct fw_relayd {
+    struct fw_relayd_opts opts;
+    char *settings_path;
+    int64_t settings_mtime_us;
+    struct fw_relay *relay;
+    struct fw_pool *pool;
+    struct fw_http_server *callers;
+    struct fw_http_server *ready;
+    struct fw_http_server *metrics;
+    GSocket *peers;
+    GSource *peers_source;
+    int64_t digest_us;
+    GHashTable *by_caller; /* struct fw_http_caller to fw_caller_rec */
+    GHashTable *by_call;   /* id to fw_caller_rec */
+    GHashTable *ups;       /* xid to fw_up_rec */
+    GQueue failed;         /* xids of calls that could not be begun */
+    uint64_t last_call;
+    struct fw_follow *rules;
+    struct fw_follow *servers;
+    struct fw_store *store;
+    GSource *timer;
+    guint signals[3];
+    int64_t drain_us;
+    int over;
+};
+
+/* up.c */
+void
+Fw_Up_Start(struct fw_relayd *d, const struct fw_rl_up_call *c);
+void
+Fw_Up_Stop(struct fw_relayd *d, uint64_t xid);
+void
+Fw_Up_Free(gpointer rec);
+/* Hands what came of @rec's response to the caller, and what follows. */
+void
+Fw_Up_Pass(struct fw_relayd *d, struct fw_up_rec *rec,
+           struct fw_caller_rec *to);
+
+/* acts.c */
+/* Carries out what the core wants, and what follows from that. */
+void
+Fw_Relayd_CarryOut(struct fw_relayd *d, struct fw_rl_acts *acts);
+
+/* store.c */
+struct fw_store *
+Fw_Store_New(struct fw_relayd *d);
+void
+Fw_Store_Free(struct fw_store *s);
+void
+Fw_Store_Tick(struct fw_store *s, int64_t now_us);
+/* Claims the order role at the end of its topic. */
+void
+Fw_Store_Claim(struct fw_store *s, uint64_t end);
+
+/* peers.c */
+int
+Fw_Peer_Listen(struct fw_relayd *d);
+void
+Fw_Peer_Tick(struct fw_relayd *d, int64_t now_us);
+void
+Fw_Peer_Close(struct fw_relayd *d);
+
+/* status.c */
+int
+Fw_Status_Listen(struct fw_relayd *d);
+
+#endif
--- /dev/null
+++ b/src/relayd/settings.c
@@ -0,0 +1,121 @@
+#include <string.h>
+#include <syslog.h>
+
+#include "daemon/ini.h"
+#include "relayd/relayd.h"
+
+/** struct values - the file's values, before they are handed out. */
+struct values {
+    char name[FW_NAME_MAX];
+    char domain[FW_NAME_MAX];
+    char callers[FW_URL_MAX];
+    char ready[FW_URL_MAX];
+    char ready_path[FW_URL_MAX];
+    char metrics[FW_URL_MAX];
+    char peers[FW_URL_MAX];
+    char store[FW_URL_MAX];
+    int64_t revocation_ms;
+    int64_t retry_ratio;
+    int64_t retry_extra;
+    int64_t retry_window_s;
+    int64_t lease_ms;
+    int64_t grace_s;
+    int64_t rules_wait_ms;
+    int64_t servers_every_ms;
+    int64_t digest_every_ms;
+    int64_t queue_ms;
+    int64_t reserve_permille;
+    int64_t prefill_permille;
+    int64_t log_level;
+    int64_t log_kb;
+};
+
+/*
+ * Keys count for this part of the time within which a withdrawn key must
+ * stop working; the rest covers the way to the upstream and a slow loop.
+ */
+#define FW_STALE_PERMILLE 780
+
+#define FW_AT(field) offsetof(struct values, field)
+#define FW_INT(group, key, fallback, min, max, field)                         \
+    {                                                                         \
+        group, key, FW_INI_INT, fallback, min, max, FW_AT(field), NULL        \
+    }
+#define FW_TEXT(group, key, kind, fallback, field)                            \
+    {                                                                         \
+        group, key, kind, fallback, 0, 0, FW_AT(field), NULL                  \
+    }
+
+static const char *const levels[] = {"emerg",   "alert",  "crit", "err",
+                                     "warning", "notice", "info", "debug",
+                                     NULL};
+
+static const struct fw_ini_key keys[] = {
+    FW_TEXT("relay", "name", FW_INI_NAME, NULL, name),
+    FW_TEXT("relay", "domain", FW_INI_NAME, NULL, domain),
+    FW_TEXT("listen", "callers", FW_INI_LISTEN, NULL, callers),
+    FW_TEXT("listen", "ready", FW_INI_LISTEN, NULL, ready),
+    FW_TEXT("listen", "ready-path", FW_INI_PATH, "/readyz", ready_path),
+    FW_TEXT("listen", "metrics", FW_INI_LISTEN, NULL, metrics),
+    FW_TEXT("listen", "peers", FW_INI_PEERS, NULL, peers),
+    FW_TEXT("store", "address", FW_INI_LISTEN, NULL, store),
+    FW_INT("store", "rules-wait-ms", "1000", 0, 30000, rules_wait_ms),
+    FW_INT("store", "servers-every-ms", "400", 50, 60000, servers_every_ms),
+    FW_INT("limits", "revocation-ms", "5000", 100, 600000, revocation_ms),
+    {"limits", "retry-ratio", FW_INI_DECIMAL, "0.2", 0, 10000000,
+     FW_AT(retry_ratio), NULL},
+    FW_INT("limits", "retry-extra", "10", 0, 1000000, retry_extra),
+    FW_INT("limits", "retry-window-s", "10", 1, 3600, retry_window_s),
+    FW_INT("limits", "lease-ms", "3000", 100, 600000, lease_ms),
+    FW_INT("limits", "grace-s", "8", 1, 3600, grace_s),
+    FW_INT("peers", "digest-every-ms", "150", 10, 10000, digest_every_ms),
+    FW_INT("policy", "queue-ms", "550", 0, 600000, queue_ms),
+    FW_INT("policy", "reserve-permille", "1000", 100, 1000, reserve_permille),
+    FW_INT("policy", "prefill-permille", "140", 1, 999, prefill_permille),
+    {"log", "level", FW_INI_CHOICE, "info", 0, 0, FW_AT(log_level), levels},
+    FW_INT("log", "buffer-kb", "256", 16, 65536, log_kb),
+};
+
+static void
+hand_out(const struct values *v, struct fw_relayd_opts *out)
+{
+    struct fw_relay_opts *r = &out->relay;
+
+    g_strlcpy(r->name, v->name, sizeof(r->name));
+    g_strlcpy(r->domain, v->domain, sizeof(r->domain));
+    r->retry_ratio_ppm = v->retry_ratio;
+    r->retry_extra = v->retry_extra;
+    r->retry_window_us = v->retry_window_s * FW_SEC;
+    r->key_stale_us = v->revocation_ms * FW_STALE_PERMILLE;
+    r->queue_us = v->queue_ms * FW_MSEC;
+    r->reserve_permille = (int)v->reserve_permille;
+    r->prefill_permille = (int)v->prefill_permille;
+    r->lease_us = v->lease_ms * FW_MSEC;
+    r->grace_us = v->grace_s * FW_SEC;
+    r->log_level = (int)v->log_level;
+    g_strlcpy(out->callers, v->callers, FW_URL_MAX);
+    g_strlcpy(out->ready, v->ready, FW_URL_MAX);
+    g_strlcpy(out->ready_path, v->ready_path, FW_URL_MAX);
+    g_strlcpy(out->metrics, v->metrics, FW_URL_MAX);
+    g_strlcpy(out->peers, v->peers, FW_URL_MAX);
+    g_strlcpy(out->store, v->store, FW_URL_MAX);
+    out->rules_wait_us = v->rules_wait_ms * FW_MSEC;
+    out->servers_every_us = v->servers_every_ms * FW_MSEC;
+    out->digest_every_us = v->digest_every_ms * FW_MSEC;
+    out->grace_us = v->grace_s * FW_SEC;
+    out->log_bytes = v->log_kb * 1024;
+}
+
+int
+Fw_Relayd_Load(const char *path, struct fw_relayd_opts *out, char **error)
+{
+    struct values v = {0};
+    int rc;
+
+    memset(out, 0, sizeof(*out));
+    rc = Fw_Ini_Load(path, keys, G_N_ELEMENTS(keys), &v, error);
+    if (rc == 0) {
+        hand_out(&v, out);
+    }
+    return rc;
+}
--- /dev/null
+++ b/src/relayd/status.c
@@ -0,0 +1,79 @@
+/* The addresses of the balancer's check and of the metrics. */
+#include <string.h>
+
+#include "http/conn.h"
+#include "relayd/relayd_internal.h"
+
+static int
+asks_for(const struct fw_http_head *h, const char *path)
+{
+    return h->target_len == strlen(path) &&
+           memcmp(h->target, path, h->target_len) == 0;
+}
+
+static void
+on_ready(void *ctx, struct fw_http_caller *c, const struct fw_http_head *head,
+         GBytes *body)
+{
+    struct fw_relayd *d = ctx;
+    int ready = Fw_Relay_Ready(d->relay, Fw_Conn_Now());
+
+    (void)body;
+    if (!asks_for(head, d->opts.ready_path)) {
+        Fw_Caller_Answer(c, 404, "", "");
+        return;
+    }
+    Fw_Caller_Answer(c, ready ? 200 : 503, "", "");
+}
+
+static void
+on_metrics(void *ctx, struct fw_http_caller *c,
+           const struct fw_http_head *head, GBytes *body)
+{
+    struct fw_relayd *d = ctx;
+    GString *text;
+
+    (void)body;
+    if (!asks_for(head, "/metrics")) {
+        Fw_Caller_Answer(c, 404, "", "");
+        return;
+    }
+    text = g_string_new(NULL);
+    Fw_Metrics_Print(Fw_Relay_Metrics(d->relay), text);
+    Fw_Caller_Answer(c, 200, "Content-Type: text/plain; version=0.0.4\r\n",
+                     text->str);
+    g_string_free(text, TRUE);
+}
+
+static void
+on_gone(void *ctx, struct fw_http_caller *c)
+{
+    (void)ctx;
+    (void)c;
+}
+
+static void
+on_refused(void *ctx, int status, const char *why)
+{
+    (void)ctx;
+    (void)status;
+    (void)why;
+}
+
+static const struct fw_http_ops ready_ops = {
+    .request = on_ready, .gone = on_gone, .refused = on_refused};
+static const struct fw_http_ops metrics_ops = {
+    .request = on_metrics, .gone = on_gone, .refused = on_refused};
+
+int
+Fw_Status_Listen(struct fw_relayd *d)
+{
+    int err = 0;
+
+    d->ready = Fw_Server_New(d->opts.ready, &ready_ops, d, &err);
+    if (!d->ready) {
+        return err;
+    }
+    d->metrics = Fw_Server_New(d->opts.metrics, &metrics_ops, d, &err);
+    return d->metrics ? 0 : err;
+}
--- /dev/null
+++ b/src/relayd/store.c
@@ -0,0 +1,548 @@
+/*
+ * Follows the platform's store: the operator's configuration, the servers'
+ * entries, and the instances. Where a topic's history was cut off, or at
+ * the start, the newest record of each key is read, then what came after.
+ */
+#include <errno.h>
+#include <string.h>
+
+#include "http/conn.h"
+#include "io/json.h"
+#include "io/note.h"
+#include "relayd/relayd_internal.h"
+
+/*
+ * An answer of the store takes some milliseconds, a slow one a quarter of a
+ * second; beyond this the connection is taken as dead.
+ */
+#define FW_STORE_WAIT_US (1200 * FW_MSEC)
+/* After a failure, before the next try; halved or raised by chance. */
+#define FW_STORE_RETRY_US (250 * FW_MSEC)
+/* The instances are read again while none of them was heard. */
+#define FW_MEMBERS_EVERY_US (3 * FW_SEC)
+
+/** enum fw_step - what a follower asks for next. */
+enum fw_step {
+    FW_STEP_NEWEST,
+    FW_STEP_READ,
+    FW_STEP_APPEND,
+};
+
+/**
+ * struct fw_follow - one topic.
+ * @from: next offset to read
+ * @after: last key of the newest records read so far
+ * @page_end: where reading goes on after the newest records
+ * @wait_us: how long a read may wait for a record
+ * @every_us: pause between two reads
+ * @value: what is appended, NULL when nothing is
+ */
+struct fw_follow {
+    struct fw_store *store;
+    enum fw_topic topic;
+    enum fw_step step;
+    struct fw_exchange *x;
+    int status;
+    GByteArray *body;
+    int64_t sent_us;
+    int64_t until_us;
+    int64_t next_us;
+    uint64_t from;
+    uint64_t page_end;
+    char after[FW_ID_MAX];
+    int paging;
+    int64_t wait_us;
+    int64_t every_us;
+    char *value;
+    uint64_t at;
+};
+
+/** struct fw_store - @lost_us: since when nothing was heard, 0 if well. */
+struct fw_store {
+    struct fw_relayd *d;
+    struct fw_follow rules;
+    struct fw_follow servers;
+    struct fw_follow members;
+    struct fw_follow lead;
+    int64_t lost_us;
+    struct fw_metric calls;
+    struct fw_metric failures;
+    struct fw_metric age_ms;
+};
+
+static void
+reached(struct fw_store *s)
+{
+    int64_t now = Fw_Conn_Now();
+
+    if (s->lost_us) {
+        char ms[24];
+
+        g_snprintf(ms, sizeof(ms), "%" G_GINT64_FORMAT,
+                   (int64_t)((now - s->lost_us) / FW_MSEC));
+        Fw_Note_Log(LOG_NOTICE, "store_back", "away_ms", ms, NULL);
+        s->lost_us = 0;
+        Fw_Relay_StoreBack(s->d->relay, now);
+    }
+}
+
+static void
+missed(struct fw_follow *f, const char *why)
+{
+    struct fw_store *s = f->store;
+    int64_t now = Fw_Conn_Now();
+    int64_t pause = FW_STORE_RETRY_US / 2 +
+                    g_random_int_range(0, (gint32)FW_STORE_RETRY_US);
+
+    s->failures.value++;
+    if (!s->lost_us) {
+        s->lost_us = now;
+        Fw_Note_Log(LOG_WARNING, "store_lost", "why", why, NULL);
+    }
+    f->next_us = now + pause;
+}
+
+static void
+take_rules(struct fw_relayd *d, const struct fw_record *rec,
+           struct fw_rl_acts *acts)
+{
+    const char *why = "dropped";
+    struct fw_rl_rules *rules = NULL;
+
+    if (!Fw_Platform_IsRulesKey(rec->key)) {
+        return;
+    }
+    if (rec->value) {
+        rules = Fw_Platform_ReadRules(rec->value, rec->len, &why);
+    }
+    if (!rules) {
+        Fw_Note_Log(LOG_ERR, "configuration_rejected", "why", why, NULL);
+    }
+    Fw_Relay_Rules(d->relay, rules, rec->offset, Fw_Conn_Now(), acts);
+    Fw_Rules_Unref(rules);
+}
+
+static void
+take_server(struct fw_relayd *d, const struct fw_record *rec,
+            struct fw_rl_acts *acts)
+{
+    struct fw_rl_server_entry e;
+    int64_t now = Fw_Conn_Now();
+
+    if (!rec->value) {
+        Fw_Relay_Server(d->relay, rec->key, NULL, now, acts);
+    }
+    else if (Fw_Platform_ReadServer(rec->key, rec->value, rec->len, &e) == 0) {
+        Fw_Relay_Server(d->relay, rec->key, &e, now, acts);
+    }
+    else {
+        Fw_Note_Log(LOG_WARNING, "entry_unreadable", "server", rec->key,
+                    NULL);
+    }
+}
+
+static void
+take_member(struct fw_relayd *d, const struct fw_record *rec)
+{
+    JsonNode *root =
+        rec->value ? Fw_Json_Parse(rec->value, rec->len) : NULL;
+    char addr[FW_URL_MAX];
+
+    if (root && Fw_Json_CopyStr(json_node_get_object(root), "addr", addr,
+                                sizeof(addr)) == 0) {
+        Fw_Relay_AddMember(d->relay, rec->key, addr, Fw_Conn_Now());
+    }
+    if (root) {
+        json_node_unref(root);
+    }
+}
+
+static void
+take_all(struct fw_follow *f, const struct fw_records *got,
+         struct fw_rl_acts *acts)
+{
+    struct fw_relayd *d = f->store->d;
+
+    for (guint i = 0; i < got->all->len; i++) {
+        const struct fw_record *rec =
+            &g_array_index(got->all, struct fw_record, i);
+
+        switch (f->topic) {
+        case FW_TOPIC_RULES:
+            take_rules(d, rec, acts);
+            break;
+        case FW_TOPIC_SERVERS:
+            take_server(d, rec, acts);
+            break;
+        case FW_TOPIC_MEMBERS:
+            take_member(d, rec);
+            break;
+        case FW_TOPIC_LEAD:
+            break;
+        }
+    }
+}
+
+/* Pages are not a snapshot: what changes meanwhile is read afterwards. */
+static void
+took_newest(struct fw_follow *f, const struct fw_records *got,
+            struct fw_rl_acts *acts)
+{
+    struct fw_relayd *d = f->store->d;
+
+    if (!f->paging) {
+        f->page_end = got->end;
+        if (f->topic == FW_TOPIC_SERVERS) {
+            Fw_Relay_ListBegin(d->relay);
+        }
+    }
+    take_all(f, got, acts);
+    f->paging = got->more && got->all->len;
+    if (f->paging) {
+        const struct fw_record *last = &g_array_index(
+            got->all, struct fw_record, got->all->len - 1);
+
+        g_strlcpy(f->after, last->key, sizeof(f->after));
+        f->next_us = 0;
+        return;
+    }
+    f->after[0] = 0;
+    f->from = f->page_end;
+    f->step = FW_STEP_READ;
+    if (f->topic == FW_TOPIC_SERVERS) {
+        Fw_Relay_ListEnd(d->relay, Fw_Conn_Now(), acts);
+    }
+    if (f->topic == FW_TOPIC_MEMBERS) {
+        f->step = FW_STEP_NEWEST;
+        f->next_us = Fw_Conn_Now() + FW_MEMBERS_EVERY_US;
+    }
+}
+
+static void
+took_read(struct fw_follow *f, const struct fw_records *got,
+          struct fw_rl_acts *acts)
+{
+    take_all(f, got, acts);
+    f->from = got->next;
+    f->next_us = f->from < got->end ? 0 : f->sent_us + f->every_us;
+}
+
+static void
+took_append(struct fw_follow *f, const struct fw_records *got)
+{
+    struct fw_relay *r = f->store->d->relay;
+    int64_t now = Fw_Conn_Now();
+
+    if (f->topic == FW_TOPIC_LEAD) {
+        enum fw_rl_claim c = got->status == 200   ? FW_RL_CLAIM_MADE
+                             : got->status == 412 ? FW_RL_CLAIM_TAKEN
+                                                  : FW_RL_CLAIM_UNKNOWN;
+
+        Fw_Note_Log(LOG_NOTICE,
+                    c == FW_RL_CLAIM_MADE ? "role_taken" : "role_not_taken",
+                    NULL);
+        Fw_Relay_Lead(r, c, c == FW_RL_CLAIM_MADE ? got->first : got->end,
+                      f->sent_us, now);
+        g_clear_pointer(&f->value, g_free);
+        return;
+    }
+    g_clear_pointer(&f->value, g_free);
+    f->step = FW_STEP_NEWEST;
+    f->next_us = 0;
+}
+
+static int
+decode(struct fw_follow *f, struct fw_records *got)
+{
+    const void *data = f->body->data;
+    size_t len = f->body->len;
+
+    switch (f->step) {
+    case FW_STEP_NEWEST:
+        return Fw_Platform_ReadNewest(f->status, data, len, got);
+    case FW_STEP_READ:
+        return Fw_Platform_ReadRecords(f->topic, f->from, f->status, data,
+                                       len, got);
+    case FW_STEP_APPEND:
+        return Fw_Platform_ReadAppend(f->status, data, len, got);
+    }
+    return -EBADMSG;
+}
+
+static void
+answered(struct fw_follow *f, const struct fw_records *got,
+         struct fw_rl_acts *acts)
+{
+    reached(f->store);
+    if (got->status == 410) {
+        Fw_Note_Log(LOG_NOTICE, "history_cut", NULL);
+        f->step = FW_STEP_NEWEST;
+        f->paging = 0;
+        f->next_us = 0;
+        return;
+    }
+    if (f->step == FW_STEP_NEWEST) {
+        took_newest(f, got, acts);
+    }
+    else if (f->step == FW_STEP_READ) {
+        took_read(f, got, acts);
+    }
+    else {
+        took_append(f, got);
+    }
+    /*
+     * All that was written before the read was sent is in force now: the
+     * answer itself may have been long on its way.
+     */
+    if (f->topic == FW_TOPIC_RULES && !f->paging &&
+        f->next_us <= f->sent_us + f->every_us) {
+        Fw_Relay_Fresh(f->store->d->relay, f->sent_us);
+    }
+}
+
+static void
+claim_failed(struct fw_follow *f)
+{
+    if (f->topic == FW_TOPIC_LEAD && f->value) {
+        g_clear_pointer(&f->value, g_free);
+        Fw_Relay_Lead(f->store->d->relay, FW_RL_CLAIM_UNKNOWN, 0, f->sent_us,
+                      Fw_Conn_Now());
+    }
+}
+
+static enum fw_take
+on_head(void *ctx, const struct fw_http_head *h)
+{
+    struct fw_follow *f = ctx;
+
+    f->status = h->status;
+    return FW_TAKE_IT;
+}
+
+static void
+on_body(void *ctx, const char *data, size_t len)
+{
+    struct fw_follow *f = ctx;
+
+    g_byte_array_append(f->body, (const guint8 *)data, (guint)len);
+}
+
+static int
+is_word(const struct fw_follow *f)
+{
+    return f->status == 200 || (f->status == 410 && f->step == FW_STEP_READ) ||
+           (f->status == 412 && f->step == FW_STEP_APPEND);
+}
+
+static void
+on_end(void *ctx)
+{
+    struct fw_follow *f = ctx;
+    struct fw_rl_acts acts;
+    struct fw_records got;
+
+    f->x = NULL;
+    if (!is_word(f)) {
+        char status[16];
+
+        g_snprintf(status, sizeof(status), "status %d", f->status);
+        missed(f, status);
+        claim_failed(f);
+        return;
+    }
+    Fw_Acts_Init(&acts);
+    if (decode(f, &got)) {
+        missed(f, "an answer that can't be read");
+        claim_failed(f);
+    }
+    else {
+        answered(f, &got, &acts);
+    }
+    Fw_Platform_ClearRecords(&got);
+    g_byte_array_set_size(f->body, 0);
+    Fw_Relayd_CarryOut(f->store->d, &acts);
+    Fw_Store_Tick(f->store, Fw_Conn_Now());
+}
+
+static void
+on_fail(void *ctx, int err, enum fw_sent sent)
+{
+    struct fw_follow *f = ctx;
+
+    (void)sent;
+    f->x = NULL;
+    missed(f, g_strerror(-err));
+    claim_failed(f);
+}
+
+static const struct fw_exchange_ops ops = {
+    .head = on_head,
+    .body = on_body,
+    .end = on_end,
+    .fail = on_fail,
+};
+
+static void
+ask(struct fw_follow *f, int64_t now)
+{
+    struct fw_store *s = f->store;
+    struct fw_relayd *d = s->d;
+    struct fw_exchange_opts how = {.reuse_us = 10 * FW_SEC,
+                                   .connect_us = 400 * FW_MSEC};
+    GString *head = g_string_new(NULL);
+    GBytes *body = NULL;
+    int err = 0;
+
+    f->sent_us = now;
+    f->until_us = now + FW_STORE_WAIT_US;
+    g_byte_array_set_size(f->body, 0);
+    switch (f->step) {
+    case FW_STEP_NEWEST:
+        Fw_Platform_WriteNewest(f->topic, f->after, d->opts.store, head);
+        break;
+    case FW_STEP_READ:
+        Fw_Platform_WriteRead(f->topic, f->from, f->wait_us, d->opts.store,
+                              head);
+        f->until_us += f->wait_us;
+        break;
+    case FW_STEP_APPEND:
+        Fw_Platform_WriteAppend(f->topic, f->at, d->opts.relay.name, f->value,
+                                d->opts.store, head, &body);
+        break;
+    }
+    s->calls.value++;
+    f->x = Fw_Exchange_Start(d->pool, d->opts.store, head, body, &how, &ops,
+                             f, &err);
+    if (!f->x) {
+        missed(f, g_strerror(-err));
+        claim_failed(f);
+    }
+    g_string_free(head, TRUE);
+    if (body) {
+        g_bytes_unref(body);
+    }
+}
+
+static void
+tick(struct fw_follow *f, int64_t now)
+{
+    if (f->x && now >= f->until_us) {
+        Fw_Exchange_Stop(f->x);
+        f->x = NULL;
+        missed(f, "no answer");
+        claim_failed(f);
+    }
+    if (!f->x && now >= f->next_us &&
+        (f->topic != FW_TOPIC_LEAD || f->value)) {
+        ask(f, now);
+    }
+}
+
+static int
+alone(const struct fw_store *s)
+{
+    GPtrArray *addrs = g_ptr_array_new();
+    int none;
+
+    Fw_Relay_Members(s->d->relay, addrs);
+    none = addrs->len == 0;
+    g_ptr_array_unref(addrs);
+    return none;
+}
+
+void
+Fw_Store_Tick(struct fw_store *s, int64_t now_us)
+{
+    s->rules.wait_us = s->d->opts.rules_wait_us;
+    s->servers.every_us = s->d->opts.servers_every_us;
+    tick(&s->rules, now_us);
+    tick(&s->servers, now_us);
+    if (s->members.value || s->members.page_end == 0 || alone(s) ||
+        s->members.x) {
+        tick(&s->members, now_us);
+    }
+    tick(&s->lead, now_us);
+    s->age_ms.value = s->lost_us ? (now_us - s->lost_us) / FW_MSEC : 0;
+}
+
+static void
+follow_init(struct fw_store *s, struct fw_follow *f, enum fw_topic topic)
+{
+    f->store = s;
+    f->topic = topic;
+    f->body = g_byte_array_new();
+    f->at = UINT64_MAX;
+}
+
+static char *
+own_entry(const struct fw_relayd *d)
+{
+    JsonBuilder *b = json_builder_new();
+
+    json_builder_begin_object(b);
+    Fw_Json_SetStr(b, "addr", d->opts.peers);
+    Fw_Json_SetInt(b, "boot", (int64_t)d->opts.relay.boot);
+    json_builder_end_object(b);
+    return Fw_Json_Take(b);
+}
+
+struct fw_store *
+Fw_Store_New(struct fw_relayd *d)
+{
+    struct fw_store *s = g_new0(struct fw_store, 1);
+    struct fw_metrics *m = Fw_Relay_Metrics(d->relay);
+
+    s->d = d;
+    follow_init(s, &s->rules, FW_TOPIC_RULES);
+    follow_init(s, &s->servers, FW_TOPIC_SERVERS);
+    follow_init(s, &s->members, FW_TOPIC_MEMBERS);
+    follow_init(s, &s->lead, FW_TOPIC_LEAD);
+    s->members.step = FW_STEP_APPEND;
+    s->members.value = own_entry(d);
+    s->lead.step = FW_STEP_APPEND;
+    s->calls = (struct fw_metric){.name = "fw_store_calls_total",
+                                  .help = "Calls to the platform's store"};
+    s->failures =
+        (struct fw_metric){.name = "fw_store_failures_total",
+                           .help = "Calls to the store without a use"};
+    s->age_ms = (struct fw_metric){
+        .name = "fw_store_lost_ms",
+        .help = "How long the store hasn't answered, milliseconds",
+        .is_gauge = 1};
+    Fw_Metrics_Add(m, &s->calls);
+    Fw_Metrics_Add(m, &s->failures);
+    Fw_Metrics_Add(m, &s->age_ms);
+    return s;
+}
+
+void
+Fw_Store_Claim(struct fw_store *s, uint64_t end)
+{
+    g_free(s->lead.value);
+    s->lead.value = own_entry(s->d);
+    s->lead.at = end;
+    s->lead.next_us = 0;
+}
+
+static void
+follow_clear(struct fw_follow *f)
+{
+    if (f->x) {
+        Fw_Exchange_Stop(f->x);
+    }
+    g_byte_array_unref(f->body);
+    g_free(f->value);
+}
+
+void
+Fw_Store_Free(struct fw_store *s)
+{
+    if (!s) {
+        return;
+    }
+    follow_clear(&s->rules);
+    follow_clear(&s->servers);
+    follow_clear(&s->members);
+    follow_clear(&s->lead);
+    g_free(s);
+}
