Read a prompt at its decode engine only past 600 ms; two of nine engines prefill

Cause: with one of nine prefill engines prompts waited 1.3 s (median) to be read; reading them at the decode engine after 150 ms or 300 ms slowed the streams that ran there.

--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -145,6 +145,8 @@
  * @queue_us: longest wait for room at an engine
  * @reserve_permille: part of the tokens that may be generated which is
  *     reserved
+ * @read_here_us: a prompt that would be read later than this elsewhere is
+ *     read by its decode engine
  * @prefill_permille: part of a service's engines that prefill
  * @lease_us: how long the order role lasts
  * @grace_us: from SIGTERM until the process is killed
@@ -160,6 +162,7 @@
     int64_t key_stale_us;
     int64_t queue_us;
     int reserve_permille;
+    int64_t read_here_us;
     int prefill_permille;
     int64_t lease_us;
     int64_t grace_us;
--- a/src/relay/relay_internal.h
+++ b/src/relay/relay_internal.h
@@ -24,8 +24,6 @@
 #define FW_RL_CONNECT_US (250 * FW_MSEC)
 /* Giving back a reservation or a KV cache that lapse by themselves anyway. */
 #define FW_RL_HOUSEKEEPING_US (1 * FW_SEC)
-/* A prompt that would wait longer is read by its decode engine. */
-#define FW_RL_READ_HERE_US (1500 * FW_MSEC)
 /* Lists read before a silent store's lapses count, see servers.c. */
 #define FW_RL_STORE_RETURN_US (2200 * FW_MSEC)
 
--- a/src/relay/stream.c
+++ b/src/relay/stream.c
@@ -211,7 +211,7 @@
         .connect_us = FW_RL_CONNECT_US,
     };
 
-    if (!s || wait_us > FW_RL_READ_HERE_US) {
+    if (!s || wait_us > r->opts.read_here_us) {
         run(r, c, now_us, out); /* the decode engine reads it itself */
         return;
     }
--- a/src/relayd/settings.c
+++ b/src/relayd/settings.c
@@ -25,6 +25,7 @@
     int64_t digest_every_ms;
     int64_t queue_ms;
     int64_t reserve_permille;
+    int64_t read_here_ms;
     int64_t prefill_permille;
     int64_t log_level;
     int64_t log_kb;
@@ -71,7 +72,8 @@
     FW_INT("peers", "digest-every-ms", "150", 10, 10000, digest_every_ms),
     FW_INT("policy", "queue-ms", "550", 0, 600000, queue_ms),
     FW_INT("policy", "reserve-permille", "1000", 100, 1000, reserve_permille),
-    FW_INT("policy", "prefill-permille", "140", 1, 999, prefill_permille),
+    FW_INT("policy", "read-here-ms", "600", 0, 60000, read_here_ms),
+    FW_INT("policy", "prefill-permille", "220", 1, 999, prefill_permille),
     {"log", "level", FW_INI_CHOICE, "info", 0, 0, FW_AT(log_level), levels},
     FW_INT("log", "buffer-kb", "256", 16, 65536, log_kb),
 };
@@ -89,6 +91,7 @@
     r->key_stale_us = v->revocation_ms * FW_STALE_PERMILLE;
     r->queue_us = v->queue_ms * FW_MSEC;
     r->reserve_permille = (int)v->reserve_permille;
+    r->read_here_us = v->read_here_ms * FW_MSEC;
     r->prefill_permille = (int)v->prefill_permille;
     r->lease_us = v->lease_ms * FW_MSEC;
     r->grace_us = v->grace_s * FW_SEC;
