Count stages under change, survey engines under a new lease, count repeats by arrivals

Ruled out: the lease and fencing (no order refused). Change: the stage to be counts until the list shows it; a new holder asks all engines first; a shortage must last 3 s; repeats are counted in arrivals.

--- a/src/relay/budget.c
+++ b/src/relay/budget.c
@@ -50,7 +50,8 @@
 }
 
 int
-Fw_Budget_Repeat(struct fw_relay *r, const char *service, int64_t now_us)
+Fw_Budget_Repeat(struct fw_relay *r, const char *service, int n,
+                 int64_t now_us)
 {
     struct fw_rl_budget *b = budget_of(r, service, now_us);
     int members = Fw_Members_Count(r, now_us, NULL);
@@ -66,10 +67,10 @@
     requests = requests * (FW_RL_BUDGET_SLOTS - 2) / FW_RL_BUDGET_SLOTS;
     allowed = requests * r->opts.retry_ratio_ppm / 1000000 +
               r->opts.retry_extra * FW_EXTRA_PERMILLE / 1000 / members;
-    if (repeats + 1 > allowed) {
+    if (repeats + n > allowed) {
         return 0;
     }
-    b->repeats[b->slot % FW_RL_BUDGET_SLOTS]++;
-    r->n.repeats.value++;
+    b->repeats[b->slot % FW_RL_BUDGET_SLOTS] += n;
+    r->n.repeats.value += n;
     return 1;
 }
--- a/src/relay/order.c
+++ b/src/relay/order.c
@@ -21,8 +21,18 @@
 #define FW_ORDER_WAIT_US (800 * FW_MSEC)
 /* An order that was not answered may be carried out this much later. */
 #define FW_ORDER_LATE_US (13 * FW_SEC)
+/* After a change, until the list shows it: two heartbeats and a read. */
+#define FW_LISTED_US (4 * FW_SEC)
 /* Of the lease's end, for the way of an order and for clocks' drift. */
 #define FW_LEASE_MARGIN_US (900 * FW_MSEC)
+/* Within this the engines' reports are there. */
+#define FW_SURVEY_US (300 * FW_MSEC)
+/*
+ * A stage must be short for so long before engines are moved: one that
+ * crashed is mostly back sooner, and a change takes an engine out of
+ * service for longer.
+ */
+#define FW_SHORT_US (3 * FW_SEC)
 /* Before the first look: entries and other instances become known. */
 #define FW_SETTLE_US (700 * FW_MSEC)
 
@@ -78,10 +88,22 @@
     return CLAMP(n, 1, MAX(engines - 1, 1));
 }
 
+static enum fw_rl_stage
+stage_to_be(const struct fw_rl_server *s, int64_t now_us)
+{
+    return Fw_Servers_Switching(s, now_us) ? s->to_stage : s->e.stage;
+}
+
+static enum fw_rl_stage
+other_stage(enum fw_rl_stage stage)
+{
+    return stage == FW_RL_STAGE_PREFILL ? FW_RL_STAGE_DECODE
+                                        : FW_RL_STAGE_PREFILL;
+}
+
 /*
- * The next engine whose stage should change, or NULL: one change at a time,
- * so that capacity never leaves at once. Prefill engines with the highest
- * id hash go first: all instances agree without a word.
+ * The next engine whose stage should change, or NULL. Those with the highest
+ * hash of their id go first: all instances agree without a word.
  */
 static struct fw_rl_server *
 next_change(struct fw_relay *r, int64_t now_us, enum fw_rl_stage *to)
@@ -98,8 +120,7 @@
 
         if (engine_of(r, s, &rule)) {
             engines++;
-            readers += s->e.stage == FW_RL_STAGE_PREFILL &&
-                       now_us >= s->stage_us;
+            readers += stage_to_be(s, now_us) == FW_RL_STAGE_PREFILL;
         }
     }
     want = wanted_readers(r, engines);
@@ -111,7 +132,8 @@
         struct fw_rl_server *s = FW_LIST_ENTRY(pos, struct fw_rl_server, link);
 
         if (engine_of(r, s, &rule) && s->e.stage != *to &&
-            now_us >= s->stage_us && Fw_Servers_Usable(s, now_us) &&
+            !Fw_Servers_Switching(s, now_us) &&
+            Fw_Servers_Usable(s, now_us) &&
             (!best || s->hash > best->hash)) {
             best = s;
         }
@@ -154,9 +176,32 @@
                 s->e.id, (int)to, up.fence, orders);
     Fw_Call_Ask(r, NULL, s, &up, now_us + FW_ORDER_WAIT_US, now_us, out);
     /* Until its outcome is known nothing else is ordered there. */
+    s->to_stage = to;
     s->stage_us = now_us + FW_ORDER_LATE_US;
 }
 
+/*
+ * A change that the last holder ordered may be under way: engines that say
+ * so count as having the stage that they change to.
+ */
+static void
+survey(struct fw_relay *r, int64_t now_us, struct fw_rl_acts *out)
+{
+    const struct fw_rl_service_rule *rule;
+    struct fw_list *pos;
+
+    r->lead.surveyed = 1;
+    r->lead.survey_us = now_us + FW_SURVEY_US;
+    r->look_us = r->lead.survey_us;
+    FW_LIST_EACH (pos, &r->servers) {
+        struct fw_rl_server *s = FW_LIST_ENTRY(pos, struct fw_rl_server, link);
+
+        if (engine_of(r, s, &rule)) {
+            ask_report(r, s, now_us, out);
+        }
+    }
+}
+
 void
 Fw_Order_Tick(struct fw_relay *r, int64_t now_us, struct fw_rl_acts *out)
 {
@@ -177,9 +222,19 @@
     }
     s = next_change(r, now_us, &to);
     if (!s) {
+        r->short_us = 0;
+        return;
+    }
+    if (!r->short_us) {
+        r->short_us = now_us;
+    }
+    if (r->settled && now_us - r->short_us < FW_SHORT_US) {
         return;
     }
-    if (holds_role(r, now_us)) {
+    if (holds_role(r, now_us) && !r->lead.surveyed) {
+        survey(r, now_us, out);
+    }
+    else if (holds_role(r, now_us)) {
         ask_report(r, s, now_us, out);
     }
     else if (role_is_free(r, now_us)) {
@@ -198,6 +253,7 @@
         r->lead.fence = offset + 1;
         r->lead.end = offset + 1;
         r->lead.until_us = sent_us + r->opts.lease_us;
+        r->lead.surveyed = 0;
         r->look_us = now_us;
         break;
     case FW_RL_CLAIM_TAKEN:
@@ -217,8 +273,13 @@
 {
     enum fw_rl_stage to;
 
+    if (ans->status == 200 && ans->busy && !Fw_Servers_Switching(s, now_us)) {
+        s->to_stage = other_stage(s->e.stage);
+        s->stage_us = now_us + FW_ORDER_LATE_US;
+    }
     if (ans->status != 200 || ans->busy || ans->orders < 0 ||
-        next_change(r, now_us, &to) != s || ans->stage == to) {
+        now_us < r->lead.survey_us || next_change(r, now_us, &to) != s ||
+        ans->stage == to) {
         return;
     }
     order(r, s, to, ans->orders, now_us, out);
@@ -235,11 +296,14 @@
     Fw_Acts_Log(out, r, LOG_NOTICE, "ordered", "\"server\":\"%s\",\"status\":%d",
                 s->e.id, ans->status);
     if (ans->status == 202 || ans->status == 200) {
-        s->stage_us = now_us + (rule ? rule->engine.switch_us : 0) + FW_SEC;
+        s->stage_us = now_us + (rule ? rule->engine.switch_us : 0) +
+                      FW_LISTED_US;
+        r->settled = 1;
         r->look_us = now_us;
         return;
     }
     s->stage_us = 0;
+    r->look_us = now_us + FW_LOOK_US;
     if (ans->status == 412) {
         /* Another holds a newer token: this one must not be used again. */
         r->lead.fence = 0;
--- a/src/relay/place.c
+++ b/src/relay/place.c
@@ -22,6 +22,8 @@
  * four seconds); asking again much sooner costs calls and finds nothing.
  */
 #define FW_FULL_US (60 * FW_MSEC)
+/* A prefill engine that turned a prompt away is left alone for so long. */
+#define FW_BUSY_US (300 * FW_MSEC)
 /* Digests of a member count as its load for so long after the last one. */
 #define FW_LOAD_LIFE_US (2 * FW_SEC)
 /* A transfer in the same failure domain is cheaper: worth a short wait. */
@@ -131,7 +133,8 @@
 static int
 decodes(const struct fw_rl_server *s, int64_t now_us)
 {
-    return s->e.stage == FW_RL_STAGE_DECODE && now_us >= s->stage_us &&
+    return s->e.stage == FW_RL_STAGE_DECODE &&
+           !Fw_Servers_Switching(s, now_us) &&
            Fw_Servers_Usable(s, now_us);
 }
 
@@ -189,7 +192,9 @@
         int64_t us;
 
         if (!serves(s, c) || s->e.stage != FW_RL_STAGE_PREFILL ||
-            now_us < s->stage_us || !Fw_Servers_Usable(s, now_us)) {
+            Fw_Servers_Switching(s, now_us) || Fw_Call_Tried(c, s) ||
+            now_us - s->full_us < FW_BUSY_US ||
+            !Fw_Servers_Usable(s, now_us)) {
             continue;
         }
         Fw_Place_Load(r, s, now_us, &l);
--- a/src/relay/plain.c
+++ b/src/relay/plain.c
@@ -75,7 +75,7 @@
         return 0;
     }
     if (!Fw_Relay_MayServe(r, c, now_us) ||
-        !Fw_Budget_Repeat(r, c->service, now_us)) {
+        !Fw_Budget_Repeat(r, c->service, 1, now_us)) {
         return 0;
     }
     Fw_Acts_Log(out, r, LOG_NOTICE, "sent_again",
--- a/src/relay/relay_internal.h
+++ b/src/relay/relay_internal.h
@@ -37,7 +37,7 @@
  * @misses: failures to reach it in a row
  * @errors: part of its answers that were failures, moving mean
  * @took_us: moving mean of its time to answer
- * @stage_us: stage changes ordered here are over by then
+ * @to_stage, @stage_us: a stage change under way, over by then at the latest
  */
 struct fw_rl_server {
     struct fw_list link;
@@ -56,8 +56,8 @@
     int misses;
     double errors;
     double took_us;
+    enum fw_rl_stage to_stage;
     int64_t stage_us;
-    int64_t orders;
 };
 
 /** struct fw_rl_load - what another instance has at a server. */
@@ -202,6 +202,8 @@
     int asking;
     uint64_t fence;
     int64_t until_us;
+    int surveyed; /* the engines were asked under this lease */
+    int64_t survey_us; /* until when only their state is taken in */
 };
 
 static inline int64_t
@@ -255,7 +257,9 @@
     struct fw_rl_lead lead;
     double run_us; /* moving mean of a stream's time at an engine */
     uint64_t digest_seq;
-    int64_t look_us; /* when engines are looked at next */
+    int64_t look_us;  /* when engines are looked at next */
+    int settled;      /* stages were changed since the start */
+    int64_t short_us; /* since when a stage has too many or too few */
     int draining;
     int64_t drain_us;
 };
@@ -278,6 +282,9 @@
 /* May new work go there? */
 int
 Fw_Servers_Usable(const struct fw_rl_server *s, int64_t now_us);
+/* Is its stage being changed? */
+int
+Fw_Servers_Switching(const struct fw_rl_server *s, int64_t now_us);
 void
 Fw_Servers_Missed(struct fw_rl_server *s, int64_t now_us);
 void
@@ -392,9 +399,10 @@
 /* budget.c */
 void
 Fw_Budget_Request(struct fw_relay *r, const char *service, int64_t now_us);
-/* Nonzero when one more repeat is allowed; it is then counted. */
+/* Nonzero when @n more arrivals are allowed; they are then counted. */
 int
-Fw_Budget_Repeat(struct fw_relay *r, const char *service, int64_t now_us);
+Fw_Budget_Repeat(struct fw_relay *r, const char *service, int n,
+                 int64_t now_us);
 
 /* members.c */
 /* Instances that count, this one included; @heard: those in touch now. */
--- a/src/relay/servers.c
+++ b/src/relay/servers.c
@@ -60,6 +60,12 @@
     return !s->gone && !s->e.draining && now_us >= s->suspect_us;
 }
 
+int
+Fw_Servers_Switching(const struct fw_rl_server *s, int64_t now_us)
+{
+    return now_us < s->stage_us && s->e.stage != s->to_stage;
+}
+
 void
 Fw_Servers_Missed(struct fw_rl_server *s, int64_t now_us)
 {
@@ -113,7 +119,6 @@
     s->refs = 1;
     s->listed = 1;
     s->hash = Fw_Hash_Str(e->id);
-    s->orders = -1;
     Fw_List_Append(&r->servers, &s->link);
     Fw_Acts_Log(out, r, LOG_NOTICE, "server_seen",
                 "\"server\":\"%s\",\"addr\":\"%s\",\"service\":\"%s\","
--- a/src/relay/stream.c
+++ b/src/relay/stream.c
@@ -138,20 +138,24 @@
     Fw_Stream_Pump(r, now_us, out);
 }
 
-/* Starts over after an engine did not run it. */
+/*
+ * Starts over after an engine did not run it.
+ * @arrivals: at engines, beyond what a request needs: one for a prompt that
+ *     wasn't read; two where it was, since it is then read again
+ */
 static void
 start_over(struct fw_relay *r, struct fw_rl_call *c, const char *why,
-           int64_t now_us, struct fw_rl_acts *out)
+           int arrivals, int64_t now_us, struct fw_rl_acts *out)
 {
+    struct fw_rl_server *s = c->state == FW_RL_READ ? c->reader : c->server;
+    uint64_t at_fault = s ? s->hash : 0;
     int again = c->n_tried < FW_STARTS_MAX && now_us < c->deadline_us &&
-                Fw_Budget_Repeat(r, c->service, now_us);
+                Fw_Budget_Repeat(r, c->service, arrivals, now_us);
 
     Fw_Acts_Log(out, r, LOG_NOTICE, "start_over",
                 "\"id\":\"%s\",\"why\":\"%s\",\"server\":\"%s\",\"again\":%d",
-                c->ask.id, why, c->server ? c->server->e.id : "", again);
-    if (c->server) {
-        c->tried[c->n_tried++] = c->server->hash;
-    }
+                c->ask.id, why, s ? s->e.id : "", again);
+    c->tried[c->n_tried++] = at_fault;
     Fw_Call_Release(r, c, now_us, out);
     if (!again) {
         refuse_full(r, c, why, now_us, out);
@@ -265,10 +269,12 @@
         run(r, c, now_us, out);
         return;
     }
+    s->full_us = now_us;
+    s->full_tokens = 0;
     if (ans->moved) {
         Fw_Servers_Missed(s, now_us);
     }
-    start_over(r, c, "prompt_not_read", now_us, out);
+    start_over(r, c, "prompt_not_read", 1, now_us, out);
 }
 
 static void
@@ -289,7 +295,7 @@
         Fw_Servers_Missed(c->server, now_us);
     }
     c->tries--;
-    start_over(r, c, "engine_full", now_us, out);
+    start_over(r, c, "engine_full", c->reader ? 2 : 1, now_us, out);
 }
 
 void
@@ -324,7 +330,7 @@
     }
     if (!sent) {
         c->tries--;
-        start_over(r, c, "engine_unreachable", now_us, out);
+        start_over(r, c, "engine_unreachable", c->reader ? 1 : 0, now_us, out);
         return;
     }
     c->ran = FW_RAN_MAYBE;
@@ -334,7 +340,7 @@
         Fw_Call_Refuse(r, c, 504, 0, "timeout", now_us, out);
     }
     else if (c->route.resumable && c->tries < c->route.attempts) {
-        start_over(r, c, "engine_lost", now_us, out);
+        start_over(r, c, "engine_lost", c->reader ? 2 : 1, now_us, out);
     }
     else {
         Fw_Call_Refuse(r, c, 502, 0, "engine_lost", now_us, out);
@@ -366,7 +372,7 @@
     }
     else if (kind == FW_RL_UP_PREFILL) {
         Fw_Call_ReadDone(c);
-        start_over(r, c, "prompt_not_read", now_us, out);
+        start_over(r, c, "prompt_not_read", 1, now_us, out);
     }
     else {
         run_failed(r, c, err, sent, now_us, out);
