Send away what a stopping instance can't finish; close idle connections before leaving

Ruled out: the drain itself: requests sent before were all answered. Change: a stream needs 5.5 s of the grace period, a plain request 1.8 s; idle connections are closed once the balancer has had time to notice.

--- a/src/http/server.c
+++ b/src/http/server.c
@@ -115,6 +115,22 @@
     s->draining = 1;
 }
 
+void
+Fw_Server_CloseIdle(struct fw_http_server *s)
+{
+    struct fw_list *pos;
+    struct fw_list *tmp;
+
+    FW_LIST_EACH_SAFE (pos, tmp, &s->callers) {
+        struct fw_http_caller *c =
+            FW_LIST_ENTRY(pos, struct fw_http_caller, link);
+
+        if (c->state == FW_CALLER_IDLE && !c->resume) {
+            Fw_Caller_Free(c, 0);
+        }
+    }
+}
+
 int
 Fw_Server_Busy(const struct fw_http_server *s)
 {
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -64,6 +64,9 @@
 /* From now on each answer is the last one of its connection. */
 void
 Fw_Server_Drain(struct fw_http_server *s);
+/* Closes the connections on which no request has begun. */
+void
+Fw_Server_CloseIdle(struct fw_http_server *s);
 /* Connections with a request that isn't answered whole yet. */
 int
 Fw_Server_Busy(const struct fw_http_server *s);
--- a/src/relay/open.c
+++ b/src/relay/open.c
@@ -11,6 +11,14 @@
  * be chance (the request was just there), three in a row are not.
  */
 #define FW_POISON_STRIKES 3
+/*
+ * What a request needs of the grace period that is left: a stream the
+ * longest usual one (5.5 s for 99 in 100), a plain one its time limit.
+ */
+#define FW_DRAIN_STREAM_US (5500 * FW_MSEC)
+#define FW_DRAIN_PLAIN_US (1800 * FW_MSEC)
+/* Another instance takes it at once. */
+#define FW_RETRY_ELSEWHERE_US (50 * FW_MSEC)
 /* A request that crashes its servers should not be back soon. */
 #define FW_RETRY_POISON_US (60 * FW_SEC)
 
@@ -124,6 +132,21 @@
     return 1;
 }
 
+/*
+ * A request that a stopping instance could not finish is sent to another
+ * one at once: cut at the end it would be lost. Until a balancer has noticed
+ * the stop requests still come, and most of them end in time.
+ */
+static int
+too_late(const struct fw_relay *r, const struct fw_rl_call *c, int64_t now_us)
+{
+    int64_t left = r->drain_us + r->opts.grace_us - now_us;
+
+    return r->draining &&
+           left < (c->route.generates ? FW_DRAIN_STREAM_US
+                                      : FW_DRAIN_PLAIN_US);
+}
+
 static void
 start(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us,
       struct fw_rl_acts *out)
@@ -161,6 +184,11 @@
     c->urgency = route->priority;
     g_strlcpy(c->service, pick_service(route, ask->id), sizeof(c->service));
     set_limits(c, now_us);
+    if (too_late(r, c, now_us)) {
+        Fw_Call_Refuse(r, c, 503, FW_RETRY_ELSEWHERE_US, "stopping", now_us,
+                       out);
+        return;
+    }
     if (route->anonymous) {
         memset(c->ask.key, 0, sizeof(c->ask.key));
     }
--- a/src/relayd/relayd.c
+++ b/src/relayd/relayd.c
@@ -202,6 +202,7 @@
     if (!d->drain_us || past < FW_LEAVE_US) {
         return;
     }
+    Fw_Server_CloseIdle(d->callers);
     if (!Fw_Server_Busy(d->callers) ||
         past >= d->opts.grace_us - FW_GRACE_MARGIN_US) {
         d->over = 1;
