--- a/src/relay/members.c
+++ b/src/relay/members.c
@@ -173,31 +173,36 @@
 }
 
 static int
-has_load(const struct fw_rl_server *s)
+has_load(const struct fw_rl_server *s, int64_t now_us)
 {
-    return s->running || s->reserved || s->reading;
+    return s->running || s->reserved || s->reading ||
+           Fw_Servers_Switching(s, now_us);
 }
 
 static void
-pack_load(struct fw_relay *r, msgpack_packer *pk)
+pack_load(struct fw_relay *r, int64_t now_us, msgpack_packer *pk)
 {
     struct fw_list *pos;
     size_t n = 0;
 
     FW_LIST_EACH (pos, &r->servers) {
-        n += (size_t)has_load(FW_LIST_ENTRY(pos, struct fw_rl_server, link));
+        n += (size_t)has_load(FW_LIST_ENTRY(pos, struct fw_rl_server, link),
+                              now_us);
     }
     msgpack_pack_array(pk, n);
     FW_LIST_EACH (pos, &r->servers) {
         const struct fw_rl_server *s =
             FW_LIST_ENTRY(pos, struct fw_rl_server, link);
 
-        if (has_load(s)) {
-            msgpack_pack_array(pk, 4);
+        if (has_load(s, now_us)) {
+            msgpack_pack_array(pk, 5);
             msgpack_pack_uint64(pk, s->hash);
             msgpack_pack_int64(pk, s->running);
             msgpack_pack_int64(pk, s->reserved);
             msgpack_pack_int64(pk, s->reading);
+            msgpack_pack_int(pk, Fw_Servers_Switching(s, now_us)
+                                     ? (int)s->to_stage
+                                     : (int)FW_RL_STAGE_NONE);
         }
     }
 }
@@ -232,7 +237,6 @@
 {
     msgpack_packer pk;
 
-    (void)now_us;
     msgpack_packer_init(&pk, out, write_bytes);
     msgpack_pack_array(&pk, 8);
     msgpack_pack_int(&pk, FW_DIGEST_FORM);
@@ -241,7 +245,7 @@
     msgpack_pack_uint64(&pk, ++r->digest_seq);
     msgpack_pack_int(&pk, r->queue.n);
     pack_spent(r, &pk);
-    pack_load(r, &pk);
+    pack_load(r, now_us, &pk);
     pack_strikes(r, &pk);
 }
 
@@ -317,6 +321,7 @@
         l->running = (int)cell(rows, i, 1);
         l->reserved = cell(rows, i, 2);
         l->reading = cell(rows, i, 3);
+        l->to_stage = (enum fw_rl_stage)cell(rows, i, 4);
         g_hash_table_insert(m->load, key_of((uint64_t)cell(rows, i, 0)), l);
     }
 }
@@ -363,7 +368,7 @@
     d->seq = f[3].via.u64;
     d->waiting = (int)MIN(f[4].via.u64, FW_ENTRIES_MAX);
     d->spent = rows_of(&f[5], 2);
-    d->load = rows_of(&f[6], 4);
+    d->load = rows_of(&f[6], 5);
     d->strikes = rows_of(&f[7], 2);
     return d->spent && d->load && d->strikes ? 0 : -EBADMSG;
 }
--- a/src/relay/order.c
+++ b/src/relay/order.c
@@ -223,6 +223,7 @@
     s = next_change(r, now_us, &to);
     if (!s) {
         r->short_us = 0;
+        r->settled = 1;
         return;
     }
     if (!r->short_us) {
@@ -298,7 +299,6 @@
     if (ans->status == 202 || ans->status == 200) {
         s->stage_us = now_us + (rule ? rule->engine.switch_us : 0) +
                       FW_LISTED_US;
-        r->settled = 1;
         r->look_us = now_us;
         return;
     }
--- a/src/relay/place.c
+++ b/src/relay/place.c
@@ -46,7 +46,10 @@
 {
     struct fw_list *pos;
 
-    *out = (struct fw_rl_load){.running = s->running,
+    *out = (struct fw_rl_load){.to_stage = Fw_Servers_Switching(s, now_us)
+                                               ? s->to_stage
+                                               : FW_RL_STAGE_NONE,
+                               .running = s->running,
                                .reserved = s->reserved,
                                .reading = s->reading};
     FW_LIST_EACH (pos, &r->members) {
@@ -58,6 +61,9 @@
             l = g_hash_table_lookup(m->load, &s->hash);
         }
         if (l) {
+            if (l->to_stage != FW_RL_STAGE_NONE) {
+                out->to_stage = l->to_stage;
+            }
             out->running += l->running;
             out->reserved += l->reserved;
             out->reading += l->reading;
@@ -114,6 +120,13 @@
     return best;
 }
 
+/* The instance that ordered it tells the others, before the list does. */
+static int
+leaving_stage(const struct fw_rl_server *s, const struct fw_rl_load *l)
+{
+    return l->to_stage != FW_RL_STAGE_NONE && l->to_stage != s->e.stage;
+}
+
 static int64_t
 room(const struct fw_relay *r, const struct fw_rl_server *s,
      const struct fw_rl_engine_spec *spec, int64_t need, int64_t now_us)
@@ -124,7 +137,7 @@
         return -1;
     }
     Fw_Place_Load(r, s, now_us, &l);
-    if (l.running >= spec->slots) {
+    if (l.running >= spec->slots || leaving_stage(s, &l)) {
         return -1;
     }
     return spec->kv_tokens - l.reserved - need;
@@ -198,6 +211,9 @@
             continue;
         }
         Fw_Place_Load(r, s, now_us, &l);
+        if (leaving_stage(s, &l)) {
+            continue;
+        }
         us = (int64_t)((double)(l.reading + c->ask.tokens_in) /
                        FW_READ_PER_MS * FW_MSEC);
         if (c->server && strcmp(s->e.domain, c->server->e.domain) == 0) {
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -140,6 +140,7 @@
     /* What it went on from is used up now. */
     op->call->hold[0] = 0;
     op->call->kv[0] = 0;
+    op->server->refusals = 0;
     Fw_Servers_Served(op->server, ans->status >= 500,
                       is_stream(op) ? -1 : now_us - op->sent_us);
     Fw_Call_Pass(r, op->call, out);
--- a/src/relay/relay_internal.h
+++ b/src/relay/relay_internal.h
@@ -37,6 +37,7 @@
  * @misses: failures to reach it in a row
  * @errors: part of its answers that were failures, moving mean
  * @took_us: moving mean of its time to answer
+ * @refusals: runs refused in a row that had a reservation there
  * @to_stage, @stage_us: a stage change under way, over by then at the latest
  */
 struct fw_rl_server {
@@ -54,6 +55,7 @@
     int64_t full_tokens;
     int64_t suspect_us;
     int misses;
+    int refusals;
     double errors;
     double took_us;
     enum fw_rl_stage to_stage;
@@ -62,6 +64,7 @@
 
 /** struct fw_rl_load - what another instance has at a server. */
 struct fw_rl_load {
+    enum fw_rl_stage to_stage; /* that it is changed to, or NONE */
     int running;
     int64_t reserved;
     int64_t reading;
@@ -258,7 +261,7 @@
     double run_us; /* moving mean of a stream's time at an engine */
     uint64_t digest_seq;
     int64_t look_us;  /* when engines are looked at next */
-    int settled;      /* stages were changed since the start */
+    int settled;      /* the stages were as wanted once */
     int64_t short_us; /* since when a stage has too many or too few */
     int draining;
     int64_t drain_us;
@@ -273,6 +276,9 @@
     __attribute__((format(printf, 5, 6)));
 
 /* servers.c */
+/* A run that had a reservation there was refused. */
+void
+Fw_Servers_Refused(struct fw_rl_server *s, int64_t now_us);
 struct fw_rl_server *
 Fw_Servers_Find(const struct fw_relay *r, const char *id);
 struct fw_rl_server *
--- a/src/relay/servers.c
+++ b/src/relay/servers.c
@@ -20,6 +20,8 @@
  */
 #define FW_SUSPECT_US (700 * FW_MSEC)
 #define FW_SUSPECT_DOUBLINGS 2
+/* Refused runs in a row after which an engine is left alone. */
+#define FW_REFUSALS 2
 /* Weight of the newest answer in the moving means. */
 #define FW_MEAN_WEIGHT 0.15
 
@@ -75,6 +77,20 @@
     s->suspect_us = now_us + (FW_SUSPECT_US << doublings);
 }
 
+/*
+ * An engine whose stage is being changed still gives reservations but runs
+ * nothing for twelve seconds; all that is placed there meanwhile is read in
+ * vain. One refusal may have another cause (the KV cache lapsed).
+ */
+void
+Fw_Servers_Refused(struct fw_rl_server *s, int64_t now_us)
+{
+    s->refusals++;
+    if (s->refusals >= FW_REFUSALS) {
+        Fw_Servers_Missed(s, now_us);
+    }
+}
+
 void
 Fw_Servers_Served(struct fw_rl_server *s, int failed, int64_t took_us)
 {
--- a/src/relay/stream.c
+++ b/src/relay/stream.c
@@ -15,7 +15,7 @@
 /* An engine that hasn't answered a reservation by then is left out. */
 #define FW_HOLD_WAIT_US (300 * FW_MSEC)
 /* Slack over the expected time until a prompt is read. */
-#define FW_READ_SLACK_US (1200 * FW_MSEC)
+#define FW_READ_SLACK_US (600 * FW_MSEC)
 /* A mean stream before one was seen. */
 #define FW_RUN_GUESS_US (4 * FW_SEC)
 /* Callers sent away are told to come back between these. */
@@ -294,6 +294,9 @@
     if (ans->moved) {
         Fw_Servers_Missed(c->server, now_us);
     }
+    else {
+        Fw_Servers_Refused(c->server, now_us);
+    }
     c->tries--;
     start_over(r, c, "engine_full", c->reader ? 2 : 1, now_us, out);
 }
