--- /dev/null
+++ b/tests/http/test_head.c
@@ -0,0 +1,251 @@
+/* Heads and bodies: what is taken, what is refused, and what stays as sent. */
+#include <errno.h>
+#include <string.h>
+
+#include "http/frame.h"
+#include "tests/base/suite.h"
+
+#define FW_H "Host: a.example\r\n"
+
+/* Doubtful heads: two readers could see two different messages in them. */
+static const struct {
+    const char *text;
+} refused[] = {
+    {"POST / HTTP/1.1\r\n" FW_H
+     "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n"},
+    {"POST / HTTP/1.1\r\n" FW_H
+     "Content-Length: 5\r\nContent-Length: 6\r\n\r\n"},
+    {"POST / HTTP/1.1\r\n" FW_H
+     "Content-Length: 5\r\nContent-Length: 5\r\n\r\n"},
+    {"POST / HTTP/1.1\r\n" FW_H "Content-Length: 5, 5\r\n\r\n"},
+    {"POST / HTTP/1.1\r\n" FW_H "Content-Length: +5\r\n\r\n"},
+    {"POST / HTTP/1.1\r\n" FW_H "Content-Length: -5\r\n\r\n"},
+    {"POST / HTTP/1.1\r\n" FW_H "Content-Length: 0x5\r\n\r\n"},
+    {"POST / HTTP/1.1\r\n" FW_H "Content-Length: \r\n\r\n"},
+    {"POST / HTTP/1.1\r\n" FW_H "Content-Length: 99999999999999999999\r\n\r\n"},
+    {"POST / HTTP/1.1\r\n" FW_H "Content-Length : 5\r\n\r\n"},
+    {"POST / HTTP/1.1\r\n" FW_H "Transfer-Encoding : chunked\r\n\r\n"},
+    {"POST / HTTP/1.1\r\n" FW_H "Transfer-Encoding: gzip, chunked\r\n\r\n"},
+    {"POST / HTTP/1.1\r\n" FW_H "Transfer-Encoding: xchunked\r\n\r\n"},
+    {"POST / HTTP/1.1\r\n" FW_H "Transfer-Encoding: identity\r\n\r\n"},
+    {"POST / HTTP/1.1\r\n" FW_H
+     "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n"},
+    {"POST / HTTP/1.0\r\n" FW_H "Transfer-Encoding: chunked\r\n\r\n"},
+    {"GET / HTTP/1.1\r\n" FW_H FW_H "\r\n"},
+    {"GET / HTTP/1.1\r\nHost: a\r\nhost: b\r\n\r\n"},
+    {"GET / HTTP/1.1\r\nAccept: x\r\n\r\n"},
+    {"GET / HTTP/1.1\nHost: a\n\r\n\r\n"},
+    {"GET / HTTP/1.1\r\nHost: a\nX: b\r\n\r\n"},
+    {"GET / HTTP/1.1\r\n" FW_H "X: a\rb\r\n\r\n"},
+    {"GET / HTTP/1.1\r\n" FW_H "X: a\r\n folded\r\n\r\n"},
+    {"GET / HTTP/1.1\r\n folded\r\n" FW_H "\r\n"},
+    {"GET / HTTP/1.1\r\n" FW_H ": none\r\n\r\n"},
+    {"GET / HTTP/1.1\r\n" FW_H "no colon\r\n\r\n"},
+    {"GET / HTTP/1.1\r\n" FW_H "X\x01: a\r\n\r\n"},
+    {"GET  / HTTP/1.1\r\n" FW_H "\r\n"},
+    {"GET /  HTTP/1.1\r\n" FW_H "\r\n"},
+    {"GET /a b HTTP/1.1\r\n" FW_H "\r\n"},
+    {"GET /\xc3\xa9 HTTP/1.1\r\n" FW_H "\r\n"},
+    {"GET /a#b HTTP/1.1\r\n" FW_H "\r\n"},
+    {"GET a HTTP/1.1\r\n" FW_H "\r\n"},
+    {"GET http://a.example/ HTTP/1.1\r\n" FW_H "\r\n"},
+    {"OPTIONS * HTTP/1.1\r\n" FW_H "\r\n"},
+    {"CONNECT a.example:80 HTTP/1.1\r\n" FW_H "\r\n"},
+    {"GET / HTTP/2.0\r\n" FW_H "\r\n"},
+    {"GET / HTTP/1.2\r\n" FW_H "\r\n"},
+    {"GET / http/1.1\r\n" FW_H "\r\n"},
+    {"GET /\r\n" FW_H "\r\n"},
+    {" GET / HTTP/1.1\r\n" FW_H "\r\n"},
+    {"\r\nGET / HTTP/1.1\r\n" FW_H "\r\n"},
+    {"G(T / HTTP/1.1\r\n" FW_H "\r\n"},
+    {"\x16\x03\x01\x02\r\n\r\n"},
+};
+
+START_TEST(a_doubtful_head_is_refused)
+{
+    struct fw_http_head h;
+    const char *t = refused[_i].text;
+    int n = Fw_Http_ReadHead(FW_HTTP_REQUEST, t, strlen(t), &h);
+
+    ck_assert_msg(n == -EBADMSG, "%d for %s", n, t);
+}
+END_TEST
+
+/* Targets that other programs would rewrite; an upstream must see each byte. */
+static const char *const targets[] = {
+    "/",
+    "/%7euser/%c3%a9",
+    "/%zz",
+    "/a?q=%zz&r=%",
+    "//double//slash",
+    "/a/../b/./c",
+    "/a;p=1/b;q",
+    "/a?",
+    "/?",
+    "/a?b?c",
+    "/a%2Fb%00",
+    "/[x]{y}|z\"<>\\^`",
+};
+
+START_TEST(a_target_stays_as_it_was_sent)
+{
+    char *text = g_strdup_printf("GET %s HTTP/1.1\r\n" FW_H "\r\n",
+                                 targets[_i]);
+    struct fw_http_head h;
+
+    ck_assert_int_eq(
+        Fw_Http_ReadHead(FW_HTTP_REQUEST, text, strlen(text), &h),
+        (int)strlen(text));
+    ck_assert_uint_eq(h.target_len, strlen(targets[_i]));
+    ck_assert_int_eq(memcmp(h.target, targets[_i], h.target_len), 0);
+    Fw_Http_ClearHead(&h);
+    g_free(text);
+}
+END_TEST
+
+START_TEST(a_head_comes_in_any_number_of_parts)
+{
+    static const char text[] = "POST /x HTTP/1.1\r\nhOST:  a.example \r\n"
+                               "Content-Length: 12\r\n"
+                               "Connection: Keep-Alive, X-Own\r\n"
+                               "X-Own: 1\r\nX-Empty:\r\n\r\nrest";
+    size_t whole = strlen(text) - 4;
+    struct fw_http_head h;
+
+    for (size_t n = 0; n < whole; n++) {
+        ck_assert_int_eq(Fw_Http_ReadHead(FW_HTTP_REQUEST, text, n, &h), 0);
+    }
+    ck_assert_int_eq(
+        Fw_Http_ReadHead(FW_HTTP_REQUEST, text, strlen(text), &h),
+        (int)whole);
+    ck_assert_int_eq(h.framing, FW_HTTP_LENGTH);
+    ck_assert_uint_eq(h.length, 12);
+    ck_assert_int_eq(h.n_fields, 5);
+    ck_assert_uint_eq(h.fields[0].value_len, strlen("a.example"));
+    ck_assert_int_eq(h.keep_alive, 1);
+    ck_assert_int_ne(Fw_Http_HopByHop(&h, Fw_Http_Find(&h, "x-own")), 0);
+    ck_assert_int_eq(Fw_Http_HopByHop(&h, Fw_Http_Find(&h, "x-empty")), 0);
+    Fw_Http_ClearHead(&h);
+}
+END_TEST
+
+/* How a response's end is found, and whether its connection can be kept. */
+static const struct {
+    const char *text;
+    int framing;
+    int keep;
+} responses[] = {
+    {"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n", FW_HTTP_LENGTH, 1},
+    {"HTTP/1.1 200 OK\r\n\r\n", FW_HTTP_UNTIL_CLOSE, 1},
+    {"HTTP/1.1 200\r\nTransfer-Encoding: chunked\r\n\r\n", FW_HTTP_CHUNKED, 1},
+    {"HTTP/1.1 204 No\r\nContent-Length: 3\r\n\r\n", FW_HTTP_NONE, 1},
+    {"HTTP/1.1 304 Not\r\n\r\n", FW_HTTP_NONE, 1},
+    {"HTTP/1.1 100 Go\r\n\r\n", FW_HTTP_NONE, 1},
+    {"HTTP/1.0 200 OK\r\nContent-Length: 3\r\n\r\n", FW_HTTP_LENGTH, 0},
+    {"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", FW_HTTP_UNTIL_CLOSE, 0},
+    {"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\n", -1,
+     0},
+    {"HTTP/1.1 999 No\r\n\r\n", -1, 0},
+    {"garbage\r\n\r\n", -1, 0},
+};
+
+START_TEST(a_response_is_framed)
+{
+    const char *t = responses[_i].text;
+    struct fw_http_head h;
+    int n = Fw_Http_ReadHead(FW_HTTP_RESPONSE, t, strlen(t), &h);
+
+    if (responses[_i].framing < 0) {
+        ck_assert_int_eq(n, -EBADMSG);
+        return;
+    }
+    ck_assert_int_eq(n, (int)strlen(t));
+    ck_assert_int_eq((int)h.framing, responses[_i].framing);
+    ck_assert_int_eq(h.keep_alive, responses[_i].keep);
+    Fw_Http_ClearHead(&h);
+}
+END_TEST
+
+/* Bodies in chunks: @want is the body, or NULL for one that is refused. */
+static const struct {
+    const char *text;
+    const char *want;
+} chunked[] = {
+    {"0\r\n\r\n", ""},
+    {"3\r\nabc\r\n0\r\n\r\n", "abc"},
+    {"3\r\nabc\r\nA;x=\"y\"\r\n0123456789\r\n0\r\n\r\n", "abc0123456789"},
+    {"1\r\na\r\n0\r\nTrailer: x\r\nB: y\r\n\r\n", "a"},
+    {"003\r\nabc\r\n0\r\n\r\n", "abc"},
+    {"-5\r\nabc\r\n0\r\n\r\n", NULL},
+    {"+3\r\nabc\r\n0\r\n\r\n", NULL},
+    {"0x3\r\nabc\r\n0\r\n\r\n", NULL},
+    {" 3\r\nabc\r\n0\r\n\r\n", NULL},
+    {"3 \r\nabc\r\n0\r\n\r\n", NULL},
+    {"\r\nabc\r\n0\r\n\r\n", NULL},
+    {"3\nabc\n0\n\n", NULL},
+    {"3\r\nabcd\r\n0\r\n\r\n", NULL},
+    {"3\r\nabc0\r\n\r\n", NULL},
+    {"3\r\nabc\r0\r\n\r\n", NULL},
+    {"fffffffff\r\nabc\r\n", NULL},
+    {"3;a\nb\r\nabc\r\n0\r\n\r\n", NULL},
+    {"g\r\n", NULL},
+};
+
+/* Takes @text in steps of @step bytes; the body, or NULL. */
+static GString *
+read_chunks(const char *text, size_t step)
+{
+    struct fw_http_head h = {.framing = FW_HTTP_CHUNKED};
+    GString *got = g_string_new(NULL);
+    struct fw_http_frame f;
+    size_t at = 0;
+
+    Fw_Http_FrameInit(&f, &h);
+    while (!f.done && text[at]) {
+        size_t part = MIN(step, strlen(text + at));
+        const char *body;
+        size_t len;
+        int n = Fw_Http_FrameRead(&f, text + at, part, &body, &len);
+
+        if (n < 0) {
+            g_string_free(got, TRUE);
+            return NULL;
+        }
+        g_string_append_len(got, body, (gssize)len);
+        at += (size_t)n;
+    }
+    ck_assert(f.done || !text[at]);
+    return got;
+}
+
+START_TEST(a_body_in_chunks_is_read_strictly)
+{
+    for (size_t step = 1; step < 40; step++) {
+        GString *got = read_chunks(chunked[_i].text, step);
+
+        if (!chunked[_i].want) {
+            ck_assert_msg(got == NULL, "%s", chunked[_i].text);
+            continue;
+        }
+        ck_assert_msg(got != NULL, "%s", chunked[_i].text);
+        ck_assert_str_eq(got->str, chunked[_i].want);
+        g_string_free(got, TRUE);
+    }
+}
+END_TEST
+
+int
+main(void)
+{
+    TCase *tc = Fw_Suite_New("head");
+
+    tcase_add_loop_test(tc, a_doubtful_head_is_refused, 0,
+                        G_N_ELEMENTS(refused));
+    tcase_add_loop_test(tc, a_target_stays_as_it_was_sent, 0,
+                        G_N_ELEMENTS(targets));
+    tcase_add_test(tc, a_head_comes_in_any_number_of_parts);
+    tcase_add_loop_test(tc, a_response_is_framed, 0, G_N_ELEMENTS(responses));
+    tcase_add_loop_test(tc, a_body_in_chunks_is_read_strictly, 0,
+                        G_N_ELEMENTS(chunked));
+    return Fw_Suite_Run(tc);
+}
