--- a/Makefile
+++ b/Makefile
@@ -26,14 +26,15 @@
 DAEMON := $(sort $(filter-out src/daemon/ini.c,$(wildcard src/daemon/*.c)))
 CTL := $(sort $(wildcard src/ctl/*.c))
 STAND := $(sort $(wildcard stand/*.c))
+WIRE := $(sort $(wildcard stand/wire/*.c))
 LOAD := $(sort $(wildcard bench/load/*.c))
 BENCH := $(sort $(wildcard bench/bench_*.c))
 EXPLORE := $(sort $(wildcard explore/*.c))
 TESTS := $(sort $(wildcard tests/*/test_*.c))
 TEST_LIB := $(sort $(filter-out $(TESTS),$(wildcard tests/*/*.c)))
-SOURCES := $(CORE) $(IO) $(DAEMON) $(CTL) $(STAND) $(LOAD) $(BENCH) \
+SOURCES := $(CORE) $(IO) $(DAEMON) $(CTL) $(STAND) $(WIRE) $(LOAD) $(BENCH) \
            $(EXPLORE) $(TESTS) $(TEST_LIB)
-HEADERS := $(sort $(wildcard src/*/*.h platform/*.h stand/*.h bench/*.h bench/*/*.h \
+HEADERS := $(sort $(wildcard src/*/*.h platform/*.h stand/*.h stand/*/*.h bench/*.h bench/*/*.h \
            explore/*.h tests/*/*.h))
 
 # A main file is linked into its own program only, never into the libraries.
@@ -45,7 +46,7 @@
 PROGRAMS += $(OUT)/fuchsiaward
 endif
 ifneq ($(STAND),)
-PROGRAMS += $(OUT)/fwstand
+PROGRAMS += $(OUT)/fwstand $(OUT)/fwwire
 endif
 ifneq ($(LOAD),)
 PROGRAMS += $(OUT)/fwload
@@ -61,6 +62,7 @@
 $(OUT)/fuchsiawardd: $(call OBJ,obj,$(CORE) $(IO) $(DAEMON))
 $(OUT)/fuchsiaward: $(call OBJ,obj,$(CORE) $(call NOMAIN,$(IO)) $(CTL))
 $(OUT)/fwstand: $(call OBJ,obj,$(STAND))
+$(OUT)/fwwire: $(call OBJ,obj,$(CORE) $(IO) $(WIRE))
 $(OUT)/fwload: $(call OBJ,obj,$(CORE) $(IO) $(LOAD))
 $(OUT)/explore: $(call OBJ,tst,$(CORE) $(EXPLORE))
 $(PROGRAMS):
@@ -75,6 +77,7 @@
 
 $(OUT)/san/libfw.a: $(call OBJ,san,$(CORE) $(IO) $(call NOMAIN,$(DAEMON)) \
                    $(call NOMAIN,$(CTL)) $(call NOMAIN,$(STAND)) \
+                   $(call NOMAIN,$(WIRE)) \
                    $(call NOMAIN,$(EXPLORE)) $(call NOMAIN,$(LOAD)) \
                    $(TEST_LIB))
 	@rm -f $@
@@ -109,6 +112,7 @@
 	tools/deps
 	$(MAKE) all
 	tools/demo $(DOC)
+	tools/demo-relay
 
 bench: $(BENCHES) all
 	@for b in $(BENCHES); do echo "== $$b"; $$b || exit 1; done
--- a/src/daemon/ini.c
+++ b/src/daemon/ini.c
@@ -176,7 +176,8 @@
 
 /* A number out of bounds is told with its bounds. */
 static char *
-complain_value(const char *path, const struct fw_ini_key *key, const char *what)
+complain_value(const char *path, const struct fw_ini_key *key,
+               const char *what)
 {
     char *text;
     char *out;
@@ -205,13 +206,14 @@
     if (!text && g_key_file_has_key(file, key->group, key->name, NULL)) {
         return complain(path, key->group, key->name, "is not valid UTF-8");
     }
-    if (text && !text[0]) {
+    if (text && !text[0] && key->fallback) {
         g_clear_pointer(&text, g_free);
     }
     if (!text && !key->fallback) {
         return complain(path, key->group, key->name, "is missing");
     }
-    what = read_value(key, text ? text : key->fallback, (char *)values + key->at);
+    what =
+        read_value(key, text ? text : key->fallback, (char *)values + key->at);
     if (what) {
         error = complain_value(path, key, what);
     }
@@ -270,8 +272,7 @@
 }
 
 static char *
-read_all(const char *path, GKeyFile *file, const struct table *t,
-         void *values)
+read_all(const char *path, GKeyFile *file, const struct table *t, void *values)
 {
     char *error = find_unknown(path, file, t);
 
--- a/src/daemon/ini.h
+++ b/src/daemon/ini.h
@@ -42,7 +42,8 @@
  * Fw_Ini_Load - reads the file @path into @values.
  * @error: what is wrong, naming file, group and key; to be freed
  *
- * An empty value counts as not given. Unknown groups and keys are errors.
+ * An empty value of a key with a default counts as not given. Unknown groups
+ * and keys are errors.
  *
  * Return: 0 or -EINVAL.
  */
--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -160,8 +160,8 @@
                          (size_t)opts.log_bytes);
     d = Fw_Relayd_New(&opts, path, &err);
     if (!d) {
-        Fw_Note_Log(LOG_ERR, "listen_failed", "callers", opts.callers,
-                    "error", g_strerror(-err), NULL);
+        Fw_Note_Log(LOG_ERR, "listen_failed", "callers", opts.callers, "error",
+                    g_strerror(-err), NULL);
         return EX_UNAVAILABLE;
     }
     Fw_Relayd_Run(d);
--- a/src/http/client.c
+++ b/src/http/client.c
@@ -24,7 +24,7 @@
 /** struct idle - a kept connection; @until_us: when it is closed at last. */
 struct idle {
     struct fw_pool *pool;
-    struct fw_list link;      /* of its upstream, newest first */
+    struct fw_list link; /* of its upstream, newest first */
     struct fw_conn *conn;
     char addr[FW_URL_MAX];
     int64_t since_us;
@@ -69,15 +69,15 @@
 {
     struct fw_pool *p = g_new0(struct fw_pool, 1);
 
-    p->idle = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-                                    free_list);
+    p->idle =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_list);
     Fw_List_Init(&p->running);
     p->opened = (struct fw_metric){
         .name = "fw_upstream_connections_opened_total",
         .help = "Connections opened to upstreams and the platform"};
-    p->reused = (struct fw_metric){
-        .name = "fw_upstream_connections_reused_total",
-        .help = "Calls made on a kept connection"};
+    p->reused =
+        (struct fw_metric){.name = "fw_upstream_connections_reused_total",
+                           .help = "Calls made on a kept connection"};
     p->foreign = (struct fw_metric){
         .name = "fw_upstream_foreign_answers_total",
         .help = "Answers dropped because they belong to another request"};
@@ -230,9 +230,8 @@
 {
     const struct fw_exchange_ops *ops = x->ops;
     void *ctx = x->ctx;
-    enum fw_sent sent = Fw_Conn_Sent(x->conn) > x->sent_before
-                            ? FW_SENT_SOME
-                            : FW_SENT_NONE;
+    enum fw_sent sent =
+        Fw_Conn_Sent(x->conn) > x->sent_before ? FW_SENT_SOME : FW_SENT_NONE;
 
     Fw_Conn_Free(x->conn, 0);
     leave(x);
@@ -266,9 +265,8 @@
 idle_allowed(const struct fw_http_head *h)
 {
     const struct fw_http_field *f = Fw_Http_Find(h, "keep-alive");
-    const char *p = f ? g_strstr_len(f->value, (gssize)f->value_len,
-                                     "timeout=")
-                      : NULL;
+    const char *p =
+        f ? g_strstr_len(f->value, (gssize)f->value_len, "timeout=") : NULL;
     int64_t us;
 
     if (!p) {
--- a/src/http/head.c
+++ b/src/http/head.c
@@ -100,7 +100,8 @@
 lines_are_plain(const char *raw, size_t len)
 {
     for (size_t i = 0; i < len; i++) {
-        if (raw[i] == 0 || (raw[i] == '\n' && (i == 0 || raw[i - 1] != '\r')) ||
+        if (raw[i] == 0 ||
+            (raw[i] == '\n' && (i == 0 || raw[i - 1] != '\r')) ||
             (raw[i] == '\r' && raw[i + 1] != '\n')) {
             return 0;
         }
@@ -209,8 +210,8 @@
 static int
 has_no_body(const struct fw_http_head *h)
 {
-    return h->status && (h->status < 200 || h->status == 204 ||
-                         h->status == 304);
+    return h->status &&
+           (h->status < 200 || h->status == 204 || h->status == 304);
 }
 
 static int
@@ -308,8 +309,8 @@
     };
     http_parser p;
 
-    http_parser_init(&p, side == FW_HTTP_REQUEST ? HTTP_REQUEST
-                                                 : HTTP_RESPONSE);
+    http_parser_init(&p,
+                     side == FW_HTTP_REQUEST ? HTTP_REQUEST : HTTP_RESPONSE);
     p.data = h;
     p.allow_chunked_length = 1; /* refused below, with a reason of our own */
     http_parser_execute(&p, &settings, h->raw, len);
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -138,7 +138,8 @@
     int n = 0;
 
     FW_LIST_EACH (pos, &s->callers) {
-        const struct fw_http_caller *c = FW_LIST_ENTRY(pos, struct fw_http_caller, link);
+        const struct fw_http_caller *c =
+            FW_LIST_ENTRY(pos, struct fw_http_caller, link);
         n += c->state == FW_CALLER_ANSWER || c->state == FW_CALLER_BODY ||
              (c->state == FW_CALLER_CLOSE && Fw_Conn_Pending(c->conn) > 0);
     }
@@ -149,8 +150,8 @@
 Fw_Server_Port(const struct fw_http_server *s)
 {
     GSocketAddress *at = g_socket_get_local_address(s->listener, NULL);
-    int port = at ? g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(at))
-                  : 0;
+    int port =
+        at ? g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(at)) : 0;
 
     g_clear_object(&at);
     return port;
@@ -181,7 +182,8 @@
     struct fw_list *tmp;
 
     FW_LIST_EACH_SAFE (pos, tmp, &s->callers) {
-        struct fw_http_caller *c = FW_LIST_ENTRY(pos, struct fw_http_caller, link);
+        struct fw_http_caller *c =
+            FW_LIST_ENTRY(pos, struct fw_http_caller, link);
 
         if (now_us - c->since_us < allowed_us(s, c)) {
             continue;
--- a/src/io/note.c
+++ b/src/io/note.c
@@ -136,9 +136,16 @@
     if (!log_state.waiting) {
         log_state.waiting = g_string_new(NULL);
     }
-    log_state.dropped = (struct fw_metric){
-        .name = "fw_log_lines_dropped_total",
-        .help = "Log lines dropped because their reader was too slow"};
+    log_state.dropped.name = "fw_log_lines_dropped_total";
+    log_state.dropped.help =
+        "Log lines dropped because their reader was too slow";
+    log_state.dropped.value = 0;
+}
+
+int64_t
+Fw_Note_Dropped(void)
+{
+    return log_state.dropped.value;
 }
 
 void
--- a/src/io/note.h
+++ b/src/io/note.h
@@ -18,6 +18,9 @@
  */
 void
 Fw_Note_SetupBounded(const char *instance, int fd, size_t bound);
+/* Lines dropped since Fw_Note_SetupBounded. */
+int64_t
+Fw_Note_Dropped(void);
 /* Once after Fw_Note_SetupBounded. */
 void
 Fw_Note_AddMetrics(struct fw_metrics *m);
--- a/src/relay/budget.c
+++ b/src/relay/budget.c
@@ -16,8 +16,8 @@
 static struct fw_rl_budget *
 budget_of(struct fw_relay *r, const char *service, int64_t now_us)
 {
-    int64_t slot = now_us * (FW_RL_BUDGET_SLOTS - 2) /
-                   MAX(r->opts.retry_window_us, 1);
+    int64_t slot =
+        now_us * (FW_RL_BUDGET_SLOTS - 2) / MAX(r->opts.retry_window_us, 1);
     struct fw_rl_budget *b = NULL;
 
     for (guint i = 0; i < r->budgets->len && !b; i++) {
--- a/src/relay/call.c
+++ b/src/relay/call.c
@@ -43,9 +43,8 @@
 
 /* A call that serves no request any more; its outcome changes nothing. */
 static void
-give_back(struct fw_relay *r, struct fw_rl_server *s,
-          enum fw_rl_up_kind kind, const char *name, int64_t now_us,
-          struct fw_rl_acts *out)
+give_back(struct fw_relay *r, struct fw_rl_server *s, enum fw_rl_up_kind kind,
+          const char *name, int64_t now_us, struct fw_rl_acts *out)
 {
     struct fw_rl_up_call up = {.kind = kind,
                                .urgency = -1,
@@ -141,9 +140,9 @@
     /* 503 and its like promise that it has not run and never will. */
     if (c->ran != FW_RAN_NO && (status == 503 || status == 429)) {
         status = 502;
-        retry_us = 0;
     }
     if (status == 502 || status == 504) {
+        retry_us = 0;
         r->n.failed.value++;
     }
     else {
@@ -167,8 +166,7 @@
 }
 
 void
-Fw_Call_Pass(struct fw_relay *r, struct fw_rl_call *c,
-             struct fw_rl_acts *out)
+Fw_Call_Pass(struct fw_relay *r, struct fw_rl_call *c, struct fw_rl_acts *out)
 {
     struct fw_rl_act *a = Fw_Acts_Add(out, FW_RL_DO_PASS);
 
--- a/src/relay/members.c
+++ b/src/relay/members.c
@@ -82,8 +82,7 @@
 Fw_Members_Clear(struct fw_relay *r)
 {
     while (!Fw_List_Empty(&r->members)) {
-        member_free(
-            FW_LIST_ENTRY(r->members.next, struct fw_rl_member, link));
+        member_free(FW_LIST_ENTRY(r->members.next, struct fw_rl_member, link));
     }
 }
 
@@ -147,8 +146,7 @@
 
         if (now_us - MAX(m->heard_us, m->added_us) >= FW_MEMBER_LIFE_US) {
             Fw_Acts_Log(out, r, LOG_NOTICE, "member_gone",
-                        "\"member\":\"%s\",\"addr\":\"%s\"", m->name,
-                        m->addr);
+                        "\"member\":\"%s\",\"addr\":\"%s\"", m->name, m->addr);
             member_free(m);
         }
     }
@@ -354,9 +352,8 @@
 
     if (o->type != MSGPACK_OBJECT_ARRAY || o->via.array.size != 8 ||
         f[0].type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
-        f[0].via.u64 != FW_DIGEST_FORM ||
-        f[1].type != MSGPACK_OBJECT_STR || !f[1].via.str.size ||
-        f[1].via.str.size >= FW_NAME_MAX ||
+        f[0].via.u64 != FW_DIGEST_FORM || f[1].type != MSGPACK_OBJECT_STR ||
+        !f[1].via.str.size || f[1].via.str.size >= FW_NAME_MAX ||
         f[2].type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
         f[3].type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
         f[4].type != MSGPACK_OBJECT_POSITIVE_INTEGER) {
--- a/src/relay/open.c
+++ b/src/relay/open.c
@@ -142,17 +142,16 @@
 {
     int64_t left = r->drain_us + r->opts.grace_us - now_us;
 
-    return r->draining &&
-           left < (c->route.generates ? FW_DRAIN_STREAM_US
-                                      : FW_DRAIN_PLAIN_US);
+    return r->draining && left < (c->route.generates ? FW_DRAIN_STREAM_US
+                                                     : FW_DRAIN_PLAIN_US);
 }
 
 static void
 start(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us,
       struct fw_rl_acts *out)
 {
-    const struct fw_rl_service_rule *s = Fw_Rules_Service(r->rules,
-                                                          c->service);
+    const struct fw_rl_service_rule *s =
+        Fw_Rules_Service(r->rules, c->service);
 
     Fw_Budget_Request(r, c->service, now_us);
     if (c->route.generates && s && s->engines && c->ask.tokens_in >= 0) {
--- a/src/relay/order.c
+++ b/src/relay/order.c
@@ -132,8 +132,7 @@
         struct fw_rl_server *s = FW_LIST_ENTRY(pos, struct fw_rl_server, link);
 
         if (engine_of(r, s, &rule) && s->e.stage != *to &&
-            !Fw_Servers_Switching(s, now_us) &&
-            Fw_Servers_Usable(s, now_us) &&
+            !Fw_Servers_Switching(s, now_us) && Fw_Servers_Usable(s, now_us) &&
             (!best || s->hash > best->hash)) {
             best = s;
         }
@@ -208,8 +207,7 @@
     enum fw_rl_stage to;
     struct fw_rl_server *s;
 
-    if (!r->rules || !r->list_known || r->draining ||
-        now_us < r->look_us) {
+    if (!r->rules || !r->list_known || r->draining || now_us < r->look_us) {
         return;
     }
     if (!r->look_us) {
@@ -294,11 +292,11 @@
     const struct fw_rl_service_rule *rule =
         r->rules ? Fw_Rules_Service(r->rules, s->e.service) : NULL;
 
-    Fw_Acts_Log(out, r, LOG_NOTICE, "ordered", "\"server\":\"%s\",\"status\":%d",
-                s->e.id, ans->status);
+    Fw_Acts_Log(out, r, LOG_NOTICE, "ordered",
+                "\"server\":\"%s\",\"status\":%d", s->e.id, ans->status);
     if (ans->status == 202 || ans->status == 200) {
-        s->stage_us = now_us + (rule ? rule->engine.switch_us : 0) +
-                      FW_LISTED_US;
+        s->stage_us =
+            now_us + (rule ? rule->engine.switch_us : 0) + FW_LISTED_US;
         r->look_us = now_us;
         return;
     }
--- a/src/relay/place.c
+++ b/src/relay/place.c
@@ -147,8 +147,7 @@
 decodes(const struct fw_rl_server *s, int64_t now_us)
 {
     return s->e.stage == FW_RL_STAGE_DECODE &&
-           !Fw_Servers_Switching(s, now_us) &&
-           Fw_Servers_Usable(s, now_us);
+           !Fw_Servers_Switching(s, now_us) && Fw_Servers_Usable(s, now_us);
 }
 
 /*
@@ -156,8 +155,7 @@
  * the same figures do not all go to the same engine.
  */
 struct fw_rl_server *
-Fw_Place_Decode(struct fw_relay *r, const struct fw_rl_call *c,
-                int64_t now_us)
+Fw_Place_Decode(struct fw_relay *r, const struct fw_rl_call *c, int64_t now_us)
 {
     const struct fw_rl_service_rule *rule =
         Fw_Rules_Service(r->rules, c->service);
--- a/src/relay/plain.c
+++ b/src/relay/plain.c
@@ -23,8 +23,7 @@
 may_repeat(const struct fw_rl_call *c)
 {
     return c->route.kind == FW_RL_IDEMPOTENT ||
-           (c->route.kind == FW_RL_STREAM && c->route.resumable &&
-            !c->passed);
+           (c->route.kind == FW_RL_STREAM && c->route.resumable && !c->passed);
 }
 
 void
@@ -66,24 +65,25 @@
                 Fw_Relay_Ms(up.left_us));
 }
 
-/* Sends it elsewhere if that is allowed. Nonzero when it was. */
+/* May it go to a further server? The repeat is counted then. */
 static int
+may_try_again(struct fw_relay *r, const struct fw_rl_call *c, int64_t now_us)
+{
+    return c->n_tried < FW_RL_TRIED_MAX && now_us < c->deadline_us &&
+           Fw_Relay_MayServe(r, c, now_us) &&
+           Fw_Budget_Repeat(r, c->service, 1, now_us);
+}
+
+static void
 try_again(struct fw_relay *r, struct fw_rl_call *c, const char *why,
           int64_t now_us, struct fw_rl_acts *out)
 {
-    if (c->n_tried >= FW_RL_TRIED_MAX || now_us >= c->deadline_us) {
-        return 0;
-    }
-    if (!Fw_Relay_MayServe(r, c, now_us) ||
-        !Fw_Budget_Repeat(r, c->service, 1, now_us)) {
-        return 0;
-    }
-    Fw_Acts_Log(out, r, LOG_NOTICE, "sent_again",
-                "\"id\":\"%s\",\"why\":\"%s\",\"server\":\"%s\",\"ran\":\"%s\"",
-                c->ask.id, why, c->server->e.id, Fw_Ran_Name(c->ran));
+    Fw_Acts_Log(
+        out, r, LOG_NOTICE, "sent_again",
+        "\"id\":\"%s\",\"why\":\"%s\",\"server\":\"%s\",\"ran\":\"%s\"",
+        c->ask.id, why, c->server->e.id, Fw_Ran_Name(c->ran));
     Fw_Call_LeaveServer(c);
     Fw_Plain_Send(r, c, now_us, out);
-    return 1;
 }
 
 static int
@@ -111,20 +111,21 @@
         }
         c->tries--; /* it wasn't run there */
         Fw_Op_End(r, op);
-        if (!try_again(r, c, "not run", now_us, out)) {
-            Fw_Call_Refuse(r, c, 503, FW_RETRY_BUSY_US, "servers_full",
-                           now_us, out);
+        if (may_try_again(r, c, now_us)) {
+            try_again(r, c, "not run", now_us, out);
+            return;
         }
+        Fw_Call_Refuse(r, c, 503, FW_RETRY_BUSY_US, "servers_full", now_us,
+                       out);
         return;
     }
     c->ran = FW_RAN_YES;
     Fw_Servers_Served(op->server, ans->status >= 500, took);
-    if (ans->status >= 500 && attempts_left(c)) {
+    if (ans->status >= 500 && attempts_left(c) &&
+        may_try_again(r, c, now_us)) {
         Fw_Acts_Add(out, FW_RL_DO_STOP_ASK)->u.xid = op->xid;
         Fw_Op_End(r, op);
-        if (!try_again(r, c, "failed there", now_us, out)) {
-            Fw_Call_Refuse(r, c, 502, 0, "upstream_failed", now_us, out);
-        }
+        try_again(r, c, "failed there", now_us, out);
         return;
     }
     Fw_Call_Pass(r, c, out);
@@ -161,9 +162,9 @@
     else {
         c->tries--;
     }
-    if ((!sent || attempts_left(c)) &&
+    if ((!sent || attempts_left(c)) && may_try_again(r, c, now_us)) {
         try_again(r, c, err == -ETIMEDOUT ? "no answer" : "connection lost",
-                  now_us, out)) {
+                  now_us, out);
         return;
     }
     if (now_us >= c->deadline_us) {
--- a/src/relay/poison.c
+++ b/src/relay/poison.c
@@ -24,8 +24,7 @@
         &r->suspicions[r->n_suspicions++ % FW_RL_SUSPICIONS];
 
     *q = (struct fw_rl_suspicion){.digest = digest,
-                                  .server = s->hash ^
-                                            (uint64_t)s->e.born_ms,
+                                  .server = s->hash ^ (uint64_t)s->e.born_ms,
                                   .at_us = now_us};
 }
 
--- a/src/relay/purse.c
+++ b/src/relay/purse.c
@@ -27,8 +27,8 @@
     int heard;
     int count = Fw_Members_Count(r, now_us, &heard);
     double part = (double)heard / count;
-    double more = (double)p->rate * part * (double)(now_us - p->at_us) /
-                  FW_SEC;
+    double more =
+        (double)p->rate * part * (double)(now_us - p->at_us) / FW_SEC;
 
     if (now_us > p->at_us) {
         p->level = MIN(p->level + more, (double)p->burst);
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -93,8 +93,8 @@
         return;
     }
     /* Within a lifetime nothing older comes into force again. */
-    if (r->rules && (offset <= r->rules_offset ||
-                     rules->version <= r->rules->version)) {
+    if (r->rules &&
+        (offset <= r->rules_offset || rules->version <= r->rules->version)) {
         return;
     }
     Fw_Rules_Unref(r->rules);
@@ -102,7 +102,8 @@
     r->rules_offset = offset;
     r->n.version.value = rules->version;
     Fw_Acts_Log(out, r, LOG_NOTICE, "configuration",
-                "\"version\":%" G_GINT64_FORMAT ",\"offset\":%" G_GUINT64_FORMAT
+                "\"version\":%" G_GINT64_FORMAT
+                ",\"offset\":%" G_GUINT64_FORMAT
                 ",\"routes\":%u,\"services\":%u,\"teams\":%u",
                 rules->version, offset, rules->routes->len,
                 rules->services->len, rules->teams->len);
@@ -246,12 +247,11 @@
     struct fw_list *pos;
     struct fw_list *tmp;
 
+    Fw_Servers_Tick(r, now_us, out);
     tick_ops(r, now_us, out);
     FW_LIST_EACH_SAFE (pos, tmp, &r->call_list) {
-        tick_call(r, FW_LIST_ENTRY(pos, struct fw_rl_call, link), now_us,
-                  out);
+        tick_call(r, FW_LIST_ENTRY(pos, struct fw_rl_call, link), now_us, out);
     }
-    Fw_Servers_Tick(r, now_us, out);
     Fw_Members_Tick(r, now_us, out);
     Fw_Order_Tick(r, now_us, out);
     Fw_Stream_Pump(r, now_us, out);
--- a/src/relay/relay_internal.h
+++ b/src/relay/relay_internal.h
@@ -152,7 +152,7 @@
     char hold[FW_RL_KEY_MAX];
     char kv[FW_RL_KEY_MAX];
     char kv_addr[FW_URL_MAX];
-    int reading; /* its prompt counts as load of @reader */
+    int reading;    /* its prompt counts as load of @reader */
     int64_t run_us; /* when it was sent to run */
     struct fw_rl_op *op;
     int tries;
@@ -205,7 +205,7 @@
     int asking;
     uint64_t fence;
     int64_t until_us;
-    int surveyed; /* the engines were asked under this lease */
+    int surveyed;      /* the engines were asked under this lease */
     int64_t survey_us; /* until when only their state is taken in */
 };
 
@@ -303,8 +303,7 @@
 /* place.c */
 /* The server for a plain request of @c, or NULL. */
 struct fw_rl_server *
-Fw_Place_Plain(struct fw_relay *r, const struct fw_rl_call *c,
-               int64_t now_us);
+Fw_Place_Plain(struct fw_relay *r, const struct fw_rl_call *c, int64_t now_us);
 /* The engine that most likely has room for @c, or NULL. */
 struct fw_rl_server *
 Fw_Place_Decode(struct fw_relay *r, const struct fw_rl_call *c,
@@ -340,8 +339,7 @@
 Fw_Call_Release(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us,
                 struct fw_rl_acts *out);
 void
-Fw_Call_Pass(struct fw_relay *r, struct fw_rl_call *c,
-             struct fw_rl_acts *out);
+Fw_Call_Pass(struct fw_relay *r, struct fw_rl_call *c, struct fw_rl_acts *out);
 /* Lets go of @c's server without giving anything back there. */
 void
 Fw_Call_LeaveServer(struct fw_rl_call *c);
--- a/src/relay/rules.c
+++ b/src/relay/rules.c
@@ -66,7 +66,8 @@
 }
 
 void
-Fw_Rules_AddKey(struct fw_rl_rules *r, const char *key, struct fw_rl_team_rule *t)
+Fw_Rules_AddKey(struct fw_rl_rules *r, const char *key,
+                struct fw_rl_team_rule *t)
 {
     g_hash_table_insert(r->keys, g_strdup(key), t);
 }
--- a/src/relay/servers.c
+++ b/src/relay/servers.c
@@ -62,6 +62,14 @@
     return !s->gone && !s->e.draining && now_us >= s->suspect_us;
 }
 
+int
+Fw_Relay_Usable(const struct fw_relay *r, const char *id, int64_t now_us)
+{
+    const struct fw_rl_server *s = Fw_Servers_Find(r, id);
+
+    return s && Fw_Servers_Usable(s, now_us);
+}
+
 int
 Fw_Servers_Switching(const struct fw_rl_server *s, int64_t now_us)
 {
@@ -97,10 +105,10 @@
     s->misses = 0;
     s->errors += FW_MEAN_WEIGHT * ((failed ? 1.0 : 0.0) - s->errors);
     if (took_us >= 0) {
-        s->took_us = s->took_us == 0
-                         ? (double)took_us
-                         : s->took_us + FW_MEAN_WEIGHT *
-                                            ((double)took_us - s->took_us);
+        s->took_us =
+            s->took_us == 0
+                ? (double)took_us
+                : s->took_us + FW_MEAN_WEIGHT * ((double)took_us - s->took_us);
     }
 }
 
--- a/src/relay/stream.c
+++ b/src/relay/stream.c
@@ -161,9 +161,8 @@
         refuse_full(r, c, why, now_us, out);
         return;
     }
-    c->queue_until_us = MAX(c->queue_until_us,
-                            MIN(now_us + r->opts.queue_us / 2,
-                                c->deadline_us));
+    c->queue_until_us = MAX(
+        c->queue_until_us, MIN(now_us + r->opts.queue_us / 2, c->deadline_us));
     requeue(r, c, now_us, out);
 }
 
@@ -236,9 +235,9 @@
 }
 
 static void
-hold_answered(struct fw_relay *r, struct fw_rl_call *c,
-              struct fw_rl_server *s, const struct fw_rl_up_answer *ans,
-              int64_t now_us, struct fw_rl_acts *out)
+hold_answered(struct fw_relay *r, struct fw_rl_call *c, struct fw_rl_server *s,
+              const struct fw_rl_up_answer *ans, int64_t now_us,
+              struct fw_rl_acts *out)
 {
     if (ans->status == 200 && ans->name[0]) {
         g_strlcpy(c->hold, ans->name, sizeof(c->hold));
@@ -257,9 +256,9 @@
 }
 
 static void
-read_answered(struct fw_relay *r, struct fw_rl_call *c,
-              struct fw_rl_server *s, const struct fw_rl_up_answer *ans,
-              int64_t now_us, struct fw_rl_acts *out)
+read_answered(struct fw_relay *r, struct fw_rl_call *c, struct fw_rl_server *s,
+              const struct fw_rl_up_answer *ans, int64_t now_us,
+              struct fw_rl_acts *out)
 {
     Fw_Call_ReadDone(c);
     if (ans->status == 200 && ans->name[0]) {
@@ -285,9 +284,9 @@
     if (c->passed) {
         int64_t took = now_us - c->run_us;
 
-        r->run_us = r->run_us > 0 ? r->run_us + 0.1 * ((double)took -
-                                                       r->run_us)
-                                  : (double)took;
+        r->run_us = r->run_us > 0
+                        ? r->run_us + 0.1 * ((double)took - r->run_us)
+                        : (double)took;
         Fw_Call_Finish(r, c, 1, now_us, out);
         return;
     }
--- a/src/relay/types.h
+++ b/src/relay/types.h
@@ -12,8 +12,9 @@
 #include "base/limits.h"
 #include "base/list.h"
 
-#define FW_RL_TARGETS_MAX 8 /* services that one route's traffic is split over */
-#define FW_RL_KEY_MAX 128   /* a caller's key, or a handle of engine memory */
+#define FW_RL_TARGETS_MAX                                                     \
+    8                     /* services that one route's traffic is split over */
+#define FW_RL_KEY_MAX 128 /* a caller's key, or a handle of engine memory */
 
 /** enum fw_rl_kind - what may be done with a request twice. */
 enum fw_rl_kind {
@@ -133,13 +134,15 @@
 struct fw_rl_team_rule *
 Fw_Rules_AddTeam(struct fw_rl_rules *r);
 void
-Fw_Rules_AddKey(struct fw_rl_rules *r, const char *key, struct fw_rl_team_rule *t);
+Fw_Rules_AddKey(struct fw_rl_rules *r, const char *key,
+                struct fw_rl_team_rule *t);
 /* After the last route was added: makes them findable. */
 void
 Fw_Rules_Index(struct fw_rl_rules *r);
 /* The route with the longest prefix of @path at @host, or NULL. */
 const struct fw_rl_route_rule *
-Fw_Rules_Route(const struct fw_rl_rules *r, const char *host, const char *path);
+Fw_Rules_Route(const struct fw_rl_rules *r, const char *host,
+               const char *path);
 const struct fw_rl_service_rule *
 Fw_Rules_Service(const struct fw_rl_rules *r, const char *name);
 const struct fw_rl_team_rule *
--- a/src/relayd/acts.c
+++ b/src/relayd/acts.c
@@ -117,8 +117,7 @@
         if (!xid) {
             break;
         }
-        Fw_Relay_Failed(d->relay, *xid, -ECONNREFUSED, 0, Fw_Conn_Now(),
-                        acts);
+        Fw_Relay_Failed(d->relay, *xid, -ECONNREFUSED, 0, Fw_Conn_Now(), acts);
         Fw_Up_Stop(d, *xid);
         g_free(xid);
     }
--- a/src/relayd/peers.c
+++ b/src/relayd/peers.c
@@ -80,9 +80,9 @@
     if (!at) {
         return -EINVAL;
     }
-    d->peers = g_socket_new(g_socket_address_get_family(at),
-                            G_SOCKET_TYPE_DATAGRAM, G_SOCKET_PROTOCOL_UDP,
-                            NULL);
+    d->peers =
+        g_socket_new(g_socket_address_get_family(at), G_SOCKET_TYPE_DATAGRAM,
+                     G_SOCKET_PROTOCOL_UDP, NULL);
     ok = d->peers && g_socket_bind(d->peers, at, TRUE, NULL);
     g_object_unref(at);
     if (!ok) {
--- a/src/relayd/relayd.c
+++ b/src/relayd/relayd.c
@@ -114,8 +114,8 @@
     if (!r) {
         return;
     }
-    l.header_bytes = r->header_bytes > 0 ? (size_t)r->header_bytes
-                                         : l.header_bytes;
+    l.header_bytes =
+        r->header_bytes > 0 ? (size_t)r->header_bytes : l.header_bytes;
     l.body_bytes = r->body_bytes > 0 ? (size_t)r->body_bytes : l.body_bytes;
     l.head_us = r->header_us > 0 ? r->header_us : l.head_us;
     l.body_us = r->idle_us > 0 ? r->idle_us : l.body_us;
@@ -246,9 +246,8 @@
     check_settings(d, now);
     check_over(d, now);
     Fw_Note_Flush();
-    g_source_set_ready_time(d->timer,
-                            g_get_monotonic_time() +
-                                Fw_Relay_Wake(d->relay, now) - now);
+    g_source_set_ready_time(d->timer, g_get_monotonic_time() +
+                                          Fw_Relay_Wake(d->relay, now) - now);
     return G_SOURCE_CONTINUE;
 }
 
@@ -299,10 +298,10 @@
     Fw_Pool_AddMetrics(d->pool, Fw_Relay_Metrics(d->relay));
     Fw_Note_AddMetrics(Fw_Relay_Metrics(d->relay));
     d->by_caller = g_hash_table_new(NULL, NULL);
-    d->by_call = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
-                                       g_free);
-    d->ups = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
-                                   Fw_Up_Free);
+    d->by_call =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+    d->ups =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, Fw_Up_Free);
     g_queue_init(&d->failed);
     d->store = Fw_Store_New(d);
     *err = listen_all(d);
@@ -336,6 +335,18 @@
     return d->over;
 }
 
+int
+Fw_Relayd_Ready(const struct fw_relayd *d)
+{
+    return Fw_Relay_Ready(d->relay, Fw_Conn_Now());
+}
+
+int
+Fw_Relayd_Usable(const struct fw_relayd *d, const char *id)
+{
+    return Fw_Relay_Usable(d->relay, id, Fw_Conn_Now());
+}
+
 int
 Fw_Relayd_CallersPort(const struct fw_relayd *d)
 {
--- a/src/relayd/relayd.h
+++ b/src/relayd/relayd.h
@@ -62,6 +62,12 @@
 /* Until SIGTERM and the end of what runs. */
 void
 Fw_Relayd_Run(struct fw_relayd *d);
+/* What the balancer is told. */
+int
+Fw_Relayd_Ready(const struct fw_relayd *d);
+/* May new requests go to the server @id? */
+int
+Fw_Relayd_Usable(const struct fw_relayd *d, const char *id);
 int
 Fw_Relayd_CallersPort(const struct fw_relayd *d);
 void
--- a/src/relayd/settings.c
+++ b/src/relayd/settings.c
@@ -47,9 +47,9 @@
         group, key, kind, fallback, 0, 0, FW_AT(field), NULL                  \
     }
 
-static const char *const levels[] = {"emerg",   "alert",  "crit", "err",
-                                     "warning", "notice", "info", "debug",
-                                     NULL};
+static const char *const levels[] = {"emerg", "alert",   "crit",
+                                     "err",   "warning", "notice",
+                                     "info",  "debug",   NULL};
 
 static const struct fw_ini_key keys[] = {
     FW_TEXT("relay", "name", FW_INI_NAME, NULL, name),
--- a/src/relayd/status.c
+++ b/src/relayd/status.c
@@ -16,7 +16,7 @@
          GBytes *body)
 {
     struct fw_relayd *d = ctx;
-    int ready = Fw_Relay_Ready(d->relay, Fw_Conn_Now());
+    int ready = Fw_Relayd_Ready(d);
 
     (void)body;
     if (!asks_for(head, d->opts.ready_path)) {
--- a/src/relayd/store.c
+++ b/src/relayd/store.c
@@ -136,16 +136,14 @@
         Fw_Relay_Server(d->relay, rec->key, &e, now, acts);
     }
     else {
-        Fw_Note_Log(LOG_WARNING, "entry_unreadable", "server", rec->key,
-                    NULL);
+        Fw_Note_Log(LOG_WARNING, "entry_unreadable", "server", rec->key, NULL);
     }
 }
 
 static void
 take_member(struct fw_relayd *d, const struct fw_record *rec)
 {
-    JsonNode *root =
-        rec->value ? Fw_Json_Parse(rec->value, rec->len) : NULL;
+    JsonNode *root = rec->value ? Fw_Json_Parse(rec->value, rec->len) : NULL;
     char addr[FW_URL_MAX];
 
     if (root && Fw_Json_CopyStr(json_node_get_object(root), "addr", addr,
@@ -199,8 +197,8 @@
     take_all(f, got, acts);
     f->paging = got->more && got->all->len;
     if (f->paging) {
-        const struct fw_record *last = &g_array_index(
-            got->all, struct fw_record, got->all->len - 1);
+        const struct fw_record *last =
+            &g_array_index(got->all, struct fw_record, got->all->len - 1);
 
         g_strlcpy(f->after, last->key, sizeof(f->after));
         f->next_us = 0;
@@ -261,8 +259,8 @@
     case FW_STEP_NEWEST:
         return Fw_Platform_ReadNewest(f->status, data, len, got);
     case FW_STEP_READ:
-        return Fw_Platform_ReadRecords(f->topic, f->from, f->status, data,
-                                       len, got);
+        return Fw_Platform_ReadRecords(f->topic, f->from, f->status, data, len,
+                                       got);
     case FW_STEP_APPEND:
         return Fw_Platform_ReadAppend(f->status, data, len, got);
     }
@@ -411,8 +409,8 @@
         break;
     }
     s->calls.value++;
-    f->x = Fw_Exchange_Start(d->pool, d->opts.store, head, body, &how, &ops,
-                             f, &err);
+    f->x = Fw_Exchange_Start(d->pool, d->opts.store, head, body, &how, &ops, f,
+                             &err);
     if (!f->x) {
         missed(f, g_strerror(-err));
         claim_failed(f);
--- a/src/relayd/up.c
+++ b/src/relayd/up.c
@@ -37,8 +37,7 @@
 static struct fw_caller_rec *
 caller_of(const struct fw_up_rec *rec)
 {
-    struct fw_caller_rec *c =
-        g_hash_table_lookup(rec->d->by_call, &rec->call);
+    struct fw_caller_rec *c = g_hash_table_lookup(rec->d->by_call, &rec->call);
 
     return c && c->passing == rec->xid ? c : NULL;
 }
@@ -52,8 +51,7 @@
     for (int i = 0; i < h->n_fields; i++) {
         const struct fw_http_field *f = &h->fields[i];
 
-        if (Fw_Http_HopByHop(h, f) ||
-            Fw_Http_FieldIs(f, "content-length")) {
+        if (Fw_Http_HopByHop(h, f) || Fw_Http_FieldIs(f, "content-length")) {
             continue;
         }
         g_string_append_len(out, f->name, (gssize)f->name_len);
@@ -198,8 +196,8 @@
     Fw_Platform_WriteCall(c, from ? from->head : NULL,
                           from ? from->body : NULL, d->opts.relay.name, head,
                           &body);
-    rec->x = Fw_Exchange_Start(d->pool, c->addr, head, body, &how, &ops, rec,
-                               &err);
+    rec->x =
+        Fw_Exchange_Start(d->pool, c->addr, head, body, &how, &ops, rec, &err);
     if (!rec->x) {
         /* Told once the actions in hand are done. */
         g_queue_push_tail(&d->failed, g_memdup2(&c->xid, sizeof(c->xid)));
--- /dev/null
+++ b/stand/wire/main.c
@@ -0,0 +1,80 @@
+/*
+ * fwwire: a small deployment of the users' platform in one process, for the
+ * demo: the store, two prefill and four decode engines, two plain servers.
+ */
+#include <argp.h>
+#include <glib-unix.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "stand/wire/wire.h"
+
+static const struct argp_option options[] = {
+    {"port", 'p', "PORT", 0, "Port of the store, 0 for any", 0},
+    {0},
+};
+
+static error_t
+parse_opt(int key, char *arg, struct argp_state *state)
+{
+    if (key == 'p') {
+        *(int *)state->input = atoi(arg);
+        return 0;
+    }
+    return ARGP_ERR_UNKNOWN;
+}
+
+static const struct argp parser = {
+    .options = options,
+    .parser = parse_opt,
+    .doc = "Stand-in for the users' platform. Prints the store's address.",
+};
+
+static const struct fw_wire_opts servers[] = {
+    {"p1", "llm", "a", "prefill", 8, 40000, 40, 50, 500},
+    {"p2", "llm", "b", "prefill", 8, 40000, 40, 50, 500},
+    {"d1", "llm", "a", "decode", 8, 40000, 40, 25, 500},
+    {"d2", "llm", "b", "decode", 8, 40000, 40, 25, 500},
+    {"d3", "llm", "a", "decode", 8, 40000, 40, 25, 500},
+    {"d4", "llm", "b", "decode", 8, 40000, 40, 25, 500},
+    {"s1", "desk", "a", "", 8, 0, 0, 1, 0},
+    {"s2", "desk", "b", "", 8, 0, 0, 1, 0},
+};
+
+static gboolean
+on_term(gpointer loop)
+{
+    g_main_loop_quit(loop);
+    return G_SOURCE_CONTINUE;
+}
+
+int
+main(int argc, char **argv)
+{
+    struct fw_wire_server *all[G_N_ELEMENTS(servers)];
+    GMainLoop *loop = g_main_loop_new(NULL, FALSE);
+    struct fw_wire_store *store;
+    char *config = Fw_Wire_Config(1, "\"demo-key\"");
+    int port = 0;
+    char addr[32];
+
+    argp_parse(&parser, argc, argv, 0, NULL, &port);
+    g_snprintf(addr, sizeof(addr), "127.0.0.1:%d", port);
+    store = Fw_WireStore_New(addr);
+    for (size_t i = 0; i < G_N_ELEMENTS(servers); i++) {
+        all[i] = Fw_WireServer_New(store, "127.0.0.1:0", &servers[i]);
+    }
+    Fw_WireStore_Put(store, "keyed.op", "config", config);
+    printf("127.0.0.1:%d\n", Fw_WireStore_Port(store));
+    fflush(stdout);
+    g_unix_signal_add(SIGTERM, on_term, loop);
+    g_unix_signal_add(SIGINT, on_term, loop);
+    g_main_loop_run(loop);
+    for (size_t i = 0; i < G_N_ELEMENTS(servers); i++) {
+        Fw_WireServer_Free(all[i]);
+    }
+    Fw_WireStore_Free(store);
+    g_main_loop_unref(loop);
+    g_free(config);
+    return 0;
+}
--- a/tests/base/test_base.c
+++ b/tests/base/test_base.c
@@ -5,6 +5,7 @@
 #include "base/hash.h"
 #include "base/list.h"
 #include "base/metrics.h"
+#include "tests/base/suite.h"
 
 struct item {
     int value;
@@ -72,18 +73,10 @@
 int
 main(void)
 {
-    Suite *s = suite_create("base");
-    TCase *tc = tcase_create("base");
-    SRunner *sr;
-    int failed;
+    TCase *tc = Fw_Suite_New("base");
 
     tcase_add_test(tc, list_keeps_order_and_removes);
     tcase_add_test(tc, digest_is_sha256_and_compares_whole);
     tcase_add_test(tc, metrics_print_counters_and_gauges);
-    suite_add_tcase(s, tc);
-    sr = srunner_create(s);
-    srunner_run_all(sr, CK_ENV);
-    failed = srunner_ntests_failed(sr);
-    srunner_free(sr);
-    return failed != 0;
+    return Fw_Suite_Run(tc);
 }
--- a/tests/config/test_fold.c
+++ b/tests/config/test_fold.c
@@ -2,6 +2,7 @@
 #include <check.h>
 
 #include "config/fold.h"
+#include "tests/base/suite.h"
 
 #define FW_REC(id, items)                                                     \
     "{\"v\":1,\"id\":\"" id                                                   \
@@ -71,16 +72,8 @@
 int
 main(void)
 {
-    Suite *s = suite_create("fold");
-    TCase *tc = tcase_create("fold");
-    SRunner *sr;
-    int failed;
+    TCase *tc = Fw_Suite_New("fold");
 
     tcase_add_test(tc, each_record_gets_its_verdict);
-    suite_add_tcase(s, tc);
-    sr = srunner_create(s);
-    srunner_run_all(sr, CK_ENV);
-    failed = srunner_ntests_failed(sr);
-    srunner_free(sr);
-    return failed != 0;
+    return Fw_Suite_Run(tc);
 }
--- a/tests/config/test_mutation.c
+++ b/tests/config/test_mutation.c
@@ -7,6 +7,7 @@
 #include "core/msg.h"
 #include "operate/sheet.h"
 #include "rig.h"
+#include "tests/base/suite.h"
 
 #define ROUNDS 3000
 
@@ -204,10 +205,7 @@
 int
 main(void)
 {
-    Suite *s = suite_create("mutation");
-    TCase *tc = tcase_create("mutation");
-    SRunner *sr;
-    int failed;
+    TCase *tc = Fw_Suite_New("mutation");
 
     tcase_set_timeout(tc, 60);
     tcase_add_test(tc, spoiled_records_get_a_verdict);
@@ -215,10 +213,5 @@
     tcase_add_test(tc, spoiled_snapshots_give_nothing_else);
     tcase_add_test(tc, spoiled_sheets_give_errors_or_a_plan);
     tcase_add_test(tc, malformed_messages_are_refused);
-    suite_add_tcase(s, tc);
-    sr = srunner_create(s);
-    srunner_run_all(sr, CK_ENV);
-    failed = srunner_ntests_failed(sr);
-    srunner_free(sr);
-    return failed != 0;
+    return Fw_Suite_Run(tc);
 }
--- a/tests/config/test_snapshot.c
+++ b/tests/config/test_snapshot.c
@@ -5,6 +5,7 @@
 
 #include "config/snapshot.h"
 #include "rig.h"
+#include "tests/base/suite.h"
 
 static uint64_t
 digest(const struct fw_rig *rig, int i)
@@ -355,10 +356,7 @@
 int
 main(void)
 {
-    Suite *s = suite_create("snapshot");
-    TCase *tc = tcase_create("snapshot");
-    SRunner *sr;
-    int failed;
+    TCase *tc = Fw_Suite_New("snapshot");
 
     tcase_set_timeout(tc, 60);
     tcase_add_test(tc, only_a_whole_snapshot_counts);
@@ -368,10 +366,5 @@
     tcase_add_test(tc, a_half_written_snapshot_is_passed_over);
     tcase_add_test(tc, a_gap_never_takes_the_version_back);
     tcase_add_test(tc, log_down_at_the_start_state_from_a_peer);
-    suite_add_tcase(s, tc);
-    sr = srunner_create(s);
-    srunner_run_all(sr, CK_ENV);
-    failed = srunner_ntests_failed(sr);
-    srunner_free(sr);
-    return failed != 0;
+    return Fw_Suite_Run(tc);
 }
--- a/tests/ctl/test_ctl.c
+++ b/tests/ctl/test_ctl.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "ctl/ctl.h"
+#include "tests/base/suite.h"
 
 struct find_case {
     const char *a;
@@ -170,10 +171,7 @@
 int
 main(void)
 {
-    Suite *s = suite_create("ctl");
-    TCase *tc = tcase_create("ctl");
-    SRunner *sr;
-    int failed;
+    TCase *tc = Fw_Suite_New("ctl");
 
     tcase_add_test(tc, verbs_are_found_by_one_or_two_words);
     tcase_add_test(tc, cells_are_short_texts);
@@ -181,10 +179,5 @@
     tcase_add_test(tc, exit_statuses_tell_whether_it_may_have_happened);
     tcase_add_test(tc, a_fleet_file_gives_addresses_and_key);
     tcase_add_test(tc, keys_and_ids_differ);
-    suite_add_tcase(s, tc);
-    sr = srunner_create(s);
-    srunner_run_all(sr, CK_ENV);
-    failed = srunner_ntests_failed(sr);
-    srunner_free(sr);
-    return failed != 0;
+    return Fw_Suite_Run(tc);
 }
--- a/tests/daemon/test_settings.c
+++ b/tests/daemon/test_settings.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "daemon/settings.h"
+#include "tests/base/suite.h"
 
 #define FW_INSTANCE "[instance]\nname=one\ndomain=a\nregion=r\n"
 #define FW_PLATFORM "[platform]\nlog=http://127.0.0.1:1/\nlist=http://h:2\n"
@@ -138,20 +139,12 @@
 int
 main(void)
 {
-    Suite *s = suite_create("settings");
-    TCase *tc = tcase_create("settings");
-    SRunner *sr;
-    int failed;
+    TCase *tc = Fw_Suite_New("settings");
 
     tcase_add_test(tc, defaults_fill_what_is_not_given);
     tcase_add_test(tc, given_values_are_taken);
     tcase_add_loop_test(tc, mistakes_name_file_group_and_key, 0,
                         G_N_ELEMENTS(wrong));
     tcase_add_test(tc, a_missing_file_is_told);
-    suite_add_tcase(s, tc);
-    sr = srunner_create(s);
-    srunner_run_all(sr, CK_ENV);
-    failed = srunner_ntests_failed(sr);
-    srunner_free(sr);
-    return failed != 0;
+    return Fw_Suite_Run(tc);
 }
--- a/tests/fleet/test_fleet.c
+++ b/tests/fleet/test_fleet.c
@@ -6,6 +6,7 @@
 
 #include "core/msg.h"
 #include "play.h"
+#include "tests/base/suite.h"
 
 #define TRIO "start 1\nstart 2\nstart 3\nrun 5000\n"
 
@@ -172,20 +173,12 @@
 int
 main(void)
 {
-    Suite *s = suite_create("fleet");
-    TCase *tc = tcase_create("fleet");
-    SRunner *sr;
-    int failed;
+    TCase *tc = Fw_Suite_New("fleet");
 
     tcase_set_timeout(tc, 60);
     tcase_add_loop_test(tc, members_follow_the_script, 0,
                         G_N_ELEMENTS(members));
     tcase_add_loop_test(tc, roles_follow_the_script, 0, G_N_ELEMENTS(roles));
     tcase_add_test(tc, damaged_messages_are_refused_or_read);
-    suite_add_tcase(s, tc);
-    sr = srunner_create(s);
-    srunner_run_all(sr, CK_ENV);
-    failed = srunner_ntests_failed(sr);
-    srunner_free(sr);
-    return failed != 0;
+    return Fw_Suite_Run(tc);
 }
--- a/tests/fleet/test_promises.c
+++ b/tests/fleet/test_promises.c
@@ -3,6 +3,7 @@
 
 #include "base/fault.h"
 #include "explore/explore.h"
+#include "tests/base/suite.h"
 
 #define SEEDS 60
 #define STEPS 400
@@ -38,17 +39,9 @@
 int
 main(void)
 {
-    Suite *s = suite_create("promises");
-    TCase *tc = tcase_create("promises");
-    SRunner *sr;
-    int failed;
+    TCase *tc = Fw_Suite_New("promises");
 
     tcase_set_timeout(tc, 60);
     tcase_add_loop_test(tc, planted_fault_is_found, 0, count_promises());
-    suite_add_tcase(s, tc);
-    sr = srunner_create(s);
-    srunner_run_all(sr, CK_ENV);
-    failed = srunner_ntests_failed(sr);
-    srunner_free(sr);
-    return failed != 0;
+    return Fw_Suite_Run(tc);
 }
--- a/tests/http/test_client.c
+++ b/tests/http/test_client.c
@@ -61,14 +61,14 @@
 begin(struct fw_pool *p, const char *url, struct call *c,
       const struct fw_exchange_opts *how)
 {
-    GString *head =
-        g_string_new("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n");
+    GString *head = g_string_new(
+        "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n");
     GBytes *body = g_bytes_new_static("hi", 2);
     int err = 0;
 
     *c = (struct call){.body = g_string_new(NULL)};
-    c->x = Fw_Exchange_Start(p, url + strlen("http://"), head, body, how,
-                             &ops, c, &err);
+    c->x = Fw_Exchange_Start(p, url + strlen("http://"), head, body, how, &ops,
+                             c, &err);
     ck_assert_ptr_nonnull(c->x);
     g_bytes_unref(body);
     g_string_free(head, TRUE);
@@ -99,9 +99,11 @@
     int err;
 } answers[] = {
     {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", 0, "ok", 0},
-    {"HTTP/1.1 100 Go on\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+    {"HTTP/1.1 100 Go on\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: "
+     "2\r\n\r\nok",
      0, "ok", 0},
-    {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+    {"HTTP/1.1 200 OK\r\nTransfer-Encoding: "
+     "chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
      0, "ok", 0},
     {"HTTP/1.1 200 OK\r\n\r\nok", 1, "ok", 0},
     {"HTTP/1.1 200 OK\r\nRequest-Id: other\r\nContent-Length: 3\r\n\r\nbad"
--- a/tests/http/test_head.c
+++ b/tests/http/test_head.c
@@ -22,7 +22,8 @@
     {"POST / HTTP/1.1\r\n" FW_H "Content-Length: -5\r\n\r\n"},
     {"POST / HTTP/1.1\r\n" FW_H "Content-Length: 0x5\r\n\r\n"},
     {"POST / HTTP/1.1\r\n" FW_H "Content-Length: \r\n\r\n"},
-    {"POST / HTTP/1.1\r\n" FW_H "Content-Length: 99999999999999999999\r\n\r\n"},
+    {"POST / HTTP/1.1\r\n" FW_H
+     "Content-Length: 99999999999999999999\r\n\r\n"},
     {"POST / HTTP/1.1\r\n" FW_H "Content-Length : 5\r\n\r\n"},
     {"POST / HTTP/1.1\r\n" FW_H "Transfer-Encoding : chunked\r\n\r\n"},
     {"POST / HTTP/1.1\r\n" FW_H "Transfer-Encoding: gzip, chunked\r\n\r\n"},
@@ -71,7 +72,8 @@
 }
 END_TEST
 
-/* Targets that other programs would rewrite; an upstream must see each byte. */
+/* Targets that other programs would rewrite; an upstream must see each byte.
+ */
 static const char *const targets[] = {
     "/",
     "/%7euser/%c3%a9",
@@ -89,13 +91,12 @@
 
 START_TEST(a_target_stays_as_it_was_sent)
 {
-    char *text = g_strdup_printf("GET %s HTTP/1.1\r\n" FW_H "\r\n",
-                                 targets[_i]);
+    char *text =
+        g_strdup_printf("GET %s HTTP/1.1\r\n" FW_H "\r\n", targets[_i]);
     struct fw_http_head h;
 
-    ck_assert_int_eq(
-        Fw_Http_ReadHead(FW_HTTP_REQUEST, text, strlen(text), &h),
-        (int)strlen(text));
+    ck_assert_int_eq(Fw_Http_ReadHead(FW_HTTP_REQUEST, text, strlen(text), &h),
+                     (int)strlen(text));
     ck_assert_uint_eq(h.target_len, strlen(targets[_i]));
     ck_assert_int_eq(memcmp(h.target, targets[_i], h.target_len), 0);
     Fw_Http_ClearHead(&h);
@@ -115,9 +116,8 @@
     for (size_t n = 0; n < whole; n++) {
         ck_assert_int_eq(Fw_Http_ReadHead(FW_HTTP_REQUEST, text, n, &h), 0);
     }
-    ck_assert_int_eq(
-        Fw_Http_ReadHead(FW_HTTP_REQUEST, text, strlen(text), &h),
-        (int)whole);
+    ck_assert_int_eq(Fw_Http_ReadHead(FW_HTTP_REQUEST, text, strlen(text), &h),
+                     (int)whole);
     ck_assert_int_eq(h.framing, FW_HTTP_LENGTH);
     ck_assert_uint_eq(h.length, 12);
     ck_assert_int_eq(h.n_fields, 5);
--- a/tests/http/test_server.c
+++ b/tests/http/test_server.c
@@ -144,7 +144,8 @@
                     "GET /4 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n",
                     -1);
     Fw_RigConn_ExpectEof(c);
-    ck_assert_str_eq(s.seen->str, "POST /1 3\nGET /2 0\nPOST /3 2\nGET /4 0\n");
+    ck_assert_str_eq(s.seen->str,
+                     "POST /1 3\nGET /2 0\nPOST /3 2\nGET /4 0\n");
     Fw_RigConn_Close(c);
     shop_close(&s);
 }
@@ -158,7 +159,8 @@
 START_TEST(a_slow_request_is_told_408)
 {
     static const char *const parts[] = {
-        "GET /a HT", "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nx"};
+        "GET /a HT",
+        "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nx"};
     struct rig_conn *c;
     struct shop s;
 
--- a/tests/idem/test_idem.c
+++ b/tests/idem/test_idem.c
@@ -6,6 +6,7 @@
 #include "base/fault.h"
 #include "explore/p_idem_env.h"
 #include "idem/idem_internal.h"
+#include "tests/base/suite.h"
 
 /** struct script - @run: one command a line, @seen: the lines expected. */
 struct script {
@@ -355,10 +356,7 @@
 int
 main(void)
 {
-    Suite *s = suite_create("idem");
-    TCase *tc = tcase_create("idem");
-    SRunner *sr;
-    int failed;
+    TCase *tc = Fw_Suite_New("idem");
 
     tcase_add_loop_test(tc, scripted, 0, G_N_ELEMENTS(scripts));
     tcase_add_test(tc, retention_is_checked);
@@ -366,10 +364,5 @@
     tcase_add_test(tc, keys_may_carry_their_time);
     tcase_add_test(tc, bad_records_are_passed_over);
     tcase_add_test(tc, a_record_comes_back_whole);
-    suite_add_tcase(s, tc);
-    sr = srunner_create(s);
-    srunner_run_all(sr, CK_ENV);
-    failed = srunner_ntests_failed(sr);
-    srunner_free(sr);
-    return failed != 0;
+    return Fw_Suite_Run(tc);
 }
--- a/tests/io/test_api.c
+++ b/tests/io/test_api.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "io/api.h"
+#include "tests/base/suite.h"
 
 static const struct fw_api_limits limits = {.prompt_tokens_max = 10,
                                             .max_tokens_default = 16};
@@ -183,19 +184,11 @@
 int
 main(void)
 {
-    Suite *s = suite_create("api");
-    TCase *tc = tcase_create("api");
-    SRunner *sr;
-    int failed;
+    TCase *tc = Fw_Suite_New("api");
 
     tcase_add_loop_test(tc, good_bodies_are_understood, 0, G_N_ELEMENTS(good));
     tcase_add_loop_test(tc, bad_bodies_are_told_apart, 0, G_N_ELEMENTS(bad));
     tcase_add_loop_test(tc, cut_bodies_are_refused, 0, G_N_ELEMENTS(good));
     tcase_add_test(tc, deadlines_need_their_offset);
-    suite_add_tcase(s, tc);
-    sr = srunner_create(s);
-    srunner_run_all(sr, CK_ENV);
-    failed = srunner_ntests_failed(sr);
-    srunner_free(sr);
-    return failed != 0;
+    return Fw_Suite_Run(tc);
 }
--- a/tests/io/test_bad_requests.c
+++ b/tests/io/test_bad_requests.c
@@ -2,6 +2,7 @@
 #include <check.h>
 #include <string.h>
 
+#include "tests/base/suite.h"
 #include "tests/io/rig.h"
 
 /* What is wrong with a request, and what its caller is told. */
@@ -167,10 +168,7 @@
 int
 main(void)
 {
-    Suite *s = suite_create("bad_requests");
-    TCase *tc = tcase_create("bad_requests");
-    SRunner *sr;
-    int failed;
+    TCase *tc = Fw_Suite_New("bad_requests");
 
     tcase_set_timeout(tc, 60);
     tcase_add_loop_test(tc, bad_requests_are_refused_with_verdict_no, 0,
@@ -180,10 +178,5 @@
                         G_N_ELEMENTS(garbage));
     tcase_add_loop_test(tc, a_half_sent_request_times_out, 0,
                         G_N_ELEMENTS(halves));
-    suite_add_tcase(s, tc);
-    sr = srunner_create(s);
-    srunner_run_all(sr, CK_ENV);
-    failed = srunner_ntests_failed(sr);
-    srunner_free(sr);
-    return failed != 0;
+    return Fw_Suite_Run(tc);
 }
--- a/tests/io/test_callers.c
+++ b/tests/io/test_callers.c
@@ -2,6 +2,7 @@
 #include <check.h>
 #include <string.h>
 
+#include "tests/base/suite.h"
 #include "tests/io/rig.h"
 
 static void
@@ -423,10 +424,7 @@
 int
 main(void)
 {
-    Suite *s = suite_create("callers");
-    TCase *tc = tcase_create("callers");
-    SRunner *sr;
-    int failed;
+    TCase *tc = Fw_Suite_New("callers");
 
     tcase_set_timeout(tc, 60);
     tcase_add_loop_test(tc, answers_have_the_shape_of_the_api, 0,
@@ -439,10 +437,5 @@
     tcase_add_test(tc, a_reader_that_stops_is_cut_off);
     tcase_add_test(tc, services_and_operators_reach_the_core);
     tcase_add_test(tc, probes_answer_on_both_ports);
-    suite_add_tcase(s, tc);
-    sr = srunner_create(s);
-    srunner_run_all(sr, CK_ENV);
-    failed = srunner_ntests_failed(sr);
-    srunner_free(sr);
-    return failed != 0;
+    return Fw_Suite_Run(tc);
 }
--- a/tests/io/test_engine_wire.c
+++ b/tests/io/test_engine_wire.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "io/engine_wire.h"
+#include "tests/base/suite.h"
 
 static GBytes *
 bytes(const char *text)
@@ -148,20 +149,12 @@
 int
 main(void)
 {
-    Suite *s = suite_create("engine_wire");
-    TCase *tc = tcase_create("engine_wire");
-    SRunner *sr;
-    int failed;
+    TCase *tc = Fw_Suite_New("engine_wire");
 
     tcase_add_test(tc, a_load_report_is_read_whole);
     tcase_add_test(tc, held_requests_and_cache_events_are_listed);
     tcase_add_loop_test(tc, wrong_answers_are_refused, 0, G_N_ELEMENTS(wrong));
     tcase_add_loop_test(tc, requests_take_the_agreed_way, 0,
                         G_N_ELEMENTS(requests));
-    suite_add_tcase(s, tc);
-    sr = srunner_create(s);
-    srunner_run_all(sr, CK_ENV);
-    failed = srunner_ntests_failed(sr);
-    srunner_free(sr);
-    return failed != 0;
+    return Fw_Suite_Run(tc);
 }
--- a/tests/io/test_peer.c
+++ b/tests/io/test_peer.c
@@ -6,6 +6,7 @@
 #include "io/peer.h"
 #include "io/peer_auth.h"
 #include "io/peer_conn.h"
+#include "tests/base/suite.h"
 #include "tests/io/side.h"
 
 START_TEST(messages_go_both_ways_on_one_connection)
@@ -385,10 +386,7 @@
 int
 main(void)
 {
-    Suite *s = suite_create("peer");
-    TCase *tc = tcase_create("peer");
-    SRunner *sr;
-    int failed;
+    TCase *tc = Fw_Suite_New("peer");
 
     tcase_set_timeout(tc, 60);
     tcase_add_test(tc, messages_go_both_ways_on_one_connection);
@@ -403,10 +401,5 @@
                         G_N_ELEMENTS(greetings));
     tcase_add_test(tc, the_queue_for_a_peer_is_bounded);
     tcase_add_test(tc, a_restarted_peer_is_found_again);
-    suite_add_tcase(s, tc);
-    sr = srunner_create(s);
-    srunner_run_all(sr, CK_ENV);
-    failed = srunner_ntests_failed(sr);
-    srunner_free(sr);
-    return failed != 0;
+    return Fw_Suite_Run(tc);
 }
--- a/tests/io/test_platform.c
+++ b/tests/io/test_platform.c
@@ -4,6 +4,7 @@
 
 #include "io/list_client.h"
 #include "io/log_client.h"
+#include "tests/base/suite.h"
 #include "tests/io/rig.h"
 
 #define FW_OK "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
@@ -222,10 +223,7 @@
 int
 main(void)
 {
-    Suite *s = suite_create("platform");
-    TCase *tc = tcase_create("platform");
-    SRunner *sr;
-    int failed;
+    TCase *tc = Fw_Suite_New("platform");
 
     tcase_set_timeout(tc, 60);
     tcase_add_loop_test(tc, an_append_tells_what_is_known, 0,
@@ -236,10 +234,5 @@
     tcase_add_loop_test(tc, the_list_is_read_entry_by_entry, 0,
                         G_N_ELEMENTS(lists));
     tcase_add_test(tc, the_own_entry_is_written_until_taken);
-    suite_add_tcase(s, tc);
-    sr = srunner_create(s);
-    srunner_run_all(sr, CK_ENV);
-    failed = srunner_ntests_failed(sr);
-    srunner_free(sr);
-    return failed != 0;
+    return Fw_Suite_Run(tc);
 }
--- a/tests/io/test_shell.c
+++ b/tests/io/test_shell.c
@@ -3,6 +3,7 @@
 #include <signal.h>
 #include <string.h>
 
+#include "tests/base/suite.h"
 #include "tests/io/rig.h"
 
 static int may_leave;
@@ -164,20 +165,12 @@
 int
 main(void)
 {
-    Suite *s = suite_create("shell");
-    TCase *tc = tcase_create("shell");
-    SRunner *sr;
-    int failed;
+    TCase *tc = Fw_Suite_New("shell");
 
     tcase_set_timeout(tc, 60);
     tcase_add_test(tc, a_stop_ends_what_runs);
     tcase_add_test(tc, a_stop_needs_no_list);
     tcase_add_test(tc, the_earliest_wish_wakes);
     tcase_add_test(tc, a_taken_port_is_told);
-    suite_add_tcase(s, tc);
-    sr = srunner_create(s);
-    srunner_run_all(sr, CK_ENV);
-    failed = srunner_ntests_failed(sr);
-    srunner_free(sr);
-    return failed != 0;
+    return Fw_Suite_Run(tc);
 }
--- a/tests/io/test_upstream.c
+++ b/tests/io/test_upstream.c
@@ -4,6 +4,7 @@
 
 #include "base/fault.h"
 #include "io/up_client.h"
+#include "tests/base/suite.h"
 #include "tests/io/rig.h"
 
 /** struct harness - a client, a server, and what the core would see. */
@@ -421,10 +422,7 @@
 int
 main(void)
 {
-    Suite *s = suite_create("upstream");
-    TCase *tc = tcase_create("upstream");
-    SRunner *sr;
-    int failed;
+    TCase *tc = Fw_Suite_New("upstream");
 
     tcase_set_timeout(tc, 60);
     tcase_add_loop_test(tc, failures_of_a_prefill_carry_the_right_verdict, 0,
@@ -440,10 +438,5 @@
     tcase_add_test(tc, a_service_sees_the_agreed_headers_only);
     tcase_add_test(tc, an_answer_beyond_the_bound_fails);
     tcase_add_test(tc, a_bad_address_fails_from_the_loop);
-    suite_add_tcase(s, tc);
-    sr = srunner_create(s);
-    srunner_run_all(sr, CK_ENV);
-    failed = srunner_ntests_failed(sr);
-    srunner_free(sr);
-    return failed != 0;
+    return Fw_Suite_Run(tc);
 }
--- a/tests/limit/test_limit.c
+++ b/tests/limit/test_limit.c
@@ -4,6 +4,7 @@
 #include <glib.h>
 
 #include "limit/bucket.h"
+#include "tests/base/suite.h"
 #include "tests/fleet/play.h"
 
 #define ALL "start 1\nstart 2\nstart 3\nstart 4\nstart 5\nstart 6\nrun 15000\n"
@@ -139,19 +140,11 @@
 int
 main(void)
 {
-    Suite *s = suite_create("limit");
-    TCase *tc = tcase_create("limit");
-    SRunner *sr;
-    int failed;
+    TCase *tc = Fw_Suite_New("limit");
 
     tcase_set_timeout(tc, 60);
     tcase_add_loop_test(tc, budgets_follow_the_script, 0, G_N_ELEMENTS(plays));
     tcase_add_test(tc, place_of_tokens_in_flight_stays_empty);
     tcase_add_test(tc, tokens_back_from_flight_find_their_place);
-    suite_add_tcase(s, tc);
-    sr = srunner_create(s);
-    srunner_run_all(sr, CK_ENV);
-    failed = srunner_ntests_failed(sr);
-    srunner_free(sr);
-    return failed != 0;
+    return Fw_Suite_Run(tc);
 }
--- a/tests/load/test_load.c
+++ b/tests/load/test_load.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "bench/load/load.h"
+#include "tests/base/suite.h"
 
 START_TEST(histogram_keeps_its_stated_error)
 {
@@ -244,10 +245,7 @@
 int
 main(void)
 {
-    Suite *s = suite_create("load");
-    TCase *tc = tcase_create("load");
-    SRunner *sr;
-    int failed;
+    TCase *tc = Fw_Suite_New("load");
 
     tcase_add_test(tc, histogram_keeps_its_stated_error);
     tcase_add_test(tc, account_follows_rate_and_burst);
@@ -256,10 +254,5 @@
                         (int)G_N_ELEMENTS(score_rows));
     tcase_add_loop_test(tc, experiment_files_are_checked, 0,
                         (int)G_N_ELEMENTS(ini_rows));
-    suite_add_tcase(s, tc);
-    sr = srunner_create(s);
-    srunner_run_all(sr, CK_ENV);
-    failed = srunner_ntests_failed(sr);
-    srunner_free(sr);
-    return failed != 0;
+    return Fw_Suite_Run(tc);
 }
--- a/tests/node/test_nodes.c
+++ b/tests/node/test_nodes.c
@@ -2,6 +2,7 @@
 #include <check.h>
 
 #include "script.h"
+#include "tests/base/suite.h"
 
 /*
  * A caller's connection breaks, and the balancer leads its next one to
@@ -161,18 +162,10 @@
 int
 main(void)
 {
-    Suite *s = suite_create("nodes");
-    TCase *tc = tcase_create("nodes");
-    SRunner *sr;
-    int failed;
+    TCase *tc = Fw_Suite_New("nodes");
 
     tcase_add_loop_test(tc, join, 0, G_N_ELEMENTS(joins));
     tcase_add_loop_test(tc, orphan, 0, G_N_ELEMENTS(orphans));
     tcase_add_loop_test(tc, outage, 0, G_N_ELEMENTS(outages));
-    suite_add_tcase(s, tc);
-    sr = srunner_create(s);
-    srunner_run_all(sr, CK_ENV);
-    failed = srunner_ntests_failed(sr);
-    srunner_free(sr);
-    return failed != 0;
+    return Fw_Suite_Run(tc);
 }
--- a/tests/node/test_request.c
+++ b/tests/node/test_request.c
@@ -2,6 +2,7 @@
 #include <check.h>
 
 #include "script.h"
+#include "tests/base/suite.h"
 
 /*
  * Upstream connections break and answers come late, twice or out of order at
@@ -304,10 +305,7 @@
 int
 main(void)
 {
-    Suite *s = suite_create("request");
-    TCase *tc = tcase_create("request");
-    SRunner *sr;
-    int failed;
+    TCase *tc = Fw_Suite_New("request");
 
     tcase_add_loop_test(tc, engines, 0, G_N_ELEMENTS(engine_faults));
     tcase_add_loop_test(tc, callers, 0, G_N_ELEMENTS(caller_goes));
@@ -315,10 +313,5 @@
     tcase_add_loop_test(tc, stops, 0, G_N_ELEMENTS(drains));
     tcase_add_loop_test(tc, poisons, 0, G_N_ELEMENTS(poison));
     tcase_add_loop_test(tc, orders, 0, G_N_ELEMENTS(services));
-    suite_add_tcase(s, tc);
-    sr = srunner_create(s);
-    srunner_run_all(sr, CK_ENV);
-    failed = srunner_ntests_failed(sr);
-    srunner_free(sr);
-    return failed != 0;
+    return Fw_Suite_Run(tc);
 }
--- a/tests/operate/test_operate.c
+++ b/tests/operate/test_operate.c
@@ -3,6 +3,7 @@
 #include <check.h>
 #include <string.h>
 
+#include "tests/base/suite.h"
 #include "tests/config/rig.h"
 
 #define FW_TEAM(name, was, rate)                                              \
@@ -231,20 +232,12 @@
 int
 main(void)
 {
-    Suite *s = suite_create("operate");
-    TCase *tc = tcase_create("operate");
-    SRunner *sr;
-    int failed;
+    TCase *tc = Fw_Suite_New("operate");
 
     tcase_set_timeout(tc, 60);
     tcase_add_test(tc, each_call_gets_its_answer);
     tcase_add_test(tc, two_operators_race_on_nine_instances);
     tcase_add_test(tc, the_verdict_is_true_when_the_log_loses_answers);
     tcase_add_test(tc, explain_keeps_the_newest_in_order);
-    suite_add_tcase(s, tc);
-    sr = srunner_create(s);
-    srunner_run_all(sr, CK_ENV);
-    failed = srunner_ntests_failed(sr);
-    srunner_free(sr);
-    return failed != 0;
+    return Fw_Suite_Run(tc);
 }
--- a/tests/operate/test_sheet.c
+++ b/tests/operate/test_sheet.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "operate/sheet.h"
+#include "tests/base/suite.h"
 #include "tests/config/rig.h"
 
 #define FW_DIGEST                                                             \
@@ -242,20 +243,12 @@
 int
 main(void)
 {
-    Suite *s = suite_create("sheet");
-    TCase *tc = tcase_create("sheet");
-    SRunner *sr;
-    int failed;
+    TCase *tc = Fw_Suite_New("sheet");
 
     tcase_set_timeout(tc, 60);
     tcase_add_test(tc, sheets_are_read_as_they_are_written);
     tcase_add_test(tc, an_export_changes_nothing);
     tcase_add_test(tc, what_changed_since_the_export_is_kept_or_reported);
     tcase_add_test(tc, a_withdrawn_key_is_withdrawn_for_good);
-    suite_add_tcase(s, tc);
-    sr = srunner_create(s);
-    srunner_run_all(sr, CK_ENV);
-    failed = srunner_ntests_failed(sr);
-    srunner_free(sr);
-    return failed != 0;
+    return Fw_Suite_Run(tc);
 }
--- a/tests/order/test_order.c
+++ b/tests/order/test_order.c
@@ -5,6 +5,7 @@
 
 #include "explore/p_order_env.h"
 #include "order/order_internal.h"
+#include "tests/base/suite.h"
 
 struct plan_case {
     const char *role;   /* configured */
@@ -289,10 +290,7 @@
 int
 main(void)
 {
-    Suite *s = suite_create("order");
-    TCase *tc = tcase_create("order");
-    SRunner *sr;
-    int failed;
+    TCase *tc = Fw_Suite_New("order");
 
     tcase_set_timeout(tc, 60);
     tcase_add_test(tc, each_engine_gets_the_order_it_lacks);
@@ -304,10 +302,5 @@
     tcase_add_test(tc, with_the_log_down_no_orders_are_given);
     tcase_add_test(tc, a_lost_answer_is_settled_by_looking);
     tcase_add_test(tc, the_last_engine_of_a_role_stays);
-    suite_add_tcase(s, tc);
-    sr = srunner_create(s);
-    srunner_run_all(sr, CK_ENV);
-    failed = srunner_ntests_failed(sr);
-    srunner_free(sr);
-    return failed != 0;
+    return Fw_Suite_Run(tc);
 }
--- a/tests/route/test_policy.c
+++ b/tests/route/test_policy.c
@@ -5,6 +5,7 @@
 #include "route/policy.h"
 #include "route/queue.h"
 #include "route/slots.h"
+#include "tests/base/suite.h"
 
 #define N(rows) (int)G_N_ELEMENTS(rows)
 
@@ -331,10 +332,7 @@
 int
 main(void)
 {
-    Suite *s = suite_create("policy");
-    TCase *tc = tcase_create("policy");
-    SRunner *sr;
-    int failed;
+    TCase *tc = Fw_Suite_New("policy");
 
     tcase_add_loop_test(tc, slots_correct_a_lagging_report, 0, N(slot_rows));
     tcase_add_test(tc, slots_count_engine_memory);
@@ -346,10 +344,5 @@
     tcase_add_test(tc, prefixes_are_learnt_and_voided);
     tcase_add_test(tc, queue_is_fair_in_tokens);
     tcase_add_test(tc, queue_goes_by_deadline_and_gives_turns_back);
-    suite_add_tcase(s, tc);
-    sr = srunner_create(s);
-    srunner_run_all(sr, CK_ENV);
-    failed = srunner_ntests_failed(sr);
-    srunner_free(sr);
-    return failed != 0;
+    return Fw_Suite_Run(tc);
 }
--- a/tests/stand/test_stand.c
+++ b/tests/stand/test_stand.c
@@ -4,6 +4,7 @@
  */
 #include <check.h>
 
+#include "tests/base/suite.h"
 #include "tests/stand/client.h"
 
 #define ASK(call, body, status, has)                                          \
@@ -318,20 +319,12 @@
 int
 main(void)
 {
-    Suite *s = suite_create("stand");
-    TCase *tc = tcase_create("stand");
-    SRunner *sr;
-    int failed;
+    TCase *tc = Fw_Suite_New("stand");
 
     tcase_set_timeout(tc, 60);
     tcase_add_loop_test(tc, engine, 0, G_N_ELEMENTS(engines));
     tcase_add_loop_test(tc, order, 0, G_N_ELEMENTS(orders));
     tcase_add_loop_test(tc, platforms, 0, G_N_ELEMENTS(platform));
     tcase_add_test(tc, cache_is_shown);
-    suite_add_tcase(s, tc);
-    sr = srunner_create(s);
-    srunner_run_all(sr, CK_ENV);
-    failed = srunner_ntests_failed(sr);
-    srunner_free(sr);
-    return failed != 0;
+    return Fw_Suite_Run(tc);
 }
