Give part of the tolerance to the bucket; take over levels at a start; early digests

Ruled out: refunds and repeats (they are told as negative spending). Change: purses exist from the configuration on; an instance that starts takes over a level; a tight team's spending is told after half the time; half of the overage and 0.3 of the tolerance go to the bucket.

--- a/src/relay/call.c
+++ b/src/relay/call.c
@@ -119,7 +119,7 @@
     if (c->item.team) {
         Fw_Queue_Remove(&r->queue, &c->item);
     }
-    if (c->ran == FW_RAN_NO && c->cost) {
+    if (c->ran == FW_RAN_NO && c->paid) {
         Fw_Purse_Return(r, c->team, c->cost);
     }
     g_hash_table_remove(r->calls, &c->id);
@@ -151,10 +151,11 @@
     Fw_Acts_Log(out, r, LOG_WARNING, "refused",
                 "\"id\":\"%s\",\"route\":\"%s\",\"team\":\"%s\","
                 "\"status\":%d,\"reason\":\"%s\",\"ran\":\"%s\","
+                "\"cost\":%" G_GINT64_FORMAT ","
                 "\"tries\":%d,\"after_ms\":%" G_GINT64_FORMAT
                 ",\"retry_ms\":%" G_GINT64_FORMAT,
                 c->ask.id, c->route.name, c->team, status, reason,
-                Fw_Ran_Name(c->ran), c->tries,
+                Fw_Ran_Name(c->ran), c->cost, c->tries,
                 Fw_Relay_Ms(now_us - c->opened_us), Fw_Relay_Ms(retry_us));
     a = Fw_Acts_Add(out, FW_RL_DO_REFUSE);
     a->u.refuse = (struct fw_rl_refusal){.call = c->id,
--- a/src/relay/members.c
+++ b/src/relay/members.c
@@ -164,9 +164,10 @@
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         const struct fw_rl_purse *p = v;
 
-        msgpack_pack_array(pk, 2);
+        msgpack_pack_array(pk, 3);
         msgpack_pack_uint64(pk, p->hash);
         msgpack_pack_int64(pk, p->spent);
+        msgpack_pack_int64(pk, (int64_t)p->level);
     }
 }
 
@@ -235,6 +236,7 @@
 {
     msgpack_packer pk;
 
+    r->digest_wanted = 0;
     msgpack_packer_init(&pk, out, write_bytes);
     msgpack_pack_array(&pk, 8);
     msgpack_pack_int(&pk, FW_DIGEST_FORM);
@@ -247,6 +249,12 @@
     pack_strikes(r, &pk);
 }
 
+int
+Fw_Relay_DigestWanted(const struct fw_relay *r)
+{
+    return r->digest_wanted;
+}
+
 /* An array of rows of @width whole numbers; NULL if it is not that. */
 static const msgpack_object_array *
 rows_of(const msgpack_object *o, uint32_t width)
@@ -287,24 +295,22 @@
  */
 static void
 take_spent(struct fw_relay *r, struct fw_rl_member *m, int first,
-           const msgpack_object_array *rows)
+           const msgpack_object_array *rows, int64_t now_us)
 {
     for (uint32_t i = 0; i < rows->size; i++) {
         uint64_t hash = (uint64_t)cell(rows, i, 0);
-        int64_t now = cell(rows, i, 1);
+        int64_t spent = cell(rows, i, 1);
         int64_t *before = g_hash_table_lookup(m->spent, &hash);
-        int64_t delta = now - (before ? *before : 0);
+        int64_t delta = spent - (before ? *before : 0);
         int64_t *kept;
 
-        if (!first && delta) {
-            Fw_Purse_Others(r, hash, delta);
-        }
+        Fw_Purse_Others(r, hash, first ? 0 : delta, cell(rows, i, 2), now_us);
         if (before) {
-            *before = now;
+            *before = spent;
             continue;
         }
         kept = g_new(int64_t, 1);
-        *kept = now;
+        *kept = spent;
         g_hash_table_insert(m->spent, key_of(hash), kept);
     }
 }
@@ -364,7 +370,7 @@
     d->boot = f[2].via.u64;
     d->seq = f[3].via.u64;
     d->waiting = (int)MIN(f[4].via.u64, FW_ENTRIES_MAX);
-    d->spent = rows_of(&f[5], 2);
+    d->spent = rows_of(&f[5], 3);
     d->load = rows_of(&f[6], 5);
     d->strikes = rows_of(&f[7], 2);
     return d->spent && d->load && d->strikes ? 0 : -EBADMSG;
@@ -403,7 +409,7 @@
     m->heard_us = now_us;
     m->waiting = d->waiting;
     g_strlcpy(m->addr, addr, sizeof(m->addr));
-    take_spent(r, m, first, d->spent);
+    take_spent(r, m, first, d->spent, now_us);
     take_load(m, d->load);
     take_strikes(m, d->strikes);
     return !known;
--- a/src/relay/open.c
+++ b/src/relay/open.c
@@ -106,7 +106,6 @@
            struct fw_rl_acts *out)
 {
     const struct fw_rl_team_rule *t = Fw_Rules_Team(r->rules, c->ask.key);
-    int64_t cost;
     int64_t retry_us;
 
     memset(c->ask.key, 0, sizeof(c->ask.key));
@@ -123,12 +122,12 @@
     if (t->priority >= 0) {
         c->urgency = t->priority;
     }
-    cost = cost_of(t, &c->ask);
-    if (!Fw_Purse_Take(r, t, cost, now_us, &retry_us)) {
+    c->cost = cost_of(t, &c->ask);
+    if (!Fw_Purse_Take(r, t, c->cost, now_us, &retry_us)) {
         Fw_Call_Refuse(r, c, 429, retry_us, "over_allowance", now_us, out);
         return 0;
     }
-    c->cost = cost;
+    c->paid = 1;
     return 1;
 }
 
--- a/src/relay/plain.c
+++ b/src/relay/plain.c
@@ -59,9 +59,10 @@
     g_strlcpy(up.team, c->team, sizeof(up.team));
     Fw_Call_Ask(r, c, s, &up, until, now_us, out);
     Fw_Acts_Log(out, r, LOG_INFO, "sent",
-                "\"id\":\"%s\",\"route\":\"%s\",\"server\":\"%s\","
+                "\"id\":\"%s\",\"route\":\"%s\",\"team\":\"%s\","
+                "\"cost\":%" G_GINT64_FORMAT ",\"server\":\"%s\","
                 "\"try\":%d,\"running\":%d,\"left_ms\":%" G_GINT64_FORMAT,
-                c->ask.id, c->route.name, s->e.id, c->tries, s->running,
+                c->ask.id, c->route.name, c->team, c->cost, s->e.id, c->tries, s->running,
                 Fw_Relay_Ms(up.left_us));
 }
 
--- a/src/relay/purse.c
+++ b/src/relay/purse.c
@@ -17,6 +17,13 @@
 
 /* Part of the burst that an instance starts with: it can't know the past. */
 #define FW_START_LEVEL 0.25
+/* Within this after its start an instance takes over another's level. */
+#define FW_ADOPT_US (3 * FW_SEC)
+/* Below this part of the burst the others are told at once. */
+#define FW_TIGHT 0.5
+/* Parts of the operator's overage and tolerance that the bucket is given. */
+#define FW_OVERAGE_PERMILLE 500
+#define FW_TOLERANCE_PERMILLE 300
 /* Refused callers are told to wait between these. */
 #define FW_RETRY_LEAST_US (100 * FW_MSEC)
 #define FW_RETRY_MOST_US (4 * FW_SEC)
@@ -36,6 +43,30 @@
     }
 }
 
+/*
+ * Callers' requests take a moment to be told to all instances, and a bucket
+ * of a few requests refuses wrongly for it. So part of what the operator
+ * tolerates beyond the limits is given to the bucket; the rest stays for
+ * what several instances let through at once.
+ */
+static void
+resize(struct fw_relay *r, struct fw_rl_purse *p,
+       const struct fw_rl_team_rule *t, int64_t now_us)
+{
+    int64_t over = r->opts.overage_ppm * FW_OVERAGE_PERMILLE / 1000;
+    int64_t rate = t->rate + t->rate * over / 1000000;
+    int64_t burst = t->burst + t->burst * over / 1000000 +
+                    r->opts.tolerance * FW_TOLERANCE_PERMILLE / 1000;
+
+    if (p->rate == rate && p->burst == burst) {
+        return;
+    }
+    settle(r, p, now_us);
+    p->rate = rate;
+    p->burst = MAX(burst, 1);
+    p->level = MIN(p->level, (double)p->burst);
+}
+
 static struct fw_rl_purse *
 purse_of(struct fw_relay *r, const struct fw_rl_team_rule *t, int64_t now_us)
 {
@@ -47,17 +78,31 @@
         p->hash = Fw_Hash_Str(t->name);
         p->level = FW_START_LEVEL * (double)t->burst;
         p->at_us = now_us;
+        p->born_us = now_us;
         g_hash_table_insert(r->purses, p->team, p);
     }
-    if (p->rate != t->rate || p->burst != t->burst) {
-        settle(r, p, now_us);
-        p->rate = t->rate;
-        p->burst = MAX(t->burst, 1);
-        p->level = MIN(p->level, (double)p->burst);
-    }
+    resize(r, p, t, now_us);
     return p;
 }
 
+void
+Fw_Purse_FollowRules(struct fw_relay *r, int64_t now_us,
+                     struct fw_rl_acts *out)
+{
+    for (guint i = 0; i < r->rules->teams->len; i++) {
+        const struct fw_rl_team_rule *t =
+            g_ptr_array_index(r->rules->teams, i);
+
+        if (t->rate > 0) {
+            purse_of(r, t, now_us);
+        }
+        Fw_Acts_Log(out, r, LOG_DEBUG, "team_limit",
+                    "\"team\":\"%s\",\"rate\":%" G_GINT64_FORMAT
+                    ",\"burst\":%" G_GINT64_FORMAT,
+                    t->name, t->rate, t->burst);
+    }
+}
+
 /* A request larger than the burst passes a full bucket. */
 int
 Fw_Purse_Take(struct fw_relay *r, const struct fw_rl_team_rule *t,
@@ -79,6 +124,9 @@
     }
     p->level -= (double)cost;
     p->spent += cost;
+    if (p->level < FW_TIGHT * (double)p->burst) {
+        r->digest_wanted = 1;
+    }
     return 1;
 }
 
@@ -94,7 +142,8 @@
 }
 
 void
-Fw_Purse_Others(struct fw_relay *r, uint64_t hash, int64_t tokens)
+Fw_Purse_Others(struct fw_relay *r, uint64_t hash, int64_t tokens,
+                int64_t level, int64_t now_us)
 {
     GHashTableIter it;
     gpointer v;
@@ -103,9 +152,18 @@
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         struct fw_rl_purse *p = v;
 
-        if (p->hash == hash) {
-            p->level = MIN(p->level - (double)tokens, (double)p->burst);
-            return;
+        if (p->hash != hash) {
+            continue;
+        }
+        if (!p->adopted && now_us - p->born_us < FW_ADOPT_US) {
+            p->adopted = 1;
+            p->level = (double)level;
+            p->at_us = now_us;
         }
+        else {
+            p->level -= (double)tokens;
+        }
+        p->level = MIN(p->level, (double)p->burst);
+        return;
     }
 }
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -107,6 +107,7 @@
                 ",\"routes\":%u,\"services\":%u,\"teams\":%u",
                 rules->version, offset, rules->routes->len,
                 rules->services->len, rules->teams->len);
+    Fw_Purse_FollowRules(r, now_us, out);
     Fw_Stream_Pump(r, now_us, out);
 }
 
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -148,6 +148,8 @@
  * @read_here_us: a prompt that would be read later than this elsewhere is
  *     read by its decode engine
  * @prefill_permille: part of a service's engines that prefill
+ * @overage_ppm, @tolerance: what the operator tolerates beyond a team's rate
+ *     and burst: part of them, and tokens
  * @lease_us: how long the order role lasts
  * @grace_us: from SIGTERM until the process is killed
  */
@@ -164,6 +166,8 @@
     int reserve_permille;
     int64_t read_here_us;
     int prefill_permille;
+    int64_t overage_ppm;
+    int64_t tolerance;
     int64_t lease_us;
     int64_t grace_us;
     int log_level;
@@ -246,6 +250,9 @@
 /* What other instances should know; appended to @out. */
 void
 Fw_Relay_WriteDigest(struct fw_relay *r, int64_t now_us, GByteArray *out);
+/* Nonzero when the others should be told sooner than usual. */
+int
+Fw_Relay_DigestWanted(const struct fw_relay *r);
 /*
  * A digest from @addr. Return: 1 when its sender wasn't known, 0 when it
  * was, -EBADMSG.
--- a/src/relay/relay_internal.h
+++ b/src/relay/relay_internal.h
@@ -96,6 +96,8 @@
  * struct fw_rl_purse - a team's allowance as known here.
  * @level: tokens; below zero when others spent what was not known here yet
  * @spent: tokens spent here since the start, told to the others
+ * @born_us, @adopted: the level of an instance that has just started is a
+ *     guess until another one's was taken over
  */
 struct fw_rl_purse {
     char team[FW_NAME_MAX];
@@ -105,6 +107,8 @@
     double level;
     int64_t at_us;
     int64_t spent;
+    int64_t born_us;
+    int adopted;
 };
 
 #define FW_RL_BUDGET_SLOTS 16
@@ -126,7 +130,8 @@
 
 /**
  * struct fw_rl_call - a caller's request until its answer is out.
- * @cost: tokens of its team's allowance, given back if it never runs
+ * @cost: tokens of its team's allowance; @paid: taken, and given back if it
+ *     never runs
  * @need: tokens reserved for it at an engine
  * @server, @reader: where it runs, and where its prompt is read
  * @op: the call to an upstream that it waits for
@@ -146,6 +151,7 @@
     int64_t deadline_us;
     int64_t queue_until_us;
     int64_t cost;
+    int paid;
     int64_t need;
     struct fw_rl_server *server;
     struct fw_rl_server *reader;
@@ -260,6 +266,7 @@
     struct fw_rl_lead lead;
     double run_us; /* moving mean of a stream's time at an engine */
     uint64_t digest_seq;
+    int digest_wanted; /* others should know soon */
     int64_t look_us;  /* when engines are looked at next */
     int settled;      /* the stages were as wanted once */
     int64_t short_us; /* since when a stage has too many or too few */
@@ -391,14 +398,22 @@
 Fw_Stream_RetryAfter(struct fw_relay *r);
 
 /* purse.c */
+/* A purse for each team of the configuration in force. */
+void
+Fw_Purse_FollowRules(struct fw_relay *r, int64_t now_us,
+                     struct fw_rl_acts *out);
 int
 Fw_Purse_Take(struct fw_relay *r, const struct fw_rl_team_rule *t,
               int64_t cost, int64_t now_us, int64_t *retry_us);
 void
 Fw_Purse_Return(struct fw_relay *r, const char *team, int64_t cost);
-/* Another instance has spent @tokens of the team with @hash. */
+/*
+ * Another instance has spent @tokens more of the team with @hash, and has
+ * @level of it.
+ */
 void
-Fw_Purse_Others(struct fw_relay *r, uint64_t hash, int64_t tokens);
+Fw_Purse_Others(struct fw_relay *r, uint64_t hash, int64_t tokens,
+                int64_t level, int64_t now_us);
 
 /* budget.c */
 void
--- a/src/relay/stream.c
+++ b/src/relay/stream.c
@@ -191,10 +191,11 @@
     c->tries++;
     Fw_Call_Ask(r, c, c->server, &up, c->deadline_us, now_us, out);
     Fw_Acts_Log(out, r, LOG_INFO, "sent",
-                "\"id\":\"%s\",\"route\":\"%s\",\"server\":\"%s\","
+                "\"id\":\"%s\",\"route\":\"%s\",\"team\":\"%s\","
+                "\"cost\":%" G_GINT64_FORMAT ",\"server\":\"%s\","
                 "\"reader\":\"%s\",\"tokens\":%" G_GINT64_FORMAT
                 ",\"after_ms\":%" G_GINT64_FORMAT,
-                c->ask.id, c->route.name, c->server->e.id,
+                c->ask.id, c->route.name, c->team, c->cost, c->server->e.id,
                 c->reader ? c->reader->e.id : "", c->need,
                 Fw_Relay_Ms(now_us - c->opened_us));
 }
--- a/src/relayd/peers.c
+++ b/src/relayd/peers.c
@@ -99,7 +99,10 @@
 void
 Fw_Peer_Tick(struct fw_relayd *d, int64_t now_us)
 {
-    if (now_us >= d->digest_us) {
+    int64_t early_us = d->digest_us - d->opts.digest_every_us / 2;
+
+    if (now_us >= d->digest_us ||
+        (now_us >= early_us && Fw_Relay_DigestWanted(d->relay))) {
         d->digest_us = now_us + d->opts.digest_every_us;
         send_digest(d, NULL);
     }
--- a/src/relayd/settings.c
+++ b/src/relayd/settings.c
@@ -18,6 +18,8 @@
     int64_t retry_ratio;
     int64_t retry_extra;
     int64_t retry_window_s;
+    int64_t overage;
+    int64_t tolerance;
     int64_t lease_ms;
     int64_t grace_s;
     int64_t rules_wait_ms;
@@ -67,6 +69,9 @@
      FW_AT(retry_ratio), NULL},
     FW_INT("limits", "retry-extra", "10", 0, 1000000, retry_extra),
     FW_INT("limits", "retry-window-s", "10", 1, 3600, retry_window_s),
+    {"limits", "overage", FW_INI_DECIMAL, "0", 0, 1000000, FW_AT(overage),
+     NULL},
+    FW_INT("limits", "tolerance", "0", 0, 1000000000, tolerance),
     FW_INT("limits", "lease-ms", "3000", 100, 600000, lease_ms),
     FW_INT("limits", "grace-s", "8", 1, 3600, grace_s),
     FW_INT("peers", "digest-every-ms", "150", 10, 10000, digest_every_ms),
@@ -93,6 +98,8 @@
     r->reserve_permille = (int)v->reserve_permille;
     r->read_here_us = v->read_here_ms * FW_MSEC;
     r->prefill_permille = (int)v->prefill_permille;
+    r->overage_ppm = v->overage;
+    r->tolerance = v->tolerance;
     r->lease_us = v->lease_ms * FW_MSEC;
     r->grace_us = v->grace_s * FW_SEC;
     r->log_level = (int)v->log_level;
--- a/tests/relay/script.c
+++ b/tests/relay/script.c
@@ -304,9 +304,10 @@
     msgpack_pack_int(&pk, 0);
     msgpack_pack_array(&pk, team ? 1 : 0);
     if (team) {
-        msgpack_pack_array(&pk, 2);
+        msgpack_pack_array(&pk, 3);
         msgpack_pack_uint64(&pk, Fw_Hash_Str(team));
         msgpack_pack_int64(&pk, spent);
+        msgpack_pack_int64(&pk, 0);
     }
     msgpack_pack_array(&pk, 0);
     msgpack_pack_array(&pk, 0);
