--- a/src/relay/stream.c
+++ b/src/relay/stream.c
@@ -193,10 +193,14 @@
     Fw_Acts_Log(out, r, LOG_INFO, "sent",
                 "\"id\":\"%s\",\"route\":\"%s\",\"team\":\"%s\","
                 "\"cost\":%" G_GINT64_FORMAT ",\"server\":\"%s\","
-                "\"reader\":\"%s\",\"tokens\":%" G_GINT64_FORMAT
+                "\"reader\":\"%s\",\"in\":%" G_GINT64_FORMAT
+                ",\"most_out\":%" G_GINT64_FORMAT
+                ",\"hint\":%" G_GINT64_FORMAT
+                ",\"tokens\":%" G_GINT64_FORMAT
                 ",\"after_ms\":%" G_GINT64_FORMAT,
                 c->ask.id, c->route.name, c->team, c->cost, c->server->e.id,
-                c->reader ? c->reader->e.id : "", c->need,
+                c->reader ? c->reader->e.id : "", c->ask.tokens_in,
+                c->ask.tokens_out, c->ask.hint_out, c->need,
                 Fw_Relay_Ms(now_us - c->opened_us));
 }
 
--- a/src/relayd/settings.c
+++ b/src/relayd/settings.c
@@ -35,9 +35,10 @@
 
 /*
  * Keys count for this part of the time within which a withdrawn key must
- * stop working; the rest covers the way to the upstream and a slow loop.
+ * stop working, from when the last good read was sent. A request that comes
+ * by then was sent by then; the rest is for clocks that drift.
  */
-#define FW_STALE_PERMILLE 780
+#define FW_STALE_PERMILLE 960
 
 #define FW_AT(field) offsetof(struct values, field)
 #define FW_INT(group, key, fallback, min, max, field)                         \
@@ -75,7 +76,7 @@
     FW_INT("limits", "lease-ms", "3000", 100, 600000, lease_ms),
     FW_INT("limits", "grace-s", "8", 1, 3600, grace_s),
     FW_INT("peers", "digest-every-ms", "150", 10, 10000, digest_every_ms),
-    FW_INT("policy", "queue-ms", "550", 0, 600000, queue_ms),
+    FW_INT("policy", "queue-ms", "650", 0, 600000, queue_ms),
     FW_INT("policy", "reserve-permille", "1000", 100, 1000, reserve_permille),
     FW_INT("policy", "read-here-ms", "600", 0, 60000, read_here_ms),
     FW_INT("policy", "prefill-permille", "220", 1, 999, prefill_permille),
