Let a few instances of a large fleet read the store; the others ask those

Ruled out: the length of the polls alone (halving them halved the calls). Change: fleets of more than twelve have readers, one in eight; the others ask a reader how old its knowledge is, counted from when they asked, and read once when a digest or an answer shows something newer; without answers for 3 s an instance reads for itself.

--- a/src/relay/members.c
+++ b/src/relay/members.c
@@ -39,8 +39,8 @@
                                  free_value);
 }
 
-static struct fw_rl_member *
-find(const struct fw_relay *r, const char *name)
+struct fw_rl_member *
+Fw_Members_Find(const struct fw_relay *r, const char *name)
 {
     struct fw_list *pos;
 
@@ -95,7 +95,7 @@
     if (strcmp(name, r->opts.name) == 0) {
         return;
     }
-    m = find(r, name);
+    m = Fw_Members_Find(r, name);
     if (!m) {
         m = add(r, name, now_us);
     }
@@ -217,6 +217,17 @@
     }
 }
 
+static void
+pack_watch(struct fw_relay *r, int64_t now_us, msgpack_packer *pk)
+{
+    msgpack_pack_array(pk, 1);
+    msgpack_pack_array(pk, 4);
+    msgpack_pack_int(pk, Fw_Relay_ReadsStore(r, now_us));
+    msgpack_pack_uint64(pk, r->rules_offset);
+    msgpack_pack_uint64(pk, r->watch.list_offset);
+    msgpack_pack_uint64(pk, Fw_Watch_ListHash(r));
+}
+
 static void
 pack_str(msgpack_packer *pk, const char *s)
 {
@@ -238,7 +249,7 @@
 
     r->digest_wanted = 0;
     msgpack_packer_init(&pk, out, write_bytes);
-    msgpack_pack_array(&pk, 8);
+    msgpack_pack_array(&pk, 9);
     msgpack_pack_int(&pk, FW_DIGEST_FORM);
     pack_str(&pk, r->opts.name);
     msgpack_pack_uint64(&pk, r->opts.boot);
@@ -247,6 +258,7 @@
     pack_spent(r, &pk);
     pack_load(r, now_us, &pk);
     pack_strikes(r, &pk);
+    pack_watch(r, now_us, &pk);
 }
 
 int
@@ -349,6 +361,7 @@
     const msgpack_object_array *spent;
     const msgpack_object_array *load;
     const msgpack_object_array *strikes;
+    const msgpack_object_array *watch;
 };
 
 static int
@@ -356,7 +369,7 @@
 {
     const msgpack_object *f = o->via.array.ptr;
 
-    if (o->type != MSGPACK_OBJECT_ARRAY || o->via.array.size != 8 ||
+    if (o->type != MSGPACK_OBJECT_ARRAY || o->via.array.size != 9 ||
         f[0].type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
         f[0].via.u64 != FW_DIGEST_FORM || f[1].type != MSGPACK_OBJECT_STR ||
         !f[1].via.str.size || f[1].via.str.size >= FW_NAME_MAX ||
@@ -373,7 +386,11 @@
     d->spent = rows_of(&f[5], 3);
     d->load = rows_of(&f[6], 5);
     d->strikes = rows_of(&f[7], 2);
-    return d->spent && d->load && d->strikes ? 0 : -EBADMSG;
+    d->watch = rows_of(&f[8], 4);
+    return d->spent && d->load && d->strikes && d->watch &&
+                   d->watch->size == 1
+               ? 0
+               : -EBADMSG;
 }
 
 /* Datagrams overtake each other: an older one says nothing new. */
@@ -387,7 +404,7 @@
 take(struct fw_relay *r, const struct digest *d, const char *addr,
      int64_t now_us)
 {
-    struct fw_rl_member *m = find(r, d->name);
+    struct fw_rl_member *m = Fw_Members_Find(r, d->name);
     int known = m && m->heard_us;
     int first;
 
@@ -412,12 +429,17 @@
     take_spent(r, m, first, d->spent, now_us);
     take_load(m, d->load);
     take_strikes(m, d->strikes);
+    m->reads = (int)cell(d->watch, 0, 0);
+    m->rules_offset = (uint64_t)cell(d->watch, 0, 1);
+    m->list_offset = (uint64_t)cell(d->watch, 0, 2);
+    m->list_hash = (uint64_t)cell(d->watch, 0, 3);
+    Fw_Watch_Heard(r, m);
     return !known;
 }
 
 int
-Fw_Relay_ReadDigest(struct fw_relay *r, const char *addr, const void *data,
-                    size_t len, int64_t now_us)
+Fw_Relay_ReadMessage(struct fw_relay *r, const char *addr, const void *data,
+                     size_t len, int64_t now_us, GByteArray *reply)
 {
     msgpack_unpacked u;
     struct digest d;
@@ -429,5 +451,5 @@
         rc = take(r, &d, addr, now_us);
     }
     msgpack_unpacked_destroy(&u);
-    return rc;
+    return rc == -EBADMSG ? Fw_Watch_Read(r, data, len, now_us, reply) : rc;
 }
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -254,12 +254,40 @@
 int
 Fw_Relay_DigestWanted(const struct fw_relay *r);
 /*
- * A digest from @addr. Return: 1 when its sender wasn't known, 0 when it
- * was, -EBADMSG.
+ * A message of another instance at @addr. @reply: what goes back, may stay
+ * empty. Return: 1 when its sender wasn't known, 0 when it was, -EBADMSG.
  */
 int
-Fw_Relay_ReadDigest(struct fw_relay *r, const char *addr, const void *data,
-                    size_t len, int64_t now_us);
+Fw_Relay_ReadMessage(struct fw_relay *r, const char *addr, const void *data,
+                     size_t len, int64_t now_us, GByteArray *reply);
+/*
+ * A question to another instance about how far it has read the store, when
+ * one is due: appended to @out for @addr. Return: nonzero when there is one.
+ */
+int
+Fw_Relay_WriteQuestion(struct fw_relay *r, int64_t now_us, GByteArray *out,
+                       const char **addr);
+/* Does this instance read the store itself, or learn from others? */
+int
+Fw_Relay_ReadsStore(const struct fw_relay *r, int64_t now_us);
+/* How long a read of the configuration may wait for a change. */
+int64_t
+Fw_Relay_RulesWait(const struct fw_relay *r, int64_t base_us, int64_t now_us);
+/*
+ * Should the configuration, or the servers' entries, be read once although
+ * others do the reading? Asked about, it is taken as done.
+ */
+int
+Fw_Relay_TakeWantRules(struct fw_relay *r);
+int
+Fw_Relay_TakeWantList(struct fw_relay *r);
+/* The servers' entries were read up to @offset. */
+void
+Fw_Relay_ListOffset(struct fw_relay *r, uint64_t offset);
+/* Between two digests, milliseconds: grows with the number of instances. */
+int64_t
+Fw_Relay_DigestEvery(const struct fw_relay *r, int64_t base_us,
+                     int64_t now_us);
 /* Another instance is registered at @addr. */
 void
 Fw_Relay_AddMember(struct fw_relay *r, const char *name, const char *addr,
--- a/src/relay/relay_internal.h
+++ b/src/relay/relay_internal.h
@@ -77,6 +77,9 @@
  * @load: server's hash to struct fw_rl_load
  * @strikes: request's digest to servers lost with it
  * @waiting: requests that wait for engines there
+ * @reads: it reads the platform's store itself
+ * @rules_offset, @list_offset, @list_hash: how far it has read, and what it
+ *     knows of the servers
  */
 struct fw_rl_member {
     struct fw_list link;
@@ -90,6 +93,10 @@
     GHashTable *load;
     GHashTable *strikes;
     int waiting;
+    int reads;
+    uint64_t rules_offset;
+    uint64_t list_offset;
+    uint64_t list_hash;
 };
 
 /**
@@ -111,6 +118,21 @@
     int adopted;
 };
 
+/**
+ * struct fw_rl_watch - how the store is kept up with; see watch.c.
+ * @asked_us, @nonce: the question that is out, @nonce 0 for none
+ * @list_offset: how far the servers' entries were read here
+ * @want_rules, @want_list: another instance knows of something newer
+ */
+struct fw_rl_watch {
+    int64_t asked_us;
+    uint64_t nonce;
+    uint64_t last_nonce;
+    uint64_t list_offset;
+    int want_rules;
+    int want_list;
+};
+
 #define FW_RL_BUDGET_SLOTS 16
 
 /** struct fw_rl_budget - repeats of one service's requests; ring by time. */
@@ -264,6 +286,7 @@
     struct fw_rl_strike strikes[FW_RL_STRIKES];
     int n_strikes;
     struct fw_rl_lead lead;
+    struct fw_rl_watch watch;
     double run_us; /* moving mean of a stream's time at an engine */
     uint64_t digest_seq;
     int digest_wanted; /* others should know soon */
@@ -432,6 +455,22 @@
 void
 Fw_Members_Clear(struct fw_relay *r);
 
+/* members.c, for watch.c */
+struct fw_rl_member *
+Fw_Members_Find(const struct fw_relay *r, const char *name);
+
+/* watch.c */
+/* A member said how far it has read. */
+void
+Fw_Watch_Heard(struct fw_relay *r, const struct fw_rl_member *m);
+/* What this instance knows of the servers, in one figure. */
+uint64_t
+Fw_Watch_ListHash(const struct fw_relay *r);
+/* A question (form 2) or an answer (form 3); -EBADMSG for neither. */
+int
+Fw_Watch_Read(struct fw_relay *r, const void *data, size_t len,
+              int64_t now_us, GByteArray *reply);
+
 /* poison.c */
 void
 Fw_Poison_CutOff(struct fw_relay *r, uint64_t digest,
--- a/src/relayd/peers.c
+++ b/src/relayd/peers.c
@@ -9,6 +9,19 @@
 /* A datagram that passes any link unfragmented is smaller; ours are too. */
 #define FW_DATAGRAM_MAX 60000
 
+/* What can't be sent now is old by the next time. */
+static void
+send_to(struct fw_relayd *d, const char *addr, const GByteArray *msg)
+{
+    GSocketAddress *to = Fw_Addr_Parse(addr);
+
+    if (to) {
+        g_socket_send_to(d->peers, to, (char *)msg->data, msg->len, NULL,
+                         NULL);
+        g_object_unref(to);
+    }
+}
+
 static void
 send_digest(struct fw_relayd *d, const char *only)
 {
@@ -23,14 +36,7 @@
         Fw_Relay_Members(d->relay, addrs);
     }
     for (guint i = 0; i < addrs->len; i++) {
-        GSocketAddress *to = Fw_Addr_Parse(g_ptr_array_index(addrs, i));
-
-        if (to) {
-            /* A digest that can't be sent now is old by the next one. */
-            g_socket_send_to(d->peers, to, (char *)msg->data, msg->len, NULL,
-                             NULL);
-            g_object_unref(to);
-        }
+        send_to(d, g_ptr_array_index(addrs, i), msg);
     }
     g_ptr_array_unref(addrs);
     g_byte_array_unref(msg);
@@ -39,11 +45,17 @@
 static void
 take(struct fw_relayd *d, GSocketAddress *from, const char *data, size_t len)
 {
+    GByteArray *reply = g_byte_array_new();
     char addr[FW_URL_MAX];
     int rc;
 
     Fw_Addr_Print(from, addr);
-    rc = Fw_Relay_ReadDigest(d->relay, addr, data, len, Fw_Conn_Now());
+    rc = Fw_Relay_ReadMessage(d->relay, addr, data, len, Fw_Conn_Now(),
+                              reply);
+    if (reply->len) {
+        send_to(d, addr, reply);
+    }
+    g_byte_array_unref(reply);
     if (rc < 0) {
         Fw_Note_Log(LOG_WARNING, "digest_unreadable", "from", addr, NULL);
     }
@@ -96,16 +108,31 @@
     return 0;
 }
 
+static void
+send_question(struct fw_relayd *d, int64_t now_us)
+{
+    GByteArray *msg = g_byte_array_new();
+    const char *addr;
+
+    if (Fw_Relay_WriteQuestion(d->relay, now_us, msg, &addr)) {
+        send_to(d, addr, msg);
+    }
+    g_byte_array_unref(msg);
+}
+
 void
 Fw_Peer_Tick(struct fw_relayd *d, int64_t now_us)
 {
-    int64_t early_us = d->digest_us - d->opts.digest_every_us / 2;
+    int64_t every =
+        Fw_Relay_DigestEvery(d->relay, d->opts.digest_every_us, now_us);
+    int64_t early_us = d->digest_us - every / 2;
 
     if (now_us >= d->digest_us ||
         (now_us >= early_us && Fw_Relay_DigestWanted(d->relay))) {
-        d->digest_us = now_us + d->opts.digest_every_us;
+        d->digest_us = now_us + every;
         send_digest(d, NULL);
     }
+    send_question(d, now_us);
 }
 
 void
--- a/src/relayd/store.c
+++ b/src/relayd/store.c
@@ -209,6 +209,7 @@
     f->step = FW_STEP_READ;
     if (f->topic == FW_TOPIC_SERVERS) {
         Fw_Relay_ListEnd(d->relay, Fw_Conn_Now(), acts);
+        Fw_Relay_ListOffset(d->relay, f->from);
     }
     if (f->topic == FW_TOPIC_MEMBERS) {
         f->step = FW_STEP_NEWEST;
@@ -223,6 +224,9 @@
     take_all(f, got, acts);
     f->from = got->next;
     f->next_us = f->from < got->end ? 0 : f->sent_us + f->every_us;
+    if (f->topic == FW_TOPIC_SERVERS) {
+        Fw_Relay_ListOffset(f->store->d->relay, f->from);
+    }
 }
 
 static void
@@ -389,6 +393,7 @@
                                    .connect_us = 400 * FW_MSEC};
     GString *head = g_string_new(NULL);
     GBytes *body = NULL;
+    int64_t wait_us;
     int err = 0;
 
     f->sent_us = now;
@@ -399,9 +404,10 @@
         Fw_Platform_WriteNewest(f->topic, f->after, d->opts.store, head);
         break;
     case FW_STEP_READ:
-        Fw_Platform_WriteRead(f->topic, f->from, f->wait_us, d->opts.store,
+        wait_us = Fw_Relay_ReadsStore(d->relay, now) ? f->wait_us : 0;
+        Fw_Platform_WriteRead(f->topic, f->from, wait_us, d->opts.store,
                               head);
-        f->until_us += f->wait_us;
+        f->until_us += wait_us;
         break;
     case FW_STEP_APPEND:
         Fw_Platform_WriteAppend(f->topic, f->at, d->opts.relay.name, f->value,
@@ -421,6 +427,26 @@
     }
 }
 
+/* Others may read the two large topics for this instance. */
+static int
+is_wanted(struct fw_follow *f, int64_t now)
+{
+    struct fw_relay *r = f->store->d->relay;
+
+    switch (f->topic) {
+    case FW_TOPIC_RULES:
+        return Fw_Relay_ReadsStore(r, now) || Fw_Relay_TakeWantRules(r);
+    case FW_TOPIC_SERVERS:
+        return f->step == FW_STEP_NEWEST || Fw_Relay_ReadsStore(r, now) ||
+               Fw_Relay_TakeWantList(r);
+    case FW_TOPIC_LEAD:
+        return f->value != NULL;
+    case FW_TOPIC_MEMBERS:
+        break;
+    }
+    return 1;
+}
+
 static void
 tick(struct fw_follow *f, int64_t now)
 {
@@ -430,8 +456,7 @@
         missed(f, "no answer");
         claim_failed(f);
     }
-    if (!f->x && now >= f->next_us &&
-        (f->topic != FW_TOPIC_LEAD || f->value)) {
+    if (!f->x && now >= f->next_us && is_wanted(f, now)) {
         ask(f, now);
     }
 }
@@ -451,7 +476,8 @@
 void
 Fw_Store_Tick(struct fw_store *s, int64_t now_us)
 {
-    s->rules.wait_us = s->d->opts.rules_wait_us;
+    s->rules.wait_us =
+        Fw_Relay_RulesWait(s->d->relay, s->d->opts.rules_wait_us, now_us);
     s->servers.every_us = s->d->opts.servers_every_us;
     tick(&s->rules, now_us);
     tick(&s->servers, now_us);
--- a/tests/relay/script.c
+++ b/tests/relay/script.c
@@ -295,7 +295,7 @@
     msgpack_packer pk;
 
     msgpack_packer_init(&pk, msg, write_bytes);
-    msgpack_pack_array(&pk, 8);
+    msgpack_pack_array(&pk, 9);
     msgpack_pack_int(&pk, 1);
     msgpack_pack_str(&pk, strlen(name));
     msgpack_pack_str_body(&pk, name, strlen(name));
@@ -311,8 +311,14 @@
     }
     msgpack_pack_array(&pk, 0);
     msgpack_pack_array(&pk, 0);
-    ck_assert_int_ge(Fw_Relay_ReadDigest(p->r, "127.0.0.9:1", msg->data,
-                                         msg->len, p->now_us),
+    msgpack_pack_array(&pk, 1);
+    msgpack_pack_array(&pk, 4);
+    msgpack_pack_int(&pk, 1);
+    msgpack_pack_uint64(&pk, 0);
+    msgpack_pack_uint64(&pk, 0);
+    msgpack_pack_uint64(&pk, 0);
+    ck_assert_int_ge(Fw_Relay_ReadMessage(p->r, "127.0.0.9:1", msg->data,
+                                          msg->len, p->now_us, NULL),
                      0);
     g_byte_array_unref(msg);
 }
