Serve the product's own ports with the strict HTTP layer

Cause: the library's server rewrites targets and takes what smuggles (Content-Length beside a transfer coding, two lengths, '+5', chunks of negative size run a handler twice); the table of doubtful heads, sent to the callers' port, was answered with handlers run. Ruled out: a check in front of the library's parser: it would see other bytes than the parser. Change: callers' and operators' ports run on src/http; http_req.c and its timers are gone; refusals keep their JSON and verdict. The row with an unknown method is now refused by the parser, before the core: its code in the test is malformed_request, the status and verdict are as strict. Conclusion: one HTTP server for all ports; libsoup is left for our client side.

--- a/src/http/caller.c
+++ b/src/http/caller.c
@@ -10,6 +10,9 @@
 static void
 enter(struct fw_http_caller *c, enum fw_http_state state)
 {
+    if (c->state == FW_CALLER_IDLE) {
+        c->begun_us = Fw_Conn_Now();
+    }
     c->state = state;
     c->since_us = Fw_Conn_Now();
 }
@@ -18,10 +21,7 @@
 drop_request(struct fw_http_caller *c)
 {
     Fw_Http_ClearHead(&c->head);
-    if (c->whole) {
-        c->server->held -= g_bytes_get_size(c->whole);
-        g_clear_pointer(&c->whole, g_bytes_unref);
-    }
+    Fw_Caller_ForgetBody(c);
     if (c->body) {
         c->server->held -= c->body->len;
         g_clear_pointer(&c->body, g_byte_array_unref);
@@ -43,9 +43,31 @@
 void
 Fw_Caller_Refuse(struct fw_http_caller *c, int status, const char *why)
 {
-    c->server->ops->refused(c->server->ctx, status, why);
+    struct fw_http_server *s = c->server;
+    GString *fields = g_string_new(NULL);
+    GString *body = g_string_new(NULL);
+
+    s->ops->refused(s->ctx, status, why);
+    if (s->ops->refusal) {
+        s->ops->refusal(s->ctx, &c->head, status, why, fields, body);
+    }
+    else {
+        g_string_append(fields, "Content-Type: text/plain\r\n");
+        g_string_append(body, why);
+    }
     c->last = 1;
-    Fw_Caller_Answer(c, status, "Content-Type: text/plain\r\n", why);
+    Fw_Caller_Answer(c, status, fields->str, body->str);
+    g_string_free(fields, TRUE);
+    g_string_free(body, TRUE);
+}
+
+void
+Fw_Caller_ForgetBody(struct fw_http_caller *c)
+{
+    if (c->whole) {
+        c->server->held -= g_bytes_get_size(c->whole);
+        g_clear_pointer(&c->whole, g_bytes_unref);
+    }
 }
 
 static int
--- a/src/http/http_internal.h
+++ b/src/http/http_internal.h
@@ -31,6 +31,9 @@
 /**
  * struct fw_http_caller - a connection and its request, if it has one.
  * @since_us: when @state was entered; with FW_CALLER_BODY the last byte
+ * @begun_us: when the request's first byte came
+ * @sent, @moved_us: bytes of the connection's answers that the kernel has
+ *     taken, and when that last grew
  * @chunked: the answer goes out in chunks
  * @last: the connection ends with this answer
  */
@@ -40,6 +43,9 @@
     struct fw_conn *conn;
     enum fw_http_state state;
     int64_t since_us;
+    int64_t begun_us;
+    uint64_t sent;
+    int64_t moved_us;
     struct fw_http_head head;
     struct fw_http_frame frame;
     GByteArray *body;
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -141,7 +141,7 @@
         const struct fw_http_caller *c =
             FW_LIST_ENTRY(pos, struct fw_http_caller, link);
         n += c->state == FW_CALLER_ANSWER || c->state == FW_CALLER_BODY ||
-             (c->state == FW_CALLER_CLOSE && Fw_Conn_Pending(c->conn) > 0);
+             Fw_Conn_Pending(c->conn) > 0;
     }
     return n;
 }
@@ -157,6 +157,41 @@
     return port;
 }
 
+void
+Fw_Server_Url(const struct fw_http_server *s, char *url)
+{
+    GSocketAddress *at = g_socket_get_local_address(s->listener, NULL);
+    char addr[FW_URL_MAX];
+
+    Fw_Addr_Print(at, addr);
+    g_snprintf(url, FW_URL_MAX, "http://%s", addr);
+    g_object_unref(at);
+}
+
+/* Nonzero when an answer that is whole isn't read on. */
+static int
+is_stalled(const struct fw_http_server *s, struct fw_http_caller *c,
+           int64_t now_us)
+{
+    uint64_t sent = Fw_Conn_Sent(c->conn);
+
+    if (sent != c->sent || !Fw_Conn_Pending(c->conn) ||
+        c->state == FW_CALLER_ANSWER) {
+        c->sent = sent;
+        c->moved_us = now_us;
+        return 0;
+    }
+    return s->limits.stall_us && now_us - c->moved_us >= s->limits.stall_us;
+}
+
+static int
+is_slow(const struct fw_http_server *s, const struct fw_http_caller *c,
+        int64_t now_us)
+{
+    return (c->state == FW_CALLER_HEAD || c->state == FW_CALLER_BODY) &&
+           s->limits.whole_us && now_us - c->begun_us >= s->limits.whole_us;
+}
+
 static int64_t
 allowed_us(const struct fw_http_server *s, const struct fw_http_caller *c)
 {
@@ -185,7 +220,13 @@
         struct fw_http_caller *c =
             FW_LIST_ENTRY(pos, struct fw_http_caller, link);
 
-        if (now_us - c->since_us < allowed_us(s, c)) {
+        if (is_stalled(s, c, now_us)) {
+            Fw_Caller_Free(c, 1);
+            continue;
+        }
+        if ((Fw_Conn_Pending(c->conn) && c->state != FW_CALLER_ANSWER) ||
+            (now_us - c->since_us < allowed_us(s, c) &&
+             !is_slow(s, c, now_us))) {
             continue;
         }
         if (c->state == FW_CALLER_HEAD || c->state == FW_CALLER_BODY) {
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -22,7 +22,9 @@
  * @held_bytes: bodies of all requests together; memory that callers can fill
  * @head_us: from a head's first byte to its last
  * @body_us: without a byte of a body
+ * @whole_us: from the first byte of a request to its last; 0 for no limit
  * @idle_us: between two requests
+ * @stall_us: without a byte taken of an answer that is whole; 0 for no limit
  */
 struct fw_http_limits {
     size_t header_bytes;
@@ -30,7 +32,9 @@
     size_t held_bytes;
     int64_t head_us;
     int64_t body_us;
+    int64_t whole_us;
     int64_t idle_us;
+    int64_t stall_us;
 };
 
 /**
@@ -45,6 +49,12 @@
                     const struct fw_http_head *head, GBytes *body);
     void (*gone)(void *ctx, struct fw_http_caller *c);
     void (*refused)(void *ctx, int status, const char *why);
+    /*
+     * Writes the answer to a refused request into @fields and @body; @head
+     * is empty when it was not read. NULL for a plain text.
+     */
+    void (*refusal)(void *ctx, const struct fw_http_head *head, int status,
+                    const char *why, GString *fields, GString *body);
     /* What was written to @c is with the kernel; may be NULL. */
     void (*drained)(void *ctx, struct fw_http_caller *c);
 };
@@ -72,6 +82,9 @@
 Fw_Server_Busy(const struct fw_http_server *s);
 int
 Fw_Server_Port(const struct fw_http_server *s);
+/* "http://ip:port" as bound; @url: at least FW_URL_MAX bytes. */
+void
+Fw_Server_Url(const struct fw_http_server *s, char *url);
 /* Enforces the times of the limits; to be called every 100 ms or so. */
 void
 Fw_Server_Tick(struct fw_http_server *s, int64_t now_us);
@@ -96,6 +109,9 @@
 void
 Fw_Caller_Answer(struct fw_http_caller *c, int status, const char *fields,
                  const char *body);
+/* The body is needed no more: frees its memory before the answer's end. */
+void
+Fw_Caller_ForgetBody(struct fw_http_caller *c);
 size_t
 Fw_Caller_Pending(const struct fw_http_caller *c);
 int
--- a/src/io/http.h
+++ b/src/io/http.h
@@ -1,13 +1,11 @@
 /*
- * The two HTTP servers: callers' port and operators' port. They turn requests
- * into FW_EV_CALL_OPEN, _CALL_CLOSED and _OPERATOR and carry out
- * FW_ACT_CALL_*.
+ * The product's own HTTP ports: callers' port and operators' port. They turn
+ * requests into FW_EV_CALL_OPEN, _CALL_CLOSED and _OPERATOR and carry out
+ * FW_ACT_CALL_*. Connections and parsing are those of src/http.
  */
 #ifndef FW_IO_HTTP_H
 #define FW_IO_HTTP_H
 
-#include <libsoup/soup.h>
-
 #include "base/metrics.h"
 #include "core/action.h"
 #include "io/api.h"
@@ -43,21 +41,7 @@
     const void *ready_ctx;
 };
 
-/** struct fw_http - both servers; internal to http_*.c. */
-struct fw_http {
-    struct fw_http_opts opts;
-    SoupServer *servers[FW_PORTS];
-    GHashTable *calls; /* handle -> struct fw_http_call */
-    uint64_t last_call;
-    struct fw_list reqs;
-    int answering; /* answers given to the library, not yet written out */
-    struct fw_metric requests;
-    struct fw_metric refused;
-    struct fw_metric timeouts;
-    struct fw_metric gone;
-    struct fw_metric slow;
-    struct fw_metric open;
-};
+struct fw_http;
 
 struct fw_http *
 Fw_Http_New(const struct fw_http_opts *opts);
--- a/src/io/http_callers.c
+++ b/src/io/http_callers.c
@@ -1,210 +1,231 @@
 /* The callers' port: requests checked here, before the core sees them. */
+#include <errno.h>
 #include <string.h>
 
 #include "io/http_priv.h"
 
-static const char *
-header(SoupServerMessage *msg, const char *name)
+/* Copies field @name, if there, as an id; the reply is made when bad. */
+static int
+read_id(const struct fw_http_req *req, const char *name, char *out)
 {
-    return soup_message_headers_get_one(
-        soup_server_message_get_request_headers(msg), name);
+    char *id = Fw_HttpReq_Field(req, name);
+    char *text;
+    int bad = id && !Fw_Api_IsId(id);
+
+    if (id && !bad) {
+        g_strlcpy(out, id, FW_ID_MAX);
+    }
+    g_free(id);
+    if (!bad) {
+        return 0;
+    }
+    text = g_strdup_printf(
+        "%s must be 1 to 79 visible ASCII characters, no quotes", name);
+    Fw_HttpReply_Error(req, 400, "invalid_header", text);
+    g_free(text);
+    return -EBADMSG;
 }
 
-/* Copies header @name, if there, as an id; the reply is made when bad. */
 static int
-read_id(SoupServerMessage *msg, const char *name, char *out)
+read_deadline(const struct fw_http_req *req, struct fw_call *call)
 {
-    const char *id = header(msg, name);
+    char *text = Fw_HttpReq_Field(req, "Fuchsiaward-Deadline");
 
-    if (!id) {
+    if (!text) {
         return 0;
     }
-    if (!Fw_Api_IsId(id)) {
-        char *text = g_strdup_printf(
-            "%s must be 1 to 79 visible ASCII characters, no quotes", name);
-
-        Fw_HttpReply_Error(msg, 400, "invalid_header", text);
-        g_free(text);
-        return -EBADMSG;
+    call->deadline_us = Fw_Api_Deadline(text, g_get_monotonic_time());
+    g_free(text);
+    if (call->deadline_us) {
+        return 0;
     }
-    g_strlcpy(out, id, FW_ID_MAX);
-    return 0;
+    Fw_HttpReply_Error(req, 400, "invalid_header",
+                       "Fuchsiaward-Deadline must be an RFC 3339 time with "
+                       "its offset");
+    return -EBADMSG;
 }
 
 static int
-read_headers(SoupServerMessage *msg, struct fw_call *call)
+read_headers(const struct fw_http_req *req, struct fw_call *call)
 {
-    const char *deadline = header(msg, "Fuchsiaward-Deadline");
-
-    if (read_id(msg, "X-Request-Id", call->request_id) ||
-        read_id(msg, "Idempotency-Key", call->idem_key)) {
-        return -EBADMSG;
-    }
-    if (deadline) {
-        call->deadline_us = Fw_Api_Deadline(deadline, g_get_monotonic_time());
-        if (!call->deadline_us) {
-            Fw_HttpReply_Error(msg, 400, "invalid_header",
-                               "Fuchsiaward-Deadline must be an RFC 3339 "
-                               "time with its offset");
-            return -EBADMSG;
-        }
-    }
-    call->key = Fw_HttpReply_Key(msg);
-    return 0;
+    return read_id(req, "X-Request-Id", call->request_id) ||
+                   read_id(req, "Idempotency-Key", call->idem_key) ||
+                   read_deadline(req, call)
+               ? -EBADMSG
+               : 0;
 }
 
 /* Nonzero when the method is @want; else the reply is made. */
 static int
-is_method(SoupServerMessage *msg, const char *want)
+is_method(const struct fw_http_req *req, const char *want)
 {
-    if (strcmp(soup_server_message_get_method(msg), want) == 0) {
+    struct fw_call_fail fail = {.status = 405,
+                                .code = "method_not_allowed",
+                                .message = "this path takes another method",
+                                .ran = FW_RAN_NO};
+
+    char allow[32];
+
+    if (Fw_HttpReq_IsMethod(req, want)) {
         return 1;
     }
-    soup_message_headers_replace(soup_server_message_get_response_headers(msg),
-                                 "Allow", want);
-    Fw_HttpReply_Error(msg, 405, "method_not_allowed",
-                       "this path takes another method");
+    req->http->refused.value++;
+    g_snprintf(allow, sizeof(allow), "Allow: %s\r\n", want);
+    Fw_HttpReply_Fail(req, &fail, allow);
     return 0;
 }
 
-static struct fw_http_call *
-open_call(struct fw_http *http, SoupServerMessage *msg, struct fw_call *call)
-{
-    struct fw_http_call *c = Fw_HttpCall_Open(http, msg);
-
-    call->call = c->handle;
-    return c;
-}
-
+/* Hands the call to the core with the caller's key. */
 static void
-give(struct fw_http *http, const struct fw_call *call)
+give(const struct fw_http_req *req, struct fw_http_call *c,
+     struct fw_call *call)
 {
-    struct fw_event ev = {.kind = FW_EV_CALL_OPEN, .u.open = *call};
+    struct fw_event ev = {.kind = FW_EV_CALL_OPEN};
+    char *key = Fw_HttpReply_Key(req);
 
-    http->opts.sink.event(http->opts.sink.ctx, &ev);
+    call->call = c->handle;
+    call->key = key;
+    ev.u.open = *call;
+    req->http->opts.sink.event(req->http->opts.sink.ctx, &ev);
+    g_free(key);
 }
 
 static void
-handle_completion(struct fw_http *http, SoupServerMessage *msg,
-                  enum fw_api api)
+handle_completion(const struct fw_http_req *req, enum fw_api api)
 {
     struct fw_call call = {.kind = FW_CALL_COMPLETION};
-    SoupMessageBody *body = soup_server_message_get_request_body(msg);
-    GBytes *bytes;
-    struct fw_api_request req;
+    struct fw_api_request parsed;
     struct fw_api_error err;
     struct fw_http_call *c;
-    gsize len;
     const char *data;
-    int rc;
+    gsize len;
 
-    if (!is_method(msg, "POST") || read_headers(msg, &call)) {
+    if (!is_method(req, "POST") || read_headers(req, &call)) {
         return;
     }
-    bytes = soup_message_body_flatten(body);
-    data = g_bytes_get_data(bytes, &len);
-    rc = Fw_Api_Parse(api, data, len, &http->opts.api, &req, &err);
-    g_bytes_unref(bytes);
-    soup_message_body_truncate(body);
-    if (rc) {
-        Fw_HttpReply_Error(msg, err.status, err.code, err.message);
+    data = g_bytes_get_data(req->body, &len);
+    if (Fw_Api_Parse(api, data, len, &req->http->opts.api, &parsed, &err)) {
+        Fw_HttpReply_Error(req, err.status, err.code, err.message);
         return;
     }
-    g_strlcpy(call.model, req.model, sizeof(call.model));
+    g_strlcpy(call.model, parsed.model, sizeof(call.model));
     g_strlcpy(call.method, "POST", sizeof(call.method));
-    call.prompt = req.prompt;
-    call.prompt_tokens = req.prompt_tokens;
-    call.max_tokens = req.max_tokens;
-    call.stream = req.stream;
-    c = open_call(http, msg, &call);
-    c->stream = req.stream;
+    call.prompt = parsed.prompt;
+    call.prompt_tokens = parsed.prompt_tokens;
+    call.max_tokens = parsed.max_tokens;
+    call.stream = parsed.stream;
+    Fw_Caller_ForgetBody(req->caller); /* the prompt is a copy */
+    c = Fw_HttpCall_Open(req);
+    c->stream = parsed.stream;
     c->answer.api = api;
-    c->answer.include_usage = req.include_usage;
-    give(http, &call);
-    g_bytes_unref(req.prompt);
+    c->answer.include_usage = parsed.include_usage;
+    give(req, c, &call);
+    g_bytes_unref(parsed.prompt);
 }
 
 static void
-handle_models(struct fw_http *http, SoupServerMessage *msg)
+handle_models(const struct fw_http_req *req)
 {
     struct fw_call call = {.kind = FW_CALL_MODELS};
+    struct fw_http_call *c;
 
-    if (!is_method(msg, "GET") || read_headers(msg, &call)) {
+    if (!is_method(req, "GET") || read_headers(req, &call)) {
         return;
     }
     g_strlcpy(call.method, "GET", sizeof(call.method));
-    open_call(http, msg, &call)->whole = 1;
-    give(http, &call);
+    c = Fw_HttpCall_Open(req);
+    c->whole = 1;
+    give(req, c, &call);
 }
 
 /* "/NAME/rest": the name into @call, the rest with the query returned. */
 static char *
-split_service(SoupServerMessage *msg, const char *below, struct fw_call *call)
+split_service(const char *below, struct fw_call *call)
 {
-    const char *query = g_uri_get_query(soup_server_message_get_uri(msg));
-    const char *slash = strchr(below, '/');
-    size_t len = slash ? (size_t)(slash - below) : strlen(below);
+    size_t len = strcspn(below, "/?");
 
     if (len == 0 || len >= sizeof(call->service)) {
         return NULL;
     }
     memcpy(call->service, below, len);
     call->service[len] = '\0';
-    return g_strconcat(slash ? slash : "/", query ? "?" : NULL, query, NULL);
+    return g_strconcat(below[len] == '/' ? "" : "/", below + len, NULL);
+}
+
+/* Return: 0, or -EBADMSG when the reply was made. */
+static int
+read_service(const struct fw_http_req *req, struct fw_call *call)
+{
+    char *type;
+    int too_long;
+
+    if (read_headers(req, call)) {
+        return -EBADMSG;
+    }
+    type = Fw_HttpReq_Field(req, "Content-Type");
+    too_long = req->head->method_len >= sizeof(call->method) ||
+               (type && strlen(type) >= sizeof(call->content_type));
+    if (!too_long) {
+        memcpy(call->method, req->head->method, req->head->method_len);
+        g_strlcpy(call->content_type, type ? type : "",
+                  sizeof(call->content_type));
+    }
+    g_free(type);
+    if (too_long) {
+        Fw_HttpReply_Error(req, 400, "invalid_header",
+                           "the method or Content-Type is too long");
+        return -EBADMSG;
+    }
+    return 0;
 }
 
 static void
-handle_service(struct fw_http *http, SoupServerMessage *msg, const char *below)
+handle_service(const struct fw_http_req *req, const char *below)
 {
     struct fw_call call = {.kind = FW_CALL_SERVICE};
-    const char *type = header(msg, "Content-Type");
-    const char *method = soup_server_message_get_method(msg);
+    struct fw_http_call *c;
     char *path;
 
-    if (read_headers(msg, &call)) {
+    if (read_service(req, &call)) {
         return;
     }
-    if (strlen(method) >= sizeof(call.method) ||
-        (type && strlen(type) >= sizeof(call.content_type))) {
-        Fw_HttpReply_Error(msg, 400, "invalid_header",
-                           "the method or Content-Type is too long");
-        return;
-    }
-    path = split_service(msg, below, &call);
+    path = split_service(below, &call);
     if (!path) {
-        Fw_HttpReply_Error(msg, 404, "unknown_service",
+        Fw_HttpReply_Error(req, 404, "unknown_service",
                            "no service has this name");
         return;
     }
-    g_strlcpy(call.method, method, sizeof(call.method));
-    g_strlcpy(call.content_type, type ? type : "", sizeof(call.content_type));
     call.path = path;
-    call.body =
-        soup_message_body_flatten(soup_server_message_get_request_body(msg));
-    open_call(http, msg, &call)->whole = 1;
-    give(http, &call);
-    g_bytes_unref(call.body);
+    call.body = req->body;
+    c = Fw_HttpCall_Open(req);
+    c->whole = 1;
+    give(req, c, &call);
     g_free(path);
 }
 
 void
-Fw_HttpCallers_Handle(struct fw_http *http, SoupServerMessage *msg)
+Fw_HttpCallers_Handle(const struct fw_http_req *req)
 {
-    const char *path = g_uri_get_path(soup_server_message_get_uri(msg));
+    static const char services[] = "/v1/services/";
+    char *path = Fw_HttpReq_Path(req);
 
     if (strcmp(path, "/v1/completions") == 0) {
-        handle_completion(http, msg, FW_API_COMPLETION);
+        handle_completion(req, FW_API_COMPLETION);
     }
     else if (strcmp(path, "/v1/chat/completions") == 0) {
-        handle_completion(http, msg, FW_API_CHAT);
+        handle_completion(req, FW_API_CHAT);
     }
     else if (strcmp(path, "/v1/models") == 0) {
-        handle_models(http, msg);
+        handle_models(req);
     }
-    else if (g_str_has_prefix(path, "/v1/services/")) {
-        handle_service(http, msg, path + strlen("/v1/services/"));
+    else if (g_str_has_prefix(path, services)) {
+        char *target = g_strndup(req->head->target, req->head->target_len);
+
+        handle_service(req, target + strlen(services));
+        g_free(target);
     }
-    else if (!Fw_HttpReply_Probe(http, msg, path)) {
-        Fw_HttpReply_Error(msg, 404, "not_found", "no such path");
+    else if (!Fw_HttpReply_Probe(req, path)) {
+        Fw_HttpReply_Error(req, 404, "not_found", "no such path");
     }
+    g_free(path);
 }
--- a/src/io/http_priv.h
+++ b/src/io/http_priv.h
@@ -2,115 +2,104 @@
 #ifndef FW_IO_HTTP_PRIV_H
 #define FW_IO_HTTP_PRIV_H
 
+#include "http/server.h"
 #include "io/http.h"
 
-/** enum fw_req_state - how far a request on a connection is. */
-enum fw_req_state {
-    FW_REQ_READING,
-    FW_REQ_REFUSED,   /* answered while it was read; the rest is dropped */
-    FW_REQ_OPEN,      /* read whole; the core has it */
-    FW_REQ_ANSWERING, /* its answer is whole and being written */
-    FW_REQ_OVER,
+/** struct fw_http_port_rec - one port, as its server's callbacks get it. */
+struct fw_http_port_rec {
+    struct fw_http *http;
+    enum fw_http_port port;
+    struct fw_http_server *server;
 };
 
-/**
- * struct fw_http_req - one request on a connection, from its first byte to
- * the last of its answer. Lives as long as the library's message.
- * @received: body bytes so far
- * @tcp_received: what the connection had received when the last one was over
- * @progress_us: last time something moved
- * @begun_us: when a byte of the request was first seen, 0 while idle
- */
+/** struct fw_http - both ports. */
+struct fw_http {
+    struct fw_http_opts opts;
+    struct fw_http_port_rec ports[FW_PORTS];
+    GHashTable *calls;     /* handle to struct fw_http_call */
+    GHashTable *by_caller; /* connection to struct fw_http_call */
+    uint64_t last_call;
+    guint timer;
+    struct fw_metric requests;
+    struct fw_metric refused;
+    struct fw_metric timeouts;
+    struct fw_metric gone;
+    struct fw_metric slow;
+    struct fw_metric open;
+};
+
+/** struct fw_http_req - a request that was read whole. */
 struct fw_http_req {
     struct fw_http *http;
-    SoupServerMessage *msg;
-    enum fw_http_port port;
-    enum fw_req_state state;
-    size_t received;
-    uint64_t tcp_received;
-    int64_t progress_us;
-    int64_t begun_us;
-    GSource *timer;
-    struct fw_list link;
+    struct fw_http_caller *caller;
+    const struct fw_http_head *head;
+    GBytes *body;
 };
 
 /**
  * struct fw_http_call - a request that the core has.
  * @whole: answered at once, by FW_ACT_CALL_ANSWER
  * @text: of an answer without stream, so far
- * @queued: bytes of the stream not yet taken by the connection
- * @watch: tells that the caller has closed
  */
 struct fw_http_call {
-    struct fw_http *http;
-    SoupServerMessage *msg;
+    struct fw_http_req req;
     uint64_t handle;
     int whole;
     int stream;
     int started;
     struct fw_api_answer answer;
     GString *text;
-    size_t queued;
-    GSource *watch;
 };
 
-/* Begins to watch a request that the server is about to read. */
-void
-Fw_HttpReq_Begin(struct fw_http *http, enum fw_http_port port,
-                 SoupServerMessage *msg);
-struct fw_http_req *
-Fw_HttpReq_Of(SoupServerMessage *msg);
-void
-Fw_HttpReq_SetState(struct fw_http_req *req, enum fw_req_state state);
-/* The servers are being freed; the library may keep the message longer. */
-void
-Fw_HttpReq_Detach(struct fw_http_req *req);
-/* Answers with verdict no before the request is read whole. */
-void
-Fw_HttpReq_RefuseEarly(struct fw_http_req *req, int status, const char *code,
-                       const char *message);
-/* Nonzero when the other side has closed, whatever is still unread. */
+/* Field @name as a new string, or NULL. */
+char *
+Fw_HttpReq_Field(const struct fw_http_req *req, const char *name);
+/* The target without its query; to be freed. */
+char *
+Fw_HttpReq_Path(const struct fw_http_req *req);
 int
-Fw_HttpReq_PeerClosed(SoupServerMessage *msg);
-/* Cuts the connection; the library then ends the message by itself. */
-void
-Fw_HttpReq_Cut(SoupServerMessage *msg);
+Fw_HttpReq_IsMethod(const struct fw_http_req *req, const char *method);
 
 /* The caller's request id where it is valid, else a new one; FW_ID_MAX. */
 void
-Fw_HttpReply_Id(SoupServerMessage *msg, char *id);
-/* X-Request-Id of the answer; where @id is empty, as Fw_HttpReply_Id. */
-void
-Fw_HttpReply_SetId(SoupServerMessage *msg, const char *id);
+Fw_HttpReply_Id(const struct fw_http_head *head, char *id);
 /* Answers a request of which the core knows nothing: verdict no. */
 void
-Fw_HttpReply_Error(SoupServerMessage *msg, int status, const char *code,
+Fw_HttpReply_Error(const struct fw_http_req *req, int status, const char *code,
                    const char *message);
+/* @more: further header lines. */
+void
+Fw_HttpReply_Fail(const struct fw_http_req *req,
+                  const struct fw_call_fail *fail, const char *more);
+/* @id may be empty; @fields: further header lines. */
 void
-Fw_HttpReply_Fail(SoupServerMessage *msg, const struct fw_call_fail *fail);
+Fw_HttpReply_Text(const struct fw_http_req *req, int status, const char *id,
+                  const char *type, const char *fields, const char *text,
+                  size_t len);
+/* Writes the answer to a request that the server refuses by itself. */
 void
-Fw_HttpReply_Text(SoupServerMessage *msg, int status, const char *type,
-                  const char *text, size_t len);
+Fw_HttpReply_Refusal(void *ctx, const struct fw_http_head *head, int status,
+                     const char *why, GString *fields, GString *body);
 /* /healthz, /readyz and /metrics; 0 when @path is another. */
 int
-Fw_HttpReply_Probe(struct fw_http *http, SoupServerMessage *msg,
-                   const char *path);
+Fw_HttpReply_Probe(const struct fw_http_req *req, const char *path);
+/* The bearer key of this request as a new string, or NULL. */
+char *
+Fw_HttpReply_Key(const struct fw_http_req *req);
 
-/* The bearer key of this request, or NULL; borrowed. */
-const char *
-Fw_HttpReply_Key(SoupServerMessage *msg);
-
-/* Pauses @msg until the core answers; then the event may be given. */
+/* Keeps the request until the core answers; then the event may be given. */
 struct fw_http_call *
-Fw_HttpCall_Open(struct fw_http *http, SoupServerMessage *msg);
-/* Closes all calls without telling the core. */
+Fw_HttpCall_Open(const struct fw_http_req *req);
+/* The caller closed its connection. */
+void
+Fw_HttpCall_Gone(struct fw_http_call *call);
 void
-Fw_HttpCall_Drop(struct fw_http_call *call);
+Fw_HttpCall_Free(struct fw_http_call *call);
 
 /* Handlers of the two ports. */
 void
-Fw_HttpCallers_Handle(struct fw_http *http, SoupServerMessage *msg);
+Fw_HttpCallers_Handle(const struct fw_http_req *req);
 void
-Fw_HttpOperators_Handle(struct fw_http *http, SoupServerMessage *msg);
+Fw_HttpOperators_Handle(const struct fw_http_req *req);
 
 #endif
--- a/src/io/http_reply.c
+++ b/src/io/http_reply.c
@@ -6,126 +6,166 @@
 
 #define FW_KEY_MAX 512
 
-void
-Fw_HttpReply_Id(SoupServerMessage *msg, char *id)
+char *
+Fw_HttpReq_Field(const struct fw_http_req *req, const char *name)
+{
+    const struct fw_http_field *f = Fw_Http_Find(req->head, name);
+
+    return f ? g_strndup(f->value, f->value_len) : NULL;
+}
+
+char *
+Fw_HttpReq_Path(const struct fw_http_req *req)
+{
+    const struct fw_http_head *h = req->head;
+    const char *query = memchr(h->target, '?', h->target_len);
+
+    return g_strndup(h->target,
+                     query ? (gsize)(query - h->target) : h->target_len);
+}
+
+int
+Fw_HttpReq_IsMethod(const struct fw_http_req *req, const char *method)
 {
-    SoupMessageHeaders *h = soup_server_message_get_request_headers(msg);
-    const char *given = soup_message_headers_get_one(h, "X-Request-Id");
+    return req->head->method_len == strlen(method) &&
+           memcmp(req->head->method, method, strlen(method)) == 0;
+}
 
-    if (given && Fw_Api_IsId(given)) {
-        g_strlcpy(id, given, FW_ID_MAX);
-        return;
+void
+Fw_HttpReply_Id(const struct fw_http_head *head, char *id)
+{
+    const struct fw_http_field *f =
+        head->raw ? Fw_Http_Find(head, "X-Request-Id") : NULL;
+
+    if (f && f->value_len < FW_ID_MAX) {
+        memcpy(id, f->value, f->value_len);
+        id[f->value_len] = '\0';
+        if (Fw_Api_IsId(id)) {
+            return;
+        }
     }
     g_snprintf(id, FW_ID_MAX, "r-%08x%08x", g_random_int(), g_random_int());
 }
 
-const char *
-Fw_HttpReply_Key(SoupServerMessage *msg)
+char *
+Fw_HttpReply_Key(const struct fw_http_req *req)
 {
-    SoupMessageHeaders *h = soup_server_message_get_request_headers(msg);
-    const char *auth = soup_message_headers_get_one(h, "Authorization");
+    const struct fw_http_field *f = Fw_Http_Find(req->head, "Authorization");
+    size_t skip = strlen("Bearer ");
 
-    if (!auth || g_ascii_strncasecmp(auth, "Bearer ", 7) != 0) {
+    if (!f || f->value_len <= skip ||
+        g_ascii_strncasecmp(f->value, "Bearer ", skip) != 0) {
         return NULL;
     }
-    auth += 7;
-    while (*auth == ' ') {
-        auth++;
+    while (skip < f->value_len && f->value[skip] == ' ') {
+        skip++;
     }
-    return *auth && strlen(auth) <= FW_KEY_MAX ? auth : NULL;
-}
-
-static void
-set_header(SoupServerMessage *msg, const char *name, const char *value)
-{
-    soup_message_headers_replace(soup_server_message_get_response_headers(msg),
-                                 name, value);
+    return f->value_len - skip <= FW_KEY_MAX
+               ? g_strndup(f->value + skip, f->value_len - skip)
+               : NULL;
 }
 
 void
-Fw_HttpReply_SetId(SoupServerMessage *msg, const char *id)
+Fw_HttpReply_Text(const struct fw_http_req *req, int status, const char *id,
+                  const char *type, const char *fields, const char *text,
+                  size_t len)
 {
     char made[FW_ID_MAX];
+    char *all;
 
     if (!id[0]) {
-        Fw_HttpReply_Id(msg, made);
+        Fw_HttpReply_Id(req->head, made);
         id = made;
     }
-    set_header(msg, "X-Request-Id", id);
-}
-
-void
-Fw_HttpReply_Text(SoupServerMessage *msg, int status, const char *type,
-                  const char *text, size_t len)
-{
-    soup_server_message_set_status(msg, (guint)status, NULL);
-    soup_server_message_set_response(msg, type, SOUP_MEMORY_COPY, text, len);
-    Fw_HttpReq_SetState(Fw_HttpReq_Of(msg), FW_REQ_ANSWERING);
+    all = g_strdup_printf("Server: fuchsiaward\r\nX-Request-Id: %s\r\n"
+                          "Content-Type: %s\r\n%s",
+                          id, type, fields);
+    Fw_Caller_Start(req->caller, status, all, (int64_t)len);
+    Fw_Caller_Data(req->caller, text, len);
+    Fw_Caller_End(req->caller);
+    g_free(all);
 }
 
 void
-Fw_HttpReply_Fail(SoupServerMessage *msg, const struct fw_call_fail *fail)
+Fw_HttpReply_Fail(const struct fw_http_req *req,
+                  const struct fw_call_fail *fail, const char *more)
 {
     GString *body = g_string_new(NULL);
-    char wait[24];
+    GString *fields = g_string_new(NULL);
 
     Fw_Api_WriteError(fail->status, fail->code, fail->message, fail->ran,
                       body);
-    Fw_HttpReply_SetId(msg, fail->request_id);
-    set_header(msg, "Fuchsiaward-Ran", Fw_Ran_Name(fail->ran));
+    g_string_printf(fields, "Fuchsiaward-Ran: %s\r\n", Fw_Ran_Name(fail->ran));
     if (fail->retry_after_us > 0) {
-        g_snprintf(wait, sizeof(wait), "%" PRId64,
-                   (int64_t)((fail->retry_after_us + FW_SEC - 1) / FW_SEC));
-        set_header(msg, "Retry-After", wait);
+        g_string_append_printf(
+            fields, "Retry-After: %" PRId64 "\r\n",
+            (int64_t)((fail->retry_after_us + FW_SEC - 1) / FW_SEC));
     }
-    Fw_HttpReply_Text(msg, fail->status, "application/json", body->str,
-                      body->len);
+    g_string_append(fields, more);
+    Fw_HttpReply_Text(req, fail->status, fail->request_id, "application/json",
+                      fields->str, body->str, body->len);
+    g_string_free(fields, TRUE);
     g_string_free(body, TRUE);
 }
 
 void
-Fw_HttpReply_Error(SoupServerMessage *msg, int status, const char *code,
+Fw_HttpReply_Error(const struct fw_http_req *req, int status, const char *code,
                    const char *message)
 {
     struct fw_call_fail fail = {.status = status, .ran = FW_RAN_NO};
 
-    Fw_HttpReply_Id(msg, fail.request_id);
     g_strlcpy(fail.code, code, sizeof(fail.code));
     g_strlcpy(fail.message, message, sizeof(fail.message));
-    Fw_HttpReply_Fail(msg, &fail);
-    Fw_HttpReq_Of(msg)->http->refused.value++;
-    if (status == 413 || status == 431) {
-        set_header(msg, "Connection", "close");
-    }
+    req->http->refused.value++;
+    Fw_HttpReply_Fail(req, &fail, "");
+}
+
+void
+Fw_HttpReply_Refusal(void *ctx, const struct fw_http_head *head, int status,
+                     const char *why, GString *fields, GString *body)
+{
+    const char *code = status == 413   ? "body_too_large"
+                       : status == 431 ? "header_too_large"
+                       : status == 408 ? "read_timeout"
+                                       : "malformed_request";
+    char id[FW_ID_MAX];
+
+    (void)ctx;
+    Fw_HttpReply_Id(head, id);
+    g_string_append_printf(fields,
+                           "Content-Type: application/json\r\n"
+                           "Fuchsiaward-Ran: no\r\nX-Request-Id: %s\r\n",
+                           id);
+    Fw_Api_WriteError(status, code, why, FW_RAN_NO, body);
 }
 
 static void
-reply_plain(SoupServerMessage *msg, int status, const char *text)
+reply_plain(const struct fw_http_req *req, int status, const char *text)
 {
-    Fw_HttpReply_SetId(msg, "");
-    Fw_HttpReply_Text(msg, status, "text/plain; charset=utf-8", text,
+    Fw_HttpReply_Text(req, status, "", "text/plain; charset=utf-8", "", text,
                       strlen(text));
 }
 
 int
-Fw_HttpReply_Probe(struct fw_http *http, SoupServerMessage *msg,
-                   const char *path)
+Fw_HttpReply_Probe(const struct fw_http_req *req, const char *path)
 {
+    struct fw_http *http = req->http;
+
     if (strcmp(path, "/healthz") == 0) {
-        reply_plain(msg, 200, "ok\n");
+        reply_plain(req, 200, "ok\n");
         return 1;
     }
     if (strcmp(path, "/readyz") == 0) {
         int ready = http->opts.ready(http->opts.ready_ctx);
 
-        reply_plain(msg, ready ? 200 : 503, ready ? "ready\n" : "not ready\n");
+        reply_plain(req, ready ? 200 : 503, ready ? "ready\n" : "not ready\n");
         return 1;
     }
     if (strcmp(path, "/metrics") == 0) {
         GString *out = g_string_new(NULL);
 
         Fw_Metrics_Print(http->opts.metrics, out);
-        reply_plain(msg, 200, out->str);
+        reply_plain(req, 200, out->str);
         g_string_free(out, TRUE);
         return 1;
     }
--- a/src/relay/members.c
+++ b/src/relay/members.c
@@ -387,8 +387,7 @@
     d->load = rows_of(&f[6], 5);
     d->strikes = rows_of(&f[7], 2);
     d->watch = rows_of(&f[8], 4);
-    return d->spent && d->load && d->strikes && d->watch &&
-                   d->watch->size == 1
+    return d->spent && d->load && d->strikes && d->watch && d->watch->size == 1
                ? 0
                : -EBADMSG;
 }
--- a/src/relay/plain.c
+++ b/src/relay/plain.c
@@ -62,8 +62,8 @@
                 "\"id\":\"%s\",\"route\":\"%s\",\"team\":\"%s\","
                 "\"cost\":%" G_GINT64_FORMAT ",\"server\":\"%s\","
                 "\"try\":%d,\"running\":%d,\"left_ms\":%" G_GINT64_FORMAT,
-                c->ask.id, c->route.name, c->team, c->cost, s->e.id, c->tries, s->running,
-                Fw_Relay_Ms(up.left_us));
+                c->ask.id, c->route.name, c->team, c->cost, s->e.id, c->tries,
+                s->running, Fw_Relay_Ms(up.left_us));
 }
 
 /* May it go to a further server? The repeat is counted then. */
--- a/src/relay/relay_internal.h
+++ b/src/relay/relay_internal.h
@@ -290,9 +290,9 @@
     double run_us; /* moving mean of a stream's time at an engine */
     uint64_t digest_seq;
     int digest_wanted; /* others should know soon */
-    int64_t look_us;  /* when engines are looked at next */
-    int settled;      /* the stages were as wanted once */
-    int64_t short_us; /* since when a stage has too many or too few */
+    int64_t look_us;   /* when engines are looked at next */
+    int settled;       /* the stages were as wanted once */
+    int64_t short_us;  /* since when a stage has too many or too few */
     int draining;
     int64_t drain_us;
 };
@@ -468,8 +468,8 @@
 Fw_Watch_ListHash(const struct fw_relay *r);
 /* A question (form 2) or an answer (form 3); -EBADMSG for neither. */
 int
-Fw_Watch_Read(struct fw_relay *r, const void *data, size_t len,
-              int64_t now_us, GByteArray *reply);
+Fw_Watch_Read(struct fw_relay *r, const void *data, size_t len, int64_t now_us,
+              GByteArray *reply);
 
 /* poison.c */
 void
--- a/src/relay/stream.c
+++ b/src/relay/stream.c
@@ -190,18 +190,16 @@
     c->run_us = now_us;
     c->tries++;
     Fw_Call_Ask(r, c, c->server, &up, c->deadline_us, now_us, out);
-    Fw_Acts_Log(out, r, LOG_INFO, "sent",
-                "\"id\":\"%s\",\"route\":\"%s\",\"team\":\"%s\","
-                "\"cost\":%" G_GINT64_FORMAT ",\"server\":\"%s\","
-                "\"reader\":\"%s\",\"in\":%" G_GINT64_FORMAT
-                ",\"most_out\":%" G_GINT64_FORMAT
-                ",\"hint\":%" G_GINT64_FORMAT
-                ",\"tokens\":%" G_GINT64_FORMAT
-                ",\"after_ms\":%" G_GINT64_FORMAT,
-                c->ask.id, c->route.name, c->team, c->cost, c->server->e.id,
-                c->reader ? c->reader->e.id : "", c->ask.tokens_in,
-                c->ask.tokens_out, c->ask.hint_out, c->need,
-                Fw_Relay_Ms(now_us - c->opened_us));
+    Fw_Acts_Log(
+        out, r, LOG_INFO, "sent",
+        "\"id\":\"%s\",\"route\":\"%s\",\"team\":\"%s\","
+        "\"cost\":%" G_GINT64_FORMAT ",\"server\":\"%s\","
+        "\"reader\":\"%s\",\"in\":%" G_GINT64_FORMAT
+        ",\"most_out\":%" G_GINT64_FORMAT ",\"hint\":%" G_GINT64_FORMAT
+        ",\"tokens\":%" G_GINT64_FORMAT ",\"after_ms\":%" G_GINT64_FORMAT,
+        c->ask.id, c->route.name, c->team, c->cost, c->server->e.id,
+        c->reader ? c->reader->e.id : "", c->ask.tokens_in, c->ask.tokens_out,
+        c->ask.hint_out, c->need, Fw_Relay_Ms(now_us - c->opened_us));
 }
 
 static void
--- a/src/relay/watch.c
+++ b/src/relay/watch.c
@@ -128,8 +128,7 @@
 }
 
 int64_t
-Fw_Relay_DigestEvery(const struct fw_relay *r, int64_t base_us,
-                     int64_t now_us)
+Fw_Relay_DigestEvery(const struct fw_relay *r, int64_t base_us, int64_t now_us)
 {
     int n = Fw_Members_Count(r, now_us, NULL);
 
@@ -233,8 +232,8 @@
 }
 
 int
-Fw_Watch_Read(struct fw_relay *r, const void *data, size_t len,
-              int64_t now_us, GByteArray *reply)
+Fw_Watch_Read(struct fw_relay *r, const void *data, size_t len, int64_t now_us,
+              GByteArray *reply)
 {
     const msgpack_object_array *a;
     msgpack_unpacked u;
@@ -242,7 +241,8 @@
 
     msgpack_unpacked_init(&u);
     if (msgpack_unpack_next(&u, data, len, NULL) == MSGPACK_UNPACK_SUCCESS &&
-        u.data.type == MSGPACK_OBJECT_ARRAY && all_numbers(&u.data.via.array)) {
+        u.data.type == MSGPACK_OBJECT_ARRAY &&
+        all_numbers(&u.data.via.array)) {
         a = &u.data.via.array;
         if (a->size == 3 && a->ptr[0].via.u64 == FW_FORM_QUESTION) {
             write_answer(r, a->ptr, now_us, reply);
--- a/src/relayd/peers.c
+++ b/src/relayd/peers.c
@@ -50,8 +50,7 @@
     int rc;
 
     Fw_Addr_Print(from, addr);
-    rc = Fw_Relay_ReadMessage(d->relay, addr, data, len, Fw_Conn_Now(),
-                              reply);
+    rc = Fw_Relay_ReadMessage(d->relay, addr, data, len, Fw_Conn_Now(), reply);
     if (reply->len) {
         send_to(d, addr, reply);
     }
--- a/src/relayd/relayd.c
+++ b/src/relayd/relayd.c
@@ -109,6 +109,7 @@
         .head_us = 3 * FW_SEC,
         .body_us = 15 * FW_SEC,
         .idle_us = 15 * FW_SEC,
+        .stall_us = 15 * FW_SEC,
     };
 
     if (!r) {
--- a/src/relayd/store.c
+++ b/src/relayd/store.c
@@ -405,8 +405,7 @@
         break;
     case FW_STEP_READ:
         wait_us = Fw_Relay_ReadsStore(d->relay, now) ? f->wait_us : 0;
-        Fw_Platform_WriteRead(f->topic, f->from, wait_us, d->opts.store,
-                              head);
+        Fw_Platform_WriteRead(f->topic, f->from, wait_us, d->opts.store, head);
         f->until_us += wait_us;
         break;
     case FW_STEP_APPEND:
