Keep each side of a cut to its part of the allowances; explore the relay's promises

Cause: seeded runs over three to nine cores found teams getting more than their limits: what others had spent was taken off before the bucket was refilled, so that the refill washed it out (an idle instance saw a full bucket after nine grants); on a cut each side kept a copy of the whole bucket; what was spent on the other side of a cut was taken off afterwards although its part had not been refilled. Change: refill first; the level is parted when instances go out of touch and counting starts afresh when they return; out of touch after 600 ms of silence; a cushion of 0.2 of the tolerance. Seeded runs: shared-allowance, relayed-once-true, one-order-holder and freshness-is-true, each with a planted fault that is found.

--- a/Makefile
+++ b/Makefile
@@ -19,9 +19,9 @@
              -fsanitize=address,undefined -fno-sanitize-recover=undefined
 LD_san = -fsanitize=address,undefined
 
-CORE_DIRS = base core config fleet limit idem route request order operate node
+CORE_DIRS = base core config fleet limit idem route request order operate node relay
 CORE := $(sort $(wildcard $(CORE_DIRS:%=src/%/*.c)))
-IO := $(sort $(wildcard src/io/*.c src/http/*.c src/relay/*.c \
+IO := $(sort $(wildcard src/io/*.c src/http/*.c \
       src/relayd/*.c platform/*.c) src/daemon/ini.c)
 DAEMON := $(sort $(filter-out src/daemon/ini.c,$(wildcard src/daemon/*.c)))
 CTL := $(sort $(wildcard src/ctl/*.c))
--- /dev/null
+++ b/explore/p_relay.h
@@ -0,0 +1,20 @@
+/* Promises of the relay's core. */
+#ifndef FW_EXPLORE_RELAY_H
+#define FW_EXPLORE_RELAY_H
+
+#include "explore/explore.h"
+
+/* relay_allowance.c */
+void
+Fw_Explore_RelayAllowance(struct fw_run *run);
+/* relay_requests.c */
+void
+Fw_Explore_RelayRequests(struct fw_run *run);
+/* relay_orders.c */
+void
+Fw_Explore_RelayOrders(struct fw_run *run);
+/* relay_freshness.c */
+void
+Fw_Explore_RelayFreshness(struct fw_run *run);
+
+#endif
--- /dev/null
+++ b/explore/relay_allowance.c
@@ -0,0 +1,148 @@
+/*
+ * shared-allowance: in any window all instances together let a team have no
+ * more than its rate and burst allow, with the operator's overage and
+ * tolerance, while up to two of them at a time are cut off, frozen or started
+ * anew, one every four seconds, and messages are lost or late. Each such
+ * event can cost up to 0.6 s of the rate beyond the limit, until it is
+ * noticed: a dozen in one window would pass the tolerance.
+ */
+#include "explore/p_relay.h"
+#include "explore/relay_fleet.h"
+
+#define FW_RATE 50000
+#define FW_BURST 50000
+#define FW_COST 12000
+#define FW_AT_ONCE 2
+#define FW_GAP_US (4 * FW_SEC)
+/* Six times the rate is asked for. */
+#define FW_BETWEEN_MS 80
+#define FW_WINDOW_US (8 * FW_SEC)
+#define FW_TOLERANCE 72000
+#define FW_OVERAGE 1.1
+
+/** struct grant - tokens let through. */
+struct grant {
+    int64_t at_us;
+    int64_t tokens;
+};
+
+static struct fw_rl_rules *
+make_rules(void)
+{
+    struct fw_rl_rules *r = Fw_Rules_New();
+    struct fw_rl_team_rule *t = Fw_Rules_AddTeam(r);
+
+    r->version = 1;
+    g_strlcpy(t->name, "t", sizeof(t->name));
+    t->rate = FW_RATE;
+    t->burst = FW_BURST;
+    t->priority = -1;
+    return r;
+}
+
+static void
+check(struct fw_run *run, const GArray *grants)
+{
+    const struct grant *last =
+        &g_array_index(grants, struct grant, grants->len - 1);
+    double most =
+        (FW_RATE * (double)FW_WINDOW_US / FW_SEC + FW_BURST) * FW_OVERAGE +
+        FW_TOLERANCE;
+    int64_t sum = 0;
+
+    for (guint i = grants->len; i > 0; i--) {
+        const struct grant *g = &g_array_index(grants, struct grant, i - 1);
+
+        if (last->at_us - g->at_us > FW_WINDOW_US) {
+            break;
+        }
+        sum += g->tokens;
+    }
+    if ((double)sum > most) {
+        Fw_Run_Breach(run,
+                      "%" G_GINT64_FORMAT " tokens in a window, %.0f "
+                      "allowed",
+                      sum, most);
+    }
+}
+
+static int
+disturbed(const struct fleet *f)
+{
+    int n = 0;
+
+    for (int i = 0; i < f->n; i++) {
+        n += f->sites[i].cut || !Fw_RelayFleet_Runs(f, i);
+    }
+    return n;
+}
+
+static void
+disturb(struct fleet *f, int64_t *last_us)
+{
+    int i = Fw_RelayFleet_Below(f, f->n);
+    int what = Fw_RelayFleet_Below(f, 100);
+
+    if (what != 1 &&
+        (disturbed(f) >= FW_AT_ONCE || f->now_us - *last_us < FW_GAP_US)) {
+        return;
+    }
+    if (what == 0 || what == 3 || what == 4) {
+        *last_us = f->now_us;
+    }
+    switch (what) {
+    case 0:
+        f->sites[i].cut = 1;
+        Fw_Run_Trace(f->run, "%s cut off", f->sites[i].name);
+        break;
+    case 1:
+        for (int k = 0; k < f->n; k++) {
+            f->sites[k].cut = 0;
+        }
+        break;
+    case 3:
+        f->sites[i].frozen_until_us =
+            f->now_us + Fw_RelayFleet_Below(f, 6 * FW_SEC);
+        Fw_Run_Trace(f->run, "%s frozen", f->sites[i].name);
+        break;
+    case 4:
+        Fw_RelayFleet_Restart(f, i);
+        Fw_Run_Trace(f->run, "%s started anew", f->sites[i].name);
+        break;
+    default:
+        break;
+    }
+}
+
+void
+Fw_Explore_RelayAllowance(struct fw_run *run)
+{
+    struct fw_rl_rules *rules = make_rules();
+    GArray *grants = g_array_new(FALSE, FALSE, sizeof(struct grant));
+    const struct fw_rl_team_rule *t = g_ptr_array_index(rules->teams, 0);
+    struct fleet f;
+    int64_t last_us = 0;
+
+    Fw_RelayFleet_Init(&f, run, 3 + g_rand_int_range(run->rand, 0, 7), rules);
+    Fw_RelayFleet_Advance(&f, 10 * FW_SEC);
+    for (int s = 0; s < run->steps && !run->breach[0]; s++) {
+        int i = Fw_RelayFleet_Below(&f, f.n);
+        int64_t retry_us;
+
+        Fw_RelayFleet_Advance(&f, Fw_RelayFleet_Below(&f, FW_BETWEEN_MS) *
+                                      FW_MSEC);
+        disturb(&f, &last_us);
+        if (!Fw_RelayFleet_Runs(&f, i) ||
+            !Fw_Purse_Take(f.sites[i].relay, t, FW_COST,
+                           Fw_RelayFleet_Now(&f, i), &retry_us)) {
+            continue;
+        }
+        g_array_append_vals(
+            grants, &(struct grant){.at_us = f.now_us, .tokens = FW_COST}, 1);
+        check(run, grants);
+    }
+    Fw_Run_Trace(run, "%u grants", grants->len);
+    g_array_unref(grants);
+    Fw_RelayFleet_Clear(&f);
+    Fw_Rules_Unref(rules);
+}
--- /dev/null
+++ b/explore/relay_fleet.h
@@ -0,0 +1,58 @@
+/*
+ * Several relay cores side by side, with clocks of their own and messages
+ * that are lost, late or cut off, for the seeded runs.
+ */
+#ifndef FW_EXPLORE_RELAY_FLEET_H
+#define FW_EXPLORE_RELAY_FLEET_H
+
+#include "explore/explore.h"
+#include "relay/relay_internal.h"
+
+#define FW_FLEET_MAX 20
+
+/** struct fleet_site - one instance; @skew_us: its clock beside the run's. */
+struct fleet_site {
+    struct fw_relay *relay;
+    struct fw_rl_acts acts;
+    char name[FW_NAME_MAX];
+    char addr[FW_URL_MAX];
+    int64_t skew_us;
+    int64_t digest_us;
+    int64_t frozen_until_us;
+    uint64_t boot;
+    int cut; /* hears and reaches nobody */
+};
+
+/** struct fleet - @late: messages under way, of struct fleet_msg. */
+struct fleet {
+    struct fw_run *run;
+    int n;
+    struct fleet_site sites[FW_FLEET_MAX];
+    struct fw_rl_rules *rules;
+    int64_t now_us;
+    GPtrArray *late;
+    int lose_pct;
+    int late_pct;
+    int64_t late_max_us;
+};
+
+void
+Fw_RelayFleet_Init(struct fleet *f, struct fw_run *run, int n,
+                   struct fw_rl_rules *rules);
+void
+Fw_RelayFleet_Clear(struct fleet *f);
+/* A number below @n from the run's source. */
+int
+Fw_RelayFleet_Below(struct fleet *f, int n);
+/* The process is killed and starts again, knowing nothing. */
+void
+Fw_RelayFleet_Restart(struct fleet *f, int i);
+int64_t
+Fw_RelayFleet_Now(const struct fleet *f, int i);
+/* Time goes on by @us in small steps: messages arrive, digests go out. */
+void
+Fw_RelayFleet_Advance(struct fleet *f, int64_t us);
+int
+Fw_RelayFleet_Runs(const struct fleet *f, int i);
+
+#endif
--- /dev/null
+++ b/explore/relay_freshness.c
@@ -0,0 +1,102 @@
+/*
+ * freshness-is-true: an instance that trusts callers' keys knows all that
+ * the store held so long ago as it says, however late or lost the answers of
+ * other instances are.
+ */
+#include "explore/p_relay.h"
+#include "explore/relay_fleet.h"
+
+/* What the store's newest configuration has been, by time. */
+#define FW_VERSIONS_MAX 4000
+
+/** struct history - when each version was written. */
+struct history {
+    int64_t at_us[FW_VERSIONS_MAX];
+    int n;
+};
+
+static void
+read_store(struct fleet *f, int i, const struct history *h)
+{
+    struct fleet_site *s = &f->sites[i];
+    int64_t now = Fw_RelayFleet_Now(f, i);
+    struct fw_rl_rules *r = Fw_Rules_New();
+
+    r->version = h->n;
+    Fw_Relay_Rules(s->relay, r, (uint64_t)h->n, now, &s->acts);
+    Fw_Relay_Fresh(s->relay, now);
+    g_array_set_size(s->acts.all, 0);
+    Fw_Rules_Unref(r);
+}
+
+static void
+follow(struct fleet *f, int i, const struct history *h)
+{
+    struct fw_relay *r = f->sites[i].relay;
+    int wants;
+
+    if (!Fw_RelayFleet_Runs(f, i) || f->sites[i].cut) {
+        return;
+    }
+    wants = Fw_Relay_ReadsStore(r, Fw_RelayFleet_Now(f, i));
+    wants |= Fw_Relay_TakeWantRules(r);
+    if (wants && Fw_RelayFleet_Below(f, 100) < 30) {
+        read_store(f, i, h);
+    }
+}
+
+/* Keys that count here must be those of at most the stale time ago. */
+static void
+check(struct fleet *f, int i, const struct history *h)
+{
+    struct fw_relay *r = f->sites[i].relay;
+    int64_t version = r->rules->version;
+    int64_t stale = r->opts.key_stale_us;
+
+    if (!Fw_RelayFleet_Runs(f, i) ||
+        !Fw_Relay_KeysFresh(r, Fw_RelayFleet_Now(f, i)) || version >= h->n) {
+        return;
+    }
+    if (f->now_us - h->at_us[version] > stale) {
+        Fw_Run_Breach(f->run,
+                      "%s trusts keys of version %d, replaced %d ms ago",
+                      f->sites[i].name, (int)version,
+                      (int)((f->now_us - h->at_us[version]) / FW_MSEC));
+    }
+}
+
+void
+Fw_Explore_RelayFreshness(struct fw_run *run)
+{
+    struct fw_rl_rules *rules = Fw_Rules_New();
+    struct history h = {.n = 1};
+    struct fleet f;
+
+    rules->version = 1;
+    Fw_RelayFleet_Init(&f, run, 14 + g_rand_int_range(run->rand, 0, 6), rules);
+    f.late_pct = 20;
+    f.late_max_us = 8 * FW_SEC;
+    h.at_us[0] = f.now_us;
+    for (int s = 0; s < run->steps && !run->breach[0]; s++) {
+        int i = Fw_RelayFleet_Below(&f, f.n);
+
+        Fw_RelayFleet_Advance(&f, Fw_RelayFleet_Below(&f, 100) * FW_MSEC);
+        if (Fw_RelayFleet_Below(&f, 40) == 0 && h.n < FW_VERSIONS_MAX) {
+            h.at_us[h.n++] = f.now_us; /* that one's successor */
+            Fw_Run_Trace(run, "version %d", h.n);
+        }
+        if (Fw_RelayFleet_Below(&f, 50) == 0) {
+            f.sites[i].cut = !f.sites[i].cut;
+        }
+        if (Fw_RelayFleet_Below(&f, 80) == 0) {
+            f.sites[i].frozen_until_us =
+                f.now_us + Fw_RelayFleet_Below(&f, 9 * FW_SEC);
+        }
+        for (int k = 0; k < f.n; k++) {
+            follow(&f, k, &h);
+            check(&f, k, &h);
+        }
+    }
+    Fw_RelayFleet_Clear(&f);
+    Fw_Rules_Unref(rules);
+}
--- a/explore/table.c
+++ b/explore/table.c
@@ -5,6 +5,7 @@
 #include "explore/p_idem.h"
 #include "explore/p_limit.h"
 #include "explore/p_order.h"
+#include "explore/p_relay.h"
 #include "explore/p_request.h"
 #include "explore/p_route.h"
 
@@ -60,5 +61,17 @@
     {.name = "leaving-gets-no-new-work",
      .run = Fw_Explore_Leaving,
      .fault = "route-own-word-unheard"},
+    {.name = "shared-allowance",
+     .run = Fw_Explore_RelayAllowance,
+     .fault = "purse-whole-rate"},
+    {.name = "relayed-once-true",
+     .run = Fw_Explore_RelayRequests,
+     .fault = "once-sent-again"},
+    {.name = "one-order-holder",
+     .run = Fw_Explore_RelayOrders,
+     .fault = "lead-without-lease"},
+    {.name = "freshness-is-true",
+     .run = Fw_Explore_RelayFreshness,
+     .fault = "fresh-from-arrival"},
     {.name = NULL},
 };
--- a/src/relay/members.c
+++ b/src/relay/members.c
@@ -13,8 +13,12 @@
 #include "relay/relay_internal.h"
 
 #define FW_DIGEST_FORM 1
-/* An instance that was silent for so long isn't counted as in touch. */
-#define FW_TOUCH_US (1200 * FW_MSEC)
+/*
+ * An instance that was silent for so long isn't counted as in touch: four
+ * digests. Until then both sides of a cut spend the whole rate, so this is
+ * what a cut can cost beyond it.
+ */
+#define FW_TOUCH_US (600 * FW_MSEC)
 /*
  * One that was silent for so long has left for good. Until then its part of
  * the allowances stays unused: it may only be cut off.
@@ -302,8 +306,9 @@
 }
 
 /*
- * The first figure of an instance that was met anew is where counting
- * starts; one that has started anew starts from nothing.
+ * The first figure of an instance that was met anew, or was out of touch, is
+ * where counting starts: what it spent meanwhile was its own part. One that
+ * has started anew starts from nothing.
  */
 static void
 take_spent(struct fw_relay *r, struct fw_rl_member *m, int first,
@@ -311,19 +316,16 @@
 {
     for (uint32_t i = 0; i < rows->size; i++) {
         uint64_t hash = (uint64_t)cell(rows, i, 0);
-        int64_t spent = cell(rows, i, 1);
         int64_t *before = g_hash_table_lookup(m->spent, &hash);
-        int64_t delta = spent - (before ? *before : 0);
-        int64_t *kept;
+        int64_t spent = cell(rows, i, 1);
 
-        Fw_Purse_Others(r, hash, first ? 0 : delta, cell(rows, i, 2), now_us);
-        if (before) {
-            *before = spent;
-            continue;
+        if (!before) {
+            before = g_new0(int64_t, 1);
+            g_hash_table_insert(m->spent, key_of(hash), before);
         }
-        kept = g_new(int64_t, 1);
-        *kept = spent;
-        g_hash_table_insert(m->spent, key_of(hash), kept);
+        Fw_Purse_Others(r, hash, first ? 0 : spent - *before, cell(rows, i, 2),
+                        now_us);
+        *before = spent;
     }
 }
 
@@ -416,7 +418,7 @@
     if (known && is_old(m, d)) {
         return 0;
     }
-    first = !known;
+    first = !known || now_us - m->heard_us >= FW_TOUCH_US;
     if (d->boot != m->boot) {
         g_hash_table_remove_all(m->spent);
     }
--- a/src/relay/order.c
+++ b/src/relay/order.c
@@ -12,6 +12,7 @@
  */
 #include <string.h>
 
+#include "base/fault.h"
 #include "base/hash.h"
 #include "relay/relay_internal.h"
 
@@ -68,6 +69,9 @@
 static int
 holds_role(const struct fw_relay *r, int64_t now_us)
 {
+    if (FW_FAULT("lead-without-lease")) {
+        return r->lead.fence != 0;
+    }
     return r->lead.fence && now_us < r->lead.until_us - FW_LEASE_MARGIN_US;
 }
 
--- a/src/relay/plain.c
+++ b/src/relay/plain.c
@@ -6,6 +6,7 @@
 #include <errno.h>
 #include <string.h>
 
+#include "base/fault.h"
 #include "relay/relay_internal.h"
 
 /*
@@ -90,7 +91,8 @@
 static int
 attempts_left(const struct fw_rl_call *c)
 {
-    return may_repeat(c) && c->tries < c->route.attempts;
+    return (may_repeat(c) || FW_FAULT("once-sent-again")) &&
+           c->tries < c->route.attempts;
 }
 
 void
--- a/src/relay/purse.c
+++ b/src/relay/purse.c
@@ -12,6 +12,7 @@
 #include <math.h>
 #include <string.h>
 
+#include "base/fault.h"
 #include "base/hash.h"
 #include "relay/relay_internal.h"
 
@@ -23,24 +24,40 @@
 #define FW_TIGHT 0.5
 /* Parts of the operator's overage and tolerance that the bucket is given. */
 #define FW_OVERAGE_PERMILLE 500
-#define FW_TOLERANCE_PERMILLE 300
+#define FW_TOLERANCE_PERMILLE 200
 /* Refused callers are told to wait between these. */
 #define FW_RETRY_LEAST_US (100 * FW_MSEC)
 #define FW_RETRY_MOST_US (4 * FW_SEC)
 
+static double
+cap_of(const struct fw_rl_purse *p)
+{
+    return (double)p->burst * p->part;
+}
+
+/*
+ * What is in the bucket belongs to all that know of it. When some are out of
+ * touch each side keeps its part: with a copy of the whole on each side the
+ * team could spend its burst several times.
+ */
 static void
 settle(struct fw_relay *r, struct fw_rl_purse *p, int64_t now_us)
 {
     int heard;
     int count = Fw_Members_Count(r, now_us, &heard);
-    double part = (double)heard / count;
+    double part = FW_FAULT("purse-whole-rate") ? 1.0 : (double)heard / count;
     double more =
         (double)p->rate * part * (double)(now_us - p->at_us) / FW_SEC;
 
+    if (p->level > 0 && part < p->part) {
+        p->level *= part / p->part;
+    }
+    p->part = part;
     if (now_us > p->at_us) {
-        p->level = MIN(p->level + more, (double)p->burst);
+        p->level += more;
         p->at_us = now_us;
     }
+    p->level = MIN(p->level, cap_of(p));
 }
 
 /*
@@ -55,8 +72,8 @@
 {
     int64_t over = r->opts.overage_ppm * FW_OVERAGE_PERMILLE / 1000;
     int64_t rate = t->rate + t->rate * over / 1000000;
-    int64_t burst = t->burst + t->burst * over / 1000000 +
-                    r->opts.tolerance * FW_TOLERANCE_PERMILLE / 1000;
+    int64_t burst =
+        t->burst + r->opts.tolerance * FW_TOLERANCE_PERMILLE / 1000;
 
     if (p->rate == rate && p->burst == burst) {
         return;
@@ -64,7 +81,7 @@
     settle(r, p, now_us);
     p->rate = rate;
     p->burst = MAX(burst, 1);
-    p->level = MIN(p->level, (double)p->burst);
+    p->level = MIN(p->level, cap_of(p));
 }
 
 static struct fw_rl_purse *
@@ -79,6 +96,7 @@
         p->level = FW_START_LEVEL * (double)t->burst;
         p->at_us = now_us;
         p->born_us = now_us;
+        p->part = 1.0;
         g_hash_table_insert(r->purses, p->team, p);
     }
     resize(r, p, t, now_us);
@@ -116,7 +134,7 @@
     }
     p = purse_of(r, t, now_us);
     settle(r, p, now_us);
-    need = MIN((double)cost, (double)p->burst);
+    need = MIN((double)cost, cap_of(p));
     if (p->level < need) {
         *retry_us = (int64_t)((need - p->level) / (double)p->rate * FW_SEC);
         *retry_us = CLAMP(*retry_us, FW_RETRY_LEAST_US, FW_RETRY_MOST_US);
@@ -124,7 +142,7 @@
     }
     p->level -= (double)cost;
     p->spent += cost;
-    if (p->level < FW_TIGHT * (double)p->burst) {
+    if (p->level < FW_TIGHT * cap_of(p)) {
         r->digest_wanted = 1;
     }
     return 1;
@@ -136,7 +154,7 @@
     struct fw_rl_purse *p = g_hash_table_lookup(r->purses, team);
 
     if (p) {
-        p->level = MIN(p->level + (double)cost, (double)p->burst);
+        p->level = MIN(p->level + (double)cost, cap_of(p));
         p->spent -= cost;
     }
 }
@@ -155,6 +173,8 @@
         if (p->hash != hash) {
             continue;
         }
+        /* Before it is taken off: a full bucket doesn't refill meanwhile. */
+        settle(r, p, now_us);
         if (!p->adopted && now_us - p->born_us < FW_ADOPT_US) {
             p->adopted = 1;
             p->level = (double)level;
@@ -163,7 +183,7 @@
         else {
             p->level -= (double)tokens;
         }
-        p->level = MIN(p->level, (double)p->burst);
+        p->level = MIN(p->level, cap_of(p));
         return;
     }
 }
--- a/src/relay/relay_internal.h
+++ b/src/relay/relay_internal.h
@@ -73,7 +73,7 @@
 /**
  * struct fw_rl_member - another instance.
  * @heard_us: when its last digest came, 0 for never
- * @spent: team's hash to its tokens since its start
+ * @spent: team's hash to its tokens since the start there
  * @load: server's hash to struct fw_rl_load
  * @strikes: request's digest to servers lost with it
  * @waiting: requests that wait for engines there
@@ -102,6 +102,7 @@
 /**
  * struct fw_rl_purse - a team's allowance as known here.
  * @level: tokens; below zero when others spent what was not known here yet
+ * @part: of the fleet that is in touch, as of @at_us
  * @spent: tokens spent here since the start, told to the others
  * @born_us, @adopted: the level of an instance that has just started is a
  *     guess until another one's was taken over
@@ -112,6 +113,7 @@
     int64_t rate;
     int64_t burst;
     double level;
+    double part;
     int64_t at_us;
     int64_t spent;
     int64_t born_us;
--- a/src/relay/watch.c
+++ b/src/relay/watch.c
@@ -11,6 +11,7 @@
 #include <msgpack.h>
 #include <string.h>
 
+#include "base/fault.h"
 #include "base/hash.h"
 #include "relay/relay_internal.h"
 
@@ -206,8 +207,10 @@
 }
 
 static void
-take_answer(struct fw_relay *r, const msgpack_object *f)
+take_answer(struct fw_relay *r, const msgpack_object *f, int64_t now_us)
 {
+    int64_t from_us = r->watch.asked_us;
+
     if (f[1].via.u64 != r->opts.boot || f[2].via.u64 != r->watch.nonce) {
         return; /* to a question that was given up */
     }
@@ -216,7 +219,10 @@
         r->watch.want_rules = 1;
     }
     else if (f[3].via.u64 == r->rules_offset) {
-        Fw_Relay_Fresh(r, r->watch.asked_us - (int64_t)f[4].via.u64);
+        if (FW_FAULT("fresh-from-arrival")) {
+            from_us = now_us;
+        }
+        Fw_Relay_Fresh(r, from_us - (int64_t)f[4].via.u64);
     }
 }
 
@@ -249,7 +255,7 @@
             rc = 0;
         }
         else if (a->size == 5 && a->ptr[0].via.u64 == FW_FORM_ANSWER) {
-            take_answer(r, a->ptr);
+            take_answer(r, a->ptr, now_us);
             rc = 0;
         }
     }
