--- a/src/ctl/ctl.h
+++ b/src/ctl/ctl.h
@@ -101,6 +101,13 @@
 void
 Fw_Ctl_Clear(struct fw_ctl *ctl);
 
+/*
+ * Prints what the logs in @files, apart by commas, say of request @id, in
+ * the order of time. Return: the exit status.
+ */
+int
+Fw_Ctl_ExplainLogs(const char *files, const char *id);
+
 /**
  * struct fw_reply - an answer; @err is nonzero when none came.
  * @sent: the call may have reached the instance
--- a/src/ctl/parse.c
+++ b/src/ctl/parse.c
@@ -268,6 +268,14 @@
     }
 }
 
+/* Is the answer read from files, so that no instance is asked? */
+static int
+from_files(const struct parse *p)
+{
+    return p->verb->options && p->args.options[0] &&
+           strcmp(p->verb->options[0].name, "log") == 0;
+}
+
 static int
 run(struct fw_ctl *ctl, const struct parse *p)
 {
@@ -280,7 +288,7 @@
     if (ctl->urls->len == 0 && fleet) {
         Fw_Ctl_LoadFleet(ctl, fleet);
     }
-    if (ctl->urls->len == 0 && p->verb->path) {
+    if (ctl->urls->len == 0 && p->verb->path && !from_files(p)) {
         fputs("fuchsiaward: give --instances or --fleet\n", stderr);
         return EX_USAGE;
     }
--- a/src/ctl/queries.c
+++ b/src/ctl/queries.c
@@ -176,13 +176,27 @@
     return gather(ctl, verb->path);
 }
 
+/* The first one takes the place of the instances. */
+static const struct fw_option explain_options[] = {
+    {"log", "FILE[,FILE...]", "From saved logs, asking no instance", NULL,
+     FW_OPT_TEXT},
+    {0},
+};
+
 static int
 explain(struct fw_ctl *ctl, const struct fw_verb *verb,
         const struct fw_args *args)
 {
-    char *id = g_uri_escape_string(args->words[0], NULL, TRUE);
-    char *path = g_strdup_printf("%s?id=%s", verb->path, id);
-    int rc = gather(ctl, path);
+    char *id;
+    char *path;
+    int rc;
+
+    if (args->options[0]) {
+        return Fw_Ctl_ExplainLogs(args->options[0], args->words[0]);
+    }
+    id = g_uri_escape_string(args->words[0], NULL, TRUE);
+    path = g_strdup_printf("%s?id=%s", verb->path, id);
+    rc = gather(ctl, path);
 
     g_free(path);
     g_free(id);
@@ -342,7 +356,7 @@
     {"audit", "", "Changes, newest first, refused ones too", 0, 0, "/v1/audit",
      FW_ITEM_KINDS, audit_options, audit},
     {"explain", "REQUEST-ID", "Decisions taken for a request", 1, 1,
-     "/v1/explain", FW_ITEM_KINDS, NULL, explain},
+     "/v1/explain", FW_ITEM_KINDS, explain_options, explain},
     {"sheet export", "[FILE]", "What is in force as a sheet", 0, 1,
      "/v1/sheet/export", FW_ITEM_KINDS, NULL, Fw_Ctl_SheetExport},
     {"sheet check", "FILE", "What a sheet would change, or its errors", 1, 1,
--- a/src/http/conn.c
+++ b/src/http/conn.c
@@ -220,7 +220,7 @@
     g_socket_set_option(sock, IPPROTO_TCP, TCP_USER_TIMEOUT, FW_SILENT_MS,
                         NULL);
     c->tag = g_source_add_unix_fd(source, g_socket_get_fd(sock), 0);
-    g_source_attach(source, NULL);
+    g_source_attach(source, g_main_context_get_thread_default());
     return c;
 }
 
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -83,7 +83,7 @@
     Fw_List_Init(&s->callers);
     s->source = g_socket_create_source(sock, G_IO_IN, NULL);
     g_source_set_callback(s->source, G_SOURCE_FUNC(on_accept), s, NULL);
-    g_source_attach(s->source, NULL);
+    g_source_attach(s->source, g_main_context_get_thread_default());
     return s;
 }
 
--- a/src/relay/call.c
+++ b/src/relay/call.c
@@ -141,6 +141,7 @@
     if (c->ran != FW_RAN_NO && (status == 503 || status == 429)) {
         status = 502;
     }
+    Fw_Relay_CountReason(r, reason);
     if (status == 502 || status == 504) {
         retry_us = 0;
         r->n.failed.value++;
@@ -167,7 +168,8 @@
 }
 
 void
-Fw_Call_Pass(struct fw_relay *r, struct fw_rl_call *c, struct fw_rl_acts *out)
+Fw_Call_Pass(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us,
+             struct fw_rl_acts *out)
 {
     struct fw_rl_act *a = Fw_Acts_Add(out, FW_RL_DO_PASS);
 
@@ -175,6 +177,7 @@
     a->u.pass.xid = c->op->xid;
     c->passed = 1;
     c->ran = FW_RAN_YES;
+    Fw_Histogram_Add(&r->n.first_s, now_us - c->opened_us);
     r->n.passed.value++;
 }
 
@@ -182,7 +185,10 @@
 Fw_Call_Finish(struct fw_relay *r, struct fw_rl_call *c, int whole,
                int64_t now_us, struct fw_rl_acts *out)
 {
-    if (!whole) {
+    if (whole) {
+        Fw_Histogram_Add(&r->n.whole_s, now_us - c->opened_us);
+    }
+    else {
         r->n.cut.value++;
     }
     Fw_Acts_Log(out, r, whole ? LOG_INFO : LOG_WARNING,
--- a/src/relay/metrics.c
+++ b/src/relay/metrics.c
@@ -1,3 +1,5 @@
+#include <string.h>
+
 #include "relay/relay_internal.h"
 
 void
@@ -34,6 +36,29 @@
          "Instances that count, this one included", 1},
         {&r->n.version, "fw_configuration_version",
          "Version of the configuration in force", 1},
+        {&r->n.rules_age_ms, "fw_configuration_age_ms",
+         "Since when the configuration in force is surely the newest", 1},
+        {&r->n.servers_usable, "fw_servers_usable",
+         "Servers that new requests may go to", 1},
+        {&r->n.tokens_reserved, "fw_engine_tokens_reserved",
+         "Tokens of engine memory that this instance has reserved or in use",
+         1},
+        {&r->n.role_held, "fw_order_role_held",
+         "1 while this instance may order engines", 1},
+    };
+    struct {
+        struct fw_histogram *h;
+        const char *name;
+        const char *help;
+    } times[] = {
+        {&r->n.queued_s, "fw_phase_queue_seconds",
+         "From a generation's arrival until an engine has room"},
+        {&r->n.read_s, "fw_phase_prefill_seconds",
+         "From then until its prompt is read"},
+        {&r->n.first_s, "fw_phase_first_seconds",
+         "From a request's arrival until its answer begins"},
+        {&r->n.whole_s, "fw_phase_whole_seconds",
+         "From a request's arrival until its answer is whole"},
     };
 
     for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
@@ -42,4 +67,57 @@
                                         .is_gauge = rows[i].gauge};
         Fw_Metrics_Add(&r->metrics, rows[i].m);
     }
+    for (size_t i = 0; i < G_N_ELEMENTS(times); i++) {
+        times[i].h->name = times[i].name;
+        times[i].h->help = times[i].help;
+        Fw_Metrics_AddHistogram(&r->metrics, times[i].h);
+    }
+}
+
+void
+Fw_Relay_CountReason(struct fw_relay *r, const char *reason)
+{
+    char labels[sizeof(r->n.labels[0])];
+    int i;
+
+    g_snprintf(labels, sizeof(labels), "reason=\"%s\"", reason);
+    for (i = 0; i < r->n.n_reasons; i++) {
+        if (strcmp(r->n.labels[i], labels) == 0) {
+            r->n.reasons[i].value++;
+            return;
+        }
+    }
+    if (i == FW_RL_REASONS_MAX) {
+        return; /* the sums are complete all the same */
+    }
+    g_strlcpy(r->n.labels[i], labels, sizeof(r->n.labels[i]));
+    r->n.reasons[i] =
+        (struct fw_metric){.name = "fw_refusals_total",
+                           .help = "Answers of our own to callers, by reason",
+                           .labels = r->n.labels[i],
+                           .value = 1};
+    Fw_Metrics_Add(&r->metrics, &r->n.reasons[i]);
+    r->n.n_reasons++;
+}
+
+void
+Fw_Relay_UpdateGauges(struct fw_relay *r, int64_t now_us)
+{
+    struct fw_list *pos;
+    int64_t usable = 0;
+    int64_t reserved = 0;
+
+    FW_LIST_EACH (pos, &r->servers) {
+        const struct fw_rl_server *s =
+            FW_LIST_ENTRY(pos, struct fw_rl_server, link);
+
+        usable += Fw_Servers_Usable(s, now_us);
+        reserved += s->reserved;
+    }
+    r->n.open.value = g_hash_table_size(r->calls);
+    r->n.queued.value = r->queue.n;
+    r->n.rules_age_ms.value = Fw_Relay_Ms(now_us - r->fresh_us);
+    r->n.servers_usable.value = usable;
+    r->n.tokens_reserved.value = reserved;
+    r->n.role_held.value = r->lead.fence && now_us < r->lead.until_us;
 }
--- a/src/relay/plain.c
+++ b/src/relay/plain.c
@@ -131,7 +131,7 @@
         try_again(r, c, "failed there", now_us, out);
         return;
     }
-    Fw_Call_Pass(r, c, out);
+    Fw_Call_Pass(r, c, now_us, out);
     Fw_Call_Finish(r, c, 1, now_us, out);
 }
 
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -145,7 +145,7 @@
     op->server->refusals = 0;
     Fw_Servers_Served(op->server, ans->status >= 500,
                       is_stream(op) ? -1 : now_us - op->sent_us);
-    Fw_Call_Pass(r, op->call, out);
+    Fw_Call_Pass(r, op->call, now_us, out);
 }
 
 void
@@ -256,8 +256,7 @@
     Fw_Members_Tick(r, now_us, out);
     Fw_Order_Tick(r, now_us, out);
     Fw_Stream_Pump(r, now_us, out);
-    r->n.open.value = g_hash_table_size(r->calls);
-    r->n.queued.value = r->queue.n;
+    Fw_Relay_UpdateGauges(r, now_us);
 }
 
 int64_t
--- a/src/relay/relay_internal.h
+++ b/src/relay/relay_internal.h
@@ -182,8 +182,9 @@
     char hold[FW_RL_KEY_MAX];
     char kv[FW_RL_KEY_MAX];
     char kv_addr[FW_URL_MAX];
-    int reading;    /* its prompt counts as load of @reader */
-    int64_t run_us; /* when it was sent to run */
+    int reading;     /* its prompt counts as load of @reader */
+    int64_t room_us; /* when it had room at an engine */
+    int64_t run_us;  /* when it was sent to run */
     struct fw_rl_op *op;
     int tries;
     int reads;
@@ -245,7 +246,17 @@
     return us / FW_MSEC;
 }
 
-/** struct fw_rl_counts - metrics of the relay. */
+/* Kinds of refusal that are counted apart. */
+#define FW_RL_REASONS_MAX 24
+
+/**
+ * struct fw_rl_counts - metrics of the relay.
+ * @reasons, @labels: refusals and failures by reason, made when first met
+ * @queued_s: from a generation's arrival until it has room
+ * @read_s: until its prompt is read, from then on
+ * @first_s: until an answer begins, from the request's arrival
+ * @whole_s: until it is whole
+ */
 struct fw_rl_counts {
     struct fw_metric requests;
     struct fw_metric passed;
@@ -261,6 +272,17 @@
     struct fw_metric queued;
     struct fw_metric members;
     struct fw_metric version;
+    struct fw_metric rules_age_ms;
+    struct fw_metric servers_usable;
+    struct fw_metric tokens_reserved;
+    struct fw_metric role_held;
+    struct fw_metric reasons[FW_RL_REASONS_MAX];
+    char labels[FW_RL_REASONS_MAX][FW_NAME_MAX + 16];
+    int n_reasons;
+    struct fw_histogram queued_s;
+    struct fw_histogram read_s;
+    struct fw_histogram first_s;
+    struct fw_histogram whole_s;
 };
 
 struct fw_relay {
@@ -371,7 +393,8 @@
 Fw_Call_Release(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us,
                 struct fw_rl_acts *out);
 void
-Fw_Call_Pass(struct fw_relay *r, struct fw_rl_call *c, struct fw_rl_acts *out);
+Fw_Call_Pass(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us,
+             struct fw_rl_acts *out);
 /* Lets go of @c's server without giving anything back there. */
 void
 Fw_Call_LeaveServer(struct fw_rl_call *c);
@@ -496,6 +519,11 @@
 
 /* metrics.c */
 void
+Fw_Relay_CountReason(struct fw_relay *r, const char *reason);
+/* Gauges that are worked out when time passes. */
+void
+Fw_Relay_UpdateGauges(struct fw_relay *r, int64_t now_us);
+void
 Fw_Relay_AddCounts(struct fw_relay *r);
 
 #endif
--- a/src/relay/stream.c
+++ b/src/relay/stream.c
@@ -244,6 +244,8 @@
 {
     if (ans->status == 200 && ans->name[0]) {
         g_strlcpy(c->hold, ans->name, sizeof(c->hold));
+        c->room_us = now_us;
+        Fw_Histogram_Add(&r->n.queued_s, now_us - c->opened_us);
         Fw_Servers_Served(s, 0, -1);
         read_prompt(r, c, now_us, out);
         return;
@@ -266,6 +268,7 @@
     Fw_Call_ReadDone(c);
     if (ans->status == 200 && ans->name[0]) {
         Fw_Servers_Served(s, 0, -1);
+        Fw_Histogram_Add(&r->n.read_s, now_us - c->room_us);
         g_strlcpy(c->kv, ans->name, sizeof(c->kv));
         g_strlcpy(c->kv_addr, s->e.addr, sizeof(c->kv_addr));
         run(r, c, now_us, out);
