--- a/src/relay/call.c
+++ b/src/relay/call.c
@@ -63,7 +63,7 @@
 void
 Fw_Call_ReadDone(struct fw_rl_call *c)
 {
-    if (c->reading) {
+    if (c->reading && c->reader) {
         c->reader->reading -= c->ask.tokens_in;
         c->reading = 0;
     }
--- a/src/relay/order.c
+++ b/src/relay/order.c
@@ -274,18 +274,21 @@
                 const struct fw_rl_up_answer *ans, int64_t now_us,
                 struct fw_rl_acts *out)
 {
-    enum fw_rl_stage to;
+    enum fw_rl_stage to = FW_RL_STAGE_NONE;
+    struct fw_rl_server *next;
 
     if (ans->status == 200 && ans->busy && !Fw_Servers_Switching(s, now_us)) {
         s->to_stage = other_stage(s->e.stage);
         s->stage_us = now_us + FW_ORDER_LATE_US;
     }
     if (ans->status != 200 || ans->busy || ans->orders < 0 ||
-        now_us < r->lead.survey_us || next_change(r, now_us, &to) != s ||
-        ans->stage == to) {
+        now_us < r->lead.survey_us) {
         return;
     }
-    order(r, s, to, ans->orders, now_us, out);
+    next = next_change(r, now_us, &to);
+    if (next && next == s && ans->stage != to) {
+        order(r, next, to, ans->orders, now_us, out);
+    }
 }
 
 static void
--- a/src/relay/purse.c
+++ b/src/relay/purse.c
@@ -78,7 +78,9 @@
     if (p->rate == rate && p->burst == burst) {
         return;
     }
-    settle(r, p, now_us);
+    if (p->burst) { /* one just made has nothing to settle */
+        settle(r, p, now_us);
+    }
     p->rate = rate;
     p->burst = MAX(burst, 1);
     p->level = MIN(p->level, cap_of(p));
--- a/src/relayd/relayd.c
+++ b/src/relayd/relayd.c
@@ -277,12 +277,20 @@
 static void
 begin(struct fw_relayd *d)
 {
+    char callers[FW_URL_MAX];
+    char ready[FW_URL_MAX];
+    char metrics[FW_URL_MAX];
+
     d->timer = g_source_new(&timer_funcs, sizeof(GSource));
     g_source_set_callback(d->timer, on_timer, d, NULL);
     g_source_set_ready_time(d->timer, 0);
     g_source_attach(d->timer, NULL);
-    Fw_Note_Log(LOG_NOTICE, "started", "version", "0.2", "callers",
-                d->opts.callers, "store", d->opts.store, NULL);
+    Fw_Server_Url(d->callers, callers);
+    Fw_Server_Url(d->ready, ready);
+    Fw_Server_Url(d->metrics, metrics);
+    Fw_Note_Log(LOG_NOTICE, "started", "version", "0.2", "callers", callers,
+                "ready", ready, "metrics", metrics, "store", d->opts.store,
+                NULL);
 }
 
 struct fw_relayd *
--- a/stand/wire/main.c
+++ b/stand/wire/main.c
@@ -3,25 +3,68 @@
  * demo: the store, two prefill and four decode engines, two plain servers.
  */
 #include <argp.h>
+#include <errno.h>
 #include <glib-unix.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include "stand/wire/wire.h"
 
 static const struct argp_option options[] = {
     {"port", 'p', "PORT", 0, "Port of the store, 0 for any", 0},
+    {"fault", 'f', "WORD", 0,
+     "What servers do to each request: full, fail, reset, break, stall", 0},
     {0},
 };
 
+/* Requests that a fault lasts for: all of a demo's. */
+#define FW_ALWAYS 1000000
+
+/** struct arguments - of the command line. */
+struct arguments {
+    int port;
+    enum fw_wire_fault fault;
+};
+
+static int
+read_fault(const char *word, enum fw_wire_fault *out)
+{
+    static const struct {
+        const char *word;
+        enum fw_wire_fault fault;
+    } faults[] = {{"full", FW_WIRE_FULL},
+                  {"fail", FW_WIRE_FAIL},
+                  {"reset", FW_WIRE_RESET},
+                  {"break", FW_WIRE_BREAK},
+                  {"stall", FW_WIRE_STALL}};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(faults); i++) {
+        if (strcmp(faults[i].word, word) == 0) {
+            *out = faults[i].fault;
+            return 0;
+        }
+    }
+    return -EINVAL;
+}
+
 static error_t
 parse_opt(int key, char *arg, struct argp_state *state)
 {
-    if (key == 'p') {
-        *(int *)state->input = atoi(arg);
+    struct arguments *args = state->input;
+
+    switch (key) {
+    case 'p':
+        args->port = atoi(arg);
+        return 0;
+    case 'f':
+        if (read_fault(arg, &args->fault)) {
+            argp_error(state, "no fault `%s'", arg);
+        }
         return 0;
+    default:
+        return ARGP_ERR_UNKNOWN;
     }
-    return ARGP_ERR_UNKNOWN;
 }
 
 static const struct argp parser = {
@@ -55,14 +98,15 @@
     GMainLoop *loop = g_main_loop_new(NULL, FALSE);
     struct fw_wire_store *store;
     char *config = Fw_Wire_Config(1, "\"demo-key\"");
-    int port = 0;
+    struct arguments args = {0};
     char addr[32];
 
-    argp_parse(&parser, argc, argv, 0, NULL, &port);
-    g_snprintf(addr, sizeof(addr), "127.0.0.1:%d", port);
+    argp_parse(&parser, argc, argv, 0, NULL, &args);
+    g_snprintf(addr, sizeof(addr), "127.0.0.1:%d", args.port);
     store = Fw_WireStore_New(addr);
     for (size_t i = 0; i < G_N_ELEMENTS(servers); i++) {
         all[i] = Fw_WireServer_New(store, "127.0.0.1:0", &servers[i]);
+        Fw_WireServer_SetFault(all[i], args.fault, args.fault ? FW_ALWAYS : 0);
     }
     Fw_WireStore_Put(store, "keyed.op", "config", config);
     printf("127.0.0.1:%d\n", Fw_WireStore_Port(store));
--- a/stand/wire/server.c
+++ b/stand/wire/server.c
@@ -306,7 +306,7 @@
     int64_t in_tokens = g_ascii_strtoll(counts, NULL, 10);
     int64_t out_tokens = comma ? g_ascii_strtoll(comma + 1, NULL, 10) : 0;
     int prefill = stage[0] != 0;
-    enum fw_wire_fault fault = next_fault(s);
+    enum fw_wire_fault fault = prefill ? FW_WIRE_OK : next_fault(s);
     int64_t tokens = -1;
     struct run *r;
 
--- a/tests/base/test_base.c
+++ b/tests/base/test_base.c
@@ -70,6 +70,31 @@
 }
 END_TEST
 
+START_TEST(a_histogram_counts_up_to_each_bound)
+{
+    struct fw_metrics m;
+    struct fw_histogram h = {.name = "fw_t_seconds", .help = "t"};
+    GString *out = g_string_new(NULL);
+
+    Fw_Metrics_Init(&m);
+    Fw_Metrics_AddHistogram(&m, &h);
+    Fw_Histogram_Add(&h, 1000);
+    Fw_Histogram_Add(&h, 1001);
+    Fw_Histogram_Add(&h, 3600 * 1000000LL);
+    Fw_Metrics_Print(&m, out);
+    ck_assert_ptr_nonnull(strstr(out->str, "# TYPE fw_t_seconds histogram\n"
+                                           "fw_t_seconds_bucket{le=\"0.001\"}"
+                                           " 1\nfw_t_seconds_bucket{le="
+                                           "\"0.001414\"} 2\n"));
+    ck_assert_ptr_nonnull(strstr(out->str,
+                                 "_bucket{le=\"32.77\"} 2\n"
+                                 "fw_t_seconds_bucket{le=\"+Inf\"} 3\n"
+                                 "fw_t_seconds_sum 3600.002001\n"
+                                 "fw_t_seconds_count 3\n"));
+    g_string_free(out, TRUE);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -78,5 +103,6 @@
     tcase_add_test(tc, list_keeps_order_and_removes);
     tcase_add_test(tc, digest_is_sha256_and_compares_whole);
     tcase_add_test(tc, metrics_print_counters_and_gauges);
+    tcase_add_test(tc, a_histogram_counts_up_to_each_bound);
     return Fw_Suite_Run(tc);
 }
--- a/tests/relay/test_relay.c
+++ b/tests/relay/test_relay.c
@@ -627,11 +627,11 @@
              "open 2 /read/x key=ka\n"
              "  ask 2 run s1 for 2 team=a left=10000\n"
              "open 3 /read/x key=ka\n"
-             "  ask 3 run s1 for 3 team=a left=10000\n"
+             "  refuse 3 429 over_allowance ran=no later\n"
              "open 4 /read/x key=ka\n"
-             "  ask 4 run s1 for 4 team=a left=10000\n"
+             "  refuse 4 429 over_allowance ran=no later\n"
              "open 5 /read/x key=ka\n"
-             "  ask 5 run s1 for 5 team=a left=10000\n"},
+             "  refuse 5 429 over_allowance ran=no later\n"},
     {.name = "what never ran is given back to its team",
      .text = "rules 1 rate=300 burst=800\n"
              "fresh 0\n"
