--- a/src/relayd/relayd.c
+++ b/src/relayd/relayd.c
@@ -16,6 +16,8 @@
 #define FW_LEAVE_US (2500 * FW_MSEC)
 /* Kept of the grace period, for the end itself. */
 #define FW_GRACE_MARGIN_US (400 * FW_MSEC)
+/* Ticks come every 100 ms at the latest; a longer pause than this is told. */
+#define FW_PAUSE_US (500 * FW_MSEC)
 /* The settings file may change without a signal: looked at so often. */
 #define FW_SETTINGS_EVERY_US (1 * FW_SEC)
 
@@ -225,6 +227,24 @@
     }
 }
 
+/*
+ * A machine that was suspended, or a loop that was held up, explains late
+ * answers and lost leases afterwards; nothing else in the logs would.
+ */
+static void
+note_pause(struct fw_relayd *d, int64_t now)
+{
+    int64_t gap = d->ticked_us ? now - d->ticked_us : 0;
+    char ms[24];
+
+    d->ticked_us = now;
+    if (gap > FW_PAUSE_US) {
+        g_snprintf(ms, sizeof(ms), "%" G_GINT64_FORMAT,
+                   (gint64)(gap / FW_MSEC));
+        Fw_Note_Log(LOG_WARNING, "stood_still", "ms", ms, NULL);
+    }
+}
+
 static gboolean
 on_timer(gpointer data)
 {
@@ -232,6 +252,8 @@
     int64_t now = Fw_Conn_Now();
     struct fw_rl_acts acts;
 
+    note_pause(d, now);
+
     Fw_Acts_Init(&acts);
     Fw_Relay_Tick(d->relay, now, &acts);
     Fw_Relayd_CarryOut(d, &acts);
--- a/src/relayd/relayd_internal.h
+++ b/src/relayd/relayd_internal.h
@@ -67,6 +67,7 @@
     struct fw_store *store;
     GSource *timer;
     guint signals[3];
+    int64_t ticked_us;
     int64_t drain_us;
     int over;
 };
