--- a/src/daemon/ini.h
+++ b/src/daemon/ini.h
@@ -38,6 +38,16 @@
     const char *const *words;
 };
 
+/* Rows of a table; @at: offset of the value. */
+#define FW_INI_NUMBER(group, key, fallback, min, max, at)                     \
+    {                                                                         \
+        group, key, FW_INI_INT, fallback, min, max, at, NULL                  \
+    }
+#define FW_INI_TEXT(group, key, kind, fallback, at)                           \
+    {                                                                         \
+        group, key, kind, fallback, 0, 0, at, NULL                            \
+    }
+
 /**
  * Fw_Ini_Load - reads the file @path into @values.
  * @error: what is wrong, naming file, group and key; to be freed
--- a/src/relayd/relayd_internal.h
+++ b/src/relayd/relayd_internal.h
@@ -100,6 +100,12 @@
 void
 Fw_Store_Claim(struct fw_store *s, uint64_t end);
 
+/* store_take.c */
+/* Tells the core what the records @got of @topic say. */
+void
+Fw_Store_Take(struct fw_relayd *d, enum fw_topic topic,
+              const struct fw_records *got, struct fw_rl_acts *acts);
+
 /* peers.c */
 int
 Fw_Peer_Listen(struct fw_relayd *d);
--- a/src/relayd/settings.c
+++ b/src/relayd/settings.c
@@ -42,13 +42,9 @@
 
 #define FW_AT(field) offsetof(struct values, field)
 #define FW_INT(group, key, fallback, min, max, field)                         \
-    {                                                                         \
-        group, key, FW_INI_INT, fallback, min, max, FW_AT(field), NULL        \
-    }
+    FW_INI_NUMBER(group, key, fallback, min, max, FW_AT(field))
 #define FW_TEXT(group, key, kind, fallback, field)                            \
-    {                                                                         \
-        group, key, kind, fallback, 0, 0, FW_AT(field), NULL                  \
-    }
+    FW_INI_TEXT(group, key, kind, fallback, FW_AT(field))
 
 static const char *const levels[] = {"emerg", "alert",   "crit",
                                      "err",   "warning", "notice",
--- a/src/relayd/store.c
+++ b/src/relayd/store.c
@@ -102,85 +102,6 @@
     f->next_us = now + pause;
 }
 
-static void
-take_rules(struct fw_relayd *d, const struct fw_record *rec,
-           struct fw_rl_acts *acts)
-{
-    const char *why = "dropped";
-    struct fw_rl_rules *rules = NULL;
-
-    if (!Fw_Platform_IsRulesKey(rec->key)) {
-        return;
-    }
-    if (rec->value) {
-        rules = Fw_Platform_ReadRules(rec->value, rec->len, &why);
-    }
-    if (!rules) {
-        Fw_Note_Log(LOG_ERR, "configuration_rejected", "why", why, NULL);
-    }
-    Fw_Relay_Rules(d->relay, rules, rec->offset, Fw_Conn_Now(), acts);
-    Fw_Rules_Unref(rules);
-}
-
-static void
-take_server(struct fw_relayd *d, const struct fw_record *rec,
-            struct fw_rl_acts *acts)
-{
-    struct fw_rl_server_entry e;
-    int64_t now = Fw_Conn_Now();
-
-    if (!rec->value) {
-        Fw_Relay_Server(d->relay, rec->key, NULL, now, acts);
-    }
-    else if (Fw_Platform_ReadServer(rec->key, rec->value, rec->len, &e) == 0) {
-        Fw_Relay_Server(d->relay, rec->key, &e, now, acts);
-    }
-    else {
-        Fw_Note_Log(LOG_WARNING, "entry_unreadable", "server", rec->key, NULL);
-    }
-}
-
-static void
-take_member(struct fw_relayd *d, const struct fw_record *rec)
-{
-    JsonNode *root = rec->value ? Fw_Json_Parse(rec->value, rec->len) : NULL;
-    char addr[FW_URL_MAX];
-
-    if (root && Fw_Json_CopyStr(json_node_get_object(root), "addr", addr,
-                                sizeof(addr)) == 0) {
-        Fw_Relay_AddMember(d->relay, rec->key, addr, Fw_Conn_Now());
-    }
-    if (root) {
-        json_node_unref(root);
-    }
-}
-
-static void
-take_all(struct fw_follow *f, const struct fw_records *got,
-         struct fw_rl_acts *acts)
-{
-    struct fw_relayd *d = f->store->d;
-
-    for (guint i = 0; i < got->all->len; i++) {
-        const struct fw_record *rec =
-            &g_array_index(got->all, struct fw_record, i);
-
-        switch (f->topic) {
-        case FW_TOPIC_RULES:
-            take_rules(d, rec, acts);
-            break;
-        case FW_TOPIC_SERVERS:
-            take_server(d, rec, acts);
-            break;
-        case FW_TOPIC_MEMBERS:
-            take_member(d, rec);
-            break;
-        case FW_TOPIC_LEAD:
-            break;
-        }
-    }
-}
-
 /* Pages are not a snapshot: what changes meanwhile is read afterwards. */
 static void
 took_newest(struct fw_follow *f, const struct fw_records *got,
@@ -194,7 +115,7 @@
             Fw_Relay_ListBegin(d->relay);
         }
     }
-    take_all(f, got, acts);
+    Fw_Store_Take(f->store->d, f->topic, got, acts);
     f->paging = got->more && got->all->len;
     if (f->paging) {
         const struct fw_record *last =
@@ -221,7 +142,7 @@
 took_read(struct fw_follow *f, const struct fw_records *got,
           struct fw_rl_acts *acts)
 {
-    take_all(f, got, acts);
+    Fw_Store_Take(f->store->d, f->topic, got, acts);
     f->from = got->next;
     f->next_us = f->from < got->end ? 0 : f->sent_us + f->every_us;
     if (f->topic == FW_TOPIC_SERVERS) {
