Hand priorities on to engines; test a store that loses its answers

Cause: the priority of a team or route was decoded and not handed on; the store's lost answers had a mode in the stand-in and no test. Change: generations bear their priority at prefill and decode; the test.

--- a/src/relay/stream.c
+++ b/src/relay/stream.c
@@ -178,7 +178,7 @@
     struct fw_rl_up_call up = {
         .kind = FW_RL_UP_RUN,
         .left_us = c->deadline_us - now_us,
-        .urgency = -1,
+        .urgency = c->urgency,
         .reuse_us = FW_RUN_REUSE_US,
         .connect_us = FW_RL_CONNECT_US,
     };
@@ -216,7 +216,7 @@
     struct fw_rl_up_call up = {
         .kind = FW_RL_UP_PREFILL,
         .left_us = c->deadline_us - now_us,
-        .urgency = -1,
+        .urgency = c->urgency,
         .whole = 1,
         .reuse_us = FW_RL_REUSE_US,
         .connect_us = FW_RL_CONNECT_US,
--- a/tests/relayd/test_relayd.c
+++ b/tests/relayd/test_relayd.c
@@ -98,7 +98,7 @@
 }
 
 static void
-world_open(struct world *w)
+world_make(struct world *w)
 {
     *w = (struct world){0};
     w->null = open("/dev/null", O_WRONLY);
@@ -111,6 +111,12 @@
     w->s2 = Fw_WireServer_New(w->store, "127.0.0.1:0", &servers[4]);
     configure(w, 1, FW_KEYS);
     set_opts(w);
+}
+
+static void
+world_open(struct world *w)
+{
+    world_make(w);
     start_relay(w);
 }
 
@@ -170,6 +176,8 @@
     ck_assert_ptr_nonnull(
         strstr(Fw_WireServer_LastHead(w.p1), "Tenant: skippers\r\n"));
     ck_assert_ptr_null(strstr(Fw_WireServer_LastHead(w.p1), "Bearer"));
+    ck_assert_ptr_nonnull(
+        strstr(Fw_WireServer_LastHead(w.p1), "Request-Priority: 1\r\n"));
     Fw_Rig_Until(all_free, &w);
     Fw_RigConn_Close(c);
     world_close(&w);
@@ -346,6 +354,34 @@
 }
 END_TEST
 
+/*
+ * The store does what it is asked and its answers are lost. The instance
+ * can't know that its registration stands; it asks again until it does, and
+ * what it reads meanwhile counts.
+ */
+START_TEST(a_store_that_loses_answers_delays_nothing_but_itself)
+{
+    struct world w;
+    int before;
+
+    world_make(&w);
+    Fw_WireStore_SetMode(w.store, FW_WIRE_STORE_LOSING);
+    start_relay(&w);
+    ck_assert(!is_refused(&w));
+    while (Fw_WireStore_Count(w.store, "keyed.fuchsiaward") < 2) {
+        g_main_context_iteration(NULL, TRUE);
+    }
+    Fw_WireStore_SetMode(w.store, FW_WIRE_STORE_WELL);
+    before = Fw_WireStore_Calls(w.store);
+    while (Fw_WireStore_Calls(w.store) < before + 20) {
+        g_main_context_iteration(NULL, TRUE);
+    }
+    ck_assert_int_le(Fw_WireStore_Count(w.store, "keyed.fuchsiaward"), 4);
+    ck_assert(!is_refused(&w));
+    world_close(&w);
+}
+END_TEST
+
 /* Entries that can't be read name no server, and the others hold. */
 START_TEST(bad_entries_in_the_store_change_nothing)
 {
@@ -461,6 +497,7 @@
     tcase_add_test(tc, a_withdrawn_key_stops_working_at_once);
     tcase_add_loop_test(tc, a_store_that_is_away_stops_keys_after_a_while_only,
                         0, 3);
+    tcase_add_test(tc, a_store_that_loses_answers_delays_nothing_but_itself);
     tcase_add_test(tc, bad_entries_in_the_store_change_nothing);
     tcase_add_test(tc, a_draining_server_gets_nothing_new);
     tcase_add_test(tc, a_stop_lets_a_running_stream_end);
