Take out what nobody uses

Cause: read as a newcomer: fields, two queries and a parameter without use. Change: they are gone; a comment says what the store's return means.

--- a/explore/relay_requests.c
+++ b/explore/relay_requests.c
@@ -37,8 +37,6 @@
     GPtrArray *pending;
     struct told told[FW_CALLS_MAX];
     int n;
-    int holds;
-    int kvs;
     GHashTable *names; /* reservations and caches that are held */
 };
 
--- a/src/http/answer.c
+++ b/src/http/answer.c
@@ -123,9 +123,3 @@
 {
     return Fw_Conn_Pending(c->conn);
 }
-
-int
-Fw_Caller_Started(const struct fw_http_caller *c)
-{
-    return c->started;
-}
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -114,7 +114,5 @@
 Fw_Caller_ForgetBody(struct fw_http_caller *c);
 size_t
 Fw_Caller_Pending(const struct fw_http_caller *c);
-int
-Fw_Caller_Started(const struct fw_http_caller *c);
 
 #endif
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -283,12 +283,6 @@
     return !r->draining && r->list_known && Fw_Relay_KeysFresh(r, now_us);
 }
 
-int
-Fw_Relay_OpenCount(const struct fw_relay *r)
-{
-    return (int)g_hash_table_size(r->calls);
-}
-
 const struct fw_rl_rules *
 Fw_Relay_InForce(const struct fw_relay *r)
 {
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -310,9 +310,6 @@
 /* May new requests go to the server @id? */
 int
 Fw_Relay_Usable(const struct fw_relay *r, const char *id, int64_t now_us);
-/* Requests that aren't answered yet. */
-int
-Fw_Relay_OpenCount(const struct fw_relay *r);
 const struct fw_rl_rules *
 Fw_Relay_InForce(const struct fw_relay *r);
 
--- a/src/relay/relay_internal.h
+++ b/src/relay/relay_internal.h
@@ -24,7 +24,10 @@
 #define FW_RL_CONNECT_US (250 * FW_MSEC)
 /* Giving back a reservation or a KV cache that lapse by themselves anyway. */
 #define FW_RL_HOUSEKEEPING_US (1 * FW_SEC)
-/* Lists read before a silent store's lapses count, see servers.c. */
+/*
+ * After the store's return, until a lapse of that time counts: entries of
+ * servers that live are back within two seconds. See servers.c.
+ */
 #define FW_RL_STORE_RETURN_US (2200 * FW_MSEC)
 
 /**
@@ -188,7 +191,6 @@
     int64_t run_us;  /* when it was sent to run */
     struct fw_rl_op *op;
     int tries;
-    int reads;
     int passed;
     enum fw_ran ran;
     uint64_t tried[FW_RL_TRIED_MAX];
--- a/src/relay/stream.c
+++ b/src/relay/stream.c
@@ -28,8 +28,6 @@
 #define FW_HOLD_USABLE_US (1 * FW_SEC)
 /* Times that one request may start over at another engine. */
 #define FW_STARTS_MAX 3
-/* Beside its own connection no stream is kept waiting on an old one. */
-#define FW_RUN_REUSE_US FW_RL_REUSE_ONCE_US
 
 static struct fw_rl_call *
 call_of(struct fw_queue_item *it)
@@ -179,7 +177,7 @@
         .kind = FW_RL_UP_RUN,
         .left_us = c->deadline_us - now_us,
         .urgency = c->urgency,
-        .reuse_us = FW_RUN_REUSE_US,
+        .reuse_us = FW_RL_REUSE_ONCE_US,
         .connect_us = FW_RL_CONNECT_US,
     };
 
@@ -235,7 +233,6 @@
     c->reading = 1;
     s->reading += c->ask.tokens_in;
     c->state = FW_RL_READ;
-    c->reads++;
     r->n.reads.value++;
     Fw_Call_Ask(r, c, s, &up,
                 MIN(now_us + wait_us + FW_READ_SLACK_US, c->deadline_us),
@@ -359,8 +356,8 @@
 }
 
 static void
-run_failed(struct fw_relay *r, struct fw_rl_call *c, int err, int sent,
-           int64_t now_us, struct fw_rl_acts *out)
+run_failed(struct fw_relay *r, struct fw_rl_call *c, int sent, int64_t now_us,
+           struct fw_rl_acts *out)
 {
     if (c->passed) {
         Fw_Call_Finish(r, c, 0, now_us, out);
@@ -383,7 +380,6 @@
     else {
         Fw_Call_Refuse(r, c, 502, 0, "engine_lost", now_us, out);
     }
-    (void)err;
 }
 
 void
@@ -413,7 +409,7 @@
         read_elsewhere(r, c, sent ? 1 : 0, now_us, out);
     }
     else {
-        run_failed(r, c, err, sent, now_us, out);
+        run_failed(r, c, sent, now_us, out);
     }
     Fw_Servers_Unref(s);
 }
--- a/src/relayd/relayd_internal.h
+++ b/src/relayd/relayd_internal.h
@@ -9,8 +9,6 @@
 #include "platform/platform.h"
 #include "relayd/relayd.h"
 
-struct fw_follow;
-
 /** struct fw_caller_rec - a caller's request as the shell holds it. */
 struct fw_caller_rec {
     uint64_t id;
@@ -62,8 +60,6 @@
     GHashTable *ups;       /* xid to fw_up_rec */
     GQueue failed;         /* xids of calls that could not be begun */
     uint64_t last_call;
-    struct fw_follow *rules;
-    struct fw_follow *servers;
     struct fw_store *store;
     GSource *timer;
     guint signals[3];
