Look at digests before msgpack does

Cause: msgpack-c allocates an array as large as its header claims. Frames of the own peers are looked at for that first; the digests between relays, which come over UDP and are not authenticated, went to the library as they came. A datagram of five bytes asked for 137 GB (0x2000000008 bytes, by the address sanitizer's report). Found by reading the change, not by a run.

Ruled out: a second look in src/relay; a bound on the datagram, which is not what allocates.

Digests still are not authenticated.

--- a/src/io/peer_scan.c
+++ b/src/core/pack_scan.c
@@ -1,4 +1,4 @@
-#include "io/peer_scan.h"
+#include "core/pack_scan.h"
 
 /* The format's type bytes (msgpack specification). */
 #define FW_FIXMAP 0x80
@@ -90,7 +90,7 @@
 }
 
 int
-Fw_PeerScan_IsSane(const uint8_t *data, size_t len)
+Fw_PackScan_IsSane(const uint8_t *data, size_t len)
 {
     uint64_t claims = 0;
     size_t at = 0;
--- a/src/io/peer_receive.c
+++ b/src/io/peer_receive.c
@@ -1,8 +1,8 @@
 /* Messages in: authentic frames taken apart and given to the core. */
 #include <errno.h>
 
+#include "core/pack_scan.h"
 #include "io/peer_priv.h"
-#include "io/peer_scan.h"
 
 static void
 give(struct fw_peers *p, const struct fw_peer_conn *conn, struct fw_msg *msg)
@@ -46,7 +46,7 @@
 
     p->counts.bytes_in.value +=
         (int64_t)(len + sizeof(uint32_t) + FW_FRAME_MAC_SIZE);
-    if (!Fw_PeerScan_IsSane(data, len)) {
+    if (!Fw_PackScan_IsSane(data, len)) {
         return -EBADMSG;
     }
     while (!rc && at < len && conn->is_open) {
--- a/src/relay/members.c
+++ b/src/relay/members.c
@@ -10,6 +10,7 @@
 #include <string.h>
 
 #include "base/hash.h"
+#include "core/pack_scan.h"
 #include "relay/relay_internal.h"
 
 #define FW_DIGEST_FORM 1
@@ -448,6 +449,9 @@
     struct digest d;
     int rc = -EBADMSG;
 
+    if (!Fw_PackScan_IsSane(data, len)) {
+        return -EBADMSG;
+    }
     msgpack_unpacked_init(&u);
     if (msgpack_unpack_next(&u, data, len, NULL) == MSGPACK_UNPACK_SUCCESS &&
         check(&u.data, &d) == 0) {
