--- a/src/core/pack.c
+++ b/src/core/pack.c
@@ -3,6 +3,19 @@
 #include <errno.h>
 #include <string.h>
 
+static int
+append(void *data, const char *buf, size_t len)
+{
+    g_byte_array_append(data, (const guint8 *)buf, (guint)len);
+    return 0;
+}
+
+void
+Fw_Pack_Begin(msgpack_packer *pk, GByteArray *out)
+{
+    msgpack_packer_init(pk, out, append);
+}
+
 void
 Fw_Pack_Str(msgpack_packer *pk, const char *s)
 {
--- a/src/core/pack.h
+++ b/src/core/pack.h
@@ -2,9 +2,13 @@
 #ifndef FW_CORE_PACK_H
 #define FW_CORE_PACK_H
 
+#include <glib.h>
 #include <msgpack.h>
 #include <stdint.h>
 
+/* Makes @pk append to @out. */
+void
+Fw_Pack_Begin(msgpack_packer *pk, GByteArray *out);
 void
 Fw_Pack_Str(msgpack_packer *pk, const char *s);
 
--- a/src/relay/order.c
+++ b/src/relay/order.c
@@ -348,10 +348,9 @@
 }
 
 void
-Fw_Order_Failed(struct fw_relay *r, struct fw_rl_op *op, int64_t now_us,
+Fw_Order_Failed(struct fw_relay *r, struct fw_rl_op *op,
                 struct fw_rl_acts *out)
 {
-    (void)now_us;
     if (op->kind == FW_RL_UP_STAGE) {
         Fw_Acts_Log(out, r, LOG_WARNING, "order_unanswered",
                     "\"server\":\"%s\"", op->server->e.id);
--- a/src/relay/purse.c
+++ b/src/relay/purse.c
@@ -86,20 +86,25 @@
     p->level = MIN(p->level, cap_of(p));
 }
 
+static struct fw_rl_purse *
+find(const struct fw_relay *r, uint64_t hash)
+{
+    return g_hash_table_lookup(r->purses, &hash);
+}
+
 static struct fw_rl_purse *
 purse_of(struct fw_relay *r, const struct fw_rl_team_rule *t, int64_t now_us)
 {
-    struct fw_rl_purse *p = g_hash_table_lookup(r->purses, t->name);
+    struct fw_rl_purse *p = find(r, Fw_Hash_Str(t->name));
 
     if (!p) {
         p = g_new0(struct fw_rl_purse, 1);
-        g_strlcpy(p->team, t->name, sizeof(p->team));
         p->hash = Fw_Hash_Str(t->name);
         p->level = FW_START_LEVEL * (double)t->burst;
         p->at_us = now_us;
         p->born_us = now_us;
         p->part = 1.0;
-        g_hash_table_insert(r->purses, p->team, p);
+        g_hash_table_insert(r->purses, &p->hash, p);
     }
     resize(r, p, t, now_us);
     return p;
@@ -153,7 +158,7 @@
 void
 Fw_Purse_Return(struct fw_relay *r, const char *team, int64_t cost)
 {
-    struct fw_rl_purse *p = g_hash_table_lookup(r->purses, team);
+    struct fw_rl_purse *p = find(r, Fw_Hash_Str(team));
 
     if (p) {
         p->level = MIN(p->level + (double)cost, cap_of(p));
@@ -165,27 +170,20 @@
 Fw_Purse_Others(struct fw_relay *r, uint64_t hash, int64_t tokens,
                 int64_t level, int64_t now_us)
 {
-    GHashTableIter it;
-    gpointer v;
+    struct fw_rl_purse *p = find(r, hash);
 
-    g_hash_table_iter_init(&it, r->purses);
-    while (g_hash_table_iter_next(&it, NULL, &v)) {
-        struct fw_rl_purse *p = v;
-
-        if (p->hash != hash) {
-            continue;
-        }
-        /* Before it is taken off: a full bucket doesn't refill meanwhile. */
-        settle(r, p, now_us);
-        if (!p->adopted && now_us - p->born_us < FW_ADOPT_US) {
-            p->adopted = 1;
-            p->level = (double)level;
-            p->at_us = now_us;
-        }
-        else {
-            p->level -= (double)tokens;
-        }
-        p->level = MIN(p->level, cap_of(p));
+    if (!p) {
         return;
     }
+    /* Before it is taken off: a full bucket doesn't refill meanwhile. */
+    settle(r, p, now_us);
+    if (!p->adopted && now_us - p->born_us < FW_ADOPT_US) {
+        p->adopted = 1;
+        p->level = (double)level;
+        p->at_us = now_us;
+    }
+    else {
+        p->level -= (double)tokens;
+    }
+    p->level = MIN(p->level, cap_of(p));
 }
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -25,7 +25,8 @@
     r->fresh_us = now_us - opts->key_stale_us;
     r->calls = g_hash_table_new(g_int64_hash, g_int64_equal);
     r->ops = g_hash_table_new(g_int64_hash, g_int64_equal);
-    r->purses = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+    r->purses =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
     r->budgets = g_ptr_array_new_with_free_func(g_free);
     Fw_List_Init(&r->servers);
     Fw_List_Init(&r->call_list);
@@ -71,10 +72,7 @@
 void
 Fw_Relay_SetOpts(struct fw_relay *r, const struct fw_relay_opts *opts)
 {
-    uint64_t boot = r->opts.boot;
-
     r->opts = *opts;
-    r->opts.boot = boot;
 }
 
 struct fw_metrics *
@@ -184,7 +182,7 @@
                 op->call ? op->call->ask.id : "", op->server->e.id,
                 (int)op->kind, err, sent, Fw_Relay_Ms(now_us - op->sent_us));
     if (!op->call) {
-        Fw_Order_Failed(r, op, now_us, out);
+        Fw_Order_Failed(r, op, out);
     }
     else if (is_stream(op)) {
         Fw_Stream_Failed(r, op, err, sent, now_us, out);
--- a/src/relay/relay_internal.h
+++ b/src/relay/relay_internal.h
@@ -2,6 +2,7 @@
 #ifndef FW_RELAY_INTERNAL_H
 #define FW_RELAY_INTERNAL_H
 
+#include <msgpack.h>
 #include <syslog.h>
 
 #include "relay/relay.h"
@@ -29,6 +30,12 @@
  * servers that live are back within two seconds. See servers.c.
  */
 #define FW_RL_STORE_RETURN_US (2200 * FW_MSEC)
+/*
+ * An instance that was silent for so long isn't counted as in touch: four
+ * digests. Until then both sides of a cut spend the whole rate, so this is
+ * what a cut can cost beyond it.
+ */
+#define FW_RL_TOUCH_US (600 * FW_MSEC)
 
 /**
  * struct fw_rl_server - a server in one lifetime.
@@ -105,6 +112,7 @@
 
 /**
  * struct fw_rl_purse - a team's allowance as known here.
+ * @hash: of the team's name
  * @level: tokens; below zero when others spent what was not known here yet
  * @part: of the fleet that is in touch, as of @at_us
  * @spent: tokens spent here since the start, told to the others
@@ -112,7 +120,6 @@
  *     guess until another one's was taken over
  */
 struct fw_rl_purse {
-    char team[FW_NAME_MAX];
     uint64_t hash;
     int64_t rate;
     int64_t burst;
@@ -306,7 +313,7 @@
     struct fw_queue queue;
     uint64_t last_xid;
     struct fw_list members;
-    GHashTable *purses; /* team to struct fw_rl_purse */
+    GHashTable *purses; /* hash of a team to struct fw_rl_purse */
     GPtrArray *budgets;
     struct fw_rl_suspicion suspicions[FW_RL_SUSPICIONS];
     int n_suspicions;
@@ -475,6 +482,10 @@
                  int64_t now_us);
 
 /* members.c */
+struct fw_rl_member *
+Fw_Members_Find(const struct fw_relay *r, const char *name);
+struct fw_rl_member *
+Fw_Members_Add(struct fw_relay *r, const char *name, int64_t now_us);
 /* Instances that count, this one included; @heard: those in touch now. */
 int
 Fw_Members_Count(const struct fw_relay *r, int64_t now_us, int *heard);
@@ -483,10 +494,6 @@
 void
 Fw_Members_Clear(struct fw_relay *r);
 
-/* members.c, for watch.c */
-struct fw_rl_member *
-Fw_Members_Find(const struct fw_relay *r, const char *name);
-
 /* watch.c */
 /* A member said how far it has read. */
 void
@@ -496,7 +503,7 @@
 Fw_Watch_ListHash(const struct fw_relay *r);
 /* A question (form 2) or an answer (form 3); -EBADMSG for neither. */
 int
-Fw_Watch_Read(struct fw_relay *r, const void *data, size_t len, int64_t now_us,
+Fw_Watch_Read(struct fw_relay *r, const msgpack_object *o, int64_t now_us,
               GByteArray *reply);
 
 /* poison.c */
@@ -517,7 +524,7 @@
                   const struct fw_rl_up_answer *ans, int64_t now_us,
                   struct fw_rl_acts *out);
 void
-Fw_Order_Failed(struct fw_relay *r, struct fw_rl_op *op, int64_t now_us,
+Fw_Order_Failed(struct fw_relay *r, struct fw_rl_op *op,
                 struct fw_rl_acts *out);
 
 /* metrics.c */
--- a/src/relay/stream.c
+++ b/src/relay/stream.c
@@ -169,6 +169,18 @@
     requeue(r, c, now_us, out);
 }
 
+/* Nonzero when @c's key can't be trusted any more: it was refused. */
+static int
+is_stale(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us,
+         struct fw_rl_acts *out)
+{
+    if (Fw_Relay_MayServe(r, c, now_us)) {
+        return 0;
+    }
+    Fw_Call_Refuse(r, c, 503, FW_SEC, "configuration_stale", now_us, out);
+    return 1;
+}
+
 static void
 run(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us,
     struct fw_rl_acts *out)
@@ -181,8 +193,7 @@
         .connect_us = FW_RL_CONNECT_US,
     };
 
-    if (!Fw_Relay_MayServe(r, c, now_us)) {
-        Fw_Call_Refuse(r, c, 503, FW_SEC, "configuration_stale", now_us, out);
+    if (is_stale(r, c, now_us, out)) {
         return;
     }
     g_strlcpy(up.team, c->team, sizeof(up.team));
@@ -224,8 +235,7 @@
         run(r, c, now_us, out); /* the decode engine reads it itself */
         return;
     }
-    if (!Fw_Relay_MayServe(r, c, now_us)) {
-        Fw_Call_Refuse(r, c, 503, FW_SEC, "configuration_stale", now_us, out);
+    if (is_stale(r, c, now_us, out)) {
         return;
     }
     g_strlcpy(up.team, c->team, sizeof(up.team));
--- a/src/relay/types.h
+++ b/src/relay/types.h
@@ -12,9 +12,10 @@
 #include "base/limits.h"
 #include "base/list.h"
 
-#define FW_RL_TARGETS_MAX                                                     \
-    8                     /* services that one route's traffic is split over */
-#define FW_RL_KEY_MAX 128 /* a caller's key, or a handle of engine memory */
+/* Services that one route's traffic is split over. */
+#define FW_RL_TARGETS_MAX 8
+/* A caller's key, or a handle of engine memory. */
+#define FW_RL_KEY_MAX 128
 
 /** enum fw_rl_kind - what may be done with a request twice. */
 enum fw_rl_kind {
@@ -147,8 +148,6 @@
 Fw_Rules_Service(const struct fw_rl_rules *r, const char *name);
 const struct fw_rl_team_rule *
 Fw_Rules_Team(const struct fw_rl_rules *r, const char *key);
-const struct fw_rl_team_rule *
-Fw_Rules_TeamNamed(const struct fw_rl_rules *r, const char *name);
 
 /** enum fw_rl_stage - what an engine does at present. */
 enum fw_rl_stage {
--- a/src/relay/watch.c
+++ b/src/relay/watch.c
@@ -13,6 +13,7 @@
 
 #include "base/fault.h"
 #include "base/hash.h"
+#include "core/pack.h"
 #include "relay/relay_internal.h"
 
 #define FW_FORM_QUESTION 2
@@ -136,13 +137,6 @@
     return base_us * MAX(n, FW_DIGEST_BASE) / FW_DIGEST_BASE;
 }
 
-static int
-write_bytes(void *data, const char *buf, size_t len)
-{
-    g_byte_array_append(data, (const guint8 *)buf, (guint)len);
-    return 0;
-}
-
 /* One that reads the store itself, drawn at random, or NULL. */
 static struct fw_rl_member *
 pick_reader(struct fw_relay *r, int64_t now_us)
@@ -179,7 +173,7 @@
     }
     r->watch.asked_us = now_us;
     r->watch.nonce = ++r->watch.last_nonce;
-    msgpack_packer_init(&pk, out, write_bytes);
+    Fw_Pack_Begin(&pk, out);
     msgpack_pack_array(&pk, 3);
     msgpack_pack_int(&pk, FW_FORM_QUESTION);
     msgpack_pack_uint64(&pk, r->opts.boot);
@@ -197,7 +191,7 @@
     if (!r->rules) {
         return;
     }
-    msgpack_packer_init(&pk, reply, write_bytes);
+    Fw_Pack_Begin(&pk, reply);
     msgpack_pack_array(&pk, 5);
     msgpack_pack_int(&pk, FW_FORM_ANSWER);
     msgpack_pack_uint64(&pk, f[1].via.u64);
@@ -238,27 +232,21 @@
 }
 
 int
-Fw_Watch_Read(struct fw_relay *r, const void *data, size_t len, int64_t now_us,
+Fw_Watch_Read(struct fw_relay *r, const msgpack_object *o, int64_t now_us,
               GByteArray *reply)
 {
-    const msgpack_object_array *a;
-    msgpack_unpacked u;
-    int rc = -EBADMSG;
+    const msgpack_object_array *a = &o->via.array;
 
-    msgpack_unpacked_init(&u);
-    if (msgpack_unpack_next(&u, data, len, NULL) == MSGPACK_UNPACK_SUCCESS &&
-        u.data.type == MSGPACK_OBJECT_ARRAY &&
-        all_numbers(&u.data.via.array)) {
-        a = &u.data.via.array;
-        if (a->size == 3 && a->ptr[0].via.u64 == FW_FORM_QUESTION) {
-            write_answer(r, a->ptr, now_us, reply);
-            rc = 0;
-        }
-        else if (a->size == 5 && a->ptr[0].via.u64 == FW_FORM_ANSWER) {
-            take_answer(r, a->ptr, now_us);
-            rc = 0;
-        }
+    if (o->type != MSGPACK_OBJECT_ARRAY || !all_numbers(a)) {
+        return -EBADMSG;
+    }
+    if (a->size == 3 && a->ptr[0].via.u64 == FW_FORM_QUESTION) {
+        write_answer(r, a->ptr, now_us, reply);
+        return 0;
+    }
+    if (a->size == 5 && a->ptr[0].via.u64 == FW_FORM_ANSWER) {
+        take_answer(r, a->ptr, now_us);
+        return 0;
     }
-    msgpack_unpacked_destroy(&u);
-    return rc;
+    return -EBADMSG;
 }
--- a/tests/node/harness.c
+++ b/tests/node/harness.c
@@ -5,6 +5,8 @@
 #include <inttypes.h>
 #include <string.h>
 
+#include "core/pack.h"
+
 #define FW_STEPS_MAX 200000
 #define FW_HOP_US 500
 
@@ -124,7 +126,6 @@
 {
     int to = -1;
     struct harness_mail *m;
-    msgpack_sbuffer buf;
     msgpack_packer pk;
 
     if (sscanf(p->to, "instance-%d", &to) != 1 || to >= b->n || b->cut[node] ||
@@ -133,12 +134,9 @@
     }
     m = post(b, to, FW_MAIL_PEER);
     g_snprintf(m->from, sizeof(m->from), "instance-%d", node);
-    msgpack_sbuffer_init(&buf);
-    msgpack_packer_init(&pk, &buf, msgpack_sbuffer_write);
-    Fw_Msg_Pack(&pk, &p->msg);
     m->bytes = g_byte_array_new();
-    g_byte_array_append(m->bytes, (const guint8 *)buf.data, (guint)buf.size);
-    msgpack_sbuffer_destroy(&buf);
+    Fw_Pack_Begin(&pk, m->bytes);
+    Fw_Msg_Pack(&pk, &p->msg);
 }
 
 static const char *
--- a/tests/relay/play_world.c
+++ b/tests/relay/play_world.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "base/hash.h"
+#include "core/pack.h"
 #include "tests/relay/play.h"
 
 static void
@@ -84,13 +85,6 @@
     Fw_Relay_Server(p->r, e.id, &e, p->now_us, &p->acts);
 }
 
-static int
-write_bytes(void *data, const char *buf, size_t len)
-{
-    g_byte_array_append(data, (const guint8 *)buf, (guint)len);
-    return 0;
-}
-
 /* A digest from @name; with @team, what it has spent of that. */
 static void
 send_digest(struct play *p, const char *name, const char *team, int64_t spent,
@@ -99,11 +93,10 @@
     GByteArray *msg = g_byte_array_new();
     msgpack_packer pk;
 
-    msgpack_packer_init(&pk, msg, write_bytes);
+    Fw_Pack_Begin(&pk, msg);
     msgpack_pack_array(&pk, 9);
     msgpack_pack_int(&pk, 1);
-    msgpack_pack_str(&pk, strlen(name));
-    msgpack_pack_str_body(&pk, name, strlen(name));
+    Fw_Pack_Str(&pk, name);
     msgpack_pack_uint64(&pk, 1);
     msgpack_pack_uint64(&pk, ++p->digest_seq);
     msgpack_pack_int(&pk, 0);
