Take out what stood twice in the HTTP code and the relay's program

Change: src/http/kept.c keeps idle connections. The two settings files put texts straight where they belong. relay.grace_us is the one grace period. Malformed requests to the balancer's and the metrics' addresses are logged as those of callers are; before, nothing said so.

--- a/bench/bench_http.c
+++ b/bench/bench_http.c
@@ -55,13 +55,6 @@
     Fw_Caller_Answer(c, 200, "Content-Type: text/plain\r\n", "hello");
 }
 
-static void
-on_gone(void *ctx, struct fw_http_caller *c)
-{
-    (void)ctx;
-    (void)c;
-}
-
 static void
 on_refused(void *ctx, int status, const char *why)
 {
@@ -69,8 +62,8 @@
     fprintf(stderr, "bench_http: %d %s\n", status, why);
 }
 
-static const struct fw_http_ops ops = {
-    .request = on_request, .gone = on_gone, .refused = on_refused};
+static const struct fw_http_ops ops = {.request = on_request,
+                                       .refused = on_refused};
 
 static void
 serve_own(struct side *s)
--- a/src/daemon/settings.c
+++ b/src/daemon/settings.c
@@ -5,17 +5,13 @@
 
 #include "daemon/ini.h"
 
-/** struct values - the file's values, before they are handed out. */
+/**
+ * struct values - what the file says.
+ * @out: takes texts as they are read
+ * The others are handed out in the units and types of @out.
+ */
 struct values {
-    char name[FW_NAME_MAX];
-    char domain[FW_NAME_MAX];
-    char region[FW_NAME_MAX];
-    char callers[FW_URL_MAX];
-    char operators[FW_URL_MAX];
-    char peers[FW_URL_MAX];
-    char log[FW_URL_MAX];
-    char list[FW_URL_MAX];
-    GBytes *secret;
+    struct fw_settings out;
     int64_t body_max;
     int64_t header_max;
     int64_t prompt_tokens_max;
@@ -44,15 +40,17 @@
 static const char *const policies[] = {"random", "least-loaded", "full", NULL};
 
 static const struct fw_ini_key keys[] = {
-    FW_TEXT("instance", "name", FW_INI_NAME, NULL, name),
-    FW_TEXT("instance", "domain", FW_INI_NAME, NULL, domain),
-    FW_TEXT("instance", "region", FW_INI_NAME, NULL, region),
-    FW_TEXT("listen", "callers", FW_INI_LISTEN, "127.0.0.1:0", callers),
-    FW_TEXT("listen", "operators", FW_INI_LISTEN, "127.0.0.1:0", operators),
-    FW_TEXT("listen", "peers", FW_INI_PEERS, "127.0.0.1:0", peers),
-    FW_TEXT("platform", "log", FW_INI_URL, NULL, log),
-    FW_TEXT("platform", "list", FW_INI_URL, NULL, list),
-    FW_TEXT("peers", "secret", FW_INI_SECRET, NULL, secret),
+    FW_TEXT("instance", "name", FW_INI_NAME, NULL, out.node.self.name),
+    FW_TEXT("instance", "domain", FW_INI_NAME, NULL, out.node.self.domain),
+    FW_TEXT("instance", "region", FW_INI_NAME, NULL, out.node.self.region),
+    FW_TEXT("listen", "callers", FW_INI_LISTEN, "127.0.0.1:0",
+            out.shell.callers),
+    FW_TEXT("listen", "operators", FW_INI_LISTEN, "127.0.0.1:0",
+            out.shell.operators),
+    FW_TEXT("listen", "peers", FW_INI_PEERS, "127.0.0.1:0", out.shell.peers),
+    FW_TEXT("platform", "log", FW_INI_URL, NULL, out.shell.log_url),
+    FW_TEXT("platform", "list", FW_INI_URL, NULL, out.shell.list_url),
+    FW_TEXT("peers", "secret", FW_INI_SECRET, NULL, out.shell.secret),
     FW_INT("limits", "body-max", "4194304", 1024, 64 << 20, body_max),
     FW_INT("limits", "header-max", "16384", 1024, 65536, header_max),
     FW_INT("limits", "prompt-tokens-max", "200000", 1, 16 << 20,
@@ -80,9 +78,7 @@
     struct fw_shell_opts *sh = &out->shell;
     struct fw_node_opts *node = &out->node;
 
-    g_strlcpy(node->self.name, v->name, FW_NAME_MAX);
-    g_strlcpy(node->self.domain, v->domain, FW_NAME_MAX);
-    g_strlcpy(node->self.region, v->region, FW_NAME_MAX);
+    *out = v->out;
     node->partitions = (int)v->partitions;
     node->self.regions = (int)v->regions;
     node->prompt_tokens_max = v->prompt_tokens_max;
@@ -94,12 +90,6 @@
     node->route.itl_us = v->itl_ms * FW_MSEC;
     node->route.queue_max_us = v->queue_max_ms * FW_MSEC;
     node->route.retry_permille = (int)v->retry_permille;
-    g_strlcpy(sh->callers, v->callers, FW_URL_MAX);
-    g_strlcpy(sh->operators, v->operators, FW_URL_MAX);
-    g_strlcpy(sh->peers, v->peers, FW_URL_MAX);
-    g_strlcpy(sh->log_url, v->log, FW_URL_MAX);
-    g_strlcpy(sh->list_url, v->list, FW_URL_MAX);
-    sh->secret = v->secret;
     sh->api.prompt_tokens_max = v->prompt_tokens_max;
     sh->api.max_tokens_default = v->max_tokens_default;
     sh->body_max = (size_t)v->body_max;
@@ -118,7 +108,7 @@
     memset(out, 0, sizeof(*out));
     rc = Fw_Ini_Load(path, keys, G_N_ELEMENTS(keys), &v, error);
     if (rc) {
-        g_bytes_unref(v.secret);
+        g_bytes_unref(v.out.shell.secret);
         return rc;
     }
     hand_out(&v, out);
--- a/src/http/answer.c
+++ b/src/http/answer.c
@@ -39,12 +39,6 @@
     return "Status";
 }
 
-static int
-is_head(const struct fw_http_caller *c)
-{
-    return c->head.method_len == 4 && memcmp(c->head.method, "HEAD", 4) == 0;
-}
-
 void
 Fw_Caller_Start(struct fw_http_caller *c, int status, const char *fields,
                 int64_t length)
@@ -52,7 +46,8 @@
     GString *out = g_string_sized_new(256);
 
     c->last |= c->server->draining;
-    c->bodyless = is_head(c) || status == 204 || status == 304;
+    c->bodyless =
+        Fw_Http_MethodIs(&c->head, "HEAD") || status == 204 || status == 304;
     c->chunked = length < 0 && !c->bodyless && c->head.minor >= 1;
     c->last |= length < 0 && !c->bodyless && !c->chunked;
     g_string_append_printf(out, "HTTP/1.1 %d %s\r\n%s", status,
@@ -67,7 +62,6 @@
         g_string_append(out, "Connection: close\r\n");
     }
     g_string_append(out, "\r\n");
-    c->started = 1;
     Fw_Conn_Write(c->conn, out->str, out->len);
     g_string_free(out, TRUE);
 }
@@ -75,7 +69,7 @@
 void
 Fw_Caller_Data(struct fw_http_caller *c, const void *data, size_t len)
 {
-    char size[24];
+    GString *out;
 
     if (!len || c->bodyless) {
         return;
@@ -84,9 +78,8 @@
         Fw_Conn_Write(c->conn, data, len);
         return;
     }
-    g_snprintf(size, sizeof(size), "%zx\r\n", len);
-    GString *out = g_string_sized_new(len + 32);
-    g_string_append(out, size);
+    out = g_string_sized_new(len + 32);
+    g_string_append_printf(out, "%zx\r\n", len);
     g_string_append_len(out, data, (gssize)len);
     g_string_append(out, "\r\n");
     Fw_Conn_Write(c->conn, out->str, out->len);
--- a/src/http/caller.c
+++ b/src/http/caller.c
@@ -101,7 +101,6 @@
     }
     Fw_Http_FrameInit(&c->frame, &c->head);
     c->body = g_byte_array_new();
-    c->started = 0;
     enter(c, FW_CALLER_BODY);
     expect = Fw_Http_Find(&c->head, "expect");
     if (expect && Fw_Http_HasToken(expect, "100-continue")) {
@@ -166,6 +165,14 @@
     return n > 0;
 }
 
+static void
+tell_gone(struct fw_http_caller *c)
+{
+    if (c->server->ops->gone) {
+        c->server->ops->gone(c->server->ctx, c);
+    }
+}
+
 /* c may be gone when a step returns 0. */
 static void
 on_data(void *ctx)
@@ -188,7 +195,7 @@
         break;
     case FW_CALLER_ANSWER:
         if (len > FW_BEHIND_MAX) {
-            c->server->ops->gone(c->server->ctx, c);
+            tell_gone(c);
             Fw_Caller_Free(c, 1);
         }
         break;
@@ -205,7 +212,7 @@
 
     (void)err;
     if (c->state == FW_CALLER_ANSWER) {
-        c->server->ops->gone(c->server->ctx, c);
+        tell_gone(c);
     }
     Fw_Caller_Free(c, 0);
 }
--- a/src/http/client.c
+++ b/src/http/client.c
@@ -7,6 +7,7 @@
 #include "base/list.h"
 #include "http/conn.h"
 #include "http/frame.h"
+#include "http/kept.h"
 
 /* A response's head beyond this is no head, bytes. */
 #define FW_ANSWER_HEAD_MAX 32768
@@ -18,21 +19,9 @@
  * there and a busy loop on either side.
  */
 #define FW_IDLE_MARGIN_US (600 * FW_MSEC)
-/* Kept connections to one upstream. */
-#define FW_IDLE_MAX 16
-
-/** struct idle - a kept connection; @until_us: when it is closed at last. */
-struct idle {
-    struct fw_pool *pool;
-    struct fw_list link; /* of its upstream, newest first */
-    struct fw_conn *conn;
-    char addr[FW_URL_MAX];
-    int64_t since_us;
-    int64_t until_us;
-};
 
 struct fw_pool {
-    GHashTable *idle; /* address to a struct fw_list head */
+    GHashTable *kept; /* see kept.h */
     struct fw_list running;
     struct fw_metric opened;
     struct fw_metric reused;
@@ -58,19 +47,12 @@
     struct fw_http_frame frame;
 };
 
-static void
-free_list(gpointer data)
-{
-    g_free(data);
-}
-
 struct fw_pool *
 Fw_Pool_New(void)
 {
     struct fw_pool *p = g_new0(struct fw_pool, 1);
 
-    p->idle =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_list);
+    p->kept = Fw_Kept_New();
     Fw_List_Init(&p->running);
     p->opened = (struct fw_metric){
         .name = "fw_upstream_connections_opened_total",
@@ -92,117 +74,10 @@
     Fw_Metrics_Add(m, &p->foreign);
 }
 
-static struct fw_list *
-idle_of(struct fw_pool *p, const char *addr)
-{
-    struct fw_list *l = g_hash_table_lookup(p->idle, addr);
-
-    if (!l) {
-        l = g_new0(struct fw_list, 1);
-        Fw_List_Init(l);
-        g_hash_table_insert(p->idle, g_strdup(addr), l);
-    }
-    return l;
-}
-
-static void
-idle_free(struct idle *i)
-{
-    Fw_List_Remove(&i->link);
-    Fw_Conn_Free(i->conn, 0);
-    g_free(i);
-}
-
-/* Bytes on an idle connection answer nothing that was asked: close it. */
-static void
-idle_data(void *ctx)
-{
-    idle_free(ctx);
-}
-
-static void
-idle_closed(void *ctx, int err)
-{
-    (void)err;
-    idle_free(ctx);
-}
-
-static const struct fw_conn_ops idle_ops = {
-    .data = idle_data,
-    .closed = idle_closed,
-};
-
-static void
-drop_idle(struct fw_list *l)
-{
-    while (!Fw_List_Empty(l)) {
-        idle_free(FW_LIST_ENTRY(l->next, struct idle, link));
-    }
-}
-
 void
 Fw_Pool_Forget(struct fw_pool *p, const char *addr)
 {
-    struct fw_list *l = g_hash_table_lookup(p->idle, addr);
-
-    if (l) {
-        drop_idle(l);
-        g_hash_table_remove(p->idle, addr);
-    }
-}
-
-static int
-idle_count(const struct fw_list *l)
-{
-    const struct fw_list *pos;
-    int n = 0;
-
-    FW_LIST_EACH (pos, l) {
-        n++;
-    }
-    return n;
-}
-
-static void
-keep(struct fw_exchange *x)
-{
-    struct fw_list *l = idle_of(x->pool, x->addr);
-    struct idle *i;
-
-    if (idle_count(l) >= FW_IDLE_MAX) {
-        Fw_Conn_Free(x->conn, 0);
-        return;
-    }
-    i = g_new0(struct idle, 1);
-    i->pool = x->pool;
-    i->conn = x->conn;
-    i->since_us = Fw_Conn_Now();
-    i->until_us = i->since_us + x->idle_us;
-    g_strlcpy(i->addr, x->addr, sizeof(i->addr));
-    Fw_Conn_SetOwner(i->conn, &idle_ops, i);
-    Fw_List_Append(l, &i->link);
-}
-
-/* The connection that was used last is the least likely to be stale. */
-static struct fw_conn *
-take_idle(struct fw_pool *p, const char *addr, int64_t reuse_us)
-{
-    struct fw_list *l = g_hash_table_lookup(p->idle, addr);
-    struct fw_conn *conn;
-    int64_t now = Fw_Conn_Now();
-    struct idle *i;
-
-    if (!l || Fw_List_Empty(l)) {
-        return NULL;
-    }
-    i = FW_LIST_ENTRY(l->prev, struct idle, link);
-    if (now - i->since_us >= reuse_us || now >= i->until_us) {
-        return NULL;
-    }
-    conn = i->conn;
-    Fw_List_Remove(&i->link);
-    g_free(i);
-    return conn;
+    g_hash_table_remove(p->kept, addr);
 }
 
 static void
@@ -252,7 +127,7 @@
      */
     if (x->keep && !behind && !Fw_Conn_Pending(x->conn)) {
         Fw_Conn_SetReading(x->conn, 1);
-        keep(x);
+        Fw_Kept_Put(x->pool->kept, x->addr, x->conn, x->idle_us);
     }
     else {
         Fw_Conn_Free(x->conn, 0);
@@ -387,7 +262,8 @@
 static struct fw_conn *
 connect_to(struct fw_exchange *x, int *err)
 {
-    struct fw_conn *conn = take_idle(x->pool, x->addr, x->opts.reuse_us);
+    struct fw_conn *conn =
+        Fw_Kept_Take(x->pool->kept, x->addr, x->opts.reuse_us);
 
     if (conn) {
         x->pool->reused.value++;
@@ -444,36 +320,13 @@
     Fw_Conn_SetReading(x->conn, !paused);
 }
 
-static void
-tick_idle(struct fw_list *l, int64_t now_us)
-{
-    struct fw_list *pos;
-    struct fw_list *tmp;
-
-    FW_LIST_EACH_SAFE (pos, tmp, l) {
-        struct idle *i = FW_LIST_ENTRY(pos, struct idle, link);
-
-        if (now_us >= i->until_us) {
-            idle_free(i);
-        }
-    }
-}
-
 void
 Fw_Pool_Tick(struct fw_pool *p, int64_t now_us)
 {
-    GHashTableIter it;
     struct fw_list *pos;
     struct fw_list *tmp;
-    gpointer l;
 
-    g_hash_table_iter_init(&it, p->idle);
-    while (g_hash_table_iter_next(&it, NULL, &l)) {
-        tick_idle(l, now_us);
-        if (Fw_List_Empty(l)) {
-            g_hash_table_iter_remove(&it);
-        }
-    }
+    Fw_Kept_Tick(p->kept, now_us);
     FW_LIST_EACH_SAFE (pos, tmp, &p->running) {
         struct fw_exchange *x = FW_LIST_ENTRY(pos, struct fw_exchange, link);
 
@@ -489,9 +342,6 @@
 void
 Fw_Pool_Free(struct fw_pool *p)
 {
-    GHashTableIter it;
-    gpointer l;
-
     if (!p) {
         return;
     }
@@ -499,10 +349,6 @@
         Fw_Exchange_Stop(
             FW_LIST_ENTRY(p->running.next, struct fw_exchange, link));
     }
-    g_hash_table_iter_init(&it, p->idle);
-    while (g_hash_table_iter_next(&it, NULL, &l)) {
-        drop_idle(l);
-    }
-    g_hash_table_destroy(p->idle);
+    g_hash_table_destroy(p->kept);
     g_free(p);
 }
--- a/src/http/head.c
+++ b/src/http/head.c
@@ -14,6 +14,13 @@
     return g_ascii_isalnum(c) || (c && strchr("!#$%&'*+-.^_`|~", c));
 }
 
+int
+Fw_Http_MethodIs(const struct fw_http_head *h, const char *method)
+{
+    return h->method_len == strlen(method) &&
+           memcmp(h->method, method, h->method_len) == 0;
+}
+
 int
 Fw_Http_FieldIs(const struct fw_http_field *f, const char *name)
 {
@@ -58,6 +65,15 @@
     return 0;
 }
 
+void
+Fw_Http_AddField(GString *out, const struct fw_http_field *f)
+{
+    g_string_append_len(out, f->name, (gssize)f->name_len);
+    g_string_append(out, ": ");
+    g_string_append_len(out, f->value, (gssize)f->value_len);
+    g_string_append(out, "\r\n");
+}
+
 int
 Fw_Http_HopByHop(const struct fw_http_head *h, const struct fw_http_field *f)
 {
--- a/src/http/head.h
+++ b/src/http/head.h
@@ -9,6 +9,7 @@
 #ifndef FW_HTTP_HEAD_H
 #define FW_HTTP_HEAD_H
 
+#include <glib.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -76,10 +77,15 @@
 const struct fw_http_field *
 Fw_Http_Find(const struct fw_http_head *h, const char *name);
 int
+Fw_Http_MethodIs(const struct fw_http_head *h, const char *method);
+int
 Fw_Http_FieldIs(const struct fw_http_field *f, const char *name);
 /* Nonzero when the comma-separated list in @f holds @token. */
 int
 Fw_Http_HasToken(const struct fw_http_field *f, const char *token);
+/* Appends @f as a line. */
+void
+Fw_Http_AddField(GString *out, const struct fw_http_field *f);
 /* Nonzero for fields that concern one connection only (RFC 9110, 7.6.1). */
 int
 Fw_Http_HopByHop(const struct fw_http_head *h, const struct fw_http_field *f);
--- a/src/http/http_internal.h
+++ b/src/http/http_internal.h
@@ -50,7 +50,6 @@
     struct fw_http_frame frame;
     GByteArray *body;
     GBytes *whole;
-    int started;
     int chunked;
     int bodyless;
     int last;
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -40,7 +40,8 @@
 /**
  * struct fw_http_ops - the owner of the requests.
  * @request: @head and @body stay valid until the answer's end or @gone
- * @gone: the caller left before its answer was whole; the handle is void
+ * @gone: the caller left before its answer was whole; the handle is void.
+ *        May be NULL where answers are given at once.
  * @refused: a request that broke a limit or the protocol was answered
  *           @status; nobody else has seen it
  */
--- a/src/relayd/acts.c
+++ b/src/relayd/acts.c
@@ -46,7 +46,7 @@
     struct fw_up_rec *rec = g_hash_table_lookup(d->ups, &xid);
 
     if (c && rec) {
-        Fw_Up_Pass(d, rec, c);
+        Fw_Up_Pass(rec, c);
     }
 }
 
--- a/src/relayd/relayd.c
+++ b/src/relayd/relayd.c
@@ -68,8 +68,8 @@
     Fw_Relayd_CarryOut(d, &acts);
 }
 
-static void
-on_refused(void *ctx, int status, const char *why)
+void
+Fw_Relayd_Malformed(void *ctx, int status, const char *why)
 {
     char text[16];
 
@@ -96,7 +96,7 @@
 static const struct fw_http_ops caller_ops = {
     .request = on_request,
     .gone = on_gone,
-    .refused = on_refused,
+    .refused = Fw_Relayd_Malformed,
     .drained = on_drained,
 };
 
@@ -145,7 +145,6 @@
     d->opts.rules_wait_us = o->rules_wait_us;
     d->opts.servers_every_us = o->servers_every_us;
     d->opts.digest_every_us = o->digest_every_us;
-    d->opts.grace_us = o->grace_us;
     g_strlcpy(d->opts.store, o->store, sizeof(d->opts.store));
     Fw_Relay_SetOpts(d->relay, &d->opts.relay);
 }
@@ -207,7 +206,7 @@
     }
     Fw_Server_CloseIdle(d->callers);
     if (!Fw_Server_Busy(d->callers) ||
-        past >= d->opts.grace_us - FW_GRACE_MARGIN_US) {
+        past >= d->opts.relay.grace_us - FW_GRACE_MARGIN_US) {
         d->over = 1;
         g_main_context_wakeup(NULL);
     }
@@ -216,12 +215,10 @@
 static void
 check_settings(struct fw_relayd *d, int64_t now)
 {
-    static int64_t last;
-
-    if (!d->settings_path || now - last < FW_SETTINGS_EVERY_US) {
+    if (!d->settings_path || now - d->settings_us < FW_SETTINGS_EVERY_US) {
         return;
     }
-    last = now;
+    d->settings_us = now;
     if (settings_mtime_us(d->settings_path) != d->settings_mtime_us) {
         Fw_Relayd_Reload(d);
     }
--- a/src/relayd/relayd.h
+++ b/src/relayd/relayd.h
@@ -17,7 +17,6 @@
  * @rules_wait_us: how long a read of the configuration may wait for a change
  * @servers_every_us: how often the servers' entries are read
  * @digest_every_us: how often the other instances are told
- * @grace_us: from SIGTERM until the process is killed
  * @log_bytes: bytes of log lines that may wait for their reader
  */
 struct fw_relayd_opts {
@@ -31,7 +30,6 @@
     int64_t rules_wait_us;
     int64_t servers_every_us;
     int64_t digest_every_us;
-    int64_t grace_us;
     int64_t log_bytes;
 };
 
--- a/src/relayd/relayd_internal.h
+++ b/src/relayd/relayd_internal.h
@@ -47,6 +47,7 @@
     struct fw_relayd_opts opts;
     char *settings_path;
     int64_t settings_mtime_us;
+    int64_t settings_us; /* when that was last looked at */
     struct fw_relay *relay;
     struct fw_pool *pool;
     struct fw_http_server *callers;
@@ -68,6 +69,11 @@
     int over;
 };
 
+/* relayd.c */
+/* A request that broke a limit or the protocol; of struct fw_http_ops. */
+void
+Fw_Relayd_Malformed(void *ctx, int status, const char *why);
+
 /* up.c */
 void
 Fw_Up_Start(struct fw_relayd *d, const struct fw_rl_up_call *c);
@@ -77,8 +83,7 @@
 Fw_Up_Free(gpointer rec);
 /* Hands what came of @rec's response to the caller, and what follows. */
 void
-Fw_Up_Pass(struct fw_relayd *d, struct fw_up_rec *rec,
-           struct fw_caller_rec *to);
+Fw_Up_Pass(struct fw_up_rec *rec, struct fw_caller_rec *to);
 
 /* acts.c */
 /* Carries out what the core wants, and what follows from that. */
--- a/src/relayd/settings.c
+++ b/src/relayd/settings.c
@@ -4,22 +4,15 @@
 #include "daemon/ini.h"
 #include "relayd/relayd.h"
 
-/** struct values - the file's values, before they are handed out. */
+/**
+ * struct values - what the file says.
+ * @out: takes texts, and numbers in its own units, as they are read
+ * The others are handed out in the units of @out.
+ */
 struct values {
-    char name[FW_NAME_MAX];
-    char domain[FW_NAME_MAX];
-    char callers[FW_URL_MAX];
-    char ready[FW_URL_MAX];
-    char ready_path[FW_URL_MAX];
-    char metrics[FW_URL_MAX];
-    char peers[FW_URL_MAX];
-    char store[FW_URL_MAX];
+    struct fw_relayd_opts out;
     int64_t revocation_ms;
-    int64_t retry_ratio;
-    int64_t retry_extra;
     int64_t retry_window_s;
-    int64_t overage;
-    int64_t tolerance;
     int64_t lease_ms;
     int64_t grace_s;
     int64_t rules_wait_ms;
@@ -51,24 +44,24 @@
                                      "info",  "debug",   NULL};
 
 static const struct fw_ini_key keys[] = {
-    FW_TEXT("relay", "name", FW_INI_NAME, NULL, name),
-    FW_TEXT("relay", "domain", FW_INI_NAME, NULL, domain),
-    FW_TEXT("listen", "callers", FW_INI_LISTEN, NULL, callers),
-    FW_TEXT("listen", "ready", FW_INI_LISTEN, NULL, ready),
-    FW_TEXT("listen", "ready-path", FW_INI_PATH, "/readyz", ready_path),
-    FW_TEXT("listen", "metrics", FW_INI_LISTEN, NULL, metrics),
-    FW_TEXT("listen", "peers", FW_INI_PEERS, NULL, peers),
-    FW_TEXT("store", "address", FW_INI_LISTEN, NULL, store),
+    FW_TEXT("relay", "name", FW_INI_NAME, NULL, out.relay.name),
+    FW_TEXT("relay", "domain", FW_INI_NAME, NULL, out.relay.domain),
+    FW_TEXT("listen", "callers", FW_INI_LISTEN, NULL, out.callers),
+    FW_TEXT("listen", "ready", FW_INI_LISTEN, NULL, out.ready),
+    FW_TEXT("listen", "ready-path", FW_INI_PATH, "/readyz", out.ready_path),
+    FW_TEXT("listen", "metrics", FW_INI_LISTEN, NULL, out.metrics),
+    FW_TEXT("listen", "peers", FW_INI_PEERS, NULL, out.peers),
+    FW_TEXT("store", "address", FW_INI_LISTEN, NULL, out.store),
     FW_INT("store", "rules-wait-ms", "1500", 0, 30000, rules_wait_ms),
     FW_INT("store", "servers-every-ms", "700", 50, 60000, servers_every_ms),
     FW_INT("limits", "revocation-ms", "5000", 100, 600000, revocation_ms),
     {"limits", "retry-ratio", FW_INI_DECIMAL, "0.2", 0, 10000000,
-     FW_AT(retry_ratio), NULL},
-    FW_INT("limits", "retry-extra", "10", 0, 1000000, retry_extra),
+     FW_AT(out.relay.retry_ratio_ppm), NULL},
+    FW_INT("limits", "retry-extra", "10", 0, 1000000, out.relay.retry_extra),
     FW_INT("limits", "retry-window-s", "10", 1, 3600, retry_window_s),
-    {"limits", "overage", FW_INI_DECIMAL, "0", 0, 1000000, FW_AT(overage),
-     NULL},
-    FW_INT("limits", "tolerance", "0", 0, 1000000000, tolerance),
+    {"limits", "overage", FW_INI_DECIMAL, "0", 0, 1000000,
+     FW_AT(out.relay.overage_ppm), NULL},
+    FW_INT("limits", "tolerance", "0", 0, 1000000000, out.relay.tolerance),
     FW_INT("limits", "lease-ms", "3000", 100, 600000, lease_ms),
     FW_INT("limits", "grace-s", "8", 1, 3600, grace_s),
     FW_INT("peers", "digest-every-ms", "150", 10, 10000, digest_every_ms),
@@ -85,31 +78,19 @@
 {
     struct fw_relay_opts *r = &out->relay;
 
-    g_strlcpy(r->name, v->name, sizeof(r->name));
-    g_strlcpy(r->domain, v->domain, sizeof(r->domain));
-    r->retry_ratio_ppm = v->retry_ratio;
-    r->retry_extra = v->retry_extra;
+    *out = v->out;
     r->retry_window_us = v->retry_window_s * FW_SEC;
     r->key_stale_us = v->revocation_ms * FW_STALE_PERMILLE;
     r->queue_us = v->queue_ms * FW_MSEC;
     r->reserve_permille = (int)v->reserve_permille;
     r->read_here_us = v->read_here_ms * FW_MSEC;
     r->prefill_permille = (int)v->prefill_permille;
-    r->overage_ppm = v->overage;
-    r->tolerance = v->tolerance;
     r->lease_us = v->lease_ms * FW_MSEC;
     r->grace_us = v->grace_s * FW_SEC;
     r->log_level = (int)v->log_level;
-    g_strlcpy(out->callers, v->callers, FW_URL_MAX);
-    g_strlcpy(out->ready, v->ready, FW_URL_MAX);
-    g_strlcpy(out->ready_path, v->ready_path, FW_URL_MAX);
-    g_strlcpy(out->metrics, v->metrics, FW_URL_MAX);
-    g_strlcpy(out->peers, v->peers, FW_URL_MAX);
-    g_strlcpy(out->store, v->store, FW_URL_MAX);
     out->rules_wait_us = v->rules_wait_ms * FW_MSEC;
     out->servers_every_us = v->servers_every_ms * FW_MSEC;
     out->digest_every_us = v->digest_every_ms * FW_MSEC;
-    out->grace_us = v->grace_s * FW_SEC;
     out->log_bytes = v->log_kb * 1024;
 }
 
--- a/src/relayd/status.c
+++ b/src/relayd/status.c
@@ -45,25 +45,10 @@
     g_string_free(text, TRUE);
 }
 
-static void
-on_gone(void *ctx, struct fw_http_caller *c)
-{
-    (void)ctx;
-    (void)c;
-}
-
-static void
-on_refused(void *ctx, int status, const char *why)
-{
-    (void)ctx;
-    (void)status;
-    (void)why;
-}
-
-static const struct fw_http_ops ready_ops = {
-    .request = on_ready, .gone = on_gone, .refused = on_refused};
-static const struct fw_http_ops metrics_ops = {
-    .request = on_metrics, .gone = on_gone, .refused = on_refused};
+static const struct fw_http_ops ready_ops = {.request = on_ready,
+                                             .refused = Fw_Relayd_Malformed};
+static const struct fw_http_ops metrics_ops = {.request = on_metrics,
+                                               .refused = Fw_Relayd_Malformed};
 
 int
 Fw_Status_Listen(struct fw_relayd *d)
--- a/src/relayd/up.c
+++ b/src/relayd/up.c
@@ -54,10 +54,7 @@
         if (Fw_Http_HopByHop(h, f) || Fw_Http_FieldIs(f, "content-length")) {
             continue;
         }
-        g_string_append_len(out, f->name, (gssize)f->name_len);
-        g_string_append(out, ": ");
-        g_string_append_len(out, f->value, (gssize)f->value_len);
-        g_string_append(out, "\r\n");
+        Fw_Http_AddField(out, f);
     }
     return out;
 }
@@ -164,12 +161,6 @@
     .fail = on_fail,
 };
 
-static int
-is_head(const struct fw_http_head *h)
-{
-    return h && h->method_len == 4 && memcmp(h->method, "HEAD", 4) == 0;
-}
-
 void
 Fw_Up_Start(struct fw_relayd *d, const struct fw_rl_up_call *c)
 {
@@ -191,7 +182,8 @@
     g_hash_table_insert(d->ups, &rec->xid, rec);
     if (from) {
         g_strlcpy(rec->request_id, from->request_id, FW_ID_MAX);
-        how.no_body = c->kind == FW_RL_UP_RUN && is_head(from->head);
+        how.no_body =
+            c->kind == FW_RL_UP_RUN && Fw_Http_MethodIs(from->head, "HEAD");
     }
     Fw_Platform_WriteCall(c, from ? from->head : NULL,
                           from ? from->body : NULL, d->opts.relay.name, head,
@@ -209,12 +201,10 @@
 }
 
 void
-Fw_Up_Pass(struct fw_relayd *d, struct fw_up_rec *rec,
-           struct fw_caller_rec *to)
+Fw_Up_Pass(struct fw_up_rec *rec, struct fw_caller_rec *to)
 {
     int64_t length = rec->done ? (int64_t)rec->body->len : rec->length;
 
-    (void)d;
     rec->begun = 1;
     to->passing = rec->xid;
     Fw_Caller_Start(to->caller, rec->ans.status, rec->fields->str, length);
--- a/stand/wire/calls.c
+++ b/stand/wire/calls.c
@@ -98,9 +98,7 @@
 static int
 line_is(const struct fw_http_head *h, const char *method, const char *path)
 {
-    return h->method_len == strlen(method) &&
-           memcmp(h->method, method, h->method_len) == 0 &&
-           h->target_len >= strlen(path) &&
+    return Fw_Http_MethodIs(h, method) && h->target_len >= strlen(path) &&
            memcmp(h->target, path, strlen(path)) == 0;
 }
 
--- a/tests/relayd/test_relayd.c
+++ b/tests/relayd/test_relayd.c
@@ -58,7 +58,6 @@
                                  .rules_wait_us = 200 * FW_MSEC,
                                  .servers_every_us = 20 * FW_MSEC,
                                  .digest_every_us = FW_SEC,
-                                 .grace_us = 8 * FW_SEC,
                                  .log_bytes = 65536};
     o->relay = (struct fw_relay_opts){.name = "n1",
                                       .domain = "a",
