Say so when a digest can't be sent

Cause: the error of a datagram that could not be sent was dropped. A digest of 12,000 teams has 168,018 bytes and never leaves: the instances would share allowances out wrongly and nothing would say why.

Ruled out: a log line for each, three or more a second for as long as it lasts; splitting digests, since docs/CAPACITY.md puts something else in their place at that size.

--- a/src/relayd/peers.c
+++ b/src/relayd/peers.c
@@ -9,17 +9,36 @@
 /* A datagram that passes any link unfragmented is smaller; ours are too. */
 #define FW_DATAGRAM_MAX 60000
 
-/* What can't be sent now is old by the next time. */
+/*
+ * What can't be sent now is old by the next time. Where it goes on, a digest
+ * is larger than a datagram may be or no route leads there: the first one is
+ * logged, the metric has all.
+ */
+static void
+unsent(struct fw_relayd *d, const char *addr, const char *why)
+{
+    if (d->digests_unsent.value++ == 0) {
+        Fw_Note_Log(LOG_WARNING, "digest_unsent", "to", addr, "why", why,
+                    NULL);
+    }
+}
+
 static void
 send_to(struct fw_relayd *d, const char *addr, const GByteArray *msg)
 {
     GSocketAddress *to = Fw_Addr_Parse(addr);
+    GError *error = NULL;
 
-    if (to) {
-        g_socket_send_to(d->peers, to, (char *)msg->data, msg->len, NULL,
-                         NULL);
-        g_object_unref(to);
+    if (!to) {
+        unsent(d, addr, "no address");
+        return;
+    }
+    if (g_socket_send_to(d->peers, to, (char *)msg->data, msg->len, NULL,
+                         &error) < 0) {
+        unsent(d, addr, error->message);
+        g_error_free(error);
     }
+    g_object_unref(to);
 }
 
 static void
@@ -88,6 +107,10 @@
     GSocketAddress *at = Fw_Addr_Parse(d->opts.peers);
     int ok;
 
+    d->digests_unsent = (struct fw_metric){
+        .name = "fw_digests_unsent_total",
+        .help = "Digests and questions that could not be sent"};
+    Fw_Metrics_Add(Fw_Relay_Metrics(d->relay), &d->digests_unsent);
     if (!at) {
         return -EINVAL;
     }
--- a/src/relayd/relayd_internal.h
+++ b/src/relayd/relayd_internal.h
@@ -56,6 +56,7 @@
     GSocket *peers;
     GSource *peers_source;
     int64_t digest_us;
+    struct fw_metric digests_unsent;
     GHashTable *by_caller; /* struct fw_http_caller to fw_caller_rec */
     GHashTable *by_call;   /* id to fw_caller_rec */
     GHashTable *ups;       /* xid to fw_up_rec */
--- a/tests/relayd/test_relayd.c
+++ b/tests/relayd/test_relayd.c
@@ -6,147 +6,7 @@
 #include <string.h>
 #include <unistd.h>
 
-#include "io/note.h"
-#include "relayd/relayd.h"
-#include "stand/wire/wire.h"
-#include "tests/base/suite.h"
-#include "tests/io/rig.h"
-
-#define FW_KEYS "\"k1\",\"k2\""
-
-/** struct world - a relay and its platform. */
-struct world {
-    struct fw_wire_store *store;
-    struct fw_wire_server *p1;
-    struct fw_wire_server *d1;
-    struct fw_wire_server *d2;
-    struct fw_wire_server *s1;
-    struct fw_wire_server *s2;
-    struct fw_relayd_opts opts;
-    struct fw_relayd *relay;
-    char callers[FW_URL_MAX];
-    int null;
-};
-
-static const struct fw_wire_opts servers[] = {
-    {"p1", "llm", "a", "prefill", 8, 40000, 5, 500, 400},
-    {"d1", "llm", "a", "decode", 8, 40000, 5, 500, 400},
-    {"d2", "llm", "b", "decode", 8, 40000, 5, 500, 400},
-    {"s1", "desk", "a", "", 4, 0, 0, 1, 0},
-    {"s2", "desk", "b", "", 4, 0, 0, 1, 0},
-};
-
-static void
-configure(struct world *w, int version, const char *keys)
-{
-    char *config = Fw_Wire_Config(version, keys);
-
-    Fw_WireStore_Put(w->store, "keyed.op", "config", config);
-    g_free(config);
-}
-
-static void
-set_opts(struct world *w)
-{
-    struct fw_relayd_opts *o = &w->opts;
-
-    *o = (struct fw_relayd_opts){.callers = "127.0.0.1:0",
-                                 .ready = "127.0.0.1:0",
-                                 .ready_path = "/readyz",
-                                 .metrics = "127.0.0.1:0",
-                                 .peers = "127.0.0.1:0",
-                                 .rules_wait_us = 200 * FW_MSEC,
-                                 .servers_every_us = 20 * FW_MSEC,
-                                 .digest_every_us = FW_SEC,
-                                 .log_bytes = 65536};
-    o->relay = (struct fw_relay_opts){.name = "n1",
-                                      .domain = "a",
-                                      .boot = 1,
-                                      .seed = 7,
-                                      .retry_ratio_ppm = 200000,
-                                      .retry_extra = 50,
-                                      .retry_window_us = 10 * FW_SEC,
-                                      .key_stale_us = 2 * FW_SEC,
-                                      .queue_us = 500 * FW_MSEC,
-                                      .read_here_us = 600 * FW_MSEC,
-                                      .reserve_permille = 1000,
-                                      .prefill_permille = 50,
-                                      .lease_us = 3 * FW_SEC,
-                                      .grace_us = 8 * FW_SEC,
-                                      .log_level = 7};
-    g_snprintf(o->store, sizeof(o->store), "127.0.0.1:%d",
-               Fw_WireStore_Port(w->store));
-}
-
-static int
-is_ready(void *ctx)
-{
-    return Fw_Relayd_Ready(((struct world *)ctx)->relay);
-}
-
-static void
-start_relay(struct world *w)
-{
-    int err = 0;
-
-    w->relay = Fw_Relayd_New(&w->opts, NULL, &err);
-    ck_assert_ptr_nonnull(w->relay);
-    g_snprintf(w->callers, sizeof(w->callers), "127.0.0.1:%d",
-               Fw_Relayd_CallersPort(w->relay));
-    Fw_Rig_Until(is_ready, w);
-}
-
-static void
-world_make(struct world *w)
-{
-    *w = (struct world){0};
-    w->null = open("/dev/null", O_WRONLY);
-    Fw_Note_SetupBounded("n1", w->null, 65536);
-    w->store = Fw_WireStore_New("127.0.0.1:0");
-    w->p1 = Fw_WireServer_New(w->store, "127.0.0.1:0", &servers[0]);
-    w->d1 = Fw_WireServer_New(w->store, "127.0.0.1:0", &servers[1]);
-    w->d2 = Fw_WireServer_New(w->store, "127.0.0.1:0", &servers[2]);
-    w->s1 = Fw_WireServer_New(w->store, "127.0.0.1:0", &servers[3]);
-    w->s2 = Fw_WireServer_New(w->store, "127.0.0.1:0", &servers[4]);
-    configure(w, 1, FW_KEYS);
-    set_opts(w);
-}
-
-static void
-world_open(struct world *w)
-{
-    world_make(w);
-    start_relay(w);
-}
-
-static void
-world_close(struct world *w)
-{
-    Fw_Relayd_Free(w->relay);
-    Fw_WireServer_Free(w->p1);
-    Fw_WireServer_Free(w->d1);
-    Fw_WireServer_Free(w->d2);
-    Fw_WireServer_Free(w->s1);
-    Fw_WireServer_Free(w->s2);
-    Fw_WireStore_Free(w->store);
-    close(w->null);
-}
-
-static struct rig_conn *
-ask(struct world *w, const char *line, const char *fields)
-{
-    struct rig_conn *c = Fw_RigConn_Open(w->callers);
-    char *text = g_strdup_printf("%s HTTP/1.1\r\nHost: demo.example\r\n"
-                                 "Authorization: Bearer k1\r\n"
-                                 "Request-Id: r1\r\n%s\r\n",
-                                 line, fields);
-
-    Fw_RigConn_Send(c, text, -1);
-    g_free(text);
-    return c;
-}
-
-#define FW_TOKENS "Token-Counts: 5000,720\r\nModel: m\r\n"
+#include "tests/relayd/world.h"
 
 static int
 all_free(void *ctx)
@@ -163,8 +23,8 @@
     struct world w;
     struct rig_conn *c;
 
-    world_open(&w);
-    c = ask(&w, "POST /outlook/%7eebb?q=%zz", FW_TOKENS);
+    Fw_World_Open(&w);
+    c = Fw_World_Ask(&w, "POST /outlook/%7eebb?q=%zz", FW_TOKENS);
     Fw_RigConn_Expect(c, "HTTP/1.1 200 OK");
     Fw_RigConn_Expect(c, "id: 9\ndata: piece 9\n\n");
     Fw_RigConn_Expect(c, "\r\n0\r\n\r\n");
@@ -179,7 +39,7 @@
         strstr(Fw_WireServer_LastHead(w.p1), "Request-Priority: 1\r\n"));
     Fw_Rig_Until(all_free, &w);
     Fw_RigConn_Close(c);
-    world_close(&w);
+    Fw_World_Close(&w);
 }
 END_TEST
 
@@ -192,11 +52,11 @@
     struct world w;
     struct rig_conn *c;
 
-    world_open(&w);
-    c = ask(&w, "GET /read/x",
-            "Tenant: others\r\nKv-Hold: h\r\nExpect-Instance: x\r\n"
-            "Stage: prefill\r\nRequest-Priority: 0\r\nX-Mine: y\r\n"
-            "Connection: X-Hop\r\nX-Hop: z\r\n");
+    Fw_World_Open(&w);
+    c = Fw_World_Ask(&w, "GET /read/x",
+                     "Tenant: others\r\nKv-Hold: h\r\nExpect-Instance: x\r\n"
+                     "Stage: prefill\r\nRequest-Priority: 0\r\nX-Mine: y\r\n"
+                     "Connection: X-Hop\r\nX-Hop: z\r\n");
     Fw_RigConn_Expect(c, "the answer");
     const char *seen =
         Fw_WireServer_LastHead(Fw_WireServer_Runs(w.s1) ? w.s1 : w.s2);
@@ -207,7 +67,7 @@
     ck_assert_ptr_null(strstr(seen, "Stage: prefill"));
     ck_assert_ptr_null(strstr(seen, "X-Hop"));
     Fw_RigConn_Close(c);
-    world_close(&w);
+    Fw_World_Close(&w);
 }
 END_TEST
 
@@ -236,11 +96,11 @@
     struct world w;
     struct rig_conn *c;
 
-    world_open(&w);
+    Fw_World_Open(&w);
     Fw_WireServer_SetFault(w.s1, faults[_i].fault, 1);
     Fw_WireServer_SetFault(w.s2, faults[_i].fault, 1);
     /* One of the two does it; the other must not, as the second choice. */
-    c = ask(&w, faults[_i].line, "");
+    c = Fw_World_Ask(&w, faults[_i].line, "");
     while (!Fw_WireServer_Faulted(w.s1) && !Fw_WireServer_Faulted(w.s2) &&
            faults[_i].fault != FW_WIRE_OK) {
         g_main_context_iteration(NULL, TRUE);
@@ -251,7 +111,7 @@
     ck_assert_int_eq(Fw_WireServer_Runs(w.s1) + Fw_WireServer_Runs(w.s2),
                      faults[_i].runs);
     Fw_RigConn_Close(c);
-    world_close(&w);
+    Fw_World_Close(&w);
 }
 END_TEST
 
@@ -264,17 +124,17 @@
     struct world w;
     struct rig_conn *c;
 
-    world_open(&w);
+    Fw_World_Open(&w);
     Fw_WireServer_SetFault(w.d1, FW_WIRE_BREAK, 1);
     Fw_WireServer_SetFault(w.d2, FW_WIRE_BREAK, 1);
-    c = ask(&w, "POST /outlook/x", FW_TOKENS);
+    c = Fw_World_Ask(&w, "POST /outlook/x", FW_TOKENS);
     Fw_RigConn_Expect(c, "piece 2");
     Fw_RigConn_ExpectEof(c);
     ck_assert_ptr_null(strstr(c->got->str, "piece 3"));
     ck_assert_ptr_null(strstr(c->got->str, "\r\n0\r\n"));
     Fw_Rig_Until(all_free, &w);
     Fw_RigConn_Close(c);
-    world_close(&w);
+    Fw_World_Close(&w);
 }
 END_TEST
 
@@ -285,15 +145,15 @@
     struct world w;
     struct rig_conn *c;
 
-    world_open(&w);
-    c = ask(&w, "POST /outlook/x", FW_TOKENS);
+    Fw_World_Open(&w);
+    c = Fw_World_Ask(&w, "POST /outlook/x", FW_TOKENS);
     while (!Fw_WireServer_Active(w.p1)) {
         g_main_context_iteration(NULL, TRUE);
     }
     Fw_RigConn_Expect(c, until[_i]);
     Fw_RigConn_Close(c);
     Fw_Rig_Until(all_free, &w);
-    world_close(&w);
+    Fw_World_Close(&w);
 }
 END_TEST
 
@@ -301,7 +161,7 @@
 is_refused(void *ctx)
 {
     struct world *w = ctx;
-    struct rig_conn *c = ask(w, "GET /read/x", "");
+    struct rig_conn *c = Fw_World_Ask(w, "GET /read/x", "");
     int refused;
 
     Fw_RigConn_Expect(c, "HTTP/1.1 ");
@@ -314,11 +174,11 @@
 {
     struct world w;
 
-    world_open(&w);
+    Fw_World_Open(&w);
     ck_assert(!is_refused(&w));
-    configure(&w, 2, "\"k2\"");
+    Fw_World_Configure(&w, 2, "\"k2\"");
     Fw_Rig_Until(is_refused, &w);
-    world_close(&w);
+    Fw_World_Close(&w);
 }
 END_TEST
 
@@ -334,12 +194,12 @@
     struct rig_conn *c;
     struct world w;
 
-    world_open(&w);
+    Fw_World_Open(&w);
     Fw_WireStore_SetMode(w.store, modes[_i]);
     ck_assert(!is_refused(&w));
     Fw_Rig_Until(is_refused, &w);
-    ck_assert(!is_ready(&w));
-    c = ask(&w, "GET /public/x", "");
+    ck_assert(!Fw_World_IsReady(&w));
+    c = Fw_World_Ask(&w, "GET /public/x", "");
     Fw_RigConn_Expect(c, "the answer");
     Fw_RigConn_Close(c);
     if (_i == 2) {
@@ -347,9 +207,9 @@
         Fw_WireStore_Forget(w.store, "keyed.servers");
     }
     Fw_WireStore_SetMode(w.store, FW_WIRE_STORE_WELL);
-    Fw_Rig_Until(is_ready, &w);
+    Fw_Rig_Until(Fw_World_IsReady, &w);
     ck_assert(!is_refused(&w));
-    world_close(&w);
+    Fw_World_Close(&w);
 }
 END_TEST
 
@@ -363,9 +223,9 @@
     struct world w;
     int before;
 
-    world_make(&w);
+    Fw_World_Make(&w);
     Fw_WireStore_SetMode(w.store, FW_WIRE_STORE_LOSING);
-    start_relay(&w);
+    Fw_World_Start(&w);
     ck_assert(!is_refused(&w));
     while (Fw_WireStore_Count(w.store, "keyed.fuchsiaward") < 2) {
         g_main_context_iteration(NULL, TRUE);
@@ -377,7 +237,7 @@
     }
     ck_assert_int_le(Fw_WireStore_Count(w.store, "keyed.fuchsiaward"), 4);
     ck_assert(!is_refused(&w));
-    world_close(&w);
+    Fw_World_Close(&w);
 }
 END_TEST
 
@@ -397,7 +257,7 @@
     };
     struct world w;
 
-    world_open(&w);
+    Fw_World_Open(&w);
     for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
         Fw_WireStore_Put(w.store, "keyed.servers", "i-bad", bad[i]);
     }
@@ -407,7 +267,7 @@
     for (int i = 0; i < 8; i++) {
         ck_assert(!is_refused(&w));
     }
-    world_close(&w);
+    Fw_World_Close(&w);
 }
 END_TEST
 
@@ -416,7 +276,7 @@
     struct world w;
     int before;
 
-    world_open(&w);
+    Fw_World_Open(&w);
     Fw_WireServer_SetDraining(w.s1);
     while (Fw_Relayd_Usable(w.relay, "s1")) {
         g_main_context_iteration(NULL, TRUE);
@@ -426,7 +286,7 @@
         ck_assert(!is_refused(&w));
     }
     ck_assert_int_eq(Fw_WireServer_Runs(w.s1), before);
-    world_close(&w);
+    Fw_World_Close(&w);
 }
 END_TEST
 
@@ -445,15 +305,15 @@
     struct world w;
     struct rig_conn *c;
 
-    world_open(&w);
-    c = ask(&w, "POST /outlook/x", FW_TOKENS);
+    Fw_World_Open(&w);
+    c = Fw_World_Ask(&w, "POST /outlook/x", FW_TOKENS);
     Fw_RigConn_Expect(c, "piece 1");
     Fw_Relayd_Drain(w.relay);
-    ck_assert(!is_ready(&w));
+    ck_assert(!Fw_World_IsReady(&w));
     Fw_RigConn_Expect(c, "\r\n0\r\n\r\n");
     Fw_Rig_Until(is_over, &w);
     Fw_RigConn_Close(c);
-    world_close(&w);
+    Fw_World_Close(&w);
 }
 END_TEST
 
@@ -467,14 +327,60 @@
     int fds[2];
 
     ck_assert_int_eq(pipe(fds), 0);
-    world_open(&w);
+    Fw_World_Open(&w);
     Fw_Note_SetupBounded("n1", fds[1], 4096);
     for (int i = 0; i < 600; i++) {
         ck_assert(!is_refused(&w));
     }
     ck_assert_int_gt(Fw_Note_Dropped(), 0);
     Fw_Note_SetupBounded("n1", w.null, 65536);
-    world_close(&w);
+    Fw_World_Close(&w);
+    close(fds[0]);
+    close(fds[1]);
+}
+END_TEST
+
+/** struct log_end - what was read of the log. */
+struct log_end {
+    int fd;
+    size_t len;
+    char text[65536];
+};
+
+static int
+was_told(void *ctx)
+{
+    struct log_end *e = ctx;
+    ssize_t n = read(e->fd, e->text + e->len, sizeof(e->text) - 1 - e->len);
+
+    e->len += n > 0 ? (size_t)n : 0;
+    return strstr(e->text, "\"digest_unsent\"") != NULL;
+}
+
+/*
+ * Another instance has written an address that leads nowhere, or a digest is
+ * larger than a datagram may be. Allowances are shared out wrongly then; the
+ * log must name whom digests don't reach.
+ */
+START_TEST(a_digest_that_cannot_be_sent_is_told)
+{
+    struct log_end e = {0};
+    struct world w;
+    int fds[2];
+
+    ck_assert_int_eq(pipe(fds), 0);
+    ck_assert_int_eq(fcntl(fds[0], F_SETFL, O_NONBLOCK), 0);
+    Fw_World_Make(&w);
+    w.opts.digest_every_us = 20 * FW_MSEC;
+    Fw_World_Start(&w);
+    Fw_Note_SetupBounded("n1", fds[1], 65536);
+    e.fd = fds[0];
+    Fw_WireStore_Put(w.store, "keyed.fuchsiaward", "n9",
+                     "{\"addr\":\"nowhere\",\"boot\":1}");
+    Fw_Rig_Until(was_told, &e);
+    ck_assert_ptr_nonnull(strstr(e.text, "nowhere"));
+    Fw_Note_SetupBounded("n1", w.null, 65536);
+    Fw_World_Close(&w);
     close(fds[0]);
     close(fds[1]);
 }
@@ -500,6 +406,7 @@
     tcase_add_test(tc, bad_entries_in_the_store_change_nothing);
     tcase_add_test(tc, a_draining_server_gets_nothing_new);
     tcase_add_test(tc, a_stop_lets_a_running_stream_end);
+    tcase_add_test(tc, a_digest_that_cannot_be_sent_is_told);
     tcase_add_test(tc, a_log_that_nobody_reads_blocks_no_request);
     return Fw_Suite_Run(tc);
 }
