--- a/explore/p_idem_env.c
+++ b/explore/p_idem_env.c
@@ -1,4 +1,4 @@
-#include "explore/p_idem_env.h"
+#include "explore/p_idem_mail.h"
 
 #include <errno.h>
 #include <string.h>
@@ -6,45 +6,13 @@
 #include "base/hash.h"
 #include "fleet/member.h"
 
-#define HOP_US (1 * FW_MSEC)
-#define LATE_US (8 * FW_SEC)
-#define TIMEOUT_US (5 * FW_SEC)
 #define SERVE_US (20 * FW_MSEC)
 #define WALL_BASE_MS 1764000000000LL
 
-enum bed_mail_kind {
-    FW_MAIL_APPEND, /* reaches the log */
-    FW_MAIL_READ,
-    FW_MAIL_APPENDED, /* reaches an instance */
-    FW_MAIL_RECORDS,
-    FW_MAIL_MSG,
-};
-
-/** struct harness_mail - something under way. */
-struct harness_mail {
-    enum bed_mail_kind kind;
-    int64_t at_us;
-    int site;
-    uint64_t boot;
-    uint64_t ticket;
-    int part;
-    uint64_t from;
-    int max;
-    char **records;
-    int n;
-    int err;
-    uint64_t first;
-    uint64_t oldest;
-    uint64_t end;
-    int64_t sent_us;
-    char sender[FW_NAME_MAX];
-    struct fw_msg msg;
-};
-
 static void
 free_mail(gpointer data)
 {
-    struct harness_mail *m = data;
+    struct idem_mail *m = data;
 
     g_strfreev(m->records);
     if (m->kind == FW_MAIL_MSG) {
@@ -134,11 +102,11 @@
     s->wake_us = b->now_us;
 }
 
-static struct harness_mail *
-post(struct fw_idem_env *b, enum bed_mail_kind kind, int site,
-     int64_t delay_us)
+struct idem_mail *
+Fw_IdemEnv_Post(struct fw_idem_env *b, enum idem_mail_kind kind, int site,
+                int64_t delay_us)
 {
-    struct harness_mail *m = g_new0(struct harness_mail, 1);
+    struct idem_mail *m = g_new0(struct idem_mail, 1);
 
     m->kind = kind;
     m->site = site;
@@ -153,13 +121,13 @@
 {
     for (int i = 0; i < b->n; i++) {
         struct fw_idem_env_site *to = &b->sites[i];
-        struct harness_mail *m;
+        struct idem_mail *m;
 
         if (strcmp(to->self.name, send->to) != 0 || !to->up || to->cut ||
             b->sites[site].cut) {
             continue;
         }
-        m = post(b, FW_MAIL_MSG, i, HOP_US);
+        m = Fw_IdemEnv_Post(b, FW_MAIL_MSG, i, FW_BED_HOP_US);
         m->msg = send->msg;
         send->msg.u.idem.kind = FW_IDEM_FINISHED; /* moved: owns nothing */
         g_strlcpy(m->sender, b->sites[site].self.name, sizeof(m->sender));
@@ -171,7 +139,7 @@
 carry(struct fw_idem_env *b, int site, struct fw_actions *out)
 {
     struct fw_action *a;
-    struct harness_mail *m;
+    struct idem_mail *m;
 
     b->sites[site].wake_us = MIN(b->sites[site].wake_us, out->wake_us);
     while ((a = Fw_Actions_Take(out))) {
@@ -179,7 +147,8 @@
             send_peer(b, site, &a->u.send);
         }
         else if (a->kind == FW_ACT_LOG_APPEND) {
-            m = post(b, FW_MAIL_APPEND, site, HOP_US + b->log.slow_us);
+            m = Fw_IdemEnv_Post(b, FW_MAIL_APPEND, site,
+                                FW_BED_HOP_US + b->log.slow_us);
             m->ticket = a->u.append.ticket;
             m->part = a->u.append.stream[strlen("idem-")] - '0';
             m->n = a->u.append.n;
@@ -189,7 +158,8 @@
             }
         }
         else if (a->kind == FW_ACT_LOG_READ) {
-            m = post(b, FW_MAIL_READ, site, HOP_US + b->log.slow_us);
+            m = Fw_IdemEnv_Post(b, FW_MAIL_READ, site,
+                                FW_BED_HOP_US + b->log.slow_us);
             m->ticket = a->u.read.ticket;
             m->part = a->u.read.stream[strlen("idem-")] - '0';
             m->from = a->u.read.from;
@@ -369,91 +339,7 @@
 }
 
 static void
-store(struct fw_idem_env *b, const struct harness_mail *m)
-{
-    GPtrArray *recs = b->log.records[m->part];
-
-    for (int i = 0; i < m->n; i++) {
-        g_ptr_array_add(recs, g_strdup(m->records[i]));
-    }
-    if ((int)recs->len > b->log.retain) {
-        guint drop = recs->len - (guint)b->log.retain;
-
-        g_ptr_array_remove_range(recs, 0, drop);
-        b->log.oldest[m->part] += drop;
-    }
-}
-
-static void
-take_append(struct fw_idem_env *b, struct harness_mail *m)
-{
-    struct fw_idem_env_log *l = &b->log;
-    uint64_t first = l->oldest[m->part] + l->records[m->part]->len;
-    struct harness_mail *back;
-
-    if (m->err) { /* a late one: nobody waits any more */
-        store(b, m);
-        return;
-    }
-    l->appends++;
-    back = post(b, FW_MAIL_APPENDED, m->site, HOP_US);
-    back->boot = m->boot;
-    back->ticket = m->ticket;
-    back->part = m->part;
-    back->first = first;
-    if (l->down) {
-        back->err = -EAGAIN;
-    }
-    else if (l->lose > 0) {
-        l->lose--;
-        back->err = -EIO;
-        back->at_us += TIMEOUT_US;
-        store(b, m);
-    }
-    else if (l->drop > 0) {
-        l->drop--;
-        back->err = -EIO;
-    }
-    else if (l->late > 0) {
-        struct harness_mail *again = post(b, FW_MAIL_APPEND, m->site, LATE_US);
-
-        l->late--;
-        back->err = -EIO;
-        again->part = m->part;
-        again->n = m->n;
-        again->records = g_steal_pointer(&m->records);
-        again->err = 1;
-    }
-    else {
-        store(b, m);
-    }
-}
-
-static void
-take_read(struct fw_idem_env *b, const struct harness_mail *m)
-{
-    struct fw_idem_env_log *l = &b->log;
-    GPtrArray *recs = l->records[m->part];
-    struct harness_mail *back = post(b, FW_MAIL_RECORDS, m->site, HOP_US);
-
-    back->boot = m->boot;
-    back->ticket = m->ticket;
-    back->part = m->part;
-    back->sent_us = m->sent_us;
-    back->err = l->down ? -EAGAIN : 0;
-    back->oldest = l->oldest[m->part];
-    back->end = back->oldest + recs->len;
-    back->first = CLAMP(m->from, back->oldest, back->end);
-    back->n = (int)MIN((uint64_t)m->max, back->end - back->first);
-    back->records = g_new0(char *, back->n + 1);
-    for (int i = 0; i < back->n; i++) {
-        back->records[i] = g_strdup(g_ptr_array_index(
-            recs, (guint)(back->first - back->oldest) + (guint)i));
-    }
-}
-
-static void
-deliver(struct fw_idem_env *b, struct harness_mail *m)
+deliver(struct fw_idem_env *b, struct idem_mail *m)
 {
     struct fw_idem_env_site *s = &b->sites[m->site];
     struct fw_log_appended app = {.ticket = m->ticket, .err = m->err};
@@ -461,11 +347,11 @@
     struct fw_actions out;
 
     if (m->kind == FW_MAIL_APPEND) {
-        take_append(b, m);
+        Fw_IdemEnv_TakeAppend(b, m);
         return;
     }
     if (m->kind == FW_MAIL_READ) {
-        take_read(b, m);
+        Fw_IdemEnv_TakeRead(b, m);
         return;
     }
     if (!s->up || s->self.boot != m->boot) {
@@ -493,7 +379,7 @@
 
 /* When @m can be delivered: a paused instance hears nothing. */
 static int64_t
-due(const struct fw_idem_env *b, const struct harness_mail *m)
+due(const struct fw_idem_env *b, const struct idem_mail *m)
 {
     if (m->kind == FW_MAIL_APPEND || m->kind == FW_MAIL_READ) {
         return m->at_us;
@@ -501,15 +387,15 @@
     return MAX(m->at_us, b->sites[m->site].paused_us);
 }
 
-static struct harness_mail *
+static struct idem_mail *
 next_mail(struct fw_idem_env *b, int64_t until_us, int *tick_site)
 {
-    struct harness_mail *best = NULL;
+    struct idem_mail *best = NULL;
     int64_t at = until_us + 1;
 
     *tick_site = -1;
     for (guint i = 0; i < b->mail->len; i++) {
-        struct harness_mail *m = g_ptr_array_index(b->mail, i);
+        struct idem_mail *m = g_ptr_array_index(b->mail, i);
 
         if (due(b, m) < at) {
             at = due(b, m);
@@ -539,7 +425,7 @@
 
     for (;;) {
         int site;
-        struct harness_mail *m = next_mail(b, until, &site);
+        struct idem_mail *m = next_mail(b, until, &site);
 
         if (++steps > 200000) {
             breach(b, "the instances never come to rest", "-");
--- /dev/null
+++ b/explore/p_request_callers.c
@@ -0,0 +1,188 @@
+/* Callers of a seeded run and what they must see; teams and their keys. */
+#include <inttypes.h>
+#include <string.h>
+
+#include "base/hash.h"
+#include "explore/p_request_env.h"
+
+static struct fw_request_env_caller *
+caller(struct fw_request_env *w, uint64_t call)
+{
+    struct fw_request_env_caller *c = &w->callers[call - 1];
+
+    if (!c->open) {
+        Fw_Run_Breach(w->run, "caller %" PRIu64 " is answered after its end",
+                      call - 1);
+    }
+    return c;
+}
+
+void
+Fw_RequestEnv_SeePiece(struct fw_request_env *w, const struct fw_call_piece *p)
+{
+    struct fw_request_env_caller *c = caller(w, p->call);
+    char *want = g_strdup_printf("%" PRIu64 "/%d ", p->call - 1, c->got);
+
+    if (p->index != c->got || strcmp(p->text, want) != 0) {
+        Fw_Run_Breach(w->run, "caller %" PRIu64 " got %s in place of %s",
+                      p->call - 1, p->text, want);
+    }
+    c->got++;
+    g_free(want);
+}
+
+void
+Fw_RequestEnv_SeeFail(struct fw_request_env *w, const struct fw_call_fail *f)
+{
+    struct fw_request_env_caller *c = caller(w, f->call);
+
+    c->open = 0;
+    Fw_Run_Trace(w->run, "caller %" PRIu64 " fails: %s, ran %s", f->call - 1,
+                 f->code, Fw_Ran_Name(f->ran));
+    if (w->draining && f->ran != FW_RAN_NO) {
+        Fw_Run_Breach(w->run, "caller %" PRIu64 " is cut off by the stop",
+                      f->call - 1);
+    }
+    if (f->ran == FW_RAN_NO && c->began) {
+        Fw_Run_Breach(w->run, "caller %" PRIu64 " is told that it did not run",
+                      f->call - 1);
+    }
+}
+
+void
+Fw_RequestEnv_SeeEnd(struct fw_request_env *w, const struct fw_call_end *e)
+{
+    struct fw_request_env_caller *c = caller(w, e->call);
+
+    c->open = 0;
+    Fw_Run_Trace(w->run, "caller %" PRIu64 " has all", e->call - 1);
+    if (c->got != FW_REQUEST_ENV_PIECES) {
+        Fw_Run_Breach(w->run, "caller %" PRIu64 " has %d pieces at the end",
+                      e->call - 1, c->got);
+    }
+}
+
+void
+Fw_RequestEnv_SeeExit(struct fw_request_env *w)
+{
+    w->exited = 1;
+    for (int i = 0; i < w->n_callers; i++) {
+        if (w->callers[i].open) {
+            Fw_Run_Breach(w->run, "the instance leaves caller %d behind", i);
+        }
+    }
+}
+
+void
+Fw_RequestEnv_Ask(struct fw_request_env *w)
+{
+    int n = w->n_callers++;
+    struct fw_request_env_caller *c = &w->callers[n];
+    char *prompt = g_strdup_printf("%d;", n);
+    struct fw_event ev = {.kind = FW_EV_CALL_OPEN};
+    struct fw_call *call = &ev.u.open;
+
+    c->call = (uint64_t)n + 1;
+    c->open = 1;
+    g_snprintf(c->key, sizeof(c->key), "key-%c",
+               g_rand_boolean(w->run->rand) ? 'a' : 'b');
+    call->call = c->call;
+    call->key = c->key;
+    call->prompt = g_bytes_new_take(prompt, strlen(prompt));
+    call->prompt_tokens = 1;
+    call->max_tokens = FW_REQUEST_ENV_PIECES;
+    call->stream = 1;
+    g_strlcpy(call->model, "m", sizeof(call->model));
+    if (g_rand_int_range(w->run->rand, 0, 3) == 0) {
+        g_snprintf(call->request_id, FW_ID_MAX, "named-%d", n);
+    }
+    Fw_Run_Trace(w->run, "caller %d asks with %s", n, c->key);
+    Fw_RequestEnv_Step(w, &ev);
+    g_bytes_unref(call->prompt);
+}
+
+void
+Fw_RequestEnv_Close(struct fw_request_env *w, int n)
+{
+    struct fw_event ev = {.kind = FW_EV_CALL_CLOSED,
+                          .u.closed = w->callers[n].call};
+
+    if (!w->callers[n].open) {
+        return;
+    }
+    Fw_Run_Trace(w->run, "caller %d goes", n);
+    w->callers[n].open = 0;
+    Fw_RequestEnv_Step(w, &ev);
+}
+
+void
+Fw_RequestEnv_Drain(struct fw_request_env *w)
+{
+    struct fw_event ev = {.kind = FW_EV_DRAIN};
+
+    Fw_Run_Trace(w->run, "the instance is told to stop");
+    w->draining = 1;
+    Fw_RequestEnv_Step(w, &ev);
+}
+
+static void
+add_key(GString *items, const char *key, int was, int withdrawn)
+{
+    char digest[FW_DIGEST_HEX];
+
+    Fw_Hash_KeyDigest(key, digest);
+    g_string_append_printf(items,
+                           "{\"kind\":\"key\",\"name\":\"%s\",\"was\":%d,"
+                           "\"value\":{\"team\":\"%c\",\"withdrawn\":%s}}",
+                           digest, was, key[4], withdrawn ? "true" : "false");
+}
+
+void
+Fw_RequestEnv_Configure(struct fw_request_env *w)
+{
+    GString *items = g_string_new(
+        "{\"kind\":\"team\",\"name\":\"a\",\"was\":0,\"value\":{\"rate\":"
+        "100000,\"burst\":1000000,\"priority\":1,\"models\":[]}},"
+        "{\"kind\":\"team\",\"name\":\"b\",\"was\":0,\"value\":{\"rate\":"
+        "100000,\"burst\":1000000,\"priority\":1,\"models\":[]}},"
+        "{\"kind\":\"pool\",\"name\":\"pool\",\"was\":0,\"value\":{"
+        "\"kv_bytes_per_token\":1000,\"prefill_min\":1,\"decode_min\":1,"
+        "\"serves\":[{\"model\":\"m\",\"version\":\"1\",\"adapter\":\"\"}]}"
+        "},");
+
+    for (int e = 0; e < FW_REQUEST_ENV_ENGINES; e++) {
+        g_string_append_printf(
+            items,
+            "{\"kind\":\"upstream\",\"name\":\"%s\",\"was\":0,\"value\":{"
+            "\"pool\":\"pool\",\"url\":\"http://%s\",\"domain\":\"d\","
+            "\"role\":\"%s\",\"fencing\":\"checked\",\"slots\":20,"
+            "\"prefill_rate\":20000,\"drained\":false,\"links\":[{"
+            "\"domain\":\"d\",\"bytes_per_s\":10000000000}]}},",
+            Fw_RequestEnv_EngineName(e), Fw_RequestEnv_EngineName(e),
+            e < 2 ? "prefill" : "decode");
+    }
+    add_key(items, "key-a", 0, 0);
+    g_string_append_c(items, ',');
+    add_key(items, "key-b", 0, 0);
+    Fw_MemLog_Change(&w->log, items->str);
+    g_string_free(items, TRUE);
+}
+
+void
+Fw_RequestEnv_Withdraw(struct fw_request_env *w)
+{
+    GString *items = g_string_new(NULL);
+
+    add_key(items, "key-a", 1, 1);
+    Fw_MemLog_Change(&w->log, items->str);
+    g_string_free(items, TRUE);
+    Fw_Run_Trace(w->run, "key-a is withdrawn");
+    Fw_RequestEnv_Pass(w, 1);
+    w->withdrawn = 1;
+    for (int i = 0; i < w->n_callers; i++) {
+        if (w->callers[i].open && w->callers[i].key[4] == 'a') {
+            Fw_Run_Breach(w->run, "caller %d reads on with a withdrawn key",
+                          i);
+        }
+    }
+}
--- a/explore/p_request_env.h
+++ b/explore/p_request_env.h
@@ -104,6 +104,20 @@
 Fw_RequestEnv_Held(const struct fw_request_env *w);
 
 /* For the environment's own files. */
+/* p_request_callers.c: what the instance says to callers, looked at. */
+void
+Fw_RequestEnv_SeePiece(struct fw_request_env *w,
+                       const struct fw_call_piece *p);
+void
+Fw_RequestEnv_SeeFail(struct fw_request_env *w, const struct fw_call_fail *f);
+void
+Fw_RequestEnv_SeeEnd(struct fw_request_env *w, const struct fw_call_end *e);
+void
+Fw_RequestEnv_SeeExit(struct fw_request_env *w);
+/* Teams, keys and engines as the operator would write them. */
+void
+Fw_RequestEnv_Configure(struct fw_request_env *w);
+/* p_request_env.c */
 void
 Fw_RequestEnv_Step(struct fw_request_env *w, const struct fw_event *ev);
 const char *
--- a/src/request/open.c
+++ b/src/request/open.c
@@ -99,12 +99,9 @@
 take(struct fw_requests *rs, const struct fw_call *call,
      const struct fw_team *team, int64_t now_us)
 {
-    struct fw_request *rq = Fw_Request_New(rs, now_us);
+    struct fw_request *rq = Fw_Request_FromCall(rs, call, team, now_us);
 
-    rq->kind = call->kind;
-    g_strlcpy(rq->team, team->name, sizeof(rq->team));
     g_strlcpy(rq->model, call->model, sizeof(rq->model));
-    Fw_Hash_KeyDigest(call->key, rq->digest);
     rq->body = g_bytes_ref(call->prompt);
     rq->print = fingerprint(call);
     rq->prompt_tokens = call->prompt_tokens;
@@ -112,15 +109,8 @@
         call->max_tokens > 0 ? call->max_tokens : rs->deps.max_tokens_default;
     rq->deadline_us = call->deadline_us;
     if (call->request_id[0]) {
-        g_strlcpy(rq->id, call->request_id, sizeof(rq->id));
         rq->key = Fw_Join_Key(rq->team, rq->id);
     }
-    else {
-        g_snprintf(rq->id, sizeof(rq->id), "%s-%" PRIx64 "-%" PRIu64,
-                   rs->deps.self->name, rs->deps.self->boot, rs->next_ticket);
-    }
-    Fw_Reader_AddCall(rs, rq, call->call);
-    rs->n.opened.value++;
     return rq;
 }
 
--- a/src/request/request.c
+++ b/src/request/request.c
@@ -4,6 +4,7 @@
 #include <string.h>
 #include <syslog.h>
 
+#include "base/hash.h"
 #include "request/request_internal.h"
 
 static void
@@ -108,6 +109,27 @@
     return rq;
 }
 
+struct fw_request *
+Fw_Request_FromCall(struct fw_requests *rs, const struct fw_call *call,
+                    const struct fw_team *team, int64_t now_us)
+{
+    struct fw_request *rq = Fw_Request_New(rs, now_us);
+
+    rq->kind = call->kind;
+    g_strlcpy(rq->team, team->name, sizeof(rq->team));
+    Fw_Hash_KeyDigest(call->key, rq->digest);
+    if (call->request_id[0]) {
+        g_strlcpy(rq->id, call->request_id, sizeof(rq->id));
+    }
+    else {
+        g_snprintf(rq->id, sizeof(rq->id), "%s-%" PRIx64 "-%" PRIu64,
+                   rs->deps.self->name, rs->deps.self->boot, rs->next_ticket);
+    }
+    Fw_Reader_AddCall(rs, rq, call->call);
+    rs->n.opened.value++;
+    return rq;
+}
+
 void
 Fw_Request_Drop(struct fw_requests *rs, struct fw_request *rq)
 {
--- a/src/request/request_internal.h
+++ b/src/request/request_internal.h
@@ -178,6 +178,10 @@
 /* request.c */
 struct fw_request *
 Fw_Request_New(struct fw_requests *rs, int64_t now_us);
+/* What all kinds of a caller's request have, under its id or a new one. */
+struct fw_request *
+Fw_Request_FromCall(struct fw_requests *rs, const struct fw_call *call,
+                    const struct fw_team *team, int64_t now_us);
 void
 Fw_Request_Drop(struct fw_requests *rs, struct fw_request *rq);
 struct fw_request *
--- a/src/request/service.c
+++ b/src/request/service.c
@@ -1,6 +1,5 @@
 /* Calls to plain services, which may or may not be repeated. */
 #include <errno.h>
-#include <inttypes.h>
 #include <string.h>
 #include <syslog.h>
 
@@ -74,11 +73,8 @@
 take(struct fw_requests *rs, const struct fw_call *call,
      const struct fw_team *team, int idempotent, int64_t now_us)
 {
-    struct fw_request *rq = Fw_Request_New(rs, now_us);
+    struct fw_request *rq = Fw_Request_FromCall(rs, call, team, now_us);
 
-    rq->kind = FW_CALL_SERVICE;
-    g_strlcpy(rq->team, team->name, sizeof(rq->team));
-    Fw_Hash_KeyDigest(call->key, rq->digest);
     g_strlcpy(rq->service, call->service, sizeof(rq->service));
     g_strlcpy(rq->method, call->method, sizeof(rq->method));
     g_strlcpy(rq->content_type, call->content_type, sizeof(rq->content_type));
@@ -86,15 +82,6 @@
     rq->path = g_strdup(call->path);
     rq->body = call->body ? g_bytes_ref(call->body) : NULL;
     rq->idempotent = idempotent;
-    if (call->request_id[0]) {
-        g_strlcpy(rq->id, call->request_id, sizeof(rq->id));
-    }
-    else {
-        g_snprintf(rq->id, sizeof(rq->id), "%s-%" PRIx64 "-%" PRIu64,
-                   rs->deps.self->name, rs->deps.self->boot, rs->next_ticket);
-    }
-    Fw_Reader_AddCall(rs, rq, call->call);
-    rs->n.opened.value++;
     return rq;
 }
 
--- a/tests/http/test_server.c
+++ b/tests/http/test_server.c
@@ -192,20 +192,29 @@
     return ((struct shop *)ctx)->open != NULL;
 }
 
+/* A request that waits for its answer. */
+static struct rig_conn *
+open_request(struct shop *s)
+{
+    struct rig_conn *c;
+
+    shop_open(s);
+    s->hold = 1;
+    c = Fw_RigConn_Open(s->addr);
+    Fw_RigConn_Send(c, "GET /a HTTP/1.1\r\nHost: a\r\n\r\n", -1);
+    Fw_Rig_Until(is_open, s);
+    return c;
+}
+
 /*
  * A caller leaves while its request is being worked on. Its upstream would
  * go on for nobody; the owner must hear of it at once.
  */
 START_TEST(a_caller_who_leaves_is_noticed)
 {
-    struct rig_conn *c;
     struct shop s;
+    struct rig_conn *c = open_request(&s);
 
-    shop_open(&s);
-    s.hold = 1;
-    c = Fw_RigConn_Open(s.addr);
-    Fw_RigConn_Send(c, "GET /a HTTP/1.1\r\nHost: a\r\n\r\n", -1);
-    Fw_Rig_Until(is_open, &s);
     Fw_RigConn_Close(c);
     Fw_Rig_Until(is_gone, &s);
     shop_close(&s);
@@ -214,14 +223,9 @@
 
 START_TEST(an_answer_of_unknown_length_goes_out_in_chunks)
 {
-    struct rig_conn *c;
     struct shop s;
+    struct rig_conn *c = open_request(&s);
 
-    shop_open(&s);
-    s.hold = 1;
-    c = Fw_RigConn_Open(s.addr);
-    Fw_RigConn_Send(c, "GET /a HTTP/1.1\r\nHost: a\r\n\r\n", -1);
-    Fw_Rig_Until(is_open, &s);
     Fw_Caller_Start(s.open, 200, "", -1);
     Fw_Caller_Data(s.open, "hello", 5);
     Fw_RigConn_Expect(c, "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n");
@@ -238,14 +242,9 @@
  */
 START_TEST(a_cut_answer_does_not_look_complete)
 {
-    struct rig_conn *c;
     struct shop s;
+    struct rig_conn *c = open_request(&s);
 
-    shop_open(&s);
-    s.hold = 1;
-    c = Fw_RigConn_Open(s.addr);
-    Fw_RigConn_Send(c, "GET /a HTTP/1.1\r\nHost: a\r\n\r\n", -1);
-    Fw_Rig_Until(is_open, &s);
     Fw_Caller_Start(s.open, 200, "", -1);
     Fw_Caller_Data(s.open, "hello", 5);
     Fw_RigConn_Expect(c, "hello");
--- a/tests/node/harness.c
+++ b/tests/node/harness.c
@@ -61,24 +61,6 @@
     return m;
 }
 
-static void
-see(struct harness *b, const char *fmt, ...)
-    __attribute__((format(printf, 2, 3)));
-
-static void
-see(struct harness *b, const char *fmt, ...)
-{
-    char *line;
-    va_list ap;
-
-    va_start(ap, fmt);
-    line = g_strdup_vprintf(fmt, ap);
-    va_end(ap);
-    g_string_append(b->seen, line);
-    g_string_append_c(b->seen, '\n');
-    g_free(line);
-}
-
 /* Reads answered late come back when a record comes or their wait ends. */
 static void
 release_reads(struct harness *b, const char *name)
@@ -139,67 +121,6 @@
     Fw_Msg_Pack(&pk, &p->msg);
 }
 
-static const char *
-label(struct harness *b, const char *upstream)
-{
-    char *text = g_hash_table_lookup(b->labels, upstream);
-    GHashTableIter it;
-    gpointer value;
-    int n = 1;
-
-    if (text) {
-        return text;
-    }
-    g_hash_table_iter_init(&it, b->labels);
-    while (g_hash_table_iter_next(&it, NULL, &value)) {
-        n += ((const char *)value)[0] == g_ascii_toupper(upstream[0]);
-    }
-    text = g_strdup_printf("%c%d", g_ascii_toupper(upstream[0]), n);
-    g_hash_table_insert(b->labels, g_strdup(upstream), text);
-    return text;
-}
-
-const char *
-Fw_Harness_KindName(enum fw_up_kind kind)
-{
-    static const char *const names[] = {
-        "prefill", "import", "decode", "resume", "cancel",
-        "load",    "held",   "cache",  "order",  "service",
-    };
-    return names[kind];
-}
-
-static void
-see_up(struct harness *b, const struct fw_up_start *up)
-{
-    switch (up->kind) {
-    case FW_UP_PREFILL:
-        see(b, "%s prefill %s", label(b, up->upstream), up->u.prefill.request);
-        break;
-    case FW_UP_IMPORT:
-        see(b, "%s import %s", label(b, up->upstream), up->u.import.request);
-        break;
-    case FW_UP_DECODE:
-    case FW_UP_RESUME:
-        see(b, "%s %s %s from %" PRId64, label(b, up->upstream),
-            Fw_Harness_KindName(up->kind), up->u.decode.request,
-            up->u.decode.from_index);
-        break;
-    case FW_UP_CANCEL:
-        see(b, "%s cancel %s", label(b, up->upstream), up->u.cancel.request);
-        break;
-    case FW_UP_SERVICE:
-        see(b, "%s %s %s%s", label(b, up->upstream), up->u.service.method,
-            up->u.service.path, up->u.service.once ? " once" : "");
-        break;
-    case FW_UP_LOAD:
-    case FW_UP_HELD:
-    case FW_UP_CACHE:
-    case FW_UP_ORDER:
-        break;
-    }
-}
-
 static void
 auto_answer(struct harness *b, struct harness_mail *m,
             const struct fw_up_start *up)
@@ -242,7 +163,7 @@
     struct harness_call *c;
     struct harness_mail *m;
 
-    see_up(b, up);
+    Fw_Harness_SeeUp(b, up);
     if (b->answers[up->kind] == FW_HARNESS_AUTO) {
         m = post(b, node, FW_MAIL_UP);
         m->up.op = up->op;
@@ -265,45 +186,25 @@
     FW_LIST_EACH_SAFE (pos, tmp, &b->calls) {
         struct harness_call *c = FW_LIST_ENTRY(pos, struct harness_call, link);
         if (c->up.op == op) {
-            see(b, "%s %s stopped", label(b, c->up.upstream),
-                Fw_Harness_KindName(c->up.kind));
+            Fw_Harness_See(b, "%s %s stopped",
+                           Fw_Harness_Label(b, c->up.upstream),
+                           Fw_Harness_KindName(c->up.kind));
             Fw_List_Remove(&c->link);
             g_free(c);
         }
     }
 }
 
-static void
-see_answer(struct harness *b, const struct fw_call_answer *a)
-{
-    gsize size = 0;
-    const char *body = g_bytes_get_data(a->body, &size);
-
-    see(b, "caller %" PRIu64 " answer %d %.*s", a->call, a->status, (int)size,
-        body ? body : "");
-}
-
 static void
 take_action(struct harness *b, int node, struct fw_action *a)
 {
     switch (a->kind) {
     case FW_ACT_CALL_START:
-        see(b, "caller %" PRIu64 " start", a->u.start.call);
-        break;
     case FW_ACT_CALL_PIECE:
-        see(b, "caller %" PRIu64 " piece %" PRId64 " %s", a->u.piece.call,
-            a->u.piece.index, a->u.piece.text);
-        break;
     case FW_ACT_CALL_END:
-        see(b, "caller %" PRIu64 " end %s %" PRId64, a->u.end.call,
-            a->u.end.reason, a->u.end.output_tokens);
-        break;
     case FW_ACT_CALL_FAIL:
-        see(b, "caller %" PRIu64 " fail %d %s ran %s", a->u.fail.call,
-            a->u.fail.status, a->u.fail.code, Fw_Ran_Name(a->u.fail.ran));
-        break;
     case FW_ACT_CALL_ANSWER:
-        see_answer(b, &a->u.answer);
+        Fw_Harness_SeeCaller(b, a);
         break;
     case FW_ACT_UP_START:
         on_up(b, node, &a->u.up);
@@ -326,7 +227,7 @@
     case FW_ACT_NOTE:
         break;
     case FW_ACT_EXIT:
-        see(b, "instance-%d exit", node);
+        Fw_Harness_See(b, "instance-%d exit", node);
         b->exited[node] = 1;
         break;
     }
--- a/tests/node/harness.h
+++ b/tests/node/harness.h
@@ -98,6 +98,17 @@
 /* For the harness's own files. */
 void
 Fw_Harness_Step(struct harness *b, int node, const struct fw_event *ev);
+/* harness_see.c */
+void
+Fw_Harness_See(struct harness *b, const char *fmt, ...)
+    __attribute__((format(printf, 2, 3)));
+void
+Fw_Harness_SeeUp(struct harness *b, const struct fw_up_start *up);
+void
+Fw_Harness_SeeCaller(struct harness *b, const struct fw_action *a);
+/* "P1" and the like, by order of appearance. */
+const char *
+Fw_Harness_Label(struct harness *b, const char *upstream);
 const char *
 Fw_Harness_KindName(enum fw_up_kind kind);
 /* Compares what was seen since the last call, then forgets it. */
