Name the figures that stood bare in the relay

Cause: a reuse time, a connection time, a weight and a default time limit were numbers in the middle of functions, without their reason.

Change: named constants with it; the values are as before.

Before and after: 65 of 65 programs of make check-run pass, lint is clean.

--- a/src/relay/open.c
+++ b/src/relay/open.c
@@ -17,6 +17,8 @@
  */
 #define FW_DRAIN_STREAM_US (5500 * FW_MSEC)
 #define FW_DRAIN_PLAIN_US (1800 * FW_MSEC)
+/* A route without a time limit: beyond any caller's own. */
+#define FW_TIMEOUT_DEFAULT_US (60 * FW_SEC)
 /* Another instance takes it at once. */
 #define FW_RETRY_ELSEWHERE_US (50 * FW_MSEC)
 /* A request that crashes its servers should not be back soon. */
@@ -74,7 +76,8 @@
 static void
 set_limits(struct fw_rl_call *c, int64_t now_us)
 {
-    int64_t left = c->route.timeout_us ? c->route.timeout_us : 60 * FW_SEC;
+    int64_t left =
+        c->route.timeout_us ? c->route.timeout_us : FW_TIMEOUT_DEFAULT_US;
 
     if (c->ask.left_us > 0) {
         left = MIN(left, c->ask.left_us);
--- a/src/relay/stream.c
+++ b/src/relay/stream.c
@@ -16,6 +16,8 @@
 #define FW_HOLD_WAIT_US (300 * FW_MSEC)
 /* Slack over the expected time until a prompt is read. */
 #define FW_READ_SLACK_US (600 * FW_MSEC)
+/* Weight of the newest stream in their moving mean: some ten count. */
+#define FW_RUN_WEIGHT 0.1
 /* A mean stream before one was seen. */
 #define FW_RUN_GUESS_US (4 * FW_SEC)
 /* Callers sent away are told to come back between these. */
@@ -327,9 +329,9 @@
     if (c->passed) {
         int64_t took = now_us - c->run_us;
 
-        r->run_us = r->run_us > 0
-                        ? r->run_us + 0.1 * ((double)took - r->run_us)
-                        : (double)took;
+        r->run_us = r->run_us > 0 ? r->run_us + FW_RUN_WEIGHT *
+                                                    ((double)took - r->run_us)
+                                  : (double)took;
         Fw_Call_Finish(r, c, 1, now_us, out);
         return;
     }
--- a/src/relayd/store.c
+++ b/src/relayd/store.c
@@ -16,6 +16,10 @@
  * second; beyond this the connection is taken as dead.
  */
 #define FW_STORE_WAIT_US (1200 * FW_MSEC)
+/* A kept connection idle for longer may be gone; a new one costs a hop. */
+#define FW_STORE_REUSE_US (10 * FW_SEC)
+/* A third of the wait: leaves time for the answer on a slow connect. */
+#define FW_STORE_CONNECT_US (400 * FW_MSEC)
 /* After a failure, before the next try; halved or raised by chance. */
 #define FW_STORE_RETRY_US (250 * FW_MSEC)
 /* The instances are read again while none of them was heard. */
@@ -310,8 +314,8 @@
 {
     struct fw_store *s = f->store;
     struct fw_relayd *d = s->d;
-    struct fw_exchange_opts how = {.reuse_us = 10 * FW_SEC,
-                                   .connect_us = 400 * FW_MSEC};
+    struct fw_exchange_opts how = {.reuse_us = FW_STORE_REUSE_US,
+                                   .connect_us = FW_STORE_CONNECT_US};
     GString *head = g_string_new(NULL);
     GBytes *body = NULL;
     int64_t wait_us;
