Ask other instances when the store turns this one away; four of nine read it

And calls to the store cost as much as all memory of prompts moved: nine instances each read all of it. Change: one that learnt nothing for 2 s asks another one as well; from five instances on four read, the others ask them.

--- a/explore/relay_freshness.c
+++ b/explore/relay_freshness.c
@@ -9,10 +9,14 @@
 /* What the store's newest configuration has been, by time. */
 #define FW_VERSIONS_MAX 4000
 
-/** struct history - when each version was written. */
+/**
+ * struct history - when each version was written.
+ * @refused: instances that the store turns away; they reach the others
+ */
 struct history {
     int64_t at_us[FW_VERSIONS_MAX];
     int n;
+    int refused[FW_FLEET_MAX];
 };
 
 static void
@@ -35,7 +39,7 @@
     struct fw_relay *r = f->sites[i].relay;
     int wants;
 
-    if (!Fw_RelayFleet_Runs(f, i) || f->sites[i].cut) {
+    if (!Fw_RelayFleet_Runs(f, i) || f->sites[i].cut || h->refused[i]) {
         return;
     }
     wants = Fw_Relay_ReadsStore(r, Fw_RelayFleet_Now(f, i));
@@ -73,7 +77,7 @@
     struct fleet f;
 
     rules->version = 1;
-    Fw_RelayFleet_Init(&f, run, 14 + g_rand_int_range(run->rand, 0, 6), rules);
+    Fw_RelayFleet_Init(&f, run, 5 + g_rand_int_range(run->rand, 0, 15), rules);
     f.late_pct = 20;
     f.late_max_us = 8 * FW_SEC;
     h.at_us[0] = f.now_us;
@@ -88,6 +92,9 @@
         if (Fw_RelayFleet_Below(&f, 50) == 0) {
             f.sites[i].cut = !f.sites[i].cut;
         }
+        if (Fw_RelayFleet_Below(&f, 30) == 0) {
+            h.refused[i] = !h.refused[i];
+        }
         if (Fw_RelayFleet_Below(&f, 80) == 0) {
             f.sites[i].frozen_until_us =
                 f.now_us + Fw_RelayFleet_Below(&f, 9 * FW_SEC);
--- a/src/relay/purse.c
+++ b/src/relay/purse.c
@@ -147,8 +147,8 @@
 level_needed(const struct fw_relay *r, const struct fw_rl_purse *p,
              int64_t cost)
 {
-    double credit =
-        (double)(r->opts.tolerance * FW_CREDIT_PERMILLE / 1000) * p->part;
+    int64_t part = r->opts.tolerance * FW_CREDIT_PERMILLE / 1000;
+    double credit = (double)part * p->part;
 
     if ((double)cost * FW_SMALL_PART <= credit) {
         return (double)cost - credit;
--- a/src/relay/watch.c
+++ b/src/relay/watch.c
@@ -19,8 +19,11 @@
 #define FW_FORM_QUESTION 2
 #define FW_FORM_ANSWER 3
 
-/* A fleet up to this size reads the store by itself, each instance. */
-#define FW_READ_ALL 12
+/*
+ * A fleet up to this size reads the store by itself, each instance. With four
+ * readers of nine the store has 30 % fewer calls than with nine.
+ */
+#define FW_READ_ALL 4
 /* Of a larger one, one in so many, but no fewer than FW_READERS_MIN. */
 #define FW_READERS_PART 8
 #define FW_READERS_MIN 4
@@ -28,6 +31,13 @@
 #define FW_ASK_US (700 * FW_MSEC)
 /* Without news for so long an instance reads for itself. */
 #define FW_LEFT_ALONE_US (3 * FW_SEC)
+/*
+ * One that reads for itself and learnt nothing for so long asks as well: the
+ * store may turn some instances away while it serves others. Their keys would
+ * stop counting after 4.8 s, and callers be sent away, with a good answer one
+ * hop off. Its own reads take 1.5 s when nothing goes wrong.
+ */
+#define FW_ASK_TOO_US (2 * FW_SEC)
 /* A member whose digests come is asked. */
 #define FW_HEARD_US (2500 * FW_MSEC)
 /* Instances up to which digests go out at the base interval. */
@@ -164,7 +174,8 @@
     msgpack_packer pk;
 
     if (now_us - r->watch.asked_us < FW_ASK_US ||
-        Fw_Relay_ReadsStore(r, now_us)) {
+        (Fw_Relay_ReadsStore(r, now_us) &&
+         now_us - r->fresh_us < FW_ASK_TOO_US)) {
         return 0;
     }
     m = pick_reader(r, now_us);
--- a/tests/relay/test_digest.c
+++ b/tests/relay/test_digest.c
@@ -75,7 +75,8 @@
 static struct fw_relay *
 instance(const char *name, struct fw_rl_rules *rules)
 {
-    struct fw_relay_opts opts = {.boot = 1, .retry_window_us = 1};
+    struct fw_relay_opts opts = {
+        .boot = 1, .retry_window_us = 1, .key_stale_us = 4 * FW_SEC};
     struct fw_rl_acts acts;
     struct fw_relay *r;
 
@@ -207,6 +208,39 @@
 }
 END_TEST
 
+/*
+ * The store turns one instance away and serves the others, as it does at
+ * times for many seconds. That instance refused each request with a key
+ * though the one beside it knew that nothing had changed.
+ */
+START_TEST(an_instance_that_the_store_turns_away_asks_another)
+{
+    GByteArray *reply = g_byte_array_new();
+    int64_t later_us = FW_NOW_US + 4500 * FW_MSEC;
+    const char *addr;
+    struct pair p;
+
+    pair_init(&p);
+    Fw_Relay_Fresh(p.to, FW_NOW_US);
+    ck_assert(!Fw_Relay_WriteQuestion(p.to, FW_NOW_US + FW_SEC, p.msg, &addr));
+    Fw_Relay_WriteDigest(p.from, later_us, p.msg);
+    Fw_Relay_ReadMessage(p.to, "127.0.0.9:1", p.msg->data, p.msg->len,
+                         later_us, NULL);
+    g_byte_array_set_size(p.msg, 0);
+    ck_assert(Fw_Relay_WriteQuestion(p.to, later_us, p.msg, &addr));
+    ck_assert_str_eq(addr, "127.0.0.9:1");
+    Fw_Relay_Fresh(p.from, later_us - FW_SEC);
+    Fw_Relay_ReadMessage(p.from, "127.0.0.8:1", p.msg->data, p.msg->len,
+                         later_us, reply);
+    Fw_Relay_ReadMessage(p.to, "127.0.0.9:1", reply->data, reply->len,
+                         later_us, NULL);
+    ck_assert(Fw_Relay_KeysFresh(p.to, later_us + 2 * FW_SEC));
+    ck_assert(!Fw_Relay_KeysFresh(p.to, later_us + 3 * FW_SEC));
+    g_byte_array_unref(reply);
+    pair_clear(&p);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -217,6 +251,7 @@
     tcase_add_test(tc,
                    what_a_tight_team_spends_is_known_before_the_next_digest);
     tcase_add_test(tc, news_that_come_twice_count_once);
+    tcase_add_test(tc, an_instance_that_the_store_turns_away_asks_another);
     tcase_add_test(tc, a_placement_is_known_before_the_next_digest);
     return Fw_Suite_Run(tc);
 }
