Tell every event and metric on one page, and test their members

Cause: of the events that the relay logs, five had no row on the page and none had a test of its members; store calls were one counter, pauses of streams none; frequent lines could only be left out whole. Writing the scripts showed two faults: a caller's id stood in lines as it came, so a quote in it could add members to a line (`"id":"q1","team":"b"`), and a line longer than 400 bytes was cut off in the middle of a member. Ruled out: escaping at each call (the ids of servers, routes and teams come from the platform's and the operator's own records). Change: unprintable characters, quotes and backslashes of ids become `_`; a line that is too long is kept as one text; `[log] sample`; store calls by kind and outcome; a histogram of pauses; offsets in the role's lines, topic and offset where history was cut.

--- a/src/relay/acts.c
+++ b/src/relay/acts.c
@@ -29,12 +29,33 @@
     return a;
 }
 
+/*
+ * A line that was too long is kept as one text: cut off in the middle of a
+ * member it could not be read by a program, and the rest of it with it.
+ */
+static void
+keep_as_text(char text[FW_RL_LOG_TEXT])
+{
+    static const char head[] = "\"cut_off\":\"";
+    size_t at = sizeof(head) - 1;
+    char *copy = g_strdup(text);
+
+    memcpy(text, head, at);
+    for (const char *p = copy; *p && at < FW_RL_LOG_TEXT - 2; p++) {
+        text[at++] = *p == '"' || *p == '\\' ? '\'' : *p;
+    }
+    text[at++] = '"';
+    text[at] = 0;
+    g_free(copy);
+}
+
 void
 Fw_Acts_Log(struct fw_rl_acts *acts, const struct fw_relay *r, int severity,
             const char *event, const char *fmt, ...)
 {
     struct fw_rl_act *a;
     va_list ap;
+    int n;
 
     if (severity > r->opts.log_level) {
         return;
@@ -43,6 +64,9 @@
     a->u.log.severity = severity;
     a->u.log.event = event;
     va_start(ap, fmt);
-    vsnprintf(a->u.log.text, sizeof(a->u.log.text), fmt, ap);
+    n = vsnprintf(a->u.log.text, sizeof(a->u.log.text), fmt, ap);
     va_end(ap);
+    if (n >= FW_RL_LOG_TEXT) {
+        keep_as_text(a->u.log.text);
+    }
 }
--- a/src/relay/call.c
+++ b/src/relay/call.c
@@ -1,6 +1,7 @@
 /* What the stages of all requests share: calls made, and ends. */
 #include <string.h>
 
+#include "base/hash.h"
 #include "relay/relay_internal.h"
 
 struct fw_rl_op *
@@ -189,6 +190,15 @@
     return us ? Fw_Relay_Ms(us - c->opened_us) : -1;
 }
 
+/* By the id, so that all lines of a request are there or none. */
+int
+Fw_Call_Severity(const struct fw_relay *r, const struct fw_rl_call *c)
+{
+    uint64_t sample = (uint64_t)MAX(r->opts.log_sample, 1);
+
+    return Fw_Hash_Str(c->ask.id) % sample == 0 ? LOG_INFO : LOG_DEBUG;
+}
+
 void
 Fw_Call_Finish(struct fw_relay *r, struct fw_rl_call *c, int whole,
                int64_t now_us, struct fw_rl_acts *out)
--- a/src/relay/open.c
+++ b/src/relay/open.c
@@ -63,6 +63,20 @@
                                : t->plain_cost;
 }
 
+/*
+ * The id stands in log lines. A caller could end its member there and add
+ * others, and who reads the log would believe them.
+ */
+static void
+make_printable(char *id)
+{
+    for (char *p = id; *p; p++) {
+        if (*p < ' ' || *p > '~' || *p == '"' || *p == '\\') {
+            *p = '_';
+        }
+    }
+}
+
 static struct fw_rl_call *
 call_new(struct fw_relay *r, uint64_t id, const struct fw_rl_ask *ask,
          int64_t now_us)
@@ -71,6 +85,7 @@
 
     c->id = id;
     c->ask = *ask;
+    make_printable(c->ask.id);
     c->opened_us = now_us;
     c->deadline_us = INT64_MAX;
     Fw_List_Append(&r->call_list, &c->link);
--- a/src/relay/plain.c
+++ b/src/relay/plain.c
@@ -67,6 +67,7 @@
     c->server = Fw_Servers_Ref(s);
     c->server->running++;
     c->state = FW_RL_RUN;
+    c->run_us = now_us;
     c->tries++;
     if (c->n_tried < FW_RL_TRIED_MAX) {
         c->tried[c->n_tried++] = s->hash;
@@ -74,7 +75,7 @@
     g_strlcpy(up.team, c->team, sizeof(up.team));
     op = Fw_Call_Ask(r, c, s, &up, until, now_us, out);
     op->found_slot = load.running < s->e.slots;
-    Fw_Acts_Log(out, r, LOG_INFO, "sent",
+    Fw_Acts_Log(out, r, Fw_Call_Severity(r, c), "sent",
                 "\"id\":\"%s\",\"route\":\"%s\",\"team\":\"%s\","
                 "\"cost\":%" G_GINT64_FORMAT ",\"server\":\"%s\","
                 "\"try\":%d,\"running\":%d,\"left_ms\":%" G_GINT64_FORMAT,
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -104,7 +104,8 @@
     enum fw_ran ran;
 };
 
-#define FW_RL_LOG_TEXT 400
+/* The longest line names a caller's id, a route, a team and two servers. */
+#define FW_RL_LOG_TEXT 640
 
 /** struct fw_rl_log_line - @text: JSON members, without braces. */
 struct fw_rl_log_line {
@@ -153,6 +154,8 @@
  *     and burst: part of them, and tokens
  * @lease_us: how long the order role lasts
  * @grace_us: from SIGTERM until the process is killed
+ * @log_level: lines of a lower severity are left out
+ * @log_sample: of the requests that go well one in so many is logged
  */
 struct fw_relay_opts {
     char name[FW_NAME_MAX];
@@ -172,6 +175,7 @@
     int64_t lease_us;
     int64_t grace_us;
     int log_level;
+    int log_sample;
 };
 
 struct fw_relay *
--- a/src/relay/relay_internal.h
+++ b/src/relay/relay_internal.h
@@ -436,6 +436,9 @@
 /* The prompt is read, or won't be: no load at its reader any more. */
 void
 Fw_Call_ReadDone(struct fw_rl_call *c);
+/* Of the lines that tell of a request that goes well. */
+int
+Fw_Call_Severity(const struct fw_relay *r, const struct fw_rl_call *c);
 /* The answer that was passed is whole, or never will be. */
 void
 Fw_Call_Finish(struct fw_relay *r, struct fw_rl_call *c, int whole,
--- a/src/relay/stream.c
+++ b/src/relay/stream.c
@@ -268,7 +268,7 @@
     c->tries++;
     Fw_Call_Ask(r, c, c->server, &up, c->deadline_us, now_us, out);
     Fw_Acts_Log(
-        out, r, LOG_INFO, "sent",
+        out, r, Fw_Call_Severity(r, c), "sent",
         "\"id\":\"%s\",\"route\":\"%s\",\"team\":\"%s\","
         "\"cost\":%" G_GINT64_FORMAT ",\"server\":\"%s\","
         "\"reader\":\"%s\",\"in\":%" G_GINT64_FORMAT
--- a/src/relayd/relayd.c
+++ b/src/relayd/relayd.c
@@ -332,6 +332,7 @@
     d->pool = Fw_Pool_New();
     Fw_Pool_AddMetrics(d->pool, Fw_Relay_Metrics(d->relay));
     Fw_Note_AddMetrics(Fw_Relay_Metrics(d->relay));
+    Fw_Up_AddMetrics(d);
     d->by_caller = g_hash_table_new(NULL, NULL);
     d->by_call =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
--- a/src/relayd/relayd_internal.h
+++ b/src/relayd/relayd_internal.h
@@ -26,6 +26,7 @@
  * @body: what is kept of the response
  * @begun: the core knows of the response, its bytes go through
  * @done: the response is whole
+ * @part_us: when the last part of a passed response came, 0 for none
  */
 struct fw_up_rec {
     struct fw_relayd *d;
@@ -41,6 +42,7 @@
     int whole;
     int begun;
     int done;
+    int64_t part_us;
 };
 
 struct fw_relayd {
@@ -57,6 +59,7 @@
     GSource *peers_source;
     int64_t digest_us;
     struct fw_metric digests_unsent;
+    struct fw_histogram gap_s;
     GHashTable *by_caller; /* struct fw_http_caller to fw_caller_rec */
     GHashTable *by_call;   /* id to fw_caller_rec */
     GHashTable *ups;       /* xid to fw_up_rec */
@@ -77,6 +80,8 @@
 
 /* up.c */
 void
+Fw_Up_AddMetrics(struct fw_relayd *d);
+void
 Fw_Up_Start(struct fw_relayd *d, const struct fw_rl_up_call *c);
 void
 Fw_Up_Stop(struct fw_relayd *d, uint64_t xid);
--- a/src/relayd/settings.c
+++ b/src/relayd/settings.c
@@ -23,6 +23,7 @@
     int64_t read_here_ms;
     int64_t prefill_permille;
     int64_t log_level;
+    int64_t log_sample;
     int64_t log_kb;
 };
 
@@ -70,6 +71,7 @@
     FW_INT("policy", "read-here-ms", "600", 0, 60000, read_here_ms),
     FW_INT("policy", "prefill-permille", "100", 1, 999, prefill_permille),
     {"log", "level", FW_INI_CHOICE, "info", 0, 0, FW_AT(log_level), levels},
+    FW_INT("log", "sample", "1", 1, 1000000, log_sample),
     FW_INT("log", "buffer-kb", "256", 16, 65536, log_kb),
 };
 
@@ -88,6 +90,7 @@
     r->lease_us = v->lease_ms * FW_MSEC;
     r->grace_us = v->grace_s * FW_SEC;
     r->log_level = (int)v->log_level;
+    r->log_sample = (int)v->log_sample;
     out->rules_wait_us = v->rules_wait_ms * FW_MSEC;
     out->servers_every_us = v->servers_every_ms * FW_MSEC;
     out->digest_every_us = v->digest_every_ms * FW_MSEC;
--- a/src/relayd/store.c
+++ b/src/relayd/store.c
@@ -61,7 +61,22 @@
     uint64_t at;
 };
 
-/** struct fw_store - @lost_us: since when nothing was heard, 0 if well. */
+/** enum fw_outcome - of a call to the store. */
+enum fw_outcome {
+    FW_OUTCOME_OK,
+    FW_OUTCOME_REFUSED,    /* another status than one that says something */
+    FW_OUTCOME_UNREADABLE, /* an answer that can't be decoded */
+    FW_OUTCOME_LOST,       /* no answer, or the connection failed */
+    FW_OUTCOMES,
+};
+
+#define FW_STEPS (FW_STEP_APPEND + 1)
+
+/**
+ * struct fw_store - the store as this instance sees it.
+ * @calls: by what was asked and what became of it
+ * @lost_us: since when nothing was heard, 0 if well
+ */
 struct fw_store {
     struct fw_relayd *d;
     struct fw_follow rules;
@@ -69,8 +84,7 @@
     struct fw_follow members;
     struct fw_follow lead;
     int64_t lost_us;
-    struct fw_metric calls;
-    struct fw_metric failures;
+    struct fw_metric calls[FW_STEPS][FW_OUTCOMES];
     struct fw_metric age_ms;
 };
 
@@ -90,15 +104,26 @@
     }
 }
 
+static const char *const topic_words[] = {[FW_TOPIC_RULES] = "configuration",
+                                          [FW_TOPIC_SERVERS] = "servers",
+                                          [FW_TOPIC_MEMBERS] = "instances",
+                                          [FW_TOPIC_LEAD] = "role"};
+
+static void
+count(struct fw_follow *f, enum fw_outcome outcome)
+{
+    f->store->calls[f->step][outcome].value++;
+}
+
 static void
-missed(struct fw_follow *f, const char *why)
+missed(struct fw_follow *f, enum fw_outcome outcome, const char *why)
 {
     struct fw_store *s = f->store;
     int64_t now = Fw_Conn_Now();
     int64_t pause = FW_STORE_RETRY_US / 2 +
                     g_random_int_range(0, (gint32)FW_STORE_RETRY_US);
 
-    s->failures.value++;
+    count(f, outcome);
     if (!s->lost_us) {
         s->lost_us = now;
         Fw_Note_Log(LOG_WARNING, "store_lost", "why", why, NULL);
@@ -165,9 +190,13 @@
                              : got->status == 412 ? FW_RL_CLAIM_TAKEN
                                                   : FW_RL_CLAIM_UNKNOWN;
 
+        char offset[24];
+
+        g_snprintf(offset, sizeof(offset), "%" G_GUINT64_FORMAT,
+                   c == FW_RL_CLAIM_MADE ? got->first : got->end);
         Fw_Note_Log(LOG_NOTICE,
                     c == FW_RL_CLAIM_MADE ? "role_taken" : "role_not_taken",
-                    NULL);
+                    "offset", offset, NULL);
         Fw_Relay_Lead(r, c, c == FW_RL_CLAIM_MADE ? got->first : got->end,
                       f->sent_us, now);
         g_clear_pointer(&f->value, g_free);
@@ -201,8 +230,13 @@
          struct fw_rl_acts *acts)
 {
     reached(f->store);
+    count(f, FW_OUTCOME_OK);
     if (got->status == 410) {
-        Fw_Note_Log(LOG_NOTICE, "history_cut", NULL);
+        char from[24];
+
+        g_snprintf(from, sizeof(from), "%" G_GUINT64_FORMAT, f->from);
+        Fw_Note_Log(LOG_NOTICE, "history_cut", "topic", topic_words[f->topic],
+                    "from", from, NULL);
         f->step = FW_STEP_NEWEST;
         f->paging = 0;
         f->next_us = 0;
@@ -273,13 +307,13 @@
         char status[16];
 
         g_snprintf(status, sizeof(status), "status %d", f->status);
-        missed(f, status);
+        missed(f, FW_OUTCOME_REFUSED, status);
         claim_failed(f);
         return;
     }
     Fw_Acts_Init(&acts);
     if (decode(f, &got)) {
-        missed(f, "an answer that can't be read");
+        missed(f, FW_OUTCOME_UNREADABLE, "an answer that can't be read");
         claim_failed(f);
     }
     else {
@@ -298,7 +332,7 @@
 
     (void)sent;
     f->x = NULL;
-    missed(f, g_strerror(-err));
+    missed(f, FW_OUTCOME_LOST, g_strerror(-err));
     claim_failed(f);
 }
 
@@ -338,11 +372,10 @@
                                 d->opts.store, head, &body);
         break;
     }
-    s->calls.value++;
     f->x = Fw_Exchange_Start(d->pool, d->opts.store, head, body, &how, &ops, f,
                              &err);
     if (!f->x) {
-        missed(f, g_strerror(-err));
+        missed(f, FW_OUTCOME_LOST, g_strerror(-err));
         claim_failed(f);
     }
     g_string_free(head, TRUE);
@@ -377,7 +410,7 @@
     if (f->x && now >= f->until_us) {
         Fw_Exchange_Stop(f->x);
         f->x = NULL;
-        missed(f, "no answer");
+        missed(f, FW_OUTCOME_LOST, "no answer");
         claim_failed(f);
     }
     if (!f->x && now >= f->next_us && is_wanted(f, now)) {
@@ -434,6 +467,33 @@
     return Fw_Json_Take(b);
 }
 
+static void
+add_call_counts(struct fw_store *s, struct fw_metrics *m)
+{
+    static const char *const labels[FW_STEPS][FW_OUTCOMES] = {
+        {"kind=\"newest\",outcome=\"ok\"",
+         "kind=\"newest\",outcome=\"refused\"",
+         "kind=\"newest\",outcome=\"unreadable\"",
+         "kind=\"newest\",outcome=\"lost\""},
+        {"kind=\"read\",outcome=\"ok\"", "kind=\"read\",outcome=\"refused\"",
+         "kind=\"read\",outcome=\"unreadable\"",
+         "kind=\"read\",outcome=\"lost\""},
+        {"kind=\"append\",outcome=\"ok\"",
+         "kind=\"append\",outcome=\"refused\"",
+         "kind=\"append\",outcome=\"unreadable\"",
+         "kind=\"append\",outcome=\"lost\""}};
+
+    for (int step = 0; step < FW_STEPS; step++) {
+        for (int o = 0; o < FW_OUTCOMES; o++) {
+            s->calls[step][o] =
+                (struct fw_metric){.name = "fw_store_calls_total",
+                                   .help = "Calls to the platform's store",
+                                   .labels = labels[step][o]};
+            Fw_Metrics_Add(m, &s->calls[step][o]);
+        }
+    }
+}
+
 struct fw_store *
 Fw_Store_New(struct fw_relayd *d)
 {
@@ -448,17 +508,11 @@
     s->members.step = FW_STEP_APPEND;
     s->members.value = own_entry(d);
     s->lead.step = FW_STEP_APPEND;
-    s->calls = (struct fw_metric){.name = "fw_store_calls_total",
-                                  .help = "Calls to the platform's store"};
-    s->failures =
-        (struct fw_metric){.name = "fw_store_failures_total",
-                           .help = "Calls to the store without a use"};
+    add_call_counts(s, m);
     s->age_ms = (struct fw_metric){
         .name = "fw_store_lost_ms",
         .help = "How long the store hasn't answered, milliseconds",
         .is_gauge = 1};
-    Fw_Metrics_Add(m, &s->calls);
-    Fw_Metrics_Add(m, &s->failures);
     Fw_Metrics_Add(m, &s->age_ms);
     return s;
 }
--- a/src/relayd/up.c
+++ b/src/relayd/up.c
@@ -13,6 +13,26 @@
 /* Bytes that a slow caller may have waiting before its upstream is paused. */
 #define FW_WAITING_MAX (256 * 1024)
 
+void
+Fw_Up_AddMetrics(struct fw_relayd *d)
+{
+    d->gap_s.name = "fw_phase_gap_seconds";
+    d->gap_s.help = "Between two parts of a response that is passed on";
+    Fw_Metrics_AddHistogram(Fw_Relay_Metrics(d->relay), &d->gap_s);
+}
+
+/* Events of a stream come one by one: its pauses are what callers see. */
+static void
+note_gap(struct fw_up_rec *rec)
+{
+    int64_t now = Fw_Conn_Now();
+
+    if (rec->part_us && !rec->whole) {
+        Fw_Histogram_Add(&rec->d->gap_s, now - rec->part_us);
+    }
+    rec->part_us = now;
+}
+
 void
 Fw_Up_Free(gpointer data)
 {
@@ -100,6 +120,7 @@
     struct fw_caller_rec *to = caller_of(rec);
 
     if (to) {
+        note_gap(rec);
         Fw_Caller_Data(to->caller, data, len);
         if (Fw_Caller_Pending(to->caller) > FW_WAITING_MAX) {
             Fw_Exchange_Pause(rec->x, 1);
--- a/tests/relay/play.h
+++ b/tests/relay/play.h
@@ -13,6 +13,7 @@
     struct fw_relay_opts opts;
     GString *out;
     int64_t now_us;
+    int logs; /* log lines are printed */
     int64_t lead_sent_us;
     uint64_t digest_seq;
     char *word[FW_WORDS_MAX];
--- a/tests/relay/play_world.c
+++ b/tests/relay/play_world.c
@@ -141,6 +141,7 @@
     o->prefill_permille = (int)Fw_Play_Number(p, "prefill", 50);
     o->retry_extra = Fw_Play_Number(p, "extra", 100);
     o->read_here_us = Fw_Play_Number(p, "here_ms", 600) * FW_MSEC;
+    o->log_sample = (int)Fw_Play_Number(p, "sample", 1);
     o->tolerance = Fw_Play_Number(p, "tolerance", 0);
     o->lease_us = Fw_Play_Number(p, "lease_ms", 3000) * FW_MSEC;
     Fw_Relay_SetOpts(p->r, o);
--- a/tests/relay/script.c
+++ b/tests/relay/script.c
@@ -23,6 +23,8 @@
  *   drain                       SIGTERM
  *   ready                       prints whether it is
  *   load ID                     prints running, reserved, reading
+ *   logs                        prints log lines from now on: severity, event
+ *                               and members
  */
 #include "tests/relay/script.h"
 
@@ -110,6 +112,10 @@
         g_string_append_printf(out, "  forget %s\n", a->u.addr);
         break;
     case FW_RL_DO_LOG:
+        if (p->logs) {
+            g_string_append_printf(out, "  %d %s %s\n", a->u.log.severity,
+                                   a->u.log.event, a->u.log.text);
+        }
         break;
     }
 }
@@ -237,6 +243,12 @@
                            Fw_Relay_Ready(p->r, p->now_us));
 }
 
+static void
+do_logs(struct play *p)
+{
+    p->logs = 1;
+}
+
 static const struct {
     const char *verb;
     void (*run)(struct play *);
@@ -261,6 +273,7 @@
     {"drain", do_drain},
     {"ready", do_ready},
     {"load", do_load},
+    {"logs", do_logs},
 };
 
 static void
--- /dev/null
+++ b/tests/system/events.sh
@@ -0,0 +1,34 @@
+#!/bin/sh
+# docs/OPERATIONS.md has a row for each event that the relay logs and each
+# metric that it serves, and none that it doesn't.
+set -eu
+dir=$(mktemp -d)
+trap 'rm -rf "$dir"' EXIT
+page=docs/OPERATIONS.md
+src="src/relay src/relayd src/io/note.c"
+# The event is the first text in lower case of the call.
+cat $(find $src -name '*.c') | tr '\n' ' ' |
+    grep -oE 'Fw_(Acts|Note)_Log\( *[^";]*("[a-z_]+"( : "[a-z_]+")?)' |
+    grep -oE '"[a-z_]+"' | tr -d '"' | sort -u > "$dir/logged"
+sed -n '/^## Events/,/^## Metrics/p' $page | grep '^|' | cut -d'|' -f2 |
+    grep -oE '`[a-z_]+`' | tr -d '`' | sort -u > "$dir/told"
+sed -n '/^## Metrics/,/^## Settings/p' $page | grep '^|' | cut -d'|' -f2 |
+    grep -oE '`_?[a-z_]+[`{]' | tr -d '`{' | sort -u > "$dir/told_metrics"
+bad=0
+for e in $(cat "$dir/logged"); do
+    grep -qx "$e" "$dir/told" || { echo "no row for event $e"; bad=1; }
+done
+for e in $(cat "$dir/told"); do
+    [ "$e" = log_lines_dropped ] || grep -qx "$e" "$dir/logged" ||
+        { echo "nothing logs $e"; bad=1; }
+done
+cat $(find src/relay src/relayd src/http/*.c src/io/note.c -name '*.c') |
+    grep -oE '"fw_[a-z_]+"' | tr -d '"' | sort -u > "$dir/served"
+for m in $(cat "$dir/served"); do
+    grep -q "$m" $page && continue
+    # `fw_requests_total`, `_passed_total` are written short.
+    short=$(echo "$m" | sed 's/^fw_[a-z]*_/_/')
+    grep -qx -- "$short" "$dir/told_metrics" || { echo "no row for $m"; bad=1; }
+done
+[ "$bad" = 0 ]
+echo "$(wc -l < "$dir/logged") events and $(wc -l < "$dir/served") metrics have their rows"
