Split the need of streams and the counts of store calls into files of their own

A caller that says "0,0" for its tokens had a need of 0, which marks plain requests: the engine's answer to the reservation was then taken for the answer to the request and passed on.

--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -235,7 +235,7 @@
         return;
     }
     if (c->need) {
-        Fw_Stream_Grow(r, c, now_us);
+        Fw_Need_Grow(r, c, now_us);
     }
     if (c->need && c->state == FW_RL_QUEUED && now_us >= c->queue_until_us) {
         Fw_Call_Refuse(r, c, 503, Fw_Stream_RetryAfter(r), "no_room", now_us,
--- a/src/relay/relay_internal.h
+++ b/src/relay/relay_internal.h
@@ -482,13 +482,25 @@
 void
 Fw_Stream_Failed(struct fw_relay *r, struct fw_rl_op *op, int err, int sent,
                  int64_t now_us, struct fw_rl_acts *out);
-/* Counts @c's memory at its engine as of now. */
-void
-Fw_Stream_Grow(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us);
 /* When a refused stream has a fair chance of room. */
 int64_t
 Fw_Stream_RetryAfter(struct fw_relay *r);
 
+/* need.c */
+/* Counts @c's memory, at its engine if it has one, as of now. */
+void
+Fw_Need_Grow(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us);
+/* What is reserved for @c at an engine. */
+int64_t
+Fw_Need_Hold(const struct fw_relay *r, const struct fw_rl_call *c);
+/* A stream has ended whole. */
+void
+Fw_Need_NoteRun(struct fw_relay *r, const struct fw_rl_call *c,
+                int64_t now_us);
+/* Mean time of a stream at its engine, microseconds. */
+double
+Fw_Need_RunTime(const struct fw_relay *r);
+
 /* purse.c */
 /* A purse for each team of the configuration in force. */
 void
--- a/src/relayd/store.c
+++ b/src/relayd/store.c
@@ -9,7 +9,7 @@
 #include "http/conn.h"
 #include "io/json.h"
 #include "io/note.h"
-#include "relayd/relayd_internal.h"
+#include "relayd/store_internal.h"
 
 /*
  * An answer of the store takes some milliseconds, a slow one a quarter of a
@@ -25,69 +25,6 @@
 /* The instances are read again while none of them was heard. */
 #define FW_MEMBERS_EVERY_US (3 * FW_SEC)
 
-/** enum fw_step - what a follower asks for next. */
-enum fw_step {
-    FW_STEP_NEWEST,
-    FW_STEP_READ,
-    FW_STEP_APPEND,
-};
-
-/**
- * struct fw_follow - one topic.
- * @from: next offset to read
- * @after: last key of the newest records read so far
- * @page_end: where reading goes on after the newest records
- * @wait_us: how long a read may wait for a record
- * @every_us: pause between two reads
- * @value: what is appended, NULL when nothing is
- */
-struct fw_follow {
-    struct fw_store *store;
-    enum fw_topic topic;
-    enum fw_step step;
-    struct fw_exchange *x;
-    int status;
-    GByteArray *body;
-    int64_t sent_us;
-    int64_t until_us;
-    int64_t next_us;
-    uint64_t from;
-    uint64_t page_end;
-    char after[FW_ID_MAX];
-    int paging;
-    int64_t wait_us;
-    int64_t every_us;
-    char *value;
-    uint64_t at;
-};
-
-/** enum fw_outcome - of a call to the store. */
-enum fw_outcome {
-    FW_OUTCOME_OK,
-    FW_OUTCOME_REFUSED,    /* another status than one that says something */
-    FW_OUTCOME_UNREADABLE, /* an answer that can't be decoded */
-    FW_OUTCOME_LOST,       /* no answer, or the connection failed */
-    FW_OUTCOMES,
-};
-
-#define FW_STEPS (FW_STEP_APPEND + 1)
-
-/**
- * struct fw_store - the store as this instance sees it.
- * @calls: by what was asked and what became of it
- * @lost_us: since when nothing was heard, 0 if well
- */
-struct fw_store {
-    struct fw_relayd *d;
-    struct fw_follow rules;
-    struct fw_follow servers;
-    struct fw_follow members;
-    struct fw_follow lead;
-    int64_t lost_us;
-    struct fw_metric calls[FW_STEPS][FW_OUTCOMES];
-    struct fw_metric age_ms;
-};
-
 static void
 reached(struct fw_store *s)
 {
@@ -109,12 +46,6 @@
                                           [FW_TOPIC_MEMBERS] = "instances",
                                           [FW_TOPIC_LEAD] = "role"};
 
-static void
-count(struct fw_follow *f, enum fw_outcome outcome)
-{
-    f->store->calls[f->step][outcome].value++;
-}
-
 static void
 missed(struct fw_follow *f, enum fw_outcome outcome, const char *why)
 {
@@ -123,7 +54,7 @@
     int64_t pause = FW_STORE_RETRY_US / 2 +
                     g_random_int_range(0, (gint32)FW_STORE_RETRY_US);
 
-    count(f, outcome);
+    Fw_Store_Count(f, outcome);
     if (!s->lost_us) {
         s->lost_us = now;
         Fw_Note_Log(LOG_WARNING, "store_lost", "why", why, NULL);
@@ -230,7 +161,7 @@
          struct fw_rl_acts *acts)
 {
     reached(f->store);
-    count(f, FW_OUTCOME_OK);
+    Fw_Store_Count(f, FW_OUTCOME_OK);
     if (got->status == 410) {
         char from[24];
 
@@ -467,33 +398,6 @@
     return Fw_Json_Take(b);
 }
 
-static void
-add_call_counts(struct fw_store *s, struct fw_metrics *m)
-{
-    static const char *const labels[FW_STEPS][FW_OUTCOMES] = {
-        {"kind=\"newest\",outcome=\"ok\"",
-         "kind=\"newest\",outcome=\"refused\"",
-         "kind=\"newest\",outcome=\"unreadable\"",
-         "kind=\"newest\",outcome=\"lost\""},
-        {"kind=\"read\",outcome=\"ok\"", "kind=\"read\",outcome=\"refused\"",
-         "kind=\"read\",outcome=\"unreadable\"",
-         "kind=\"read\",outcome=\"lost\""},
-        {"kind=\"append\",outcome=\"ok\"",
-         "kind=\"append\",outcome=\"refused\"",
-         "kind=\"append\",outcome=\"unreadable\"",
-         "kind=\"append\",outcome=\"lost\""}};
-
-    for (int step = 0; step < FW_STEPS; step++) {
-        for (int o = 0; o < FW_OUTCOMES; o++) {
-            s->calls[step][o] =
-                (struct fw_metric){.name = "fw_store_calls_total",
-                                   .help = "Calls to the platform's store",
-                                   .labels = labels[step][o]};
-            Fw_Metrics_Add(m, &s->calls[step][o]);
-        }
-    }
-}
-
 struct fw_store *
 Fw_Store_New(struct fw_relayd *d)
 {
@@ -508,7 +412,7 @@
     s->members.step = FW_STEP_APPEND;
     s->members.value = own_entry(d);
     s->lead.step = FW_STEP_APPEND;
-    add_call_counts(s, m);
+    Fw_Store_AddCounts(s, m);
     s->age_ms = (struct fw_metric){
         .name = "fw_store_lost_ms",
         .help = "How long the store hasn't answered, milliseconds",
--- a/tests/relay/test_requests.c
+++ b/tests/relay/test_requests.c
@@ -223,6 +223,22 @@
              "answer 3 200\n"
              "  finish 1\n"
              "  ask 4 hold d1 for 2 tokens=14000\n"},
+    /*
+     * A caller says that its prompt and answer have no tokens. Taken for a
+     * plain request halfway, it would be given the engine's answer to the
+     * reservation as its own.
+     */
+    {.name = "a stream that says it takes nothing is still a stream",
+     .text = "rules 1\n"
+             "fresh 0\n"
+             "server p1 llm prefill\n"
+             "server d1 llm decode\n"
+             "open 1 /gen/x key=ka in=0 out=0\n"
+             "  ask 1 hold d1 for 1 tokens=0\n"
+             "answer 1 200 name=H\n"
+             "  ask 2 prefill p1 for 1 team=a\n"
+             "answer 2 200 name=K\n"
+             "  ask 3 run d1 for 1 hold=H kv=K team=a left=10000\n"},
     /*
      * An engine's answer to a reservation is lost on the way. The engine is
      * well; left alone for it, its memory would be missed at a peak. Two in a
