Draw engines from all of them, not from the first 64 of the list

Placing compared the first 64 engines that fit and drew two of these; the rest were idle. Change: two of all that fit, by a reservoir; equal ones by chance. Test: 200 free engines, 4,000 choices: 64 engines used before, all after.

--- a/src/relay/place.c
+++ b/src/relay/place.c
@@ -51,8 +51,6 @@
 #define FW_SPARE_DEVIATIONS 3.0
 /* Baselines rate engines by requests and chance: parts of one request. */
 #define FW_BASELINE_SCALE 1000.0
-/* Engines of one service that are compared. */
-#define FW_FIT_MAX 64
 /* A transfer in the same failure domain is cheaper: worth a short wait. */
 #define FW_DOMAIN_BONUS_US (15 * FW_MSEC)
 
@@ -233,21 +231,50 @@
 }
 
 static int
-roomiest(const int64_t *left, int n)
+decodes(const struct fw_rl_server *s, int64_t now_us)
 {
-    int best = 0;
+    return s->e.stage == FW_RL_STAGE_DECODE &&
+           !Fw_Servers_Switching(s, now_us) && Fw_Servers_Usable(s, now_us);
+}
+
+/** struct draw - two of @n engines, drawn at random, and how good each is. */
+struct draw {
+    int n;
+    struct fw_rl_server *s[2];
+    int64_t worth[2];
+};
 
-    for (int i = 1; i < n; i++) {
-        best = left[i] > left[best] ? i : best;
+/*
+ * Each engine offered stays with the same chance, however many come: with
+ * the first 64 of a long list kept, 3,000 engines would leave the load to 64.
+ */
+static void
+offer(struct fw_relay *r, struct draw *d, struct fw_rl_server *s,
+      int64_t worth)
+{
+    int at = d->n < 2 ? d->n : g_rand_int_range(r->rand, 0, d->n + 1);
+
+    if (r->opts.policy == FW_RL_POLICY_LEAST_LOADED) {
+        at = d->n && worth <= d->worth[0] ? 2 : 0;
+    }
+    d->n++;
+    if (at < 2) {
+        d->s[at] = s;
+        d->worth[at] = worth;
     }
-    return best;
 }
 
+/* Which of the two; by chance when they are as good. */
 static int
-decodes(const struct fw_rl_server *s, int64_t now_us)
+better_of(struct fw_relay *r, const struct draw *d)
 {
-    return s->e.stage == FW_RL_STAGE_DECODE &&
-           !Fw_Servers_Switching(s, now_us) && Fw_Servers_Usable(s, now_us);
+    if (r->opts.policy != FW_RL_POLICY_FULL || d->n < 2) {
+        return 0;
+    }
+    if (d->worth[0] == d->worth[1]) {
+        return g_rand_boolean(r->rand);
+    }
+    return d->worth[1] > d->worth[0];
 }
 
 /*
@@ -259,37 +286,25 @@
 {
     const struct fw_rl_service_rule *rule =
         Fw_Rules_Service(r->rules, c->service);
-    struct fw_rl_server *fit[FW_FIT_MAX];
-    int64_t left[FW_FIT_MAX];
+    struct draw d = {0};
     struct fw_list *pos;
-    int n = 0;
-    int a;
-    int b;
 
     if (!rule || !rule->engines) {
         return NULL;
     }
     FW_LIST_EACH (pos, &r->servers) {
         struct fw_rl_server *s = FW_LIST_ENTRY(pos, struct fw_rl_server, link);
+        int64_t left;
 
-        if (n == FW_FIT_MAX || !serves(s, c) || !decodes(s, now_us) ||
-            Fw_Call_Tried(c, s)) {
+        if (!serves(s, c) || !decodes(s, now_us) || Fw_Call_Tried(c, s)) {
             continue;
         }
-        left[n] = room(r, s, &rule->engine, c->need, now_us);
-        if (left[n] >= 0) {
-            fit[n++] = s;
+        left = room(r, s, &rule->engine, c->need, now_us);
+        if (left >= 0) {
+            offer(r, &d, s, left);
         }
     }
-    if (!n) {
-        return NULL;
-    }
-    a = g_rand_int_range(r->rand, 0, n);
-    b = g_rand_int_range(r->rand, 0, n);
-    if (r->opts.policy != FW_RL_POLICY_FULL) {
-        b = roomiest(left, n);
-    }
-    return fit[left[a] >= left[b] ? a : b];
+    return d.n ? d.s[better_of(r, &d)] : NULL;
 }
 
 /* Until @s would have read @c's prompt; negative when it can't be sent. */
@@ -326,31 +341,23 @@
 Fw_Place_Read(struct fw_relay *r, const struct fw_rl_call *c, int64_t now_us,
               int64_t *wait_us)
 {
-    struct fw_rl_server *fit[FW_FIT_MAX];
-    int64_t us[FW_FIT_MAX];
+    struct draw d = {0};
     struct fw_list *pos;
-    int n = 0;
-    int a;
-    int b;
+    int at;
 
     *wait_us = 0;
     FW_LIST_EACH (pos, &r->servers) {
         struct fw_rl_server *s = FW_LIST_ENTRY(pos, struct fw_rl_server, link);
         int64_t t = read_time(r, s, c, now_us);
 
-        if (t >= 0 && n < FW_FIT_MAX) {
-            us[n] = t;
-            fit[n++] = s;
+        if (t >= 0) {
+            offer(r, &d, s, -t);
         }
     }
-    if (!n) {
+    if (!d.n) {
         return NULL;
     }
-    a = g_rand_int_range(r->rand, 0, n);
-    b = n > 1 ? (a + g_rand_int_range(r->rand, 1, n)) % n : a;
-    if (us[b] < us[a] && r->opts.policy != FW_RL_POLICY_RANDOM) {
-        a = b;
-    }
-    *wait_us = us[a];
-    return fit[a];
+    at = better_of(r, &d);
+    *wait_us = -d.worth[at];
+    return d.s[at];
 }
--- a/tests/relay/test_load.c
+++ b/tests/relay/test_load.c
@@ -1,6 +1,7 @@
 /* What callers get at a peak, played against upstreams in memory. */
 #include <check.h>
 
+#include "relay/relay_internal.h"
 #include "tests/base/suite.h"
 #include "tests/relay/desks.h"
 #include "tests/relay/engines.h"
@@ -113,6 +114,57 @@
 }
 END_TEST
 
+#define FW_MANY 200
+
+static struct fw_relay *
+large_fleet(void)
+{
+    struct fw_relay_opts opts = {.name = "n1", .retry_window_us = 1};
+    struct fw_relay *r = Fw_Relay_New(&opts, FW_SEC);
+    struct fw_rl_rules *rules = Fw_Rules_New();
+    struct fw_rl_service_rule *service = Fw_Rules_AddService(rules);
+    struct fw_rl_acts acts;
+
+    rules->version = 1;
+    g_strlcpy(service->name, "llm", sizeof(service->name));
+    service->engines = 1;
+    service->engine =
+        (struct fw_rl_engine_spec){.slots = 48, .kv_tokens = 100000};
+    Fw_Acts_Init(&acts);
+    Fw_Relay_Rules(r, rules, 1, FW_SEC, &acts);
+    Fw_Rules_Unref(rules);
+    for (int i = 0; i < FW_MANY; i++) {
+        struct fw_rl_server_entry e = {.slots = 48,
+                                       .stage = FW_RL_STAGE_DECODE};
+
+        g_snprintf(e.id, sizeof(e.id), "e%d", i);
+        g_snprintf(e.addr, sizeof(e.addr), "e%d:1", i);
+        g_strlcpy(e.service, "llm", sizeof(e.service));
+        Fw_Relay_Server(r, e.id, &e, FW_SEC, &acts);
+    }
+    Fw_Acts_Clear(&acts);
+    return r;
+}
+
+/*
+ * A fleet has more engines than a list of them that was once long enough.
+ * With the first of them only, those are overloaded and the others idle.
+ */
+START_TEST(all_engines_of_a_large_fleet_are_used)
+{
+    struct fw_rl_call c = {.service = "llm", .need = 1000};
+    struct fw_relay *r = large_fleet();
+    GHashTable *used = g_hash_table_new(g_direct_hash, g_direct_equal);
+
+    for (int i = 0; i < FW_MANY * 20; i++) {
+        g_hash_table_add(used, Fw_Place_Decode(r, &c, FW_SEC));
+    }
+    ck_assert_uint_eq(g_hash_table_size(used), FW_MANY);
+    g_hash_table_destroy(used);
+    Fw_Relay_Free(r);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -120,6 +172,7 @@
 
     tcase_add_test(tc, a_peak_is_served_on_time);
     tcase_add_test(tc, the_policy_beats_its_baselines);
+    tcase_add_test(tc, all_engines_of_a_large_fleet_are_used);
     tcase_add_loop_test(tc, crowded_servers_answer_in_time, 0, 5);
     tcase_add_loop_test(tc, servers_with_room_refuse_nobody, 0, 5);
     return Fw_Suite_Run(tc);
