Call a team's allowance and the messages between digests by usual names

"Purse" was a metaphor of our own: it is fw_rl_allowance in allowance.c now (bucket.c is the own wire's). "News" are deltas; the tests' "desks" plain servers.

--- a/explore/relay_allowance.c
+++ b/explore/relay_allowance.c
@@ -138,11 +138,11 @@
                                       FW_MSEC);
         disturb(&f, &last_us);
         if (!Fw_RelayFleet_Runs(&f, i) ||
-            !Fw_Purse_Take(f.sites[i].relay, t, cost, Fw_RelayFleet_Now(&f, i),
-                           &retry_us)) {
+            !Fw_Allowance_Take(f.sites[i].relay, t, cost,
+                               Fw_RelayFleet_Now(&f, i), &retry_us)) {
             continue;
         }
-        Fw_RelayFleet_TellNews(&f, i);
+        Fw_RelayFleet_TellDelta(&f, i);
         g_array_append_vals(
             grants, &(struct grant){.at_us = f.now_us, .tokens = cost}, 1);
         check(run, grants);
--- a/explore/relay_fleet.c
+++ b/explore/relay_fleet.c
@@ -207,11 +207,11 @@
 }
 
 void
-Fw_RelayFleet_TellNews(struct fleet *f, int i)
+Fw_RelayFleet_TellDelta(struct fleet *f, int i)
 {
     GByteArray *msg = g_byte_array_new();
 
-    if (Fw_Relay_WriteNews(f->sites[i].relay, Fw_RelayFleet_Now(f, i), msg)) {
+    if (Fw_Relay_WriteDelta(f->sites[i].relay, Fw_RelayFleet_Now(f, i), msg)) {
         post_to_all(f, i, msg);
     }
     g_byte_array_unref(msg);
--- a/explore/relay_fleet.h
+++ b/explore/relay_fleet.h
@@ -54,7 +54,7 @@
 Fw_RelayFleet_Advance(struct fleet *f, int64_t us);
 /* Instance @i tells the others at once what it has just taken. */
 void
-Fw_RelayFleet_TellNews(struct fleet *f, int i);
+Fw_RelayFleet_TellDelta(struct fleet *f, int i);
 int
 Fw_RelayFleet_Runs(const struct fleet *f, int i);
 
--- a/src/relay/purse.c
+++ b/src/relay/allowance.c
@@ -41,7 +41,7 @@
 #define FW_RETRY_MOST_US (4 * FW_SEC)
 
 static double
-cap_of(const struct fw_rl_purse *p)
+cap_of(const struct fw_rl_allowance *p)
 {
     return (double)p->burst * p->part;
 }
@@ -52,11 +52,12 @@
  * team could spend its burst several times.
  */
 static void
-settle(struct fw_relay *r, struct fw_rl_purse *p, int64_t now_us)
+settle(struct fw_relay *r, struct fw_rl_allowance *p, int64_t now_us)
 {
     int heard;
     int count = Fw_Members_Count(r, now_us, &heard);
-    double part = FW_FAULT("purse-whole-rate") ? 1.0 : (double)heard / count;
+    double part =
+        FW_FAULT("allowance-whole-rate") ? 1.0 : (double)heard / count;
     double more =
         (double)p->rate * part * (double)(now_us - p->at_us) / FW_SEC;
 
@@ -78,7 +79,7 @@
  * what several instances let through at once.
  */
 static void
-resize(struct fw_relay *r, struct fw_rl_purse *p,
+resize(struct fw_relay *r, struct fw_rl_allowance *p,
        const struct fw_rl_team_rule *t, int64_t now_us)
 {
     int64_t over = r->opts.overage_ppm * FW_OVERAGE_PERMILLE / 1000;
@@ -97,40 +98,41 @@
     p->level = MIN(p->level, cap_of(p));
 }
 
-static struct fw_rl_purse *
+static struct fw_rl_allowance *
 find(const struct fw_relay *r, uint64_t hash)
 {
-    return g_hash_table_lookup(r->purses, &hash);
+    return g_hash_table_lookup(r->allowances, &hash);
 }
 
-static struct fw_rl_purse *
-purse_of(struct fw_relay *r, const struct fw_rl_team_rule *t, int64_t now_us)
+static struct fw_rl_allowance *
+allowance_of(struct fw_relay *r, const struct fw_rl_team_rule *t,
+             int64_t now_us)
 {
-    struct fw_rl_purse *p = find(r, Fw_Hash_Str(t->name));
+    struct fw_rl_allowance *p = find(r, Fw_Hash_Str(t->name));
 
     if (!p) {
-        p = g_new0(struct fw_rl_purse, 1);
+        p = g_new0(struct fw_rl_allowance, 1);
         p->hash = Fw_Hash_Str(t->name);
         p->level = FW_START_LEVEL * (double)t->burst;
         p->at_us = now_us;
         p->born_us = now_us;
         p->part = 1.0;
-        g_hash_table_insert(r->purses, &p->hash, p);
+        g_hash_table_insert(r->allowances, &p->hash, p);
     }
     resize(r, p, t, now_us);
     return p;
 }
 
 void
-Fw_Purse_FollowRules(struct fw_relay *r, int64_t now_us,
-                     struct fw_rl_acts *out)
+Fw_Allowance_FollowRules(struct fw_relay *r, int64_t now_us,
+                         struct fw_rl_acts *out)
 {
     for (guint i = 0; i < r->rules->teams->len; i++) {
         const struct fw_rl_team_rule *t =
             g_ptr_array_index(r->rules->teams, i);
 
         if (t->rate > 0) {
-            purse_of(r, t, now_us);
+            allowance_of(r, t, now_us);
         }
         Fw_Acts_Log(out, r, LOG_DEBUG, "team_limit",
                     "\"team\":\"%s\",\"rate\":%" G_GINT64_FORMAT
@@ -144,7 +146,7 @@
  * full bucket.
  */
 static double
-level_needed(const struct fw_relay *r, const struct fw_rl_purse *p,
+level_needed(const struct fw_relay *r, const struct fw_rl_allowance *p,
              int64_t cost)
 {
     int64_t part = r->opts.tolerance * FW_CREDIT_PERMILLE / 1000;
@@ -157,16 +159,16 @@
 }
 
 int
-Fw_Purse_Take(struct fw_relay *r, const struct fw_rl_team_rule *t,
-              int64_t cost, int64_t now_us, int64_t *retry_us)
+Fw_Allowance_Take(struct fw_relay *r, const struct fw_rl_team_rule *t,
+                  int64_t cost, int64_t now_us, int64_t *retry_us)
 {
-    struct fw_rl_purse *p;
+    struct fw_rl_allowance *p;
     double need;
 
     if (t->rate <= 0) {
         return 1;
     }
-    p = purse_of(r, t, now_us);
+    p = allowance_of(r, t, now_us);
     settle(r, p, now_us);
     need = level_needed(r, p, cost);
     if (p->level < need) {
@@ -179,15 +181,15 @@
     p->untold += cost;
     if (p->level < FW_TIGHT * cap_of(p)) {
         r->digest_wanted = 1;
-        r->news_wanted |= (double)p->untold > FW_TELL * cap_of(p);
+        r->delta_wanted |= (double)p->untold > FW_TELL * cap_of(p);
     }
     return 1;
 }
 
 void
-Fw_Purse_Return(struct fw_relay *r, const char *team, int64_t cost)
+Fw_Allowance_Return(struct fw_relay *r, const char *team, int64_t cost)
 {
-    struct fw_rl_purse *p = find(r, Fw_Hash_Str(team));
+    struct fw_rl_allowance *p = find(r, Fw_Hash_Str(team));
 
     if (p) {
         p->level = MIN(p->level + (double)cost, cap_of(p));
@@ -196,10 +198,10 @@
 }
 
 void
-Fw_Purse_Others(struct fw_relay *r, uint64_t hash, int64_t tokens,
-                int64_t level, int64_t now_us)
+Fw_Allowance_Others(struct fw_relay *r, uint64_t hash, int64_t tokens,
+                    int64_t level, int64_t now_us)
 {
-    struct fw_rl_purse *p = find(r, hash);
+    struct fw_rl_allowance *p = find(r, hash);
 
     if (!p) {
         return;
@@ -218,10 +220,10 @@
 }
 
 void
-Fw_Purse_Explain(const struct fw_relay *r, const char *team, int64_t *level,
-                 int *part_permille)
+Fw_Allowance_Explain(const struct fw_relay *r, const char *team,
+                     int64_t *level, int *part_permille)
 {
-    const struct fw_rl_purse *p = find(r, Fw_Hash_Str(team));
+    const struct fw_rl_allowance *p = find(r, Fw_Hash_Str(team));
 
     *level = p ? (int64_t)p->level : 0;
     *part_permille = p ? (int)(p->part * 1000) : 0;
--- a/src/relay/call.c
+++ b/src/relay/call.c
@@ -121,7 +121,7 @@
         Fw_Queue_Remove(&r->queue, &c->item);
     }
     if (c->ran == FW_RAN_NO && c->paid) {
-        Fw_Purse_Return(r, c->team, c->cost);
+        Fw_Allowance_Return(r, c->team, c->cost);
     }
     g_hash_table_remove(r->calls, &c->id);
     Fw_List_Remove(&c->link);
--- a/src/relay/news.c
+++ b/src/relay/delta.c
@@ -14,7 +14,7 @@
 #include "core/pack.h"
 #include "relay/relay_internal.h"
 
-#define FW_FORM_NEWS 4
+#define FW_FORM_DELTA 4
 /*
  * Fleets up to this size tell placements at once: there a burst of 25 streams
  * a second makes 50 messages to each. Where there are more instances there
@@ -23,26 +23,26 @@
 #define FW_TELL_PLACED_MAX 100
 
 static int
-is_told(const struct fw_rl_purse *p, int only_untold)
+is_told(const struct fw_rl_allowance *p, int only_untold)
 {
     return !only_untold || p->untold > 0;
 }
 
 void
-Fw_News_PackSpent(struct fw_relay *r, msgpack_packer *pk, int only_untold)
+Fw_Delta_PackSpent(struct fw_relay *r, msgpack_packer *pk, int only_untold)
 {
     GHashTableIter it;
     gpointer v;
     size_t n = 0;
 
-    g_hash_table_iter_init(&it, r->purses);
+    g_hash_table_iter_init(&it, r->allowances);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         n += (size_t)is_told(v, only_untold);
     }
     msgpack_pack_array(pk, n);
-    g_hash_table_iter_init(&it, r->purses);
+    g_hash_table_iter_init(&it, r->allowances);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
-        struct fw_rl_purse *p = v;
+        struct fw_rl_allowance *p = v;
 
         if (!is_told(p, only_untold)) {
             continue;
@@ -81,8 +81,8 @@
 }
 
 void
-Fw_News_PackLoad(struct fw_relay *r, msgpack_packer *pk, int only_untold,
-                 int64_t now_us)
+Fw_Delta_PackLoad(struct fw_relay *r, msgpack_packer *pk, int only_untold,
+                  int64_t now_us)
 {
     struct fw_list *pos;
     size_t n = 0;
@@ -102,31 +102,31 @@
 }
 
 void
-Fw_News_Placed(struct fw_relay *r, struct fw_rl_server *s, int64_t now_us)
+Fw_Delta_Placed(struct fw_relay *r, struct fw_rl_server *s, int64_t now_us)
 {
     if (Fw_Members_Count(r, now_us, NULL) <= FW_TELL_PLACED_MAX) {
         s->untold = 1;
-        r->news_wanted = 1;
+        r->delta_wanted = 1;
     }
 }
 
 int
-Fw_Relay_WriteNews(struct fw_relay *r, int64_t now_us, GByteArray *out)
+Fw_Relay_WriteDelta(struct fw_relay *r, int64_t now_us, GByteArray *out)
 {
     msgpack_packer pk;
 
-    if (!r->news_wanted) {
+    if (!r->delta_wanted) {
         return 0;
     }
-    r->news_wanted = 0;
+    r->delta_wanted = 0;
     Fw_Pack_Begin(&pk, out);
     msgpack_pack_array(&pk, 6);
-    msgpack_pack_int(&pk, FW_FORM_NEWS);
+    msgpack_pack_int(&pk, FW_FORM_DELTA);
     Fw_Pack_Str(&pk, r->opts.name);
     msgpack_pack_uint64(&pk, r->opts.boot);
     msgpack_pack_uint64(&pk, ++r->digest_seq);
-    Fw_News_PackSpent(r, &pk, 1);
-    Fw_News_PackLoad(r, &pk, 1, now_us);
+    Fw_Delta_PackSpent(r, &pk, 1);
+    Fw_Delta_PackLoad(r, &pk, 1, now_us);
     return 1;
 }
 
@@ -136,8 +136,8 @@
  * has started anew starts from nothing.
  */
 void
-Fw_News_TakeSpent(struct fw_relay *r, struct fw_rl_member *m, int first,
-                  const msgpack_object_array *rows, int64_t now_us)
+Fw_Delta_TakeSpent(struct fw_relay *r, struct fw_rl_member *m, int first,
+                   const msgpack_object_array *rows, int64_t now_us)
 {
     for (uint32_t i = 0; i < rows->size; i++) {
         uint64_t hash = (uint64_t)Fw_Rows_Cell(rows, i, 0);
@@ -148,14 +148,14 @@
             before = g_new0(int64_t, 1);
             g_hash_table_insert(m->spent, Fw_Rows_Key(hash), before);
         }
-        Fw_Purse_Others(r, hash, first ? 0 : spent - *before,
-                        Fw_Rows_Cell(rows, i, 2), now_us);
+        Fw_Allowance_Others(r, hash, first ? 0 : spent - *before,
+                            Fw_Rows_Cell(rows, i, 2), now_us);
         *before = spent;
     }
 }
 
 void
-Fw_News_TakeLoad(struct fw_rl_member *m, const msgpack_object_array *rows)
+Fw_Delta_TakeLoad(struct fw_rl_member *m, const msgpack_object_array *rows)
 {
     for (uint32_t i = 0; i < rows->size; i++) {
         struct fw_rl_load *l = g_new(struct fw_rl_load, 1);
@@ -175,7 +175,7 @@
  * starts is the business of whole digests.
  */
 int
-Fw_News_Read(struct fw_relay *r, const msgpack_object *o, int64_t now_us)
+Fw_Delta_Read(struct fw_relay *r, const msgpack_object *o, int64_t now_us)
 {
     const msgpack_object_array *spent;
     const msgpack_object_array *load;
@@ -186,7 +186,7 @@
     uint64_t seq;
 
     if (o->type != MSGPACK_OBJECT_ARRAY || o->via.array.size != 6 ||
-        Fw_Unpack_U64(o, 0, &form) || form != FW_FORM_NEWS ||
+        Fw_Unpack_U64(o, 0, &form) || form != FW_FORM_DELTA ||
         Fw_Unpack_Str(o, 1, name, sizeof(name)) ||
         Fw_Unpack_U64(o, 2, &boot) || Fw_Unpack_U64(o, 3, &seq)) {
         return -EBADMSG;
@@ -202,7 +202,7 @@
         return 0;
     }
     m->seq = seq;
-    Fw_News_TakeSpent(r, m, 0, spent, now_us);
-    Fw_News_TakeLoad(m, load);
+    Fw_Delta_TakeSpent(r, m, 0, spent, now_us);
+    Fw_Delta_TakeLoad(m, load);
     return 0;
 }
--- a/src/relay/digest.c
+++ b/src/relay/digest.c
@@ -48,8 +48,8 @@
     msgpack_pack_uint64(&pk, r->opts.boot);
     msgpack_pack_uint64(&pk, ++r->digest_seq);
     msgpack_pack_int(&pk, r->queue.n);
-    Fw_News_PackSpent(r, &pk, 0);
-    Fw_News_PackLoad(r, &pk, 0, now_us);
+    Fw_Delta_PackSpent(r, &pk, 0);
+    Fw_Delta_PackLoad(r, &pk, 0, now_us);
     pack_strikes(r, &pk);
     pack_watch(r, now_us, &pk);
 }
@@ -139,9 +139,9 @@
     m->heard_us = now_us;
     m->waiting = d->waiting;
     g_strlcpy(m->addr, addr, sizeof(m->addr));
-    Fw_News_TakeSpent(r, m, first, d->spent, now_us);
+    Fw_Delta_TakeSpent(r, m, first, d->spent, now_us);
     g_hash_table_remove_all(m->load);
-    Fw_News_TakeLoad(m, d->load);
+    Fw_Delta_TakeLoad(m, d->load);
     take_strikes(m, d->strikes);
     m->reads = (int)Fw_Rows_Cell(d->watch, 0, 0);
     m->rules_offset = (uint64_t)Fw_Rows_Cell(d->watch, 0, 1);
@@ -160,7 +160,7 @@
     if (read_digest(o, &d) == 0) {
         return take(r, &d, addr, now_us);
     }
-    if (Fw_News_Read(r, o, now_us) == 0) {
+    if (Fw_Delta_Read(r, o, now_us) == 0) {
         return 0;
     }
     return Fw_Watch_Read(r, o, now_us, reply);
--- a/src/relay/open.c
+++ b/src/relay/open.c
@@ -154,7 +154,7 @@
     int64_t level;
     int part;
 
-    Fw_Purse_Explain(r, c->team, &level, &part);
+    Fw_Allowance_Explain(r, c->team, &level, &part);
     Fw_Acts_Log(out, r, LOG_NOTICE, "allowance_short",
                 "\"id\":\"%s\",\"team\":\"%s\",\"cost\":%" G_GINT64_FORMAT
                 ",\"level\":%" G_GINT64_FORMAT ",\"part_permille\":%d",
@@ -184,7 +184,7 @@
         c->urgency = t->priority;
     }
     c->cost = cost_of(t, &c->ask);
-    if (!Fw_Purse_Take(r, t, c->cost, now_us, &retry_us)) {
+    if (!Fw_Allowance_Take(r, t, c->cost, now_us, &retry_us)) {
         log_allowance(r, c, out);
         Fw_Call_Refuse(r, c, 429, retry_us, "over_allowance", now_us, out);
         return 0;
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -25,7 +25,7 @@
     r->fresh_us = now_us - opts->key_stale_us;
     r->calls = g_hash_table_new(g_int64_hash, g_int64_equal);
     r->ops = g_hash_table_new(g_int64_hash, g_int64_equal);
-    r->purses =
+    r->allowances =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
     r->budgets = g_ptr_array_new_with_free_func(g_free);
     Fw_List_Init(&r->servers);
@@ -63,7 +63,7 @@
     Fw_Queue_Clear(&r->queue);
     g_hash_table_destroy(r->calls);
     g_hash_table_destroy(r->ops);
-    g_hash_table_destroy(r->purses);
+    g_hash_table_destroy(r->allowances);
     g_ptr_array_unref(r->budgets);
     g_rand_free(r->rand);
     g_free(r);
@@ -105,7 +105,7 @@
                 ",\"routes\":%u,\"services\":%u,\"teams\":%u",
                 rules->version, offset, rules->routes->len,
                 rules->services->len, rules->teams->len);
-    Fw_Purse_FollowRules(r, now_us, out);
+    Fw_Allowance_FollowRules(r, now_us, out);
     Fw_Stream_Pump(r, now_us, out);
 }
 
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -273,7 +273,7 @@
  * Return: nonzero when there is any.
  */
 int
-Fw_Relay_WriteNews(struct fw_relay *r, int64_t now_us, GByteArray *out);
+Fw_Relay_WriteDelta(struct fw_relay *r, int64_t now_us, GByteArray *out);
 /*
  * A message of another instance at @addr. @reply: what goes back, may stay
  * empty. Return: 1 when its sender wasn't known, 0 when it was, -EBADMSG.
--- a/src/relay/relay_internal.h
+++ b/src/relay/relay_internal.h
@@ -117,7 +117,7 @@
 };
 
 /**
- * struct fw_rl_purse - a team's allowance as known here.
+ * struct fw_rl_allowance - a team's allowance as known here.
  * @hash: of the team's name
  * @level: tokens; below zero when others spent what was not known here yet
  * @part: of the fleet that is in touch, as of @at_us
@@ -126,7 +126,7 @@
  * @born_us, @adopted: the level of an instance that has just started is a
  *     guess until another one's was taken over
  */
-struct fw_rl_purse {
+struct fw_rl_allowance {
     uint64_t hash;
     int64_t rate;
     int64_t burst;
@@ -326,7 +326,7 @@
     struct fw_queue queue;
     uint64_t last_xid;
     struct fw_list members;
-    GHashTable *purses; /* hash of a team to struct fw_rl_purse */
+    GHashTable *allowances; /* hash of a team to struct fw_rl_allowance */
     GPtrArray *budgets;
     struct fw_rl_suspicion suspicions[FW_RL_SUSPICIONS];
     int n_suspicions;
@@ -338,7 +338,7 @@
     double run_tokens; /* and of what streams were expected to generate */
     uint64_t digest_seq;
     int digest_wanted; /* others should know soon */
-    int news_wanted;   /* of what was just taken, at once */
+    int delta_wanted;  /* of what was just taken, at once */
     int64_t look_us;   /* when engines are looked at next */
     int settled;       /* the stages were as wanted once */
     int64_t short_us;  /* since when a stage has too many or too few */
@@ -501,27 +501,27 @@
 double
 Fw_Need_RunTime(const struct fw_relay *r);
 
-/* purse.c */
-/* A purse for each team of the configuration in force. */
+/* allowance.c */
+/* A bucket for each team of the configuration in force. */
 void
-Fw_Purse_FollowRules(struct fw_relay *r, int64_t now_us,
-                     struct fw_rl_acts *out);
+Fw_Allowance_FollowRules(struct fw_relay *r, int64_t now_us,
+                         struct fw_rl_acts *out);
 int
-Fw_Purse_Take(struct fw_relay *r, const struct fw_rl_team_rule *t,
-              int64_t cost, int64_t now_us, int64_t *retry_us);
+Fw_Allowance_Take(struct fw_relay *r, const struct fw_rl_team_rule *t,
+                  int64_t cost, int64_t now_us, int64_t *retry_us);
 /* What a refusal was decided by: tokens left, and the part of the fleet. */
 void
-Fw_Purse_Explain(const struct fw_relay *r, const char *team, int64_t *level,
-                 int *part_permille);
+Fw_Allowance_Explain(const struct fw_relay *r, const char *team,
+                     int64_t *level, int *part_permille);
 void
-Fw_Purse_Return(struct fw_relay *r, const char *team, int64_t cost);
+Fw_Allowance_Return(struct fw_relay *r, const char *team, int64_t cost);
 /*
  * Another instance has spent @tokens more of the team with @hash, and has
  * @level of it.
  */
 void
-Fw_Purse_Others(struct fw_relay *r, uint64_t hash, int64_t tokens,
-                int64_t level, int64_t now_us);
+Fw_Allowance_Others(struct fw_relay *r, uint64_t hash, int64_t tokens,
+                    int64_t level, int64_t now_us);
 
 /* rows.c */
 /* Rows of one kind in a message that are taken in. */
@@ -535,25 +535,25 @@
 int64_t
 Fw_Rows_Cell(const msgpack_object_array *rows, uint32_t i, int k);
 
-/* news.c */
+/* delta.c */
 /* Rows of team, tokens and level; these count as told then. */
 void
-Fw_News_PackSpent(struct fw_relay *r, msgpack_packer *pk, int only_untold);
+Fw_Delta_PackSpent(struct fw_relay *r, msgpack_packer *pk, int only_untold);
 /* Rows of servers and what this instance has there. */
 void
-Fw_News_PackLoad(struct fw_relay *r, msgpack_packer *pk, int only_untold,
-                 int64_t now_us);
+Fw_Delta_PackLoad(struct fw_relay *r, msgpack_packer *pk, int only_untold,
+                  int64_t now_us);
 void
-Fw_News_TakeSpent(struct fw_relay *r, struct fw_rl_member *m, int first,
-                  const msgpack_object_array *rows, int64_t now_us);
+Fw_Delta_TakeSpent(struct fw_relay *r, struct fw_rl_member *m, int first,
+                   const msgpack_object_array *rows, int64_t now_us);
 void
-Fw_News_TakeLoad(struct fw_rl_member *m, const msgpack_object_array *rows);
+Fw_Delta_TakeLoad(struct fw_rl_member *m, const msgpack_object_array *rows);
 /* A message between digests; -EBADMSG for another one. */
 int
-Fw_News_Read(struct fw_relay *r, const msgpack_object *o, int64_t now_us);
+Fw_Delta_Read(struct fw_relay *r, const msgpack_object *o, int64_t now_us);
 /* More of @s was just taken here: the others should know. */
 void
-Fw_News_Placed(struct fw_relay *r, struct fw_rl_server *s, int64_t now_us);
+Fw_Delta_Placed(struct fw_relay *r, struct fw_rl_server *s, int64_t now_us);
 
 /* budget.c */
 void
--- a/src/relayd/peers.c
+++ b/src/relayd/peers.c
@@ -69,11 +69,11 @@
 }
 
 void
-Fw_Peer_TellNews(struct fw_relayd *d)
+Fw_Peer_TellDelta(struct fw_relayd *d)
 {
     GByteArray *msg = g_byte_array_new();
 
-    if (Fw_Relay_WriteNews(d->relay, Fw_Conn_Now(), msg)) {
+    if (Fw_Relay_WriteDelta(d->relay, Fw_Conn_Now(), msg)) {
         send_to_all(d, msg);
     }
     g_byte_array_unref(msg);
--- a/src/relayd/relayd_internal.h
+++ b/src/relayd/relayd_internal.h
@@ -120,7 +120,7 @@
 Fw_Peer_Tick(struct fw_relayd *d, int64_t now_us);
 /* What others must know at once of what was just decided. */
 void
-Fw_Peer_TellNews(struct fw_relayd *d);
+Fw_Peer_TellDelta(struct fw_relayd *d);
 void
 Fw_Peer_Close(struct fw_relayd *d);
 
--- a/tests/relay/desks.c
+++ b/tests/relay/plain_servers.c
@@ -1,4 +1,4 @@
-#include "tests/relay/desks.h"
+#include "tests/relay/plain_servers.h"
 
 #include <string.h>
 
@@ -6,70 +6,70 @@
 struct work {
     uint64_t xid;
     int64_t ends_ms;
-    int desk;
+    int server;
 };
 
-struct floor {
+struct plain_world {
     struct fw_relay *r;
     struct fw_rl_acts acts;
-    struct fw_desk_result *res;
+    struct fw_plain_load *res;
     GRand *rand;
     GArray *works;
     int64_t now_ms;
     int64_t *asked_ms; /* by call */
-    int64_t free_ms[FW_DESKS][FW_DESK_SLOTS];
+    int64_t free_ms[FW_PLAIN_SERVERS][FW_PLAIN_SLOTS];
 };
 
 static int64_t
-now_us(const struct floor *f)
+now_us(const struct plain_world *f)
 {
     return (f->now_ms + 1000) * FW_MSEC;
 }
 
 static int
-waiting(const struct floor *f, int desk)
+waiting(const struct plain_world *f, int server)
 {
     int n = 0;
 
     for (guint i = 0; i < f->works->len; i++) {
-        n += g_array_index(f->works, struct work, i).desk == desk;
+        n += g_array_index(f->works, struct work, i).server == server;
     }
-    return n - FW_DESK_SLOTS;
+    return n - FW_PLAIN_SLOTS;
 }
 
 static void
-ask(struct floor *f, const struct fw_rl_up_call *u)
+ask(struct plain_world *f, const struct fw_rl_up_call *u)
 {
-    int desk = u->server[1] - '0';
-    int64_t *slot = &f->free_ms[desk][0];
+    int server = u->server[1] - '0';
+    int64_t *slot = &f->free_ms[server][0];
     struct fw_rl_up_answer full = {.status = 503, .not_run = 1};
-    struct work w = {.xid = u->xid, .desk = desk};
+    struct work w = {.xid = u->xid, .server = server};
 
-    if (waiting(f, desk) >= FW_DESK_QUEUE) {
+    if (waiting(f, server) >= FW_PLAIN_QUEUE) {
         Fw_Relay_Answered(f->r, u->xid, &full, now_us(f), &f->acts);
         return;
     }
-    for (int i = 1; i < FW_DESK_SLOTS; i++) {
-        if (f->free_ms[desk][i] < *slot) {
-            slot = &f->free_ms[desk][i];
+    for (int i = 1; i < FW_PLAIN_SLOTS; i++) {
+        if (f->free_ms[server][i] < *slot) {
+            slot = &f->free_ms[server][i];
         }
     }
-    *slot = MAX(*slot, f->now_ms) + FW_DESK_WORK_MS;
+    *slot = MAX(*slot, f->now_ms) + FW_PLAIN_WORK_MS;
     w.ends_ms = *slot;
     g_array_append_val(f->works, w);
 }
 
 static void
-finish(struct floor *f, uint64_t call)
+finish(struct plain_world *f, uint64_t call)
 {
-    int late = f->now_ms - f->asked_ms[call] > FW_DESK_OBJECTIVE_MS;
+    int late = f->now_ms - f->asked_ms[call] > FW_PLAIN_OBJECTIVE_MS;
 
     f->res->late += late;
     f->res->on_time += !late;
 }
 
 static void
-carry_out(struct floor *f)
+carry_out(struct plain_world *f)
 {
     for (guint i = 0; i < f->acts.all->len; i++) {
         struct fw_rl_act a = g_array_index(f->acts.all, struct fw_rl_act, i);
@@ -88,7 +88,7 @@
 }
 
 static void
-open_one(struct floor *f)
+open_one(struct plain_world *f)
 {
     struct fw_rl_ask q = {.host = "h", .path = "/p/x", .tokens_in = -1};
     uint64_t call = (uint64_t)f->res->asked++;
@@ -99,7 +99,7 @@
 }
 
 static void
-deliver(struct floor *f)
+deliver(struct plain_world *f)
 {
     struct fw_rl_up_answer ok = {.status = 200};
 
@@ -117,7 +117,7 @@
 }
 
 static void
-set_up(struct floor *f)
+set_up(struct plain_world *f)
 {
     struct fw_rl_rules *rules = Fw_Rules_New();
     struct fw_rl_route_rule *route = Fw_Rules_AddRoute(rules);
@@ -126,40 +126,40 @@
     *route = (struct fw_rl_route_rule){.kind = FW_RL_ONCE,
                                        .timeout_us = 4 * FW_SEC,
                                        .objective_us =
-                                           FW_DESK_OBJECTIVE_MS * FW_MSEC,
+                                           FW_PLAIN_OBJECTIVE_MS * FW_MSEC,
                                        .attempts = 1,
                                        .anonymous = 1,
                                        .n_targets = 1};
     g_strlcpy(route->host, "h", sizeof(route->host));
     g_strlcpy(route->prefix, "/p/", sizeof(route->prefix));
-    g_strlcpy(route->targets[0].service, "desk", FW_NAME_MAX);
-    g_strlcpy(Fw_Rules_AddService(rules)->name, "desk", FW_NAME_MAX);
+    g_strlcpy(route->targets[0].service, "server", FW_NAME_MAX);
+    g_strlcpy(Fw_Rules_AddService(rules)->name, "server", FW_NAME_MAX);
     Fw_Rules_Index(rules);
     Fw_Relay_Rules(f->r, rules, 1, now_us(f), &f->acts);
     Fw_Rules_Unref(rules);
-    for (int i = 0; i < FW_DESKS; i++) {
-        struct fw_rl_server_entry e = {.slots = FW_DESK_SLOTS, .born_ms = 1};
+    for (int i = 0; i < FW_PLAIN_SERVERS; i++) {
+        struct fw_rl_server_entry e = {.slots = FW_PLAIN_SLOTS, .born_ms = 1};
 
         g_snprintf(e.id, sizeof(e.id), "s%d", i);
         g_snprintf(e.addr, sizeof(e.addr), "s%d:1", i);
-        g_strlcpy(e.service, "desk", sizeof(e.service));
+        g_strlcpy(e.service, "server", sizeof(e.service));
         Fw_Relay_Server(f->r, e.id, &e, now_us(f), &f->acts);
     }
     g_array_set_size(f->acts.all, 0);
 }
 
 void
-Fw_Desks_Play(double per_s, int64_t ms, uint32_t seed,
-              struct fw_desk_result *out)
+Fw_PlainLoad_Play(double per_s, int64_t ms, uint32_t seed,
+                  struct fw_plain_load *out)
 {
     struct fw_relay_opts opts = {.name = "n1",
                                  .seed = seed,
                                  .retry_window_us = 10 * FW_SEC,
                                  .retry_extra = 100,
                                  .key_stale_us = 4 * FW_SEC};
-    struct floor f = {.res = out};
+    struct plain_world f = {.res = out};
 
-    *out = (struct fw_desk_result){0};
+    *out = (struct fw_plain_load){0};
     f.rand = g_rand_new_with_seed(seed);
     f.works = g_array_new(FALSE, TRUE, sizeof(struct work));
     f.asked_ms = g_new0(int64_t, ms + 1);
--- a/tests/relay/test_digest.c
+++ b/tests/relay/test_digest.c
@@ -32,9 +32,9 @@
     {"a digest whose rows are too short",
      "\x99\x01\xa1n\x01\x01\x00\x91\x91\x01\x90\x90\x91\x94\x01\x00\x00\x00",
      18},
-    {"news of another form", "\x96\x09\xa1n\x01\x01\x90\x90", 8},
-    {"news whose rows are too short", "\x96\x04\xa1n\x01\x01\x91\x91\x01\x90",
-     10},
+    {"a delta of another form", "\x96\x09\xa1n\x01\x01\x90\x90", 8},
+    {"a delta whose rows are too short",
+     "\x96\x04\xa1n\x01\x01\x91\x91\x01\x90", 10},
     {"a question without its number", "\x92\x02\x01", 3},
     {"an answer with a text in it", "\x95\x03\x01\x01\xa1n\x00", 7},
 };
@@ -101,7 +101,7 @@
 {
     int64_t retry_us;
 
-    return Fw_Purse_Take(r, p->team, FW_COST, FW_NOW_US, &retry_us);
+    return Fw_Allowance_Take(r, p->team, FW_COST, FW_NOW_US, &retry_us);
 }
 
 static void
@@ -145,7 +145,7 @@
 
     pair_init(&p);
     ck_assert(takes(p.from, &p));
-    ck_assert(Fw_Relay_WriteNews(p.from, FW_NOW_US, p.msg));
+    ck_assert(Fw_Relay_WriteDelta(p.from, FW_NOW_US, p.msg));
     tell(&p);
     ck_assert(!takes(p.to, &p));
     pair_clear(&p);
@@ -156,19 +156,19 @@
  * Datagrams overtake each other and come twice. Counted twice, a team would
  * be refused for what it has not spent.
  */
-START_TEST(news_that_come_twice_count_once)
+START_TEST(a_delta_that_comes_twice_counts_once)
 {
     struct pair p;
     GByteArray *first = g_byte_array_new();
 
     pair_init(&p);
     ck_assert(takes(p.from, &p));
-    ck_assert(Fw_Relay_WriteNews(p.from, FW_NOW_US, first));
-    ck_assert(!Fw_Relay_WriteNews(p.from, FW_NOW_US, p.msg));
+    ck_assert(Fw_Relay_WriteDelta(p.from, FW_NOW_US, first));
+    ck_assert(!Fw_Relay_WriteDelta(p.from, FW_NOW_US, p.msg));
     g_byte_array_append(p.msg, first->data, first->len);
     tell(&p);
     tell(&p);
-    Fw_Purse_Return(p.to, "t", 2000);
+    Fw_Allowance_Return(p.to, "t", 2000);
     ck_assert(takes(p.to, &p));
     g_byte_array_unref(first);
     pair_clear(&p);
@@ -197,8 +197,8 @@
     s = Fw_Servers_Find(p.from, "e1");
     s->running = 1;
     s->reserved = 7000;
-    Fw_News_Placed(p.from, s, FW_NOW_US);
-    ck_assert(Fw_Relay_WriteNews(p.from, FW_NOW_US, p.msg));
+    Fw_Delta_Placed(p.from, s, FW_NOW_US);
+    ck_assert(Fw_Relay_WriteDelta(p.from, FW_NOW_US, p.msg));
     tell(&p);
     Fw_Place_Load(p.to, Fw_Servers_Find(p.to, "e1"), FW_NOW_US, &load);
     ck_assert_int_eq(load.running, 1);
@@ -282,7 +282,7 @@
                         G_N_ELEMENTS(broken));
     tcase_add_test(tc,
                    what_a_tight_team_spends_is_known_before_the_next_digest);
-    tcase_add_test(tc, news_that_come_twice_count_once);
+    tcase_add_test(tc, a_delta_that_comes_twice_counts_once);
     tcase_add_test(tc, an_instance_that_the_store_turns_away_asks_another);
     tcase_add_loop_test(tc, a_large_fleet_is_in_touch_between_its_digests, 0,
                         5);
--- a/tests/relay/test_load.c
+++ b/tests/relay/test_load.c
@@ -3,8 +3,8 @@
 
 #include "relay/relay_internal.h"
 #include "tests/base/suite.h"
-#include "tests/relay/desks.h"
 #include "tests/relay/engines.h"
+#include "tests/relay/plain_servers.h"
 
 #define FW_SEEDS 10
 /* Of some 2,500 requests: one in a hundred. */
@@ -91,9 +91,9 @@
  */
 START_TEST(crowded_servers_answer_in_time)
 {
-    struct fw_desk_result got;
+    struct fw_plain_load got;
 
-    Fw_Desks_Play(FW_CROWD_PER_S, FW_CROWD_MS, (uint32_t)_i + 1, &got);
+    Fw_PlainLoad_Play(FW_CROWD_PER_S, FW_CROWD_MS, (uint32_t)_i + 1, &got);
     ck_assert_int_eq(got.on_time + got.late + got.refused, got.asked);
     /* Over five seeds, of 1,000: 98 on time without a bound, 682 with it. */
     ck_assert_msg(got.on_time * 1000 >= got.asked * 640,
@@ -106,9 +106,9 @@
 /* Below what the servers bear nobody is sent away. */
 START_TEST(servers_with_room_refuse_nobody)
 {
-    struct fw_desk_result got;
+    struct fw_plain_load got;
 
-    Fw_Desks_Play(FW_CALM_PER_S, FW_CROWD_MS, (uint32_t)_i + 1, &got);
+    Fw_PlainLoad_Play(FW_CALM_PER_S, FW_CROWD_MS, (uint32_t)_i + 1, &got);
     ck_assert_int_eq(got.refused, 0);
     ck_assert_int_eq(got.late, 0);
 }
