--- a/src/relay/delta.c
+++ b/src/relay/delta.c
@@ -198,7 +198,7 @@
     }
     m = Fw_Members_Find(r, name);
     if (!m || boot != m->boot || seq <= m->seq ||
-        now_us - m->heard_us >= Fw_Members_Touch(r)) {
+        now_us - m->heard_us >= FW_RL_TOUCH_US) {
         return 0;
     }
     m->seq = seq;
--- a/src/relay/digest.c
+++ b/src/relay/digest.c
@@ -130,7 +130,7 @@
     if (known && is_old(m, d)) {
         return 0;
     }
-    first = !known || now_us - m->heard_us >= Fw_Members_Touch(r);
+    first = !known || now_us - m->heard_us >= FW_RL_TOUCH_US;
     if (d->boot != m->boot) {
         g_hash_table_remove_all(m->spent);
     }
--- a/src/relay/members.c
+++ b/src/relay/members.c
@@ -12,13 +12,6 @@
  */
 #define FW_MEMBER_LIFE_US (20 * FW_SEC)
 
-/*
- * Fleets up to this size are in touch within FW_RL_TOUCH_US. Digests come
- * more rarely in larger ones, each 0.94 s at 300 instances: none would be in
- * touch, and teams be kept to a small part of their rates.
- */
-#define FW_TOUCH_BASE 80
-
 static GHashTable *
 table_new(GDestroyNotify free_value)
 {
@@ -102,22 +95,9 @@
     }
 }
 
-int64_t
-Fw_Members_Touch(const struct fw_relay *r)
-{
-    int64_t n = 1;
-    struct fw_list *pos;
-
-    FW_LIST_EACH (pos, &r->members) {
-        n++;
-    }
-    return FW_RL_TOUCH_US * MAX(n, FW_TOUCH_BASE) / FW_TOUCH_BASE;
-}
-
 int
 Fw_Members_Count(const struct fw_relay *r, int64_t now_us, int *heard)
 {
-    int64_t touch_us = Fw_Members_Touch(r);
     struct fw_list *pos;
     int in_touch = 1;
     int n = 1;
@@ -127,7 +107,7 @@
             FW_LIST_ENTRY(pos, struct fw_rl_member, link);
 
         n++;
-        in_touch += m->heard_us && now_us - m->heard_us < touch_us;
+        in_touch += m->heard_us && now_us - m->heard_us < FW_RL_TOUCH_US;
     }
     if (heard) {
         *heard = in_touch;
--- a/src/relay/relay_internal.h
+++ b/src/relay/relay_internal.h
@@ -568,9 +568,6 @@
 Fw_Members_Find(const struct fw_relay *r, const char *name);
 struct fw_rl_member *
 Fw_Members_Add(struct fw_relay *r, const char *name, int64_t now_us);
-/* An instance that was silent for so long isn't counted as in touch. */
-int64_t
-Fw_Members_Touch(const struct fw_relay *r);
 /* Instances that count, this one included; @heard: those in touch now. */
 int
 Fw_Members_Count(const struct fw_relay *r, int64_t now_us, int *heard);
--- a/tests/relay/test_digest.c
+++ b/tests/relay/test_digest.c
@@ -241,38 +241,6 @@
 }
 END_TEST
 
-/*
- * In a large fleet digests come more rarely than the time in which a small
- * one notices a cut. Every instance would count all others as cut off, and
- * refuse teams that keep to their rates.
- */
-START_TEST(a_large_fleet_is_in_touch_between_its_digests)
-{
-    static const struct {
-        int others;
-        int64_t silent_us;
-        int heard;
-    } cases[] = {{8, 500 * FW_MSEC, 9},
-                 {8, 700 * FW_MSEC, 1},
-                 {71, 700 * FW_MSEC, 1},
-                 {299, FW_SEC, 300},
-                 {299, 3 * FW_SEC, 1}};
-    struct fw_relay_opts opts = {.name = "n", .retry_window_us = 1};
-    struct fw_relay *r = Fw_Relay_New(&opts, FW_SEC);
-    int heard;
-
-    for (int i = 0; i < cases[_i].others; i++) {
-        char name[FW_NAME_MAX];
-
-        g_snprintf(name, sizeof(name), "o%d", i);
-        Fw_Members_Add(r, name, FW_SEC)->heard_us = FW_NOW_US;
-    }
-    Fw_Members_Count(r, FW_NOW_US + cases[_i].silent_us, &heard);
-    ck_assert_int_eq(heard, cases[_i].heard);
-    Fw_Relay_Free(r);
-}
-END_TEST
-
 int
 main(void)
 {
@@ -284,8 +252,6 @@
                    what_a_tight_team_spends_is_known_before_the_next_digest);
     tcase_add_test(tc, a_delta_that_comes_twice_counts_once);
     tcase_add_test(tc, an_instance_that_the_store_turns_away_asks_another);
-    tcase_add_loop_test(tc, a_large_fleet_is_in_touch_between_its_digests, 0,
-                        5);
     tcase_add_test(tc, a_placement_is_known_before_the_next_digest);
     return Fw_Suite_Run(tc);
 }
