Learn what streams take; tell other domains through one instance each

Cause: engines were filled by figures of the first workload (answers of 5,000 tokens, a spare of 3 x 1,800 tokens a root of streams). Also learned: time to read a token, how late reads are, a stream's time and speed, time from room to the first event; the queue, the wait for a prompt, the return of refused callers and the pause after 'full' follow from these. The number of engines that read follows the prompts of the last minute, per service. An instance that has just started is handed what another knows.

Second: what is told to all goes directly to the own failure domain and in an envelope to one instance of each other domain, in turns, which passes it on. Digests have another form number since their layout changed.

--- a/explore/relay_fleet.h
+++ b/explore/relay_fleet.h
@@ -7,6 +7,7 @@
 
 #include "explore/explore.h"
 #include "relay/relay_internal.h"
+#include "relay/spread.h"
 
 #define FW_FLEET_MAX 20
 
--- /dev/null
+++ b/src/decide/learned.h
@@ -0,0 +1,51 @@
+/* What was learned of a service's engines and of the answers they give. */
+#ifndef FW_DECIDE_LEARNED_H
+#define FW_DECIDE_LEARNED_H
+
+#include "base/limits.h"
+#include "decide/length.h"
+#include "decide/mean.h"
+#include "decide/readers.h"
+
+/**
+ * struct fw_learned - of one service.
+ * @run_us: a stream's time at its engine
+ * @speed: tokens that one stream is given in a microsecond
+ * @token_us: to read a token of a prompt, waits for earlier ones included
+ * @read_late_us: how much later than expected a prompt was read
+ * @start_us: from room at an engine until the first event
+ * @reading: prompts that callers sent here
+ */
+struct fw_learned {
+    char service[FW_NAME_MAX];
+    struct fw_length length;
+    struct fw_mean run_us;
+    struct fw_mean speed;
+    struct fw_mean token_us;
+    struct fw_mean read_late_us;
+    struct fw_mean start_us;
+    struct fw_reading reading;
+};
+
+void
+Fw_Learned_Init(struct fw_learned *l, const char *service);
+/* A prompt was read in @took_us that had @tokens before it, as above. */
+void
+Fw_Learned_NoteRead(struct fw_learned *l, int64_t tokens, int64_t took_us);
+/* Until a prompt is read that has @tokens before it, itself included. */
+int64_t
+Fw_Learned_ReadTime(const struct fw_learned *l, int64_t tokens);
+/* How much longer than that is waited before another engine is asked. */
+int64_t
+Fw_Learned_ReadSlack(const struct fw_learned *l);
+/* How long a request may wait for room, given its route's objective. */
+int64_t
+Fw_Learned_QueueTime(const struct fw_learned *l, int64_t objective_us);
+/* Until an engine that had no room beside @running streams is asked again. */
+int64_t
+Fw_Learned_FullTime(const struct fw_learned *l, int running);
+/* A refused stream comes back then; @chance from 0 to 1. */
+int64_t
+Fw_Learned_RetryAfter(const struct fw_learned *l, double chance);
+
+#endif
--- a/src/relay/digest.c
+++ b/src/relay/digest.c
@@ -7,11 +7,13 @@
 #include <msgpack.h>
 #include <string.h>
 
+#include "base/hash.h"
 #include "core/pack.h"
 #include "core/pack_scan.h"
 #include "relay/relay_internal.h"
 
-#define FW_DIGEST_FORM 1
+#define FW_DIGEST_FORM 6
+#define FW_DIGEST_SIZE 10
 
 static void
 pack_strikes(struct fw_relay *r, msgpack_packer *pk)
@@ -35,6 +37,19 @@
     msgpack_pack_uint64(pk, Fw_Watch_ListHash(r));
 }
 
+static void
+pack_reading(struct fw_relay *r, int64_t now_us, msgpack_packer *pk)
+{
+    msgpack_pack_array(pk, r->learned->len);
+    for (guint i = 0; i < r->learned->len; i++) {
+        const struct fw_learned *l = g_ptr_array_index(r->learned, i);
+
+        msgpack_pack_array(pk, 2);
+        msgpack_pack_uint64(pk, Fw_Hash_Str(l->service));
+        msgpack_pack_int64(pk, (int64_t)Fw_Reading_Rate(&l->reading, now_us));
+    }
+}
+
 void
 Fw_Relay_WriteDigest(struct fw_relay *r, int64_t now_us, GByteArray *out)
 {
@@ -42,12 +57,13 @@
 
     r->digest_wanted = 0;
     Fw_Pack_Begin(&pk, out);
-    msgpack_pack_array(&pk, 9);
+    msgpack_pack_array(&pk, FW_DIGEST_SIZE);
     msgpack_pack_int(&pk, FW_DIGEST_FORM);
     Fw_Pack_Str(&pk, r->opts.name);
+    msgpack_pack_uint64(&pk, Fw_Hash_Str(r->opts.domain));
     msgpack_pack_uint64(&pk, r->opts.boot);
     msgpack_pack_uint64(&pk, ++r->digest_seq);
-    msgpack_pack_int(&pk, r->queue.n);
+    pack_reading(r, now_us, &pk);
     Fw_Delta_PackSpent(r, &pk, 0);
     Fw_Delta_PackLoad(r, &pk, 0, now_us);
     pack_strikes(r, &pk);
@@ -71,12 +87,26 @@
     }
 }
 
+static void
+take_reading(struct fw_rl_member *m, const msgpack_object_array *rows)
+{
+    g_hash_table_remove_all(m->reading);
+    for (uint32_t i = 0; i < rows->size; i++) {
+        int64_t *rate = g_new(int64_t, 1);
+
+        *rate = MAX(Fw_Rows_Cell(rows, i, 1), 0);
+        g_hash_table_insert(
+            m->reading, Fw_Rows_Key((uint64_t)Fw_Rows_Cell(rows, i, 0)), rate);
+    }
+}
+
 /** struct digest - a message, checked. */
 struct digest {
     char name[FW_NAME_MAX];
+    uint64_t domain;
     uint64_t boot;
     uint64_t seq;
-    int waiting;
+    const msgpack_object_array *reading;
     const msgpack_object_array *spent;
     const msgpack_object_array *load;
     const msgpack_object_array *strikes;
@@ -87,21 +117,22 @@
 read_digest(const msgpack_object *o, struct digest *d)
 {
     uint64_t form;
-    uint64_t waiting;
 
-    if (o->type != MSGPACK_OBJECT_ARRAY || o->via.array.size != 9 ||
-        Fw_Unpack_U64(o, 0, &form) || form != FW_DIGEST_FORM ||
+    if (o->type != MSGPACK_OBJECT_ARRAY ||
+        o->via.array.size != FW_DIGEST_SIZE || Fw_Unpack_U64(o, 0, &form) ||
+        form != FW_DIGEST_FORM ||
         Fw_Unpack_Str(o, 1, d->name, sizeof(d->name)) || !d->name[0] ||
-        Fw_Unpack_U64(o, 2, &d->boot) || Fw_Unpack_U64(o, 3, &d->seq) ||
-        Fw_Unpack_U64(o, 4, &waiting)) {
+        Fw_Unpack_U64(o, 2, &d->domain) || Fw_Unpack_U64(o, 3, &d->boot) ||
+        Fw_Unpack_U64(o, 4, &d->seq)) {
         return -EBADMSG;
     }
-    d->waiting = (int)MIN(waiting, FW_RL_ROWS_MAX);
-    d->spent = Fw_Rows_Of(o, 5, 3);
-    d->load = Fw_Rows_Of(o, 6, 6);
-    d->strikes = Fw_Rows_Of(o, 7, 2);
-    d->watch = Fw_Rows_Of(o, 8, 4);
-    return d->spent && d->load && d->strikes && d->watch && d->watch->size == 1
+    d->reading = Fw_Rows_Of(o, 5, 2);
+    d->spent = Fw_Rows_Of(o, 6, 3);
+    d->load = Fw_Rows_Of(o, 7, 6);
+    d->strikes = Fw_Rows_Of(o, 8, 2);
+    d->watch = Fw_Rows_Of(o, 9, 4);
+    return d->reading && d->spent && d->load && d->strikes && d->watch &&
+                   d->watch->size == 1
                ? 0
                : -EBADMSG;
 }
@@ -137,7 +168,8 @@
     m->boot = d->boot;
     m->seq = d->seq;
     m->heard_us = now_us;
-    m->waiting = d->waiting;
+    take_reading(m, d->reading);
+    m->domain = d->domain;
     g_strlcpy(m->addr, addr, sizeof(m->addr));
     Fw_Delta_TakeSpent(r, m, first, d->spent, now_us);
     g_hash_table_remove_all(m->load);
@@ -160,7 +192,7 @@
     if (read_digest(o, &d) == 0) {
         return take(r, &d, addr, now_us);
     }
-    if (Fw_Delta_Read(r, o, now_us) == 0) {
+    if (Fw_Delta_Read(r, o, now_us) == 0 || Fw_Learned_Read(r, o) == 0) {
         return 0;
     }
     return Fw_Watch_Read(r, o, now_us, reply);
--- a/src/relay/members.c
+++ b/src/relay/members.c
@@ -44,6 +44,7 @@
     m->spent = table_new(g_free);
     m->load = table_new(g_free);
     m->strikes = table_new(NULL);
+    m->reading = table_new(g_free);
     Fw_List_Append(&r->members, &m->link);
     return m;
 }
@@ -55,6 +56,7 @@
     g_hash_table_destroy(m->spent);
     g_hash_table_destroy(m->load);
     g_hash_table_destroy(m->strikes);
+    g_hash_table_destroy(m->reading);
     g_free(m);
 }
 
--- a/src/relay/order.c
+++ b/src/relay/order.c
@@ -10,18 +10,14 @@
  * an order that is late bears an old token. Orders are rare, so no lease is
  * kept up: a claim is made when there is something to order.
  */
-#include <math.h>
 #include <string.h>
 
 #include "base/fault.h"
 #include "base/hash.h"
 #include "relay/relay_internal.h"
 
-/*
- * Of the root of the mean load: prompts waited 0.3 s at most in the bursts of
- * twice the mean with 2 of 9 and 3 of 14 engines, which this gives.
- */
-#define FW_SPARE 1.8
+/* What an instance said of its load counts for so long. */
+#define FW_RATE_LIFE_US (5 * FW_SEC)
 /* Engines are looked at so often. */
 #define FW_LOOK_US (1 * FW_SEC)
 /* An order or report that has no answer by then. */
@@ -90,19 +86,40 @@
             now_us - r->lead.seen_us > r->opts.lease_us + FW_SEC);
 }
 
-/*
- * The mean load of prefill and a spare that grows with its root (square-root
- * staffing): a few engines need more beside the mean than many do. With a
- * fixed part of 0.22, 10 of 44 engines read prompts and the memory of decode
- * engines was short (mean worth of four days 0.403, with 7 of 44 0.419).
+/* Prompts of @service that all instances in touch are sent, tokens a second.
  */
-static int64_t
-wanted_readers(const struct fw_relay *r, int engines)
+static double
+reading_rate(const struct fw_relay *r, const struct fw_learned *known,
+             int64_t now_us)
 {
-    double mean = engines * r->opts.prefill_permille / 1000.0;
-    int64_t n = lround(mean + FW_SPARE * sqrt(mean));
+    uint64_t hash = Fw_Hash_Str(known->service);
+    double sum = Fw_Reading_Rate(&known->reading, now_us);
+    struct fw_list *pos;
+
+    FW_LIST_EACH (pos, &r->members) {
+        const struct fw_rl_member *m =
+            FW_LIST_ENTRY(pos, struct fw_rl_member, link);
+        const int64_t *rate = g_hash_table_lookup(m->reading, &hash);
 
-    return CLAMP(n, 1, MAX(engines - 1, 1));
+        if (rate && now_us - m->heard_us < FW_RATE_LIFE_US) {
+            sum += (double)*rate;
+        }
+    }
+    return sum;
+}
+
+static int
+wanted_readers(const struct fw_relay *r, const char *service, int engines,
+               int readers, int64_t now_us)
+{
+    const struct fw_learned *known = Fw_Learned_Of(r, service);
+    double guess = engines * r->opts.prefill_permille / 1000.0;
+    double busy =
+        Fw_Readers_Mean(&known->reading, reading_rate(r, known, now_us),
+                        known->token_us.mean, guess, now_us);
+
+    /* At the start there is nothing yet that a change would disturb. */
+    return Fw_Readers_Wanted(busy, engines, r->settled ? readers : 0);
 }
 
 static enum fw_rl_stage
@@ -119,28 +136,29 @@
 }
 
 /*
- * The next engine whose stage should change, or NULL. Those with the highest
- * hash of their id go first: all instances agree without a word.
+ * The next engine of @service whose stage should change, or NULL. Those with
+ * the highest hash of their id go first: all instances agree without a word.
  */
 static struct fw_rl_server *
-next_change(struct fw_relay *r, int64_t now_us, enum fw_rl_stage *to)
+next_of_service(struct fw_relay *r, const char *service, int64_t now_us,
+                enum fw_rl_stage *to)
 {
     const struct fw_rl_service_rule *rule;
     struct fw_rl_server *best = NULL;
     struct fw_list *pos;
     int readers = 0;
     int engines = 0;
-    int64_t want;
+    int want;
 
     FW_LIST_EACH (pos, &r->servers) {
         struct fw_rl_server *s = FW_LIST_ENTRY(pos, struct fw_rl_server, link);
 
-        if (engine_of(r, s, &rule)) {
+        if (engine_of(r, s, &rule) && strcmp(s->e.service, service) == 0) {
             engines++;
             readers += stage_to_be(s, now_us) == FW_RL_STAGE_PREFILL;
         }
     }
-    want = wanted_readers(r, engines);
+    want = wanted_readers(r, service, engines, readers, now_us);
     if (engines < 2 || readers == want) {
         return NULL;
     }
@@ -148,15 +166,32 @@
     FW_LIST_EACH (pos, &r->servers) {
         struct fw_rl_server *s = FW_LIST_ENTRY(pos, struct fw_rl_server, link);
 
-        if (engine_of(r, s, &rule) && s->e.stage != *to &&
-            !Fw_Servers_Switching(s, now_us) && Fw_Servers_Usable(s, now_us) &&
-            (!best || s->hash > best->hash)) {
+        if (engine_of(r, s, &rule) && strcmp(s->e.service, service) == 0 &&
+            s->e.stage != *to && !Fw_Servers_Switching(s, now_us) &&
+            Fw_Servers_Usable(s, now_us) && (!best || s->hash > best->hash)) {
             best = s;
         }
     }
     return best;
 }
 
+/* Each model has engines of its own, and a load of its own. */
+static struct fw_rl_server *
+next_change(struct fw_relay *r, int64_t now_us, enum fw_rl_stage *to)
+{
+    for (guint i = 0; i < r->rules->services->len; i++) {
+        const struct fw_rl_service_rule *rule =
+            g_ptr_array_index(r->rules->services, i);
+        struct fw_rl_server *s =
+            rule->engines ? next_of_service(r, rule->name, now_us, to) : NULL;
+
+        if (s) {
+            return s;
+        }
+    }
+    return NULL;
+}
+
 static void
 ask_report(struct fw_relay *r, struct fw_rl_server *s, int64_t now_us,
            struct fw_rl_acts *out)
--- a/src/relay/place.c
+++ b/src/relay/place.c
@@ -1,9 +1,9 @@
 /*
  * Which server gets a request. Decisions only: nothing changes here.
  */
-#include <math.h>
 #include <string.h>
 
+#include "decide/memory.h"
 #include "relay/relay_internal.h"
 
 /*
@@ -29,26 +29,10 @@
  * through at one moment and none at the next.
  */
 #define FW_CROWD_RAMP 0.5
-/* Tokens of a prompt that a prefill engine reads in a millisecond. */
-#define FW_READ_PER_MS 50.0
-/*
- * How long an engine's "no room" counts for requests of that size or more.
- * At capacity an engine ends a stream about every 400 ms (ten streams of
- * four seconds); asking again much sooner costs calls and finds nothing.
- */
-#define FW_FULL_US (60 * FW_MSEC)
 /* A prefill engine that turned a prompt away is left alone for so long. */
 #define FW_BUSY_US (300 * FW_MSEC)
 /* Digests of a member count as its load for so long after the last one. */
 #define FW_LOAD_LIFE_US (2 * FW_SEC)
-/*
- * How far a stream's use of memory is from its mean, in tokens (one standard
- * deviation): uniform over an answer of 5,000 tokens, which is known to a
- * third only. And by how many deviations of their sum an engine's memory must
- * be larger than what its streams take on average.
- */
-#define FW_USE_DEVIATION 1800
-#define FW_SPARE_DEVIATIONS 3.0
 /* Baselines rate engines by requests and chance: parts of one request. */
 #define FW_BASELINE_SCALE 1000.0
 /* A transfer in the same failure domain is cheaper: worth a short wait. */
@@ -203,23 +187,20 @@
     return l->unreachable >= 2;
 }
 
-/* What @n streams may take beyond their mean. */
-static int64_t
-spare(int n)
-{
-    return (int64_t)(FW_SPARE_DEVIATIONS * FW_USE_DEVIATION * sqrt(n));
-}
-
+/* What stays free at @s with @c there; below zero: don't ask. */
 static int64_t
 room(struct fw_relay *r, const struct fw_rl_server *s,
-     const struct fw_rl_engine_spec *spec, int64_t need, int64_t now_us)
+     const struct fw_rl_engine_spec *spec, const struct fw_rl_call *c,
+     int64_t now_us)
 {
+    const struct fw_learned *known = Fw_Learned_Of(r, c->service);
     struct fw_rl_load l;
 
-    if (now_us - s->full_us < FW_FULL_US && need >= s->full_tokens) {
+    Fw_Place_Load(r, s, now_us, &l);
+    if (now_us - s->full_us < Fw_Learned_FullTime(known, l.running) &&
+        c->need >= s->full_tokens) {
         return -1;
     }
-    Fw_Place_Load(r, s, now_us, &l);
     if (l.running >= spec->slots || leaving_stage(s, &l) || is_down(&l)) {
         return -1;
     }
@@ -227,7 +208,8 @@
         return (int64_t)(FW_BASELINE_SCALE *
                          (spec->slots - baseline(r, l.running)));
     }
-    return spec->kv_tokens - spare(l.running + 1) - l.reserved - need;
+    return spec->kv_tokens - l.reserved - c->need -
+           Fw_Memory_Spare(&c->answer, c->ask.tokens_out, l.running + 1);
 }
 
 static int
@@ -299,7 +281,7 @@
         if (!serves(s, c) || !decodes(s, now_us) || Fw_Call_Tried(c, s)) {
             continue;
         }
-        left = room(r, s, &rule->engine, c->need, now_us);
+        left = room(r, s, &rule->engine, c, now_us);
         if (left >= 0) {
             offer(r, &d, s, left);
         }
@@ -324,8 +306,8 @@
     if (leaving_stage(s, &l) || is_down(&l)) {
         return -1;
     }
-    us = (int64_t)((double)(l.reading + c->ask.tokens_in) / FW_READ_PER_MS *
-                   FW_MSEC);
+    us = Fw_Learned_ReadTime(Fw_Learned_Of(r, c->service),
+                             l.reading + c->ask.tokens_in);
     if (c->server && strcmp(s->e.domain, c->server->e.domain) == 0) {
         us -= FW_DOMAIN_BONUS_US;
     }
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -28,6 +28,7 @@
     r->allowances =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
     r->budgets = g_ptr_array_new_with_free_func(g_free);
+    r->learned = g_ptr_array_new_with_free_func(g_free);
     Fw_List_Init(&r->servers);
     Fw_List_Init(&r->call_list);
     Fw_List_Init(&r->op_list);
@@ -65,6 +66,7 @@
     g_hash_table_destroy(r->ops);
     g_hash_table_destroy(r->allowances);
     g_ptr_array_unref(r->budgets);
+    g_ptr_array_unref(r->learned);
     g_rand_free(r->rand);
     g_free(r);
 }
@@ -143,6 +145,10 @@
     op->server->refusals = 0;
     Fw_Servers_Served(op->server, ans->status >= 500,
                       is_stream(op) ? -1 : now_us - op->sent_us);
+    if (is_stream(op) && op->call->room_us) {
+        Fw_Mean_Note(&Fw_Learned_Of(r, op->call->service)->start_us,
+                     (double)(now_us - op->call->room_us));
+    }
     Fw_Call_Pass(r, op->call, now_us, out);
 }
 
@@ -238,8 +244,8 @@
         Fw_Need_Grow(r, c, now_us);
     }
     if (c->need && c->state == FW_RL_QUEUED && now_us >= c->queue_until_us) {
-        Fw_Call_Refuse(r, c, 503, Fw_Stream_RetryAfter(r), "no_room", now_us,
-                       out);
+        Fw_Call_Refuse(r, c, 503, Fw_Stream_RetryAfter(r, c), "no_room",
+                       now_us, out);
     }
 }
 
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -67,6 +67,7 @@
  * @not_run: it states that it has not run the request
  * @moved: another server has the address
  * @name: reservation or KV cache made
+ * @events: of a stream, so far
  * @stage, @busy, @orders: of a report
  */
 struct fw_rl_up_answer {
@@ -74,6 +75,7 @@
     int not_run;
     int moved;
     char name[FW_RL_KEY_MAX];
+    int64_t events;
     enum fw_rl_stage stage;
     int busy;
     int64_t orders;
@@ -151,13 +153,14 @@
  * @key_stale_us: keyed requests are refused when the configuration in force
  *     is not known to be the newest as of so long ago
  * @policy: how servers are chosen
- * @queue_us: longest wait for room at an engine
+ * @queue_us: longest wait for room at an engine; 0: as long as the route's
+ *     objective can still be met
  * @reserve_permille: part of the tokens that may be generated which is
  *     reserved
  * @read_here_us: a prompt that would be read later than this elsewhere is
  *     read by its decode engine
- * @prefill_permille: part of a service's engines that prefill keeps busy
- *     at the mean load
+ * @prefill_permille: part of a service's engines that prefill keeps busy,
+ *     until the load was seen
  * @overage_ppm, @tolerance: what the operator tolerates beyond a team's rate
  *     and burst: part of them, and tokens
  * @lease_us: how long the order role lasts
@@ -274,6 +277,12 @@
  */
 int
 Fw_Relay_WriteDelta(struct fw_relay *r, int64_t now_us, GByteArray *out);
+/*
+ * What was learned here, for an instance that has just started: appended to
+ * @out. Return: nonzero when there is any.
+ */
+int
+Fw_Relay_WriteLearned(const struct fw_relay *r, GByteArray *out);
 /*
  * A message of another instance at @addr. @reply: what goes back, may stay
  * empty. Return: 1 when its sender wasn't known, 0 when it was, -EBADMSG.
--- a/src/relay/relay_internal.h
+++ b/src/relay/relay_internal.h
@@ -5,6 +5,7 @@
 #include <msgpack.h>
 #include <syslog.h>
 
+#include "decide/learned.h"
 #include "relay/relay.h"
 #include "route/queue.h"
 
@@ -89,11 +90,12 @@
 
 /**
  * struct fw_rl_member - another instance.
+ * @domain: hash of its failure domain, 0 when not known yet
  * @heard_us: when its last digest came, 0 for never
  * @spent: team's hash to its tokens since the start there
  * @load: server's hash to struct fw_rl_load
  * @strikes: request's digest to servers lost with it
- * @waiting: requests that wait for engines there
+ * @reading: service's hash to its prompts there, tokens a second
  * @reads: it reads the platform's store itself
  * @rules_offset, @list_offset, @list_hash: how far it has read, and what it
  *     knows of the servers
@@ -102,6 +104,7 @@
     struct fw_list link;
     char name[FW_NAME_MAX];
     char addr[FW_URL_MAX];
+    uint64_t domain;
     uint64_t boot;
     uint64_t seq;
     int64_t added_us;
@@ -109,7 +112,7 @@
     GHashTable *spent;
     GHashTable *load;
     GHashTable *strikes;
-    int waiting;
+    GHashTable *reading;
     int reads;
     uint64_t rules_offset;
     uint64_t list_offset;
@@ -177,7 +180,9 @@
  *     never runs
  * @need: tokens of an engine's memory that it is expected to take, averaged
  *     over its run; 0 for a plain request
+ * @answer: how long its answer is expected to be
  * @hold_tokens: reserved for it at the engine
+ * @ahead: tokens that @reader had to read when it was asked, its own included
  * @server, @reader: where it runs, and where its prompt is read
  * @op: the call to an upstream that it waits for
  * @tries: servers that it was sent to run on
@@ -194,11 +199,14 @@
     enum fw_rl_state state;
     int64_t opened_us;
     int64_t deadline_us;
+    int64_t queue_us;
     int64_t queue_until_us;
     int64_t cost;
     int paid;
     int64_t need;
+    struct fw_length_guess answer;
     int64_t hold_tokens;
+    int64_t ahead;
     struct fw_rl_server *server;
     struct fw_rl_server *reader;
     char hold[FW_RL_KEY_MAX];
@@ -334,9 +342,9 @@
     int n_strikes;
     struct fw_rl_lead lead;
     struct fw_rl_watch watch;
-    double run_us;     /* moving mean of a stream's time at an engine */
-    double run_tokens; /* and of what streams were expected to generate */
+    GPtrArray *learned; /* of struct fw_learned */
     uint64_t digest_seq;
+    unsigned spread_turn;
     int digest_wanted; /* others should know soon */
     int delta_wanted;  /* of what was just taken, at once */
     int64_t look_us;   /* when engines are looked at next */
@@ -484,7 +492,7 @@
                  int64_t now_us, struct fw_rl_acts *out);
 /* When a refused stream has a fair chance of room. */
 int64_t
-Fw_Stream_RetryAfter(struct fw_relay *r);
+Fw_Stream_RetryAfter(struct fw_relay *r, const struct fw_rl_call *c);
 
 /* need.c */
 /* Counts @c's memory, at its engine if it has one, as of now. */
@@ -493,13 +501,18 @@
 /* What is reserved for @c at an engine. */
 int64_t
 Fw_Need_Hold(const struct fw_relay *r, const struct fw_rl_call *c);
-/* A stream has ended whole. */
+/* A stream has ended whole, after @events. */
 void
-Fw_Need_NoteRun(struct fw_relay *r, const struct fw_rl_call *c,
+Fw_Need_NoteRun(struct fw_relay *r, const struct fw_rl_call *c, int64_t events,
                 int64_t now_us);
-/* Mean time of a stream at its engine, microseconds. */
-double
-Fw_Need_RunTime(const struct fw_relay *r);
+
+/* learned.c */
+/* What was learned of @service, as far as anything was. */
+struct fw_learned *
+Fw_Learned_Of(const struct fw_relay *r, const char *service);
+/* What another instance has learned; -EBADMSG for another message. */
+int
+Fw_Learned_Read(struct fw_relay *r, const msgpack_object *o);
 
 /* allowance.c */
 /* A bucket for each team of the configuration in force. */
--- a/src/relay/stream.c
+++ b/src/relay/stream.c
@@ -15,11 +15,6 @@
  * answered in 2 to 4 ms, and each wait is taken off an objective of 900 ms.
  */
 #define FW_HOLD_WAIT_US (120 * FW_MSEC)
-/* Slack over the expected time until a prompt is read. */
-#define FW_READ_SLACK_US (600 * FW_MSEC)
-/* Callers sent away are told to come back between these. */
-#define FW_RETRY_LEAST_US (1500 * FW_MSEC)
-#define FW_RETRY_MOST_US (4500 * FW_MSEC)
 /*
  * A reservation lives for two seconds; with less than half of that left a
  * prompt might be read for one that has lapsed.
@@ -35,19 +30,17 @@
 }
 
 int64_t
-Fw_Stream_RetryAfter(struct fw_relay *r)
+Fw_Stream_RetryAfter(struct fw_relay *r, const struct fw_rl_call *c)
 {
-    double mean = Fw_Need_RunTime(r);
-
-    return CLAMP((int64_t)(mean * g_rand_double_range(r->rand, 0.4, 1.0)),
-                 FW_RETRY_LEAST_US, FW_RETRY_MOST_US);
+    return Fw_Learned_RetryAfter(Fw_Learned_Of(r, c->service),
+                                 g_rand_double(r->rand));
 }
 
 static void
 refuse_full(struct fw_relay *r, struct fw_rl_call *c, const char *why,
             int64_t now_us, struct fw_rl_acts *out)
 {
-    Fw_Call_Refuse(r, c, 503, Fw_Stream_RetryAfter(r), why, now_us, out);
+    Fw_Call_Refuse(r, c, 503, Fw_Stream_RetryAfter(r, c), why, now_us, out);
 }
 
 void
@@ -56,11 +49,18 @@
 {
     const struct fw_rl_service_rule *s =
         Fw_Rules_Service(r->rules, c->service);
+    struct fw_learned *known = Fw_Learned_Of(r, c->service);
 
+    Fw_Reading_Note(&known->reading, c->ask.tokens_in, now_us);
+    Fw_Length_Guess(&known->length, c->ask.hint_out, c->ask.tokens_out,
+                    &c->answer);
     Fw_Need_Grow(r, c, now_us);
     c->hold_tokens = Fw_Need_Hold(r, c);
     c->state = FW_RL_QUEUED;
-    c->queue_until_us = MIN(now_us + r->opts.queue_us, c->deadline_us);
+    c->queue_us = r->opts.queue_us
+                      ? r->opts.queue_us
+                      : Fw_Learned_QueueTime(known, c->route.objective_us);
+    c->queue_until_us = MIN(now_us + c->queue_us, c->deadline_us);
     if (c->ask.tokens_in + c->ask.tokens_out > s->engine.kv_tokens) {
         Fw_Call_Refuse(r, c, 503, 0, "larger_than_an_engine", now_us, out);
         return;
@@ -156,8 +156,8 @@
         refuse_full(r, c, why, now_us, out);
         return;
     }
-    c->queue_until_us = MAX(
-        c->queue_until_us, MIN(now_us + r->opts.queue_us / 2, c->deadline_us));
+    c->queue_until_us =
+        MAX(c->queue_until_us, MIN(now_us + c->queue_us / 2, c->deadline_us));
     requeue(r, c, now_us, out);
 }
 
@@ -213,8 +213,10 @@
 read_prompt(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us,
             struct fw_rl_acts *out)
 {
+    const struct fw_learned *known = Fw_Learned_Of(r, c->service);
     int64_t wait_us;
     struct fw_rl_server *s = Fw_Place_Read(r, c, now_us, &wait_us);
+    struct fw_rl_load load;
     struct fw_rl_up_call up = {
         .kind = FW_RL_UP_PREFILL,
         .left_us = c->deadline_us - now_us,
@@ -232,15 +234,18 @@
         return;
     }
     g_strlcpy(up.team, c->team, sizeof(up.team));
+    Fw_Place_Load(r, s, now_us, &load);
+    c->ahead = load.reading + c->ask.tokens_in;
     c->reader = Fw_Servers_Ref(s);
     c->reading = 1;
     s->reading += c->ask.tokens_in;
     Fw_Delta_Placed(r, s, now_us);
     c->state = FW_RL_READ;
     r->n.reads.value++;
-    Fw_Call_Ask(r, c, s, &up,
-                MIN(now_us + wait_us + FW_READ_SLACK_US, c->deadline_us),
-                now_us, out);
+    Fw_Call_Ask(
+        r, c, s, &up,
+        MIN(now_us + wait_us + Fw_Learned_ReadSlack(known), c->deadline_us),
+        now_us, out);
 }
 
 /*
@@ -293,11 +298,12 @@
 
 static void
 read_answered(struct fw_relay *r, struct fw_rl_call *c, struct fw_rl_server *s,
-              const struct fw_rl_up_answer *ans, int64_t now_us,
-              struct fw_rl_acts *out)
+              const struct fw_rl_up_answer *ans, int64_t took_us,
+              int64_t now_us, struct fw_rl_acts *out)
 {
     Fw_Call_ReadDone(c);
     if (ans->status == 200 && ans->name[0]) {
+        Fw_Learned_NoteRead(Fw_Learned_Of(r, c->service), c->ahead, took_us);
         Fw_Servers_Served(s, 0, -1);
         Fw_Histogram_Add(&r->n.read_s, now_us - c->room_us);
         g_strlcpy(c->kv, ans->name, sizeof(c->kv));
@@ -319,7 +325,7 @@
              struct fw_rl_acts *out)
 {
     if (c->passed) {
-        Fw_Need_NoteRun(r, c, now_us);
+        Fw_Need_NoteRun(r, c, ans->events, now_us);
         Fw_Call_Finish(r, c, 1, now_us, out);
         return;
     }
@@ -341,13 +347,14 @@
     struct fw_rl_call *c = op->call;
     struct fw_rl_server *s = Fw_Servers_Ref(op->server);
     enum fw_rl_up_kind kind = op->kind;
+    int64_t took_us = now_us - op->sent_us;
 
     Fw_Op_End(r, op);
     if (kind == FW_RL_UP_HOLD) {
         hold_answered(r, c, s, ans, now_us, out);
     }
     else if (kind == FW_RL_UP_PREFILL) {
-        read_answered(r, c, s, ans, now_us, out);
+        read_answered(r, c, s, ans, took_us, now_us, out);
     }
     else {
         run_answered(r, c, ans, now_us, out);
--- a/src/relayd/peers.c
+++ b/src/relayd/peers.c
@@ -4,6 +4,7 @@
 #include "http/conn.h"
 #include "io/addr.h"
 #include "io/note.h"
+#include "relay/spread.h"
 #include "relayd/relayd_internal.h"
 
 /* A datagram that passes any link unfragmented is smaller; ours are too. */
@@ -42,15 +43,42 @@
 }
 
 static void
-send_to_all(struct fw_relayd *d, const GByteArray *msg)
+send_each(struct fw_relayd *d, const GPtrArray *addrs, const GByteArray *msg)
 {
-    GPtrArray *addrs = g_ptr_array_new();
-
-    Fw_Relay_Members(d->relay, addrs);
     for (guint i = 0; i < addrs->len; i++) {
         send_to(d, g_ptr_array_index(addrs, i), msg);
     }
-    g_ptr_array_unref(addrs);
+}
+
+static void
+send_to_all(struct fw_relayd *d, const GByteArray *msg)
+{
+    GPtrArray *direct = g_ptr_array_new();
+    GPtrArray *through = g_ptr_array_new();
+    GByteArray *envelope = g_byte_array_new();
+
+    Fw_Relay_Routes(d->relay, Fw_Conn_Now(), direct, through);
+    send_each(d, direct, msg);
+    if (through->len) {
+        Fw_Envelope_Write(1, d->opts.peers, msg->data, msg->len, envelope);
+        send_each(d, through, envelope);
+    }
+    g_byte_array_unref(envelope);
+    g_ptr_array_unref(direct);
+    g_ptr_array_unref(through);
+}
+
+static void
+pass_on(struct fw_relayd *d, const struct fw_rl_envelope *e)
+{
+    GPtrArray *to = g_ptr_array_new();
+    GByteArray *envelope = g_byte_array_new();
+
+    Fw_Envelope_Write(0, e->addr, e->data, e->len, envelope);
+    Fw_Relay_PassOn(d->relay, e->addr, to);
+    send_each(d, to, envelope);
+    g_byte_array_unref(envelope);
+    g_ptr_array_unref(to);
 }
 
 static void
@@ -79,14 +107,34 @@
     g_byte_array_unref(msg);
 }
 
+static void
+send_learned(struct fw_relayd *d, const char *addr)
+{
+    GByteArray *msg = g_byte_array_new();
+
+    if (Fw_Relay_WriteLearned(d->relay, msg)) {
+        send_to(d, addr, msg);
+    }
+    g_byte_array_unref(msg);
+}
+
 static void
 take(struct fw_relayd *d, GSocketAddress *from, const char *data, size_t len)
 {
     GByteArray *reply = g_byte_array_new();
     char addr[FW_URL_MAX];
+    struct fw_rl_envelope e;
     int rc;
 
     Fw_Addr_Print(from, addr);
+    if (Fw_Envelope_Open(data, len, &e)) {
+        if (e.pass_on) {
+            pass_on(d, &e);
+        }
+        g_strlcpy(addr, e.addr, sizeof(addr));
+        data = e.data;
+        len = e.len;
+    }
     rc = Fw_Relay_ReadMessage(d->relay, addr, data, len, Fw_Conn_Now(), reply);
     if (reply->len) {
         send_to(d, addr, reply);
@@ -98,6 +146,7 @@
     else if (rc > 0) {
         Fw_Note_Log(LOG_NOTICE, "member_met", "addr", addr, NULL);
         send_digest(d, addr);
+        send_learned(d, addr);
     }
 }
 
--- a/src/relayd/relayd_internal.h
+++ b/src/relayd/relayd_internal.h
@@ -6,6 +6,7 @@
 #include <syslog.h>
 
 #include "http/client.h"
+#include "http/events.h"
 #include "platform/platform.h"
 #include "relayd/relayd.h"
 
@@ -42,6 +43,7 @@
     int whole;
     int begun;
     int done;
+    struct fw_event_count events;
     int64_t part_us;
 };
 
--- a/src/relayd/settings.c
+++ b/src/relayd/settings.c
@@ -72,7 +72,7 @@
     FW_INT("peers", "digest-every-ms", "150", 10, 10000, digest_every_ms),
     {"policy", "routing", FW_INI_CHOICE, "full", 0, 0, FW_AT(policy),
      policies},
-    FW_INT("policy", "queue-ms", "650", 0, 600000, queue_ms),
+    FW_INT("policy", "queue-ms", "0", 0, 600000, queue_ms),
     FW_INT("policy", "reserve-permille", "100", 0, 1000, reserve_permille),
     FW_INT("policy", "read-here-ms", "600", 0, 60000, read_here_ms),
     FW_INT("policy", "prefill-permille", "100", 1, 999, prefill_permille),
--- a/src/relayd/up.c
+++ b/src/relayd/up.c
@@ -119,6 +119,9 @@
     struct fw_up_rec *rec = ctx;
     struct fw_caller_rec *to = caller_of(rec);
 
+    if (rec->kind == FW_RL_UP_RUN && !rec->whole) {
+        Fw_EventCount_Add(&rec->events, data, len);
+    }
     if (to) {
         note_gap(rec);
         Fw_Caller_Data(to->caller, data, len);
@@ -147,6 +150,7 @@
 
     rec->x = NULL;
     rec->done = 1;
+    rec->ans.events = rec->events.n;
     Fw_Acts_Init(&acts);
     if (Fw_Platform_ReadBody(rec->kind, rec->body->data, rec->body->len,
                              &rec->ans)) {
