--- a/src/relay/watch.c
+++ b/src/relay/watch.c
@@ -25,7 +25,7 @@
  */
 #define FW_READ_ALL 4
 /* Of a larger one, one in so many, but no fewer than FW_READERS_MIN. */
-#define FW_READERS_PART 8
+#define FW_READERS_PART 16
 #define FW_READERS_MIN 4
 /* Questions come so often; one without an answer is given up by then. */
 #define FW_ASK_US (700 * FW_MSEC)
