Ask engines what an event of their streams holds; play loads of many shapes

Change: each instance asks an engine that runs a stream of its own for a report once a minute, and learns the tokens of an event from it (one probe). Test: eight shapes drawn by seed, learned beside five constants each.

--- a/src/decide/learned.h
+++ b/src/decide/learned.h
@@ -15,6 +15,7 @@
  * @read_late_us: how much later than expected a prompt was read
  * @start_us: from room at an engine until the first event
  * @reading: prompts that callers sent here
+ * @checked_us: when an engine was last asked what its events hold
  */
 struct fw_learned {
     char service[FW_NAME_MAX];
@@ -25,6 +26,7 @@
     struct fw_mean read_late_us;
     struct fw_mean start_us;
     struct fw_reading reading;
+    int64_t checked_us;
 };
 
 void
--- a/src/decide/length.c
+++ b/src/decide/length.c
@@ -40,6 +40,9 @@
     double seen = hint / events;
     double step = MAX(FW_MEDIAN_FIRST / (1 + l->n / 2), FW_MEDIAN_LEAST);
 
+    if (l->measured) {
+        return;
+    }
     if (l->per_event <= 0) {
         l->per_event = seen;
         return;
@@ -47,6 +50,15 @@
     l->per_event *= seen > l->per_event ? 1 + step : 1 / (1 + step);
 }
 
+void
+Fw_Length_NoteTokens(struct fw_length *l, int64_t tokens, int64_t events)
+{
+    if (tokens > 0 && events > 0) {
+        l->per_event = (double)tokens / (double)events;
+        l->measured = 1;
+    }
+}
+
 void
 Fw_Length_Note(struct fw_length *l, int64_t hint, int64_t most, int64_t events)
 {
--- a/src/relay/learned.c
+++ b/src/relay/learned.c
@@ -11,6 +11,16 @@
 #include "relay/relay_internal.h"
 
 #define FW_FORM_LEARNED 5
+/*
+ * An engine is asked when so many answers have ended here, and then so often:
+ * what an event holds changes with the engine's version.
+ */
+#define FW_CHECK_ANSWERS 4
+#define FW_CHECK_US (60 * FW_SEC)
+/* Of a stream that is in the report: that is up to a second old. */
+#define FW_CHECK_AGE_US (1500 * FW_MSEC)
+/* The first event of a stream may hold less than the others. */
+#define FW_CHECK_EVENTS 4
 /* Figures go as whole numbers, in thousandths. */
 #define FW_FIGURE_SCALE 1000.0
 /* A service's hash and its figures. */
@@ -33,6 +43,92 @@
     return l;
 }
 
+/* Where a stream runs that the engine's report will have; NULL for none. */
+static struct fw_rl_server *
+server_to_check(const struct fw_relay *r, const char *service, int64_t now_us)
+{
+    struct fw_list *pos;
+
+    FW_LIST_EACH (pos, &r->call_list) {
+        const struct fw_rl_call *c =
+            FW_LIST_ENTRY(pos, struct fw_rl_call, link);
+
+        if (c->need && c->passed && c->server && !c->server->gone &&
+            now_us - c->first_us >= FW_CHECK_AGE_US &&
+            strcmp(c->service, service) == 0) {
+            return c->server;
+        }
+    }
+    return NULL;
+}
+
+/*
+ * The caller's estimates tell what an event holds only where there are any,
+ * and not exactly; engines know.
+ */
+void
+Fw_Learned_Tick(struct fw_relay *r, int64_t now_us, struct fw_rl_acts *out)
+{
+    struct fw_rl_up_call up = {.kind = FW_RL_UP_REPORT,
+                               .urgency = -1,
+                               .whole = 1,
+                               .reuse_us = FW_RL_REUSE_US,
+                               .connect_us = FW_RL_CONNECT_US};
+
+    for (guint i = 0; i < r->learned->len; i++) {
+        struct fw_learned *l = g_ptr_array_index(r->learned, i);
+        struct fw_rl_server *s;
+
+        if (l->length.n < FW_CHECK_ANSWERS ||
+            (l->checked_us && now_us - l->checked_us < FW_CHECK_US)) {
+            continue;
+        }
+        s = server_to_check(r, l->service, now_us);
+        if (s) {
+            l->checked_us = now_us;
+            Fw_Call_Ask(r, NULL, s, &up, now_us + FW_RL_HOUSEKEEPING_US,
+                        now_us, out)
+                ->about_runs = 1;
+        }
+    }
+}
+
+static const struct fw_rl_call *
+call_with(const struct fw_relay *r, uint64_t id)
+{
+    struct fw_list *pos;
+
+    FW_LIST_EACH (pos, &r->call_list) {
+        const struct fw_rl_call *c =
+            FW_LIST_ENTRY(pos, struct fw_rl_call, link);
+
+        if (c->need && Fw_Hash_Str(c->ask.id) == id) {
+            return c;
+        }
+    }
+    return NULL;
+}
+
+void
+Fw_Learned_TakeRuns(struct fw_relay *r, const char *service,
+                    const struct fw_rl_up_answer *ans)
+{
+    int64_t tokens = 0;
+    int64_t events = 0;
+
+    for (int i = 0; i < ans->n_runs; i++) {
+        const struct fw_rl_run *run = &ans->runs[i];
+        const struct fw_rl_call *c = call_with(r, run->id);
+
+        if (c && c->ask.last_event < 0 && run->events >= FW_CHECK_EVENTS &&
+            run->tokens > c->ask.tokens_in) {
+            tokens += run->tokens - c->ask.tokens_in;
+            events += run->events;
+        }
+    }
+    Fw_Length_NoteTokens(&Fw_Learned_Of(r, service)->length, tokens, events);
+}
+
 int
 Fw_Relay_WriteLearned(const struct fw_relay *r, GByteArray *out)
 {
--- a/src/relay/order.c
+++ b/src/relay/order.c
@@ -371,9 +371,13 @@
 {
     struct fw_rl_server *s = Fw_Servers_Ref(op->server);
     enum fw_rl_up_kind kind = op->kind;
+    int about_runs = op->about_runs;
 
     Fw_Op_End(r, op);
     if (kind == FW_RL_UP_REPORT) {
+        Fw_Learned_TakeRuns(r, s->e.service, ans);
+    }
+    if (kind == FW_RL_UP_REPORT && !about_runs) {
         report_answered(r, s, ans, now_us, out);
     }
     else if (kind == FW_RL_UP_STAGE) {
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -262,6 +262,7 @@
     }
     Fw_Members_Tick(r, now_us, out);
     Fw_Order_Tick(r, now_us, out);
+    Fw_Learned_Tick(r, now_us, out);
     Fw_Stream_Pump(r, now_us, out);
     Fw_Relay_UpdateGauges(r, now_us);
 }
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -62,13 +62,28 @@
     int64_t expected;
 };
 
+/* Runs of a report that are taken in. */
+#define FW_RL_RUNS_MAX 32
+
+/**
+ * struct fw_rl_run - a stream at an engine, as the engine reports it.
+ * @id: hash of the request's id
+ * @tokens: in memory, its prompt included
+ * @events: made so far
+ */
+struct fw_rl_run {
+    uint64_t id;
+    int64_t tokens;
+    int64_t events;
+};
+
 /**
  * struct fw_rl_up_answer - what an upstream said.
  * @not_run: it states that it has not run the request
  * @moved: another server has the address
  * @name: reservation or KV cache made
  * @events: of a stream, so far
- * @stage, @busy, @orders: of a report
+ * @stage, @busy, @orders, @runs: of a report
  */
 struct fw_rl_up_answer {
     int status;
@@ -79,6 +94,8 @@
     enum fw_rl_stage stage;
     int busy;
     int64_t orders;
+    int n_runs;
+    struct fw_rl_run runs[FW_RL_RUNS_MAX];
 };
 
 /** enum fw_rl_act_kind - tag of struct fw_rl_act. */
--- a/src/relay/relay_internal.h
+++ b/src/relay/relay_internal.h
@@ -235,6 +235,7 @@
     int64_t sent_us;
     int64_t until_us; /* given up then */
     int found_slot;   /* the server had one free when it was sent */
+    int about_runs;   /* a report for what its streams have in memory */
 };
 
 /** struct fw_rl_strike - servers lost while they ran one request. */
@@ -510,6 +511,13 @@
 /* What was learned of @service, as far as anything was. */
 struct fw_learned *
 Fw_Learned_Of(const struct fw_relay *r, const char *service);
+/* Asks engines now and then what an event of their streams holds. */
+void
+Fw_Learned_Tick(struct fw_relay *r, int64_t now_us, struct fw_rl_acts *out);
+/* An engine of @service has reported its streams. */
+void
+Fw_Learned_TakeRuns(struct fw_relay *r, const char *service,
+                    const struct fw_rl_up_answer *ans);
 /* What another instance has learned; -EBADMSG for another message. */
 int
 Fw_Learned_Read(struct fw_relay *r, const msgpack_object *o);
--- a/tests/relay/engines.c
+++ b/tests/relay/engines.c
@@ -3,14 +3,13 @@
 #include <math.h>
 #include <string.h>
 
+#include "base/hash.h"
+#include "relay/relay_internal.h"
+
 #define FW_STEP_MS 5
-/* Tokens in a millisecond: read, and generated for one stream. */
-#define FW_READ_SPEED 55.0
-#define FW_SPEED 1.3
 #define FW_OBJECTIVE_MS 900
-#define FW_MEAN_TOKENS 5000
-#define FW_MOST_OUT 9360
-#define FW_SPREAD 0.5
+/* Prompts are at most so many times the mean one. */
+#define FW_LONGEST_PROMPT 2.2
 #define FW_EVENT_TOKENS 13
 
 /** struct stream - a request; @ends_ms: 0 until it runs. */
@@ -66,9 +65,9 @@
 }
 
 static double
-log_normal(GRand *rand, double mean)
+log_normal(GRand *rand, double mean, double spread)
 {
-    return mean * exp(FW_SPREAD * gaussian(rand) - FW_SPREAD * FW_SPREAD / 2);
+    return mean * exp(spread * gaussian(rand) - spread * spread / 2);
 }
 
 static struct stream *
@@ -77,13 +76,20 @@
     return &g_array_index(w->streams, struct stream, call - 1);
 }
 
+static void
+id_of(const struct stream *s, char id[FW_ID_MAX])
+{
+    g_snprintf(id, FW_ID_MAX, "r%d", (int)s->call);
+}
+
 static int64_t
-use_of(const struct stream *s, int64_t now_ms)
+use_of(const struct world *w, const struct stream *s)
 {
-    if (!s->ends_ms || now_ms >= s->ends_ms) {
+    if (!s->ends_ms || w->now_ms >= s->ends_ms) {
         return s->over ? 0 : s->held;
     }
-    return s->in + (int64_t)((double)(now_ms - s->run_ms) * FW_SPEED);
+    return s->in +
+           (int64_t)((double)(w->now_ms - s->run_ms) * w->plan->shape.speed);
 }
 
 static int64_t
@@ -94,7 +100,7 @@
     for (guint i = 0; i < w->streams->len; i++) {
         const struct stream *s = &g_array_index(w->streams, struct stream, i);
 
-        sum += s->engine == engine ? use_of(s, w->now_ms) : 0;
+        sum += s->engine == engine ? use_of(w, s) : 0;
     }
     return sum;
 }
@@ -115,7 +121,7 @@
     struct stream *s = stream_of(w, u->call);
     struct fw_rl_up_answer *a = answer(w, u->xid, w->now_ms + 2, 0);
 
-    if (used(w, engine) + u->tokens > w->plan->kv_tokens) {
+    if (used(w, engine) + u->tokens > w->plan->shape.kv_tokens) {
         a->status = 503;
         a->not_run = 1;
         return;
@@ -131,7 +137,8 @@
     const struct stream *s = stream_of(w, u->call);
     int64_t from = MAX(w->read_ms[engine], w->now_ms);
 
-    w->read_ms[engine] = from + (int64_t)((double)s->in / FW_READ_SPEED);
+    w->read_ms[engine] =
+        from + (int64_t)((double)s->in / w->plan->shape.read_speed);
     g_strlcpy(answer(w, u->xid, w->read_ms[engine], 0)->name, "k",
               FW_RL_KEY_MAX);
 }
@@ -143,11 +150,33 @@
 
     s->run_xid = u->xid;
     s->run_ms = w->now_ms;
-    s->ends_ms = w->now_ms + (int64_t)((double)s->out / FW_SPEED);
+    s->ends_ms = w->now_ms + (int64_t)((double)s->out / w->plan->shape.speed);
     answer(w, u->xid, w->now_ms + 5, 1);
     answer(w, u->xid, s->ends_ms, 0)->events = s->out / FW_EVENT_TOKENS;
 }
 
+static void
+report(struct world *w, const struct fw_rl_up_call *u, int engine)
+{
+    struct fw_rl_up_answer *a = answer(w, u->xid, w->now_ms + 2, 0);
+
+    for (guint i = 0; i < w->streams->len; i++) {
+        const struct stream *s = &g_array_index(w->streams, struct stream, i);
+        struct fw_rl_run *run = &a->runs[a->n_runs];
+        char id[FW_ID_MAX];
+
+        if (s->engine != engine || s->ends_ms <= w->now_ms ||
+            a->n_runs == FW_RL_RUNS_MAX) {
+            continue;
+        }
+        id_of(s, id);
+        run->id = Fw_Hash_Str(id);
+        run->tokens = use_of(w, s);
+        run->events = (run->tokens - s->in) / FW_EVENT_TOKENS;
+        a->n_runs++;
+    }
+}
+
 static void
 ask(struct world *w, const struct fw_rl_up_call *u)
 {
@@ -163,9 +192,11 @@
     case FW_RL_UP_RUN:
         run(w, u);
         break;
+    case FW_RL_UP_REPORT:
+        report(w, u, engine);
+        break;
     case FW_RL_UP_DROP_HOLD:
     case FW_RL_UP_DROP_KV:
-    case FW_RL_UP_REPORT:
     case FW_RL_UP_STAGE:
         break;
     }
@@ -194,18 +225,27 @@
 static void
 open_one(struct world *w)
 {
+    const struct fw_load_shape *h = &w->plan->shape;
     struct stream s = {
         .call = w->streams->len + 1, .asked_ms = w->now_ms, .engine = -1};
     struct fw_rl_ask q = {
         .host = "h", .path = "/g/x", .key = "k", .last_event = -1};
 
-    s.in = MIN((int64_t)log_normal(w->rand, FW_MEAN_TOKENS), 11000);
-    s.out = MIN((int64_t)log_normal(w->rand, FW_MEAN_TOKENS), FW_MOST_OUT);
+    s.in = MIN((int64_t)log_normal(w->rand, h->in, h->spread),
+               (int64_t)(h->in * FW_LONGEST_PROMPT));
+    s.out = MIN((int64_t)log_normal(w->rand, h->out, h->spread), h->most_out);
+    id_of(&s, q.id);
     q.tokens_in = s.in;
-    q.tokens_out = FW_MOST_OUT;
-    q.hint_out = (int64_t)log_normal(w->rand, (double)s.out);
+    q.tokens_out = h->most_out;
+    q.hint_out =
+        h->hint_spread < 0
+            ? -1
+            : (int64_t)log_normal(w->rand, (double)s.out, h->hint_spread);
     g_array_append_val(w->streams, s);
     w->res->asked++;
+    if (w->plan->fixed) {
+        Fw_Learned_Of(w->r, "llm")->length = *w->plan->fixed;
+    }
     Fw_Relay_Open(w->r, s.call, &q, now_us(w), &w->acts);
     carry_out(w);
 }
@@ -255,7 +295,7 @@
     for (int e = 0; e < w->plan->decoders; e++) {
         struct stream *newest = NULL;
 
-        if (used(w, e) <= w->plan->kv_tokens) {
+        if (used(w, e) <= w->plan->shape.kv_tokens) {
             continue;
         }
         for (guint i = 0; i < w->streams->len; i++) {
@@ -293,8 +333,10 @@
     g_strlcpy(route->targets[0].service, "llm", FW_NAME_MAX);
     g_strlcpy(s->name, "llm", sizeof(s->name));
     s->engines = 1;
-    s->engine = (struct fw_rl_engine_spec){
-        .slots = 48, .kv_tokens = w->plan->kv_tokens, .hold_us = 2 * FW_SEC};
+    s->engine =
+        (struct fw_rl_engine_spec){.slots = w->plan->shape.slots,
+                                   .kv_tokens = w->plan->shape.kv_tokens,
+                                   .hold_us = 2 * FW_SEC};
     g_strlcpy(t->name, "t", sizeof(t->name));
     t->priority = -1;
     Fw_Rules_AddKey(rules, "k", t);
@@ -302,7 +344,8 @@
     Fw_Relay_Rules(w->r, rules, 1, now_us(w), &w->acts);
     Fw_Rules_Unref(rules);
     for (int i = 0; i < w->plan->decoders + w->plan->readers; i++) {
-        struct fw_rl_server_entry e = {.slots = 48, .born_ms = 1};
+        struct fw_rl_server_entry e = {.slots = w->plan->shape.slots,
+                                       .born_ms = 1};
 
         g_snprintf(e.id, sizeof(e.id), "e%c", 'a' + i);
         g_snprintf(e.addr, sizeof(e.addr), "e%d:1", i);
--- a/tests/relay/engines.h
+++ b/tests/relay/engines.h
@@ -6,15 +6,38 @@
 #ifndef FW_TESTS_RELAY_ENGINES_H
 #define FW_TESTS_RELAY_ENGINES_H
 
+#include "decide/length.h"
 #include "relay/relay.h"
 
 #define FW_ENGINES_MAX 16
 
-/** struct fw_load_plan - a load; times in milliseconds. */
+/**
+ * struct fw_load_shape - engines and requests; lengths in tokens.
+ * @read_speed, @speed: tokens in a millisecond, read, and generated for one
+ * @in, @out: means; @spread of both, and of estimates around the answer
+ * @hint_spread: -1 when no estimates are given
+ */
+struct fw_load_shape {
+    int slots;
+    int64_t kv_tokens;
+    double read_speed;
+    double speed;
+    double in;
+    double out;
+    int64_t most_out;
+    double spread;
+    double hint_spread;
+};
+
+/**
+ * struct fw_load_plan - a load; times in milliseconds.
+ * @fixed: taken for what was learned of answers, all the time; NULL to learn
+ */
 struct fw_load_plan {
+    struct fw_load_shape shape;
+    const struct fw_length *fixed;
     int readers;
     int decoders;
-    int64_t kv_tokens;
     double per_s;     /* requests a second */
     double burst;     /* times as many between the two moments */
     int64_t burst_ms; /* from this moment on */
--- a/tests/relay/test_load.c
+++ b/tests/relay/test_load.c
@@ -1,5 +1,6 @@
 /* What callers get at a peak, played against upstreams in memory. */
 #include <check.h>
+#include <math.h>
 
 #include "relay/relay_internal.h"
 #include "tests/base/suite.h"
@@ -25,7 +26,15 @@
 {
     struct fw_load_plan plan = {.readers = 3,
                                 .decoders = 6,
-                                .kv_tokens = 107196,
+                                .shape = {.slots = 48,
+                                          .kv_tokens = 107196,
+                                          .read_speed = 55,
+                                          .speed = 1.3,
+                                          .in = 5000,
+                                          .out = 5000,
+                                          .most_out = 9360,
+                                          .spread = 0.5,
+                                          .hint_spread = 0.5},
                                 .per_s = 10.4,
                                 .burst = 1.8,
                                 .burst_ms = 5000,
@@ -114,6 +123,121 @@
 }
 END_TEST
 
+#define FW_SHAPES 8
+#define FW_SHAPE_SEEDS 2
+/* A second; more take long to play. */
+#define FW_MOST_PER_S 25
+#define FW_PLAY_S 60
+/* Times that a mean stream takes, before the burst. */
+#define FW_CALM_STREAMS 2
+/* Constants that are tried: parts of the most that may be generated. */
+static const double parts[] = {0.15, 0.3, 0.5, 0.75, 1.0};
+/* On time, of what the best of them reaches. */
+#define FW_OF_BEST_PERMILLE 900
+/* A constant knows of each answer that it is within a quarter of the most. */
+#define FW_PART_DEVIATION 0.25
+#define FW_EVENT_TOKENS 13.0
+
+static double
+between(GRand *rand, double low, double high)
+{
+    return low * exp(g_rand_double(rand) * log(high / low));
+}
+
+/* Engines, lengths, estimates and a peak, from wide ranges. */
+static void
+draw_plan(uint32_t seed, struct fw_load_plan *p)
+{
+    GRand *rand = g_rand_new_with_seed(seed);
+    struct fw_load_shape *h = &p->shape;
+    double stream;
+    double room;
+
+    *p = (struct fw_load_plan){.readers = g_rand_int_range(rand, 2, 5),
+                               .decoders = g_rand_int_range(rand, 3, 9),
+                               .reserve_permille = 100};
+    h->in = between(rand, 500, 8000);
+    h->out = between(rand, 500, 5000);
+    h->most_out = (int64_t)(h->out * between(rand, 1.5, 6));
+    h->spread = between(rand, 0.2, 0.7);
+    h->hint_spread = seed % 4 == 0 ? -1 : between(rand, 0.1, 1.5);
+    h->speed = between(rand, 0.15, 1.0);
+    h->read_speed = between(rand, 20, 80);
+    stream = h->in + h->out / 2;
+    h->kv_tokens =
+        (int64_t)((h->in * 2.2 + (double)h->most_out) * between(rand, 3, 14));
+    h->slots = g_rand_int_range(rand, 16, 96);
+    /* What memory and slots bear, and what is read in time. */
+    room = MIN((double)h->kv_tokens / stream, h->slots);
+    p->burst = between(rand, 1.5, 2.5);
+    p->per_s = MIN(p->decoders * room / (h->out / h->speed / 1000),
+                   0.6 * p->readers * h->read_speed * 1000 / h->in) /
+               p->burst * between(rand, 0.8, 1.2);
+    p->per_s = MIN(p->per_s, FW_MOST_PER_S);
+    /* Some answers have ended when the burst comes. */
+    p->burst_ms = 5000 + (int64_t)(FW_CALM_STREAMS * h->out / h->speed);
+    p->calm_ms = p->burst_ms + 5000;
+    p->until_ms = p->calm_ms + 10000;
+    g_rand_free(rand);
+}
+
+static int
+on_time(struct fw_load_plan *p)
+{
+    int sum = 0;
+
+    for (p->seed = 1; p->seed <= FW_SHAPE_SEEDS; p->seed++) {
+        struct fw_load_result got;
+
+        Fw_Load_Play(p, &got);
+        sum += got.on_time;
+    }
+    return sum;
+}
+
+/* As if answers were a fixed part of the most, whatever was seen. */
+static int
+best_constant(struct fw_load_plan *p)
+{
+    int best = 0;
+
+    for (size_t i = 0; i < G_N_ELEMENTS(parts); i++) {
+        double most = (double)p->shape.most_out / FW_EVENT_TOKENS;
+        struct fw_length fixed = {
+            .n = 1e6, .y = most * parts[i], .per_event = FW_EVENT_TOKENS};
+
+        fixed.yy = pow(most * FW_PART_DEVIATION, 2);
+        p->fixed = &fixed;
+        best = MAX(best, on_time(p));
+        p->fixed = NULL;
+    }
+    return best;
+}
+
+/*
+ * A new customer's prompts, answers, estimates and engines are like nobody's
+ * before. Figures that suit one load leave the engines of another half empty
+ * or make them preempt what they run; callers are sent away or wait.
+ */
+START_TEST(a_load_like_no_other_is_served_as_by_its_best_constant)
+{
+    struct fw_load_plan plan;
+    int learned;
+    int best;
+
+    draw_plan((uint32_t)_i + 1, &plan);
+    learned = on_time(&plan);
+    best = best_constant(&plan);
+    ck_assert_int_gt(best, 0);
+    ck_assert_msg(learned * 1000 >= best * FW_OF_BEST_PERMILLE,
+                  "%d on time, %d with the best constant; in %g, out %g of "
+                  "%d, memory %d, estimates %g",
+                  learned, best, plan.shape.in, plan.shape.out,
+                  (int)plan.shape.most_out, (int)plan.shape.kv_tokens,
+                  plan.shape.hint_spread);
+}
+END_TEST
+
 #define FW_MANY 200
 
 static struct fw_relay *
@@ -172,6 +296,9 @@
 
     tcase_add_test(tc, a_peak_is_served_on_time);
     tcase_add_test(tc, the_policy_beats_its_baselines);
+    tcase_add_loop_test(tc,
+                        a_load_like_no_other_is_served_as_by_its_best_constant,
+                        0, FW_SHAPES);
     tcase_add_test(tc, all_engines_of_a_large_fleet_are_used);
     tcase_add_loop_test(tc, crowded_servers_answer_in_time, 0, 5);
     tcase_add_loop_test(tc, servers_with_room_refuse_nobody, 0, 5);
