--- a/src/decide/memory.c
+++ b/src/decide/memory.c
@@ -7,7 +7,7 @@
  * By how many standard deviations of what its streams take together an
  * engine's memory must be larger than what they take on average.
  */
-#define FW_SPARE_DEVIATIONS 3.0
+#define FW_SPARE_DEVIATIONS 2.5
 
 /*
  * Streams of all ages take their prompts and half of their answers; and of
