--- a/src/decide/readers.c
+++ b/src/decide/readers.c
@@ -16,8 +16,8 @@
 #define FW_GUESS_LIFE_US (15.0 * FW_SEC)
 /* Of the root of the mean load: for the moments when more comes. */
 #define FW_READERS_SPARE 1.8
-/* So far off, in engines, before the number changes; half is rounding. */
-#define FW_READERS_SLACK 0.8
+/* So far off, in engines, before the number changes. */
+#define FW_READERS_SLACK 1.0
 
 static double
 fade(double us)
