--- a/src/relay/allowance.c
+++ b/src/relay/allowance.c
@@ -9,7 +9,6 @@
  * heard from: those cut off from each other keep to their parts, and the
  * sum stays within the rate whatever is cut.
  */
-#include <math.h>
 #include <string.h>
 
 #include "base/fault.h"
@@ -29,10 +28,9 @@
 #define FW_TOLERANCE_PERMILLE 200
 /*
  * Part of the tolerance that small requests may overdraw, and what counts as
- * small: a part of that. Two prompts let through at once leave a debt of one
- * (13,000 tokens); until it was paid a third of a team's plain requests were
- * refused (567 of 1,903 in 12 s at twice the rate), though all of them
- * together cost less than a tenth of the rate.
+ * small: a part of that. Two prompts let through at once leave a debt of one;
+ * until it is paid a team's plain requests would be refused, though all of
+ * them together cost a small part of the rate.
  */
 #define FW_CREDIT_PERMILLE 250
 #define FW_SMALL_PART 16
--- a/src/relay/delta.c
+++ b/src/relay/delta.c
@@ -16,9 +16,9 @@
 
 #define FW_FORM_DELTA 4
 /*
- * Fleets up to this size tell placements at once: there a burst of 25 streams
- * a second makes 50 messages to each. Where there are more instances there
- * are more engines too, and two of them are rarely taken at once.
+ * Fleets up to this size tell placements at once. Where there are more
+ * instances there are more engines too, and the same one is rarely taken by
+ * two of them at once, while each message goes to all.
  */
 #define FW_TELL_PLACED_MAX 100
 
--- a/src/relay/open.c
+++ b/src/relay/open.c
@@ -118,10 +118,9 @@
 }
 
 /*
- * An instance that is cut off refuses what others could serve at once; told
- * to wait a second, callers got plain answers of 60 ms after 1.1 s (370
- * requests on one day). Where the others are no better off a quick return
- * would only be refused again.
+ * An instance that is cut off refuses what others could serve at once, so its
+ * callers are sent to them without a pause. Where the others are no better
+ * off a quick return would only be refused again.
  */
 int64_t
 Fw_Relay_UnreadyRetry(const struct fw_relay *r, int64_t now_us)
--- a/src/relay/place.c
+++ b/src/relay/place.c
@@ -17,8 +17,7 @@
 #define FW_JITTER 0.3
 /*
  * A plain server is offered what it answers within this part of the route's
- * objective: a server whose queue is full answers everybody late (p50 280 of
- * an objective of 300 ms at 2.4 times the load that three servers bear).
+ * objective: a server whose queue is full answers everybody late.
  */
 #define FW_WAIT_PART 0.8
 /* But always so many a slot: work of unknown length must find out. */
@@ -227,8 +226,8 @@
 };
 
 /*
- * Each engine offered stays with the same chance, however many come: with
- * the first 64 of a long list kept, 3,000 engines would leave the load to 64.
+ * Each engine offered stays with the same chance, however many come, so that
+ * a long list leaves none of them idle.
  */
 static void
 offer(struct fw_relay *r, struct draw *d, struct fw_rl_server *s,
@@ -316,8 +315,8 @@
 
 /*
  * Of two engines drawn at random the one that would be ready first. Loads of
- * other instances are known late, so the best of all looks best to everyone:
- * with 62 instances all prompts of 200 ms went to one engine.
+ * other instances are known late, so the best of all looks best to everyone,
+ * and until the next news all prompts would go to it.
  */
 struct fw_rl_server *
 Fw_Place_Read(struct fw_relay *r, const struct fw_rl_call *c, int64_t now_us,
--- a/src/relay/plain.c
+++ b/src/relay/plain.c
@@ -19,9 +19,7 @@
 #define FW_RETRY_NO_SERVER_US (1 * FW_SEC)
 /*
  * Servers full of plain requests: one that comes back within this has a
- * second chance within an objective of 300 ms. After about a second (0.7 to
- * 1.3 s) it was late in any case: 57,353 on time in place of 57,667 of 76,000
- * over 24 days.
+ * second chance within its objective.
  */
 #define FW_RETRY_BUSY_LEAST_US (80 * FW_MSEC)
 #define FW_RETRY_BUSY_MOST_US (200 * FW_MSEC)
--- a/src/relay/servers.c
+++ b/src/relay/servers.c
@@ -89,9 +89,8 @@
 
 /*
  * One answer that stays away may have been lost while the server is well: it
- * is left alone only after the second in a row. With a third of the answers
- * of five engines lost, each loss took the engine's memory away from
- * everybody for 700 ms.
+ * is left alone only after the second in a row. Otherwise each loss would
+ * take an engine's memory away from everybody for a while.
  */
 void
 Fw_Servers_Silent(struct fw_rl_server *s, int64_t now_us)
--- a/src/relay/stream.c
+++ b/src/relay/stream.c
@@ -11,8 +11,8 @@
 #include "relay/relay_internal.h"
 
 /*
- * A reservation that isn't answered by then is asked for elsewhere: they are
- * answered in 2 to 4 ms, and each wait is taken off an objective of 900 ms.
+ * A reservation that isn't answered by then is asked for elsewhere: it takes
+ * an engine a few milliseconds, and each wait is taken off the objective.
  */
 #define FW_HOLD_WAIT_US (120 * FW_MSEC)
 /*
@@ -250,8 +250,8 @@
 
 /*
  * Another engine reads the prompt; the reservation stays. Giving that back
- * and starting over cost a place in a full fleet: when 11 of 44 engines
- * crashed at once, 315 requests lost theirs.
+ * and starting over costs a place in a full fleet, and when many engines
+ * crash at once, that of many requests.
  * @arrivals: at engines, that the prefill in vain was
  */
 static void
--- a/src/relay/watch.c
+++ b/src/relay/watch.c
@@ -19,10 +19,7 @@
 #define FW_FORM_QUESTION 2
 #define FW_FORM_ANSWER 3
 
-/*
- * A fleet up to this size reads the store by itself, each instance. With four
- * readers of nine the store has 30 % fewer calls than with nine.
- */
+/* A fleet up to this size reads the store by itself, each instance. */
 #define FW_READ_ALL 4
 /* Of a larger one, one in so many, but no fewer than FW_READERS_MIN. */
 #define FW_READERS_PART 16
