Tell spending of tight teams to each instance directly

Change: a message between digests that bears spending goes to each instance itself; placements and digests still go through one of each other domain. The address that answers go to is the one a datagram came from, not one that its sender names.

--- a/explore/relay_fleet.c
+++ b/explore/relay_fleet.c
@@ -188,6 +188,7 @@
 
     if (Fw_Envelope_Open(m->data->data, m->data->len, &e)) {
         if (e.pass_on) {
+            g_strlcpy(e.addr, f->sites[m->from].addr, sizeof(e.addr));
             pass_on(f, m->to, &e);
         }
     }
@@ -241,7 +242,7 @@
     Fw_Relay_Routes(f->sites[from].relay, Fw_RelayFleet_Now(f, from), direct,
                     through);
     post_each(f, from, direct, msg);
-    Fw_Envelope_Write(1, f->sites[from].addr, msg->data, msg->len, envelope);
+    Fw_Envelope_Write(1, "", msg->data, msg->len, envelope);
     post_each(f, from, through, envelope);
     g_byte_array_unref(envelope);
     g_ptr_array_unref(direct);
@@ -252,10 +253,21 @@
 Fw_RelayFleet_TellDelta(struct fleet *f, int i)
 {
     GByteArray *msg = g_byte_array_new();
+    GPtrArray *addrs = g_ptr_array_new();
 
-    if (Fw_Relay_WriteDelta(f->sites[i].relay, Fw_RelayFleet_Now(f, i), msg)) {
+    switch (
+        Fw_Relay_WriteDelta(f->sites[i].relay, Fw_RelayFleet_Now(f, i), msg)) {
+    case FW_RL_TELL_NOTHING:
+        break;
+    case FW_RL_TELL:
         post_to_all(f, i, msg);
+        break;
+    case FW_RL_TELL_DIRECTLY:
+        Fw_Relay_Members(f->sites[i].relay, addrs);
+        post_each(f, i, addrs, msg);
+        break;
     }
+    g_ptr_array_unref(addrs);
     g_byte_array_unref(msg);
 }
 
--- a/src/relay/delta.c
+++ b/src/relay/delta.c
@@ -110,15 +110,23 @@
     }
 }
 
-int
+enum fw_rl_tell
 Fw_Relay_WriteDelta(struct fw_relay *r, int64_t now_us, GByteArray *out)
 {
+    GHashTableIter it;
+    gpointer v;
     msgpack_packer pk;
 
+    int spent = 0;
+
     if (!r->delta_wanted) {
-        return 0;
+        return FW_RL_TELL_NOTHING;
     }
     r->delta_wanted = 0;
+    g_hash_table_iter_init(&it, r->allowances);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        spent |= is_told(v, 1);
+    }
     Fw_Pack_Begin(&pk, out);
     msgpack_pack_array(&pk, 6);
     msgpack_pack_int(&pk, FW_FORM_DELTA);
@@ -127,7 +135,7 @@
     msgpack_pack_uint64(&pk, ++r->digest_seq);
     Fw_Delta_PackSpent(r, &pk, 1);
     Fw_Delta_PackLoad(r, &pk, 1, now_us);
-    return 1;
+    return spent ? FW_RL_TELL_DIRECTLY : FW_RL_TELL;
 }
 
 /*
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -284,15 +284,25 @@
 /* What other instances should know; appended to @out. */
 void
 Fw_Relay_WriteDigest(struct fw_relay *r, int64_t now_us, GByteArray *out);
+/**
+ * enum fw_rl_tell - whether there is something to tell, and how.
+ * @FW_RL_TELL_DIRECTLY: to each instance itself: what was spent must not be
+ *     lost with one that would pass it on, or others spend it again
+ */
+enum fw_rl_tell {
+    FW_RL_TELL_NOTHING,
+    FW_RL_TELL,
+    FW_RL_TELL_DIRECTLY,
+};
+
 /* Nonzero when the others should be told sooner than usual. */
 int
 Fw_Relay_DigestWanted(const struct fw_relay *r);
 /*
  * What this instance has just taken, of a tight team's allowance or at an
  * engine, for all others when they should know at once: appended to @out.
- * Return: nonzero when there is any.
  */
-int
+enum fw_rl_tell
 Fw_Relay_WriteDelta(struct fw_relay *r, int64_t now_us, GByteArray *out);
 /*
  * What was learned here, for an instance that has just started: appended to
--- a/src/relay/spread.h
+++ b/src/relay/spread.h
@@ -13,7 +13,7 @@
 /**
  * struct fw_rl_envelope - a message that came by way of another instance.
  * @pass_on: it is to go to the others of this domain
- * @addr: of the instance that wrote it
+ * @addr: of the instance that wrote it; empty when that sent it itself
  * @data, @len: the message, in what was received
  */
 struct fw_rl_envelope {
--- a/src/relayd/peers.c
+++ b/src/relayd/peers.c
@@ -60,7 +60,7 @@
     Fw_Relay_Routes(d->relay, Fw_Conn_Now(), direct, through);
     send_each(d, direct, msg);
     if (through->len) {
-        Fw_Envelope_Write(1, d->opts.peers, msg->data, msg->len, envelope);
+        Fw_Envelope_Write(1, "", msg->data, msg->len, envelope);
         send_each(d, through, envelope);
     }
     g_byte_array_unref(envelope);
@@ -100,10 +100,20 @@
 Fw_Peer_TellDelta(struct fw_relayd *d)
 {
     GByteArray *msg = g_byte_array_new();
+    GPtrArray *addrs = g_ptr_array_new();
 
-    if (Fw_Relay_WriteDelta(d->relay, Fw_Conn_Now(), msg)) {
+    switch (Fw_Relay_WriteDelta(d->relay, Fw_Conn_Now(), msg)) {
+    case FW_RL_TELL_NOTHING:
+        break;
+    case FW_RL_TELL:
         send_to_all(d, msg);
+        break;
+    case FW_RL_TELL_DIRECTLY:
+        Fw_Relay_Members(d->relay, addrs);
+        send_each(d, addrs, msg);
+        break;
     }
+    g_ptr_array_unref(addrs);
     g_byte_array_unref(msg);
 }
 
@@ -129,6 +139,7 @@
     Fw_Addr_Print(from, addr);
     if (Fw_Envelope_Open(data, len, &e)) {
         if (e.pass_on) {
+            g_strlcpy(e.addr, addr, sizeof(e.addr));
             pass_on(d, &e);
         }
         g_strlcpy(addr, e.addr, sizeof(addr));
