Take figures of the platform as fractions, true or false

Cause: on a site whose bounds are fractions (33.2 repeats beyond the ratio) no process started: [limits] retry-extra: must be a whole number.

Change: limits that the platform's figures go into are read as numbers and rounded down, which is the safe side of each; seconds keep six decimals. Out of range or no number is still an error that names file, group, key and range; a decimal's error now names its range as well.

--- a/src/daemon/ini.c
+++ b/src/daemon/ini.c
@@ -1,6 +1,7 @@
 #include "daemon/ini.h"
 
 #include <errno.h>
+#include <math.h>
 #include <string.h>
 
 #include "io/addr.h"
@@ -101,17 +102,35 @@
     return "must be";
 }
 
-static const char *
-read_decimal(const struct fw_ini_key *key, const char *text, int64_t *out)
+/* Reads a number, or true and false as 1 and 0. Return: 0 or -EINVAL. */
+static int
+read_number(const char *text, double *out)
 {
     char *end;
-    double v = g_ascii_strtod(text, &end);
 
-    if (end == text || *end) {
+    if (strcmp(text, "true") == 0 || strcmp(text, "false") == 0) {
+        *out = text[0] == 't';
+        return 0;
+    }
+    *out = g_ascii_strtod(text, &end);
+    return end == text || *end || !isfinite(*out) ? -EINVAL : 0;
+}
+
+static const char *
+read_scaled(const struct fw_ini_key *key, const char *text, double scale,
+            int64_t *out)
+{
+    double v;
+
+    if (read_number(text, &v)) {
         return "must be a number";
     }
-    *out = (int64_t)(v * FW_MILLIONTHS);
-    return *out >= key->min && *out <= key->max ? NULL : "is out of bounds";
+    v = floor(v * scale);
+    if (v < (double)key->min || v > (double)key->max) {
+        return "is out of bounds";
+    }
+    *out = (int64_t)v;
+    return NULL;
 }
 
 static const char *
@@ -147,7 +166,9 @@
     case FW_INI_CHOICE:
         return read_choice(key->words, text, at);
     case FW_INI_DECIMAL:
-        return read_decimal(key, text, at);
+        return read_scaled(key, text, FW_MILLIONTHS, at);
+    case FW_INI_FLOOR:
+        return read_scaled(key, text, 1.0, at);
     case FW_INI_INT:
         return g_ascii_string_to_signed(text, 10, key->min, key->max, at, NULL)
                    ? NULL
@@ -179,17 +200,19 @@
 complain_value(const char *path, const struct fw_ini_key *key,
                const char *what)
 {
+    double unit = key->kind == FW_INI_DECIMAL ? FW_MILLIONTHS : 1.0;
     char *text;
     char *out;
 
     if (key->kind == FW_INI_CHOICE) {
         return complain_choice(path, key, what);
     }
-    if (key->kind != FW_INI_INT) {
+    if (key->kind != FW_INI_INT && key->kind != FW_INI_FLOOR &&
+        key->kind != FW_INI_DECIMAL) {
         return complain(path, key->group, key->name, what);
     }
-    text = g_strdup_printf("%s from %" G_GINT64_FORMAT " to %" G_GINT64_FORMAT,
-                           what, key->min, key->max);
+    text = g_strdup_printf("%s from %.15g to %.15g", what,
+                           (double)key->min / unit, (double)key->max / unit);
     out = complain(path, key->group, key->name, text);
     g_free(text);
     return out;
--- a/src/daemon/ini.h
+++ b/src/daemon/ini.h
@@ -19,6 +19,7 @@
     FW_INI_CHOICE,  /* int64_t: index of a word */
     FW_INI_INT,     /* int64_t: whole number between min and max */
     FW_INI_DECIMAL, /* int64_t: millionths of a number, min and max too */
+    FW_INI_FLOOR,   /* int64_t: a number, rounded down to a whole one */
 };
 
 /**
@@ -52,7 +53,8 @@
  * Fw_Ini_Load - reads the file @path into @values.
  * @error: what is wrong, naming file, group and key; to be freed
  *
- * An empty value of a key with a default counts as not given. Unknown groups
+ * An empty value of a key with a default counts as not given. DECIMAL and
+ * FLOOR take true and false as 1 and 0. Unknown groups
  * and keys are errors.
  *
  * Return: 0 or -EINVAL.
--- a/src/relayd/settings.c
+++ b/src/relayd/settings.c
@@ -12,9 +12,7 @@
 struct values {
     struct fw_relayd_opts out;
     int64_t revocation_ms;
-    int64_t retry_window_s;
     int64_t lease_ms;
-    int64_t grace_s;
     int64_t rules_wait_ms;
     int64_t servers_every_ms;
     int64_t digest_every_ms;
@@ -38,6 +36,17 @@
 #define FW_AT(field) offsetof(struct values, field)
 #define FW_INT(group, key, fallback, min, max, field)                         \
     FW_INI_NUMBER(group, key, fallback, min, max, FW_AT(field))
+/* Figures that a platform may give as fractions. */
+#define FW_FLOOR(group, key, fallback, min, max, field)                       \
+    {                                                                         \
+        group, key, FW_INI_FLOOR, fallback, min, max, FW_AT(field), NULL      \
+    }
+/* Seconds of up to six decimals, kept as microseconds. */
+#define FW_SECONDS(group, key, fallback, min, max, field)                     \
+    {                                                                         \
+        group, key, FW_INI_DECIMAL, fallback, (min)*FW_SEC, (max)*FW_SEC,     \
+            FW_AT(field), NULL                                                \
+    }
 #define FW_TEXT(group, key, kind, fallback, field)                            \
     FW_INI_TEXT(group, key, kind, fallback, FW_AT(field))
 
@@ -59,16 +68,17 @@
     FW_TEXT("store", "address", FW_INI_LISTEN, NULL, out.store),
     FW_INT("store", "rules-wait-ms", "1500", 0, 30000, rules_wait_ms),
     FW_INT("store", "servers-every-ms", "700", 50, 60000, servers_every_ms),
-    FW_INT("limits", "revocation-ms", "5000", 100, 600000, revocation_ms),
+    FW_FLOOR("limits", "revocation-ms", "5000", 100, 600000, revocation_ms),
     {"limits", "retry-ratio", FW_INI_DECIMAL, "0.2", 0, 10000000,
      FW_AT(out.relay.retry_ratio_ppm), NULL},
-    FW_INT("limits", "retry-extra", "10", 0, 1000000, out.relay.retry_extra),
-    FW_INT("limits", "retry-window-s", "10", 1, 3600, retry_window_s),
+    FW_FLOOR("limits", "retry-extra", "10", 0, 1000000, out.relay.retry_extra),
+    FW_SECONDS("limits", "retry-window-s", "10", 1, 3600,
+               out.relay.retry_window_us),
     {"limits", "overage", FW_INI_DECIMAL, "0", 0, 1000000,
      FW_AT(out.relay.overage_ppm), NULL},
-    FW_INT("limits", "tolerance", "0", 0, 1000000000, out.relay.tolerance),
-    FW_INT("limits", "lease-ms", "3000", 100, 600000, lease_ms),
-    FW_INT("limits", "grace-s", "8", 1, 3600, grace_s),
+    FW_FLOOR("limits", "tolerance", "0", 0, 1000000000, out.relay.tolerance),
+    FW_FLOOR("limits", "lease-ms", "3000", 100, 600000, lease_ms),
+    FW_SECONDS("limits", "grace-s", "8", 1, 3600, out.relay.grace_us),
     FW_INT("peers", "digest-every-ms", "150", 10, 10000, digest_every_ms),
     {"policy", "routing", FW_INI_CHOICE, "full", 0, 0, FW_AT(policy),
      policies},
@@ -87,7 +97,6 @@
     struct fw_relay_opts *r = &out->relay;
 
     *out = v->out;
-    r->retry_window_us = v->retry_window_s * FW_SEC;
     r->key_stale_us = v->revocation_ms * FW_STALE_PERMILLE;
     r->policy = (enum fw_rl_policy)v->policy;
     r->queue_us = v->queue_ms * FW_MSEC;
@@ -95,7 +104,6 @@
     r->read_here_us = v->read_here_ms * FW_MSEC;
     r->prefill_permille = (int)v->prefill_permille;
     r->lease_us = v->lease_ms * FW_MSEC;
-    r->grace_us = v->grace_s * FW_SEC;
     r->log_level = (int)v->log_level;
     r->log_sample = (int)v->log_sample;
     out->rules_wait_us = v->rules_wait_ms * FW_MSEC;
