--- a/bench/bench_digest.c
+++ b/bench/bench_digest.c
@@ -5,7 +5,7 @@
 #include <stdio.h>
 #include <time.h>
 
-#include "relay/relay.h"
+#include "relay/relay_internal.h"
 
 #define FW_TEAMS 12000
 #define FW_ROUNDS 20
@@ -61,17 +61,20 @@
     double wrote_s = 0;
     double took_s = 0;
     guint bytes = 0;
+    struct fw_rl_mail mail;
 
+    Fw_Mail_Init(&mail);
     for (int i = 0; i < FW_ROUNDS; i++) {
         int64_t now_us = FW_SEC + i * 150 * FW_MSEC;
         GByteArray *msg = g_byte_array_new();
         double t0 = now_s();
         double t1;
 
-        Fw_Relay_WriteDigest(from, now_us, msg);
+        Fw_Digest_Write(from, now_us, msg);
         t1 = now_s();
         g_assert(Fw_Relay_ReadMessage(to, "127.0.0.1:1", msg->data, msg->len,
-                                      now_us, NULL) >= 0);
+                                      now_us, &mail) >= 0);
+        Fw_Mail_Clear(&mail);
         took_s += now_s() - t1;
         wrote_s += t1 - t0;
         bytes = msg->len;
@@ -80,6 +83,7 @@
     printf("%d teams, %u bytes: written in %.2f ms, taken in %.2f ms\n",
            FW_TEAMS, bytes, wrote_s * 1e3 / FW_ROUNDS,
            took_s * 1e3 / FW_ROUNDS);
+    g_ptr_array_unref(mail.all);
     Fw_Relay_Free(from);
     Fw_Relay_Free(to);
     Fw_Rules_Unref(rules);
--- a/explore/p_relay.h
+++ b/explore/p_relay.h
@@ -7,6 +7,11 @@
 /* relay_allowance.c */
 void
 Fw_Explore_RelayAllowance(struct fw_run *run);
+void
+Fw_Explore_RelayAllowanceHubs(struct fw_run *run);
+/* relay_hubs.c */
+void
+Fw_Explore_RelayHubs(struct fw_run *run);
 /* relay_requests.c */
 void
 Fw_Explore_RelayRequests(struct fw_run *run);
@@ -16,5 +21,7 @@
 /* relay_freshness.c */
 void
 Fw_Explore_RelayFreshness(struct fw_run *run);
+void
+Fw_Explore_RelayFreshnessHubs(struct fw_run *run);
 
 #endif
--- a/explore/relay_allowance.c
+++ b/explore/relay_allowance.c
@@ -117,8 +117,8 @@
     }
 }
 
-void
-Fw_Explore_RelayAllowance(struct fw_run *run)
+static void
+explore(struct fw_run *run, int least, int more)
 {
     struct fw_rl_rules *rules = make_rules();
     GArray *grants = g_array_new(FALSE, FALSE, sizeof(struct grant));
@@ -126,7 +126,8 @@
     struct fleet f;
     int64_t last_us = 0;
 
-    Fw_RelayFleet_Init(&f, run, 3 + g_rand_int_range(run->rand, 0, 7), rules);
+    Fw_RelayFleet_Init(&f, run, least + g_rand_int_range(run->rand, 0, more),
+                       rules);
     Fw_RelayFleet_Advance(&f, 10 * FW_SEC);
     for (int s = 0; s < run->steps && !run->breach[0]; s++) {
         int i = Fw_RelayFleet_Below(&f, f.n);
@@ -142,7 +143,7 @@
                                Fw_RelayFleet_Now(&f, i), &retry_us)) {
             continue;
         }
-        Fw_RelayFleet_TellDelta(&f, i);
+        Fw_RelayFleet_Send(&f, i);
         g_array_append_vals(
             grants, &(struct grant){.at_us = f.now_us, .tokens = cost}, 1);
         check(run, grants);
@@ -152,3 +153,16 @@
     Fw_RelayFleet_Clear(&f);
     Fw_Rules_Unref(rules);
 }
+
+void
+Fw_Explore_RelayAllowance(struct fw_run *run)
+{
+    explore(run, 3, 7);
+}
+
+/* Of a fleet in which most instances are leaves. */
+void
+Fw_Explore_RelayAllowanceHubs(struct fw_run *run)
+{
+    explore(run, 14, 26);
+}
--- a/explore/relay_fleet.c
+++ b/explore/relay_fleet.c
@@ -3,7 +3,6 @@
 #include <string.h>
 
 #define FW_STEP_US (20 * FW_MSEC)
-#define FW_DIGEST_US (150 * FW_MSEC)
 #define FW_DOMAINS 3
 
 /** struct fleet_msg - a datagram; @to, @from: sites. */
@@ -11,7 +10,7 @@
     int from;
     int to;
     int64_t at_us;
-    GByteArray *data;
+    GBytes *data;
 };
 
 static void
@@ -19,7 +18,7 @@
 {
     struct fleet_msg *m = data;
 
-    g_byte_array_unref(m->data);
+    g_bytes_unref(m->data);
     g_free(m);
 }
 
@@ -41,6 +40,12 @@
     return f->now_us >= f->sites[i].frozen_until_us;
 }
 
+static void
+domain_name(int i, char out[FW_NAME_MAX])
+{
+    g_snprintf(out, FW_NAME_MAX, "d%d", i % FW_DOMAINS);
+}
+
 static void
 start(struct fleet *f, int i)
 {
@@ -63,14 +68,19 @@
     int64_t now = Fw_RelayFleet_Now(f, i);
 
     g_strlcpy(o.name, s->name, sizeof(o.name));
-    g_snprintf(o.domain, sizeof(o.domain), "d%d", i % FW_DOMAINS);
+    domain_name(i, o.domain);
     s->relay = Fw_Relay_New(&o, now);
     Fw_Acts_Init(&s->acts);
     Fw_Relay_Rules(s->relay, f->rules, 1, now, &s->acts);
     Fw_Relay_Fresh(s->relay, now);
     Fw_Relay_ListEnd(s->relay, now, &s->acts);
     for (int k = 0; k < f->n; k++) {
-        Fw_Relay_AddMember(s->relay, f->sites[k].name, f->sites[k].addr, now);
+        struct fw_rl_peer peer = {0};
+
+        g_strlcpy(peer.name, f->sites[k].name, sizeof(peer.name));
+        g_strlcpy(peer.addr, f->sites[k].addr, sizeof(peer.addr));
+        domain_name(k, peer.domain);
+        Fw_Relay_AddMember(s->relay, &peer, now);
     }
 }
 
@@ -86,6 +96,7 @@
                         .late_pct = 3,
                         .late_max_us = 5 * FW_SEC};
     f->late = g_ptr_array_new_with_free_func(msg_free);
+    Fw_Mail_Init(&f->mail);
     for (int i = 0; i < n; i++) {
         struct fleet_site *s = &f->sites[i];
 
@@ -107,6 +118,8 @@
         Fw_Relay_Free(f->sites[i].relay);
     }
     g_ptr_array_unref(f->late);
+    Fw_Mail_Clear(&f->mail);
+    g_ptr_array_unref(f->mail.all);
 }
 
 void
@@ -120,12 +133,13 @@
 }
 
 static void
-post(struct fleet *f, int from, int to, const GByteArray *data)
+post(struct fleet *f, int from, int to, GBytes *data)
 {
     struct fleet_msg *m;
     int64_t delay = FW_MSEC;
 
     if (f->sites[from].cut || f->sites[to].cut ||
+        f->sites[from].side != f->sites[to].side ||
         Fw_RelayFleet_Below(f, 100) < f->lose_pct) {
         return;
     }
@@ -136,8 +150,7 @@
     m->from = from;
     m->to = to;
     m->at_us = f->now_us + delay;
-    m->data = g_byte_array_new();
-    g_byte_array_append(m->data, data->data, data->len);
+    m->data = g_bytes_ref(data);
     g_ptr_array_add(f->late, m);
 }
 
@@ -153,51 +166,30 @@
 }
 
 static void
-post_each(struct fleet *f, int from, const GPtrArray *addrs,
-          const GByteArray *msg)
+post_all(struct fleet *f, int from, struct fw_rl_mail *mail)
 {
-    for (guint i = 0; i < addrs->len; i++) {
-        int to = site_at(f, g_ptr_array_index(addrs, i));
+    for (guint i = 0; i < mail->all->len; i++) {
+        const struct fw_rl_datagram *d = g_ptr_array_index(mail->all, i);
+        int to = site_at(f, d->addr);
 
         if (to >= 0) {
-            post(f, from, to, msg);
+            post(f, from, to, d->data);
         }
     }
-}
-
-static void
-pass_on(struct fleet *f, int by, const struct fw_rl_envelope *e)
-{
-    GPtrArray *to = g_ptr_array_new();
-    GByteArray *envelope = g_byte_array_new();
-
-    Fw_Envelope_Write(0, e->addr, e->data, e->len, envelope);
-    Fw_Relay_PassOn(f->sites[by].relay, e->addr, to);
-    post_each(f, by, to, envelope);
-    g_byte_array_unref(envelope);
-    g_ptr_array_unref(to);
+    Fw_Mail_Clear(mail);
 }
 
 static void
 arrive(struct fleet *f, const struct fleet_msg *m)
 {
-    struct fw_rl_envelope e = {.data = m->data->data, .len = m->data->len};
-    GByteArray *reply = g_byte_array_new();
-
-    g_strlcpy(e.addr, f->sites[m->from].addr, sizeof(e.addr));
-
-    if (Fw_Envelope_Open(m->data->data, m->data->len, &e)) {
-        if (e.pass_on) {
-            g_strlcpy(e.addr, f->sites[m->from].addr, sizeof(e.addr));
-            pass_on(f, m->to, &e);
-        }
-    }
-    Fw_Relay_ReadMessage(f->sites[m->to].relay, e.addr, e.data, e.len,
-                         Fw_RelayFleet_Now(f, m->to), reply);
-    if (reply->len) {
-        post(f, m->to, site_at(f, e.addr), reply);
-    }
-    g_byte_array_unref(reply);
+    gsize len;
+    const void *data = g_bytes_get_data(m->data, &len);
+
+    f->crossed += m->from % FW_DOMAINS != m->to % FW_DOMAINS;
+    f->sites[m->to].got++;
+    Fw_Relay_ReadMessage(f->sites[m->to].relay, f->sites[m->from].addr, data,
+                         len, Fw_RelayFleet_Now(f, m->to), &f->mail);
+    post_all(f, m->to, &f->mail);
 }
 
 static void
@@ -215,80 +207,38 @@
     }
 }
 
-static void
-ask(struct fleet *f, int i)
+void
+Fw_RelayFleet_Send(struct fleet *f, int i)
 {
-    GByteArray *msg = g_byte_array_new();
-    const char *addr;
-
-    if (Fw_Relay_WriteQuestion(f->sites[i].relay, Fw_RelayFleet_Now(f, i), msg,
-                               &addr)) {
-        int to = site_at(f, addr);
-
-        if (to >= 0) {
-            post(f, i, to, msg);
+    if (Fw_RelayFleet_Runs(f, i)) {
+        if (f->ticks) {
+            Fw_Members_Tick(f->sites[i].relay, Fw_RelayFleet_Now(f, i),
+                            &f->sites[i].acts);
+            g_array_set_size(f->sites[i].acts.all, 0);
         }
+        Fw_Relay_Exchange(f->sites[i].relay, Fw_RelayFleet_Now(f, i),
+                          &f->mail);
+        post_all(f, i, &f->mail);
     }
-    g_byte_array_unref(msg);
-}
-
-static void
-post_to_all(struct fleet *f, int from, const GByteArray *msg)
-{
-    GPtrArray *direct = g_ptr_array_new();
-    GPtrArray *through = g_ptr_array_new();
-    GByteArray *envelope = g_byte_array_new();
-
-    Fw_Relay_Routes(f->sites[from].relay, Fw_RelayFleet_Now(f, from), direct,
-                    through);
-    post_each(f, from, direct, msg);
-    Fw_Envelope_Write(1, "", msg->data, msg->len, envelope);
-    post_each(f, from, through, envelope);
-    g_byte_array_unref(envelope);
-    g_ptr_array_unref(direct);
-    g_ptr_array_unref(through);
 }
 
 void
-Fw_RelayFleet_TellDelta(struct fleet *f, int i)
+Fw_RelayFleet_Split(struct fleet *f)
 {
-    GByteArray *msg = g_byte_array_new();
-    GPtrArray *addrs = g_ptr_array_new();
+    int domain = Fw_RelayFleet_Below(f, FW_DOMAINS);
 
-    switch (
-        Fw_Relay_WriteDelta(f->sites[i].relay, Fw_RelayFleet_Now(f, i), msg)) {
-    case FW_RL_TELL_NOTHING:
-        break;
-    case FW_RL_TELL:
-        post_to_all(f, i, msg);
-        break;
-    case FW_RL_TELL_DIRECTLY:
-        Fw_Relay_Members(f->sites[i].relay, addrs);
-        post_each(f, i, addrs, msg);
-        break;
+    for (int i = domain; i < f->n; i += FW_DOMAINS) {
+        f->sites[i].side = 1;
     }
-    g_ptr_array_unref(addrs);
-    g_byte_array_unref(msg);
 }
 
-static void
-tell(struct fleet *f, int i)
+void
+Fw_RelayFleet_Heal(struct fleet *f)
 {
-    struct fleet_site *s = &f->sites[i];
-    GByteArray *msg;
-
-    if (!Fw_RelayFleet_Runs(f, i)) {
-        return;
-    }
-    ask(f, i);
-    if (f->now_us < s->digest_us) {
-        return;
+    for (int i = 0; i < f->n; i++) {
+        f->sites[i].cut = 0;
+        f->sites[i].side = 0;
     }
-    s->digest_us = f->now_us + FW_DIGEST_US;
-    msg = g_byte_array_new();
-    Fw_Relay_WriteDigest(s->relay, Fw_RelayFleet_Now(f, i), msg);
-    post_to_all(f, i, msg);
-    g_byte_array_unref(msg);
 }
 
 void
@@ -300,7 +250,7 @@
         f->now_us += MIN(FW_STEP_US, end - f->now_us);
         deliver(f);
         for (int i = 0; i < f->n; i++) {
-            tell(f, i);
+            Fw_RelayFleet_Send(f, i);
         }
     }
 }
--- a/explore/relay_fleet.h
+++ b/explore/relay_fleet.h
@@ -7,9 +7,8 @@
 
 #include "explore/explore.h"
 #include "relay/relay_internal.h"
-#include "relay/spread.h"
 
-#define FW_FLEET_MAX 20
+#define FW_FLEET_MAX 128
 
 /** struct fleet_site - one instance; @skew_us: its clock beside the run's. */
 struct fleet_site {
@@ -18,13 +17,17 @@
     char name[FW_NAME_MAX];
     char addr[FW_URL_MAX];
     int64_t skew_us;
-    int64_t digest_us;
     int64_t frozen_until_us;
     uint64_t boot;
-    int cut; /* hears and reaches nobody */
+    int cut;  /* receives from and reaches nobody */
+    int side; /* of a split; messages stay on one */
+    int got;  /* messages that arrived */
 };
 
-/** struct fleet - @late: messages under way, of struct fleet_msg. */
+/**
+ * struct fleet - instances, and what goes between them.
+ * @late: messages under way, of struct fleet_msg
+ */
 struct fleet {
     struct fw_run *run;
     int n;
@@ -35,6 +38,9 @@
     int lose_pct;
     int late_pct;
     int64_t late_max_us;
+    struct fw_rl_mail mail;
+    int ticks;   /* members that were silent for long are dropped */
+    int crossed; /* messages between domains */
 };
 
 void
@@ -53,9 +59,15 @@
 /* Time goes on by @us in small steps: messages arrive, digests go out. */
 void
 Fw_RelayFleet_Advance(struct fleet *f, int64_t us);
-/* Instance @i tells the others at once what it has just taken. */
+/* Instance @i sends what is due, or wanted at once. */
+void
+Fw_RelayFleet_Send(struct fleet *f, int i);
+/* Cuts the instances of one domain off from the others. */
+void
+Fw_RelayFleet_Split(struct fleet *f);
+/* Ends all cuts. */
 void
-Fw_RelayFleet_TellDelta(struct fleet *f, int i);
+Fw_RelayFleet_Heal(struct fleet *f);
 int
 Fw_RelayFleet_Runs(const struct fleet *f, int i);
 
--- a/explore/relay_freshness.c
+++ b/explore/relay_freshness.c
@@ -37,13 +37,14 @@
 follow(struct fleet *f, int i, const struct history *h)
 {
     struct fw_relay *r = f->sites[i].relay;
+    char addr[FW_URL_MAX];
     int wants;
 
     if (!Fw_RelayFleet_Runs(f, i) || f->sites[i].cut || h->refused[i]) {
         return;
     }
     wants = Fw_Relay_ReadsStore(r, Fw_RelayFleet_Now(f, i));
-    wants |= Fw_Relay_TakeWantRules(r);
+    wants |= Fw_Relay_TakeWantRules(r, addr);
     if (wants && Fw_RelayFleet_Below(f, 100) < 30) {
         read_store(f, i, h);
     }
@@ -69,15 +70,16 @@
     }
 }
 
-void
-Fw_Explore_RelayFreshness(struct fw_run *run)
+static void
+explore(struct fw_run *run, int least, int more)
 {
     struct fw_rl_rules *rules = Fw_Rules_New();
     struct history h = {.n = 1};
     struct fleet f;
 
     rules->version = 1;
-    Fw_RelayFleet_Init(&f, run, 5 + g_rand_int_range(run->rand, 0, 15), rules);
+    Fw_RelayFleet_Init(&f, run, least + g_rand_int_range(run->rand, 0, more),
+                       rules);
     f.late_pct = 20;
     f.late_max_us = 8 * FW_SEC;
     h.at_us[0] = f.now_us;
@@ -107,3 +109,16 @@
     Fw_RelayFleet_Clear(&f);
     Fw_Rules_Unref(rules);
 }
+
+void
+Fw_Explore_RelayFreshness(struct fw_run *run)
+{
+    explore(run, 5, 15);
+}
+
+/* Of a fleet in which most instances are leaves. */
+void
+Fw_Explore_RelayFreshnessHubs(struct fw_run *run)
+{
+    explore(run, 20, 20);
+}
--- a/explore/relay_orders.c
+++ b/explore/relay_orders.c
@@ -197,7 +197,7 @@
         int e = Fw_RelayFleet_Below(&w.f, FW_ENGINES);
 
         Fw_RelayFleet_Advance(&w.f, Fw_RelayFleet_Below(&w.f, 200) * FW_MSEC);
-        if (Fw_RelayFleet_Below(&w.f, 20) == 0) {
+        if (Fw_RelayFleet_Below(&w.f, 8) == 0) {
             w.stage[e] = Fw_RelayFleet_Below(&w.f, 2) ? FW_RL_STAGE_PREFILL
                                                       : FW_RL_STAGE_DECODE;
         }
--- a/src/relay/allowance.c
+++ b/src/relay/allowance.c
@@ -1,13 +1,14 @@
 /*
  * Teams' allowances, over all instances together and without a leader.
  *
- * Each instance tells the others several times a second what it has spent
- * for each team, and takes from one bucket for the whole fleet as it knows
- * it: what others spent is taken off as it is heard, below zero if need be,
- * so that what was granted twice in between is missing afterwards. The
- * bucket refills with that part of the rate that belongs to the instances
- * heard from: those cut off from each other keep to their parts, and the
- * sum stays within the rate whatever is cut.
+ * Hubs send each other several times a second what they and their leaves
+ * have spent for each team, and each takes from one bucket for the whole fleet
+ * as it knows it: what others spent is taken off as it becomes known, below
+ * zero if need be, so that what was granted twice in between is missing
+ * afterwards. A leaf works on a copy of its hub's bucket. The bucket refills
+ * with that part of the rate that belongs to the instances in touch: those
+ * cut off from each other keep to their parts, and the sum stays within the
+ * rate whatever is cut.
  */
 #include <string.h>
 
@@ -19,10 +20,14 @@
 #define FW_START_LEVEL 0.25
 /* Within this after its start an instance takes over another's level. */
 #define FW_ADOPT_US (3 * FW_SEC)
-/* Below this part of the burst the others are told soon. */
+/* Below this part of the burst others should know soon what was spent. */
 #define FW_TIGHT 0.5
 /* And at once of so much of the burst: plain requests wait and go together. */
-#define FW_TELL 0.02
+#define FW_AT_ONCE 0.02
+/* Below this part of the burst leaves should know at once. */
+#define FW_EMPTY 0.1
+/* Tokens short of its burst at which a bucket still counts as full. */
+#define FW_FULL_SLACK 1.0
 /* Parts of the operator's overage and tolerance that the bucket is given. */
 #define FW_OVERAGE_PERMILLE 500
 #define FW_TOLERANCE_PERMILLE 200
@@ -156,6 +161,21 @@
     return MIN((double)cost, cap_of(p));
 }
 
+/* What others should know before the next digest or report. */
+static void
+note_tight(struct fw_relay *r, const struct fw_rl_allowance *p)
+{
+    int64_t known = r->x.is_hub ? p->sent : p->reported;
+    int64_t unsent = p->spent + p->leaves - known;
+
+    if (p->level >= FW_TIGHT * cap_of(p)) {
+        return;
+    }
+    r->x.wants = 1;
+    r->x.wants_delta |= (double)unsent > FW_AT_ONCE * cap_of(p);
+    r->x.wants_push |= r->x.is_hub && p->level < FW_EMPTY * cap_of(p);
+}
+
 int
 Fw_Allowance_Take(struct fw_relay *r, const struct fw_rl_team_rule *t,
                   int64_t cost, int64_t now_us, int64_t *retry_us)
@@ -176,11 +196,7 @@
     }
     p->level -= (double)cost;
     p->spent += cost;
-    p->untold += cost;
-    if (p->level < FW_TIGHT * cap_of(p)) {
-        r->digest_wanted = 1;
-        r->delta_wanted |= (double)p->untold > FW_TELL * cap_of(p);
-    }
+    note_tight(r, p);
     return 1;
 }
 
@@ -206,6 +222,7 @@
     }
     /* Before it is taken off: a full bucket doesn't refill meanwhile. */
     settle(r, p, now_us);
+    r->x.wants_push |= tokens > 0 && p->level < FW_EMPTY * cap_of(p);
     if (!p->adopted && now_us - p->born_us < FW_ADOPT_US) {
         p->adopted = 1;
         p->level = (double)level;
@@ -217,6 +234,71 @@
     p->level = MIN(p->level, cap_of(p));
 }
 
+void
+Fw_Allowance_Leaf(struct fw_relay *r, uint64_t hash, int64_t tokens,
+                  int64_t now_us)
+{
+    struct fw_rl_allowance *p = find(r, hash);
+
+    if (!p || !tokens) {
+        return;
+    }
+    settle(r, p, now_us);
+    p->level = MIN(p->level - (double)tokens, cap_of(p));
+    p->leaves += tokens;
+    note_tight(r, p);
+}
+
+static void
+set_level(struct fw_relay *r, struct fw_rl_allowance *p, double level,
+          int64_t now_us)
+{
+    settle(r, p, now_us);
+    p->adopted = 1;
+    p->level = MIN(level, cap_of(p));
+    p->at_us = now_us;
+}
+
+void
+Fw_Allowance_Hub(struct fw_relay *r, const struct fw_rl_level *level,
+                 int64_t now_us)
+{
+    struct fw_rl_allowance *p = find(r, level->hash);
+    double left;
+
+    if (!p) {
+        return;
+    }
+    left = (double)(level->level - (p->spent - level->counted));
+    if (level->may_rise || left < p->level) {
+        set_level(r, p, left, now_us);
+    }
+}
+
+void
+Fw_Allowance_Counted(struct fw_relay *r, int64_t now_us)
+{
+    GHashTableIter it;
+    gpointer v;
+
+    g_hash_table_iter_init(&it, r->allowances);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        struct fw_rl_allowance *p = v;
+
+        p->counted = p->reported;
+        settle(r, p, now_us);
+        set_level(r, p, cap_of(p) - (double)(p->spent - p->reported), now_us);
+    }
+}
+
+int
+Fw_Allowance_IsFull(struct fw_relay *r, struct fw_rl_allowance *p,
+                    int64_t now_us)
+{
+    settle(r, p, now_us);
+    return p->level >= cap_of(p) - FW_FULL_SLACK;
+}
+
 void
 Fw_Allowance_Explain(const struct fw_relay *r, const char *team,
                      int64_t *level, int *part_permille)
--- a/src/relay/delta.c
+++ b/src/relay/delta.c
@@ -1,13 +1,12 @@
 /*
- * What an instance has spent of the teams' allowances and what it has at the
- * engines, told to the others: all of it in each digest, and between digests
- * by a message of its own what has just been taken.
+ * What a hub and its leaves have just spent of the teams' allowances and
+ * taken at servers, sent to the other hubs between two digests.
  *
- * Without the second, instances that see the same figures take the same until
- * the next digest, up to 150 ms later. The level of a team's allowance then
- * falls far below zero, and a team that keeps to its rate is refused for it;
- * one engine gets several streams more than it has memory for and preempts
- * them, while the one beside it is half empty.
+ * Without it, instances that see the same figures take the same until the
+ * next digest. The level of a team's allowance then falls far below zero, and
+ * a team that keeps to its rate is refused for it; one engine gets several
+ * streams more than it has memory for and preempts them, while the one beside
+ * it is half empty.
  */
 #include <errno.h>
 
@@ -15,21 +14,22 @@
 #include "relay/relay_internal.h"
 
 #define FW_FORM_DELTA 4
-/*
- * Fleets up to this size tell placements at once. Where there are more
- * instances there are more engines too, and the same one is rarely taken by
- * two of them at once, while each message goes to all.
- */
-#define FW_TELL_PLACED_MAX 100
+
+/* Tokens spent here and by this hub's leaves. */
+static int64_t
+spent_by_all(const struct fw_rl_allowance *p)
+{
+    return p->spent + p->leaves;
+}
 
 static int
-is_told(const struct fw_rl_allowance *p, int only_untold)
+is_sent(const struct fw_rl_allowance *p, int only_unsent)
 {
-    return !only_untold || p->untold > 0;
+    return !only_unsent || spent_by_all(p) != p->sent;
 }
 
 void
-Fw_Delta_PackSpent(struct fw_relay *r, msgpack_packer *pk, int only_untold)
+Fw_Delta_PackSpent(struct fw_relay *r, msgpack_packer *pk, int only_unsent)
 {
     GHashTableIter it;
     gpointer v;
@@ -37,96 +37,37 @@
 
     g_hash_table_iter_init(&it, r->allowances);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
-        n += (size_t)is_told(v, only_untold);
+        n += (size_t)is_sent(v, only_unsent);
     }
     msgpack_pack_array(pk, n);
     g_hash_table_iter_init(&it, r->allowances);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         struct fw_rl_allowance *p = v;
 
-        if (!is_told(p, only_untold)) {
+        if (!is_sent(p, only_unsent)) {
             continue;
         }
         msgpack_pack_array(pk, 3);
         msgpack_pack_uint64(pk, p->hash);
-        msgpack_pack_int64(pk, p->spent);
+        msgpack_pack_int64(pk, spent_by_all(p));
         msgpack_pack_int64(pk, (int64_t)p->level);
-        p->untold = 0;
-    }
-}
-
-static int
-has_load(const struct fw_rl_server *s, int64_t now_us, int only_untold)
-{
-    if (only_untold) {
-        return s->untold;
+        p->sent = spent_by_all(p);
+        p->counted = p->spent;
     }
-    return s->running || s->reserved || s->reading || now_us < s->suspect_us ||
-           Fw_Servers_Switching(s, now_us);
-}
-
-static void
-pack_one(struct fw_rl_server *s, int64_t now_us, msgpack_packer *pk)
-{
-    msgpack_pack_array(pk, 6);
-    msgpack_pack_uint64(pk, s->hash);
-    msgpack_pack_int64(pk, s->running);
-    msgpack_pack_int64(pk, s->reserved);
-    msgpack_pack_int64(pk, s->reading);
-    msgpack_pack_int(pk, Fw_Servers_Switching(s, now_us)
-                             ? (int)s->to_stage
-                             : (int)FW_RL_STAGE_NONE);
-    msgpack_pack_int(pk, now_us < s->suspect_us);
-    s->untold = 0;
 }
 
 void
-Fw_Delta_PackLoad(struct fw_relay *r, msgpack_packer *pk, int only_untold,
-                  int64_t now_us)
+Fw_Delta_Placed(struct fw_relay *r, struct fw_rl_server *s)
 {
-    struct fw_list *pos;
-    size_t n = 0;
-
-    FW_LIST_EACH (pos, &r->servers) {
-        n += (size_t)has_load(FW_LIST_ENTRY(pos, struct fw_rl_server, link),
-                              now_us, only_untold);
-    }
-    msgpack_pack_array(pk, n);
-    FW_LIST_EACH (pos, &r->servers) {
-        struct fw_rl_server *s = FW_LIST_ENTRY(pos, struct fw_rl_server, link);
-
-        if (has_load(s, now_us, only_untold)) {
-            pack_one(s, now_us, pk);
-        }
-    }
+    s->unsent = 1;
+    r->x.wants_delta = 1;
 }
 
 void
-Fw_Delta_Placed(struct fw_relay *r, struct fw_rl_server *s, int64_t now_us)
+Fw_Delta_Write(struct fw_relay *r, int64_t now_us, GByteArray *out)
 {
-    if (Fw_Members_Count(r, now_us, NULL) <= FW_TELL_PLACED_MAX) {
-        s->untold = 1;
-        r->delta_wanted = 1;
-    }
-}
-
-enum fw_rl_tell
-Fw_Relay_WriteDelta(struct fw_relay *r, int64_t now_us, GByteArray *out)
-{
-    GHashTableIter it;
-    gpointer v;
     msgpack_packer pk;
 
-    int spent = 0;
-
-    if (!r->delta_wanted) {
-        return FW_RL_TELL_NOTHING;
-    }
-    r->delta_wanted = 0;
-    g_hash_table_iter_init(&it, r->allowances);
-    while (g_hash_table_iter_next(&it, NULL, &v)) {
-        spent |= is_told(v, 1);
-    }
     Fw_Pack_Begin(&pk, out);
     msgpack_pack_array(&pk, 6);
     msgpack_pack_int(&pk, FW_FORM_DELTA);
@@ -134,8 +75,7 @@
     msgpack_pack_uint64(&pk, r->opts.boot);
     msgpack_pack_uint64(&pk, ++r->digest_seq);
     Fw_Delta_PackSpent(r, &pk, 1);
-    Fw_Delta_PackLoad(r, &pk, 1, now_us);
-    return spent ? FW_RL_TELL_DIRECTLY : FW_RL_TELL;
+    Fw_Share_PackLoad(r, &pk, NULL, 1, now_us);
 }
 
 /*
@@ -147,6 +87,10 @@
 Fw_Delta_TakeSpent(struct fw_relay *r, struct fw_rl_member *m, int first,
                    const msgpack_object_array *rows, int64_t now_us)
 {
+    if (!m->spent) {
+        m->spent =
+            g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+    }
     for (uint32_t i = 0; i < rows->size; i++) {
         uint64_t hash = (uint64_t)Fw_Rows_Cell(rows, i, 0);
         int64_t *before = g_hash_table_lookup(m->spent, &hash);
@@ -162,25 +106,9 @@
     }
 }
 
-void
-Fw_Delta_TakeLoad(struct fw_rl_member *m, const msgpack_object_array *rows)
-{
-    for (uint32_t i = 0; i < rows->size; i++) {
-        struct fw_rl_load *l = g_new(struct fw_rl_load, 1);
-
-        l->running = (int)Fw_Rows_Cell(rows, i, 1);
-        l->reserved = Fw_Rows_Cell(rows, i, 2);
-        l->reading = Fw_Rows_Cell(rows, i, 3);
-        l->to_stage = (enum fw_rl_stage)Fw_Rows_Cell(rows, i, 4);
-        l->unreachable = Fw_Rows_Cell(rows, i, 5) != 0;
-        g_hash_table_replace(
-            m->load, Fw_Rows_Key((uint64_t)Fw_Rows_Cell(rows, i, 0)), l);
-    }
-}
-
 /*
- * Only from an instance that is in touch in this lifetime: where counting
- * starts is the business of whole digests.
+ * Only from a hub that is in touch in this lifetime: where counting starts is
+ * the business of whole digests.
  */
 int
 Fw_Delta_Read(struct fw_relay *r, const msgpack_object *o, int64_t now_us)
@@ -205,12 +133,12 @@
         return -EBADMSG;
     }
     m = Fw_Members_Find(r, name);
-    if (!m || boot != m->boot || seq <= m->seq ||
-        now_us - m->heard_us >= FW_RL_TOUCH_US) {
+    if (!r->x.is_hub || !m || boot != m->boot || seq <= m->seq ||
+        !m->digest_us || now_us - m->digest_us >= Fw_Members_Touch(r)) {
         return 0;
     }
     m->seq = seq;
     Fw_Delta_TakeSpent(r, m, 0, spent, now_us);
-    Fw_Delta_TakeLoad(m, load);
+    Fw_Load_Merge(r, m, load, now_us);
     return 0;
 }
--- /dev/null
+++ b/src/relay/exchange.c
@@ -0,0 +1,371 @@
+/* When an instance sends what to whom, and what it makes of what comes. */
+#include <errno.h>
+#include <msgpack.h>
+
+#include "base/fault.h"
+#include "core/pack_scan.h"
+#include "relay/relay_internal.h"
+
+/* Between two reports, also where one is wanted soon. */
+#define FW_REPORT_GAP_US (20 * FW_MSEC)
+/* Leaves get the list of hubs so often. */
+#define FW_LIST_US (1 * FW_SEC)
+/* Instances that no hub has heard of get it so often, first after a start. */
+#define FW_ANNOUNCE_US (3 * FW_SEC)
+#define FW_ANNOUNCE_FIRST_US (300 * FW_MSEC)
+/* A hub that is unreachable is tried so often. */
+#define FW_TRY_FAILED_US (500 * FW_MSEC)
+
+void
+Fw_Mail_Init(struct fw_rl_mail *mail)
+{
+    mail->all = g_ptr_array_new_with_free_func(g_free);
+}
+
+void
+Fw_Mail_Clear(struct fw_rl_mail *mail)
+{
+    for (guint i = 0; i < mail->all->len; i++) {
+        struct fw_rl_datagram *d = g_ptr_array_index(mail->all, i);
+
+        g_bytes_unref(d->data);
+    }
+    g_ptr_array_set_size(mail->all, 0);
+}
+
+static void
+add(struct fw_rl_mail *mail, const char *addr, GBytes *data)
+{
+    struct fw_rl_datagram *d = g_new0(struct fw_rl_datagram, 1);
+
+    g_strlcpy(d->addr, addr, sizeof(d->addr));
+    d->data = g_bytes_ref(data);
+    g_ptr_array_add(mail->all, d);
+}
+
+void
+Fw_Mail_Add(struct fw_rl_mail *mail, const char *addr, const GByteArray *msg)
+{
+    GBytes *data = g_bytes_new(msg->data, msg->len);
+
+    add(mail, addr, data);
+    g_bytes_unref(data);
+}
+
+static int
+is_acting(struct fw_relay *r, struct fw_rl_member *m, int64_t now_us)
+{
+    return Fw_Hubs_IsActing(r, m, now_us) && !m->failed_us;
+}
+
+/* Hubs; of those that are unreachable now and then one, or a cut would last.
+ */
+static int
+is_tried(struct fw_relay *r, struct fw_rl_member *m, int64_t now_us)
+{
+    if (is_acting(r, m, now_us)) {
+        if (!m->asked_us) {
+            m->asked_us = now_us;
+        }
+        return 1;
+    }
+    if (!m->was_ranked || !m->failed_us || FW_FAULT("hub-given-up") ||
+        now_us - m->sent_us < FW_TRY_FAILED_US) {
+        return 0;
+    }
+    m->sent_us = now_us;
+    return 1;
+}
+
+static int
+is_leaf(struct fw_relay *r, struct fw_rl_member *m, int64_t now_us)
+{
+    return Fw_Hubs_IsLeaf(r, m, now_us);
+}
+
+static int
+is_unseen(struct fw_relay *r, struct fw_rl_member *m, int64_t now_us)
+{
+    return !m->failed_us && !Fw_Members_IsSeen(r, m, now_us);
+}
+
+/* Sends @msg to each member that is @meant. Return: how many get it. */
+static int
+send_each(struct fw_relay *r,
+          int (*meant)(struct fw_relay *, struct fw_rl_member *, int64_t),
+          const GByteArray *msg, int64_t now_us, struct fw_rl_mail *out)
+{
+    GBytes *data = g_bytes_new(msg->data, msg->len);
+    struct fw_list *pos;
+    int n = 0;
+
+    FW_LIST_EACH (pos, &r->members) {
+        struct fw_rl_member *m = FW_LIST_ENTRY(pos, struct fw_rl_member, link);
+
+        if (meant(r, m, now_us)) {
+            add(out, m->addr, data);
+            n++;
+        }
+    }
+    g_bytes_unref(data);
+    return n;
+}
+
+/* A hub that owes a digest, or a reply, for too long. */
+static void
+note_failed(struct fw_relay *r, struct fw_rl_member *m, int64_t now_us)
+{
+    if (m->asked_us && !m->failed_us &&
+        now_us - m->asked_us >= Fw_Members_Touch(r)) {
+        m->failed_us = now_us;
+    }
+}
+
+static void
+send_digest(struct fw_relay *r, int64_t now_us, struct fw_rl_mail *out)
+{
+    GByteArray *msg = g_byte_array_new();
+    struct fw_list *pos;
+
+    FW_LIST_EACH (pos, &r->members) {
+        note_failed(r, FW_LIST_ENTRY(pos, struct fw_rl_member, link), now_us);
+    }
+    Fw_Digest_Write(r, now_us, msg);
+    send_each(r, is_tried, msg, now_us, out);
+    g_byte_array_unref(msg);
+}
+
+static void
+send_delta(struct fw_relay *r, int64_t now_us, struct fw_rl_mail *out)
+{
+    GByteArray *msg = g_byte_array_new();
+    int n;
+
+    Fw_Delta_Write(r, now_us, msg);
+    n = send_each(r, is_acting, msg, now_us, out);
+    r->x.wants_delta = 0;
+    r->x.delta_us = now_us + n * FW_RL_DATAGRAM_US;
+    g_byte_array_unref(msg);
+}
+
+/* Each leaf's holds what was counted of it. */
+static void
+push_levels(struct fw_relay *r, int64_t now_us, struct fw_rl_mail *out)
+{
+    struct fw_list *pos;
+    int n = 0;
+
+    FW_LIST_EACH (pos, &r->members) {
+        struct fw_rl_member *m = FW_LIST_ENTRY(pos, struct fw_rl_member, link);
+
+        if (Fw_Hubs_IsLeaf(r, m, now_us)) {
+            GByteArray *msg = g_byte_array_new();
+
+            Fw_Reply_Write(r, m, 0, now_us, msg);
+            Fw_Mail_Add(out, m->addr, msg);
+            g_byte_array_unref(msg);
+            n++;
+        }
+    }
+    r->x.wants_push = 0;
+    r->x.push_us = now_us + n * FW_RL_DATAGRAM_US;
+}
+
+static void
+list_hubs(struct fw_relay *r,
+          int (*meant)(struct fw_relay *, struct fw_rl_member *, int64_t),
+          int64_t now_us, struct fw_rl_mail *out)
+{
+    GByteArray *msg = g_byte_array_new();
+
+    Fw_Hubs_Write(r, now_us, msg);
+    send_each(r, meant, msg, now_us, out);
+    g_byte_array_unref(msg);
+}
+
+static void
+next_due(struct fw_relay *r, int64_t now_us)
+{
+    r->x.wants = 0;
+    r->x.due_us = now_us + r->opts.digest_every_us;
+    r->x.early_us = now_us + r->opts.digest_every_us / 2;
+}
+
+static int
+is_due(const struct fw_relay *r, int64_t now_us)
+{
+    return now_us >= r->x.due_us || (r->x.wants && now_us >= r->x.early_us);
+}
+
+static void
+act_as_hub(struct fw_relay *r, int64_t now_us, struct fw_rl_mail *out)
+{
+    struct fw_rl_exchange *x = &r->x;
+
+    if (is_due(r, now_us)) {
+        next_due(r, now_us);
+        send_digest(r, now_us, out);
+    }
+    else if (x->wants_delta && now_us >= x->delta_us) {
+        send_delta(r, now_us, out);
+    }
+    if (x->wants_push && now_us >= x->push_us) {
+        push_levels(r, now_us, out);
+    }
+    if (now_us >= x->list_us) {
+        x->list_us = now_us + FW_LIST_US;
+        list_hubs(r, is_leaf, now_us, out);
+    }
+    if (!x->announce_us) {
+        x->announce_us = now_us + FW_ANNOUNCE_FIRST_US;
+    }
+    else if (now_us >= x->announce_us) {
+        x->announce_us = now_us + FW_ANNOUNCE_US;
+        list_hubs(r, is_unseen, now_us, out);
+    }
+}
+
+/* A new hub counts from what the last one has confirmed. */
+static void
+change_hub(struct fw_relay *r, struct fw_rl_member *hub)
+{
+    if (r->x.hub != hub) {
+        r->x.hub = hub;
+        r->x.session++;
+        if (hub) {
+            hub->asked_us = 0;
+        }
+    }
+}
+
+static void
+act_as_leaf(struct fw_relay *r, int64_t now_us, struct fw_rl_mail *out)
+{
+    struct fw_rl_exchange *x = &r->x;
+    int hurry = (x->wants || x->wants_delta) &&
+                now_us - x->sent_us >= FW_REPORT_GAP_US;
+    GByteArray *msg;
+
+    if (now_us < x->due_us && !hurry) {
+        return;
+    }
+    if (x->hub) {
+        note_failed(r, x->hub, now_us);
+        if (x->hub->failed_us) {
+            Fw_Hubs_Rank(r, now_us);
+        }
+    }
+    next_due(r, now_us);
+    x->wants_delta = 0;
+    if (x->is_hub) {
+        return;
+    }
+    change_hub(r, Fw_Hubs_Choose(r));
+    if (!x->hub) {
+        return;
+    }
+    if (!x->hub->asked_us) {
+        x->hub->asked_us = now_us;
+    }
+    msg = g_byte_array_new();
+    Fw_Report_Write(r, now_us, msg);
+    Fw_Mail_Add(out, x->hub->addr, msg);
+    g_byte_array_unref(msg);
+}
+
+void
+Fw_Relay_Exchange(struct fw_relay *r, int64_t now_us, struct fw_rl_mail *out)
+{
+    if (is_due(r, now_us)) {
+        Fw_Hubs_Rank(r, now_us);
+    }
+    if (r->x.is_hub) {
+        act_as_hub(r, now_us, out);
+    }
+    else {
+        act_as_leaf(r, now_us, out);
+    }
+    Fw_Watch_Ask(r, now_us, out);
+}
+
+int64_t
+Fw_Relay_ExchangeDue(const struct fw_relay *r)
+{
+    return r->x.due_us;
+}
+
+/* An instance that was just met gets all, and what was learned. */
+static void
+greet(struct fw_relay *r, const char *addr, int with_digest, int64_t now_us,
+      struct fw_rl_mail *out)
+{
+    GByteArray *msg = g_byte_array_new();
+
+    if (with_digest && r->x.is_hub) {
+        Fw_Digest_Write(r, now_us, msg);
+        Fw_Mail_Add(out, addr, msg);
+        g_byte_array_set_size(msg, 0);
+    }
+    Fw_Hubs_Write(r, now_us, msg);
+    Fw_Mail_Add(out, addr, msg);
+    g_byte_array_set_size(msg, 0);
+    if (Fw_Learned_Write(r, msg)) {
+        Fw_Mail_Add(out, addr, msg);
+    }
+    g_byte_array_unref(msg);
+}
+
+static int
+take_report(struct fw_relay *r, const msgpack_object *o, const char *addr,
+            int64_t now_us, struct fw_rl_mail *out)
+{
+    GByteArray *reply = g_byte_array_new();
+    int rc = Fw_Report_Read(r, o, addr, now_us, reply);
+
+    if (reply->len) {
+        Fw_Mail_Add(out, addr, reply);
+    }
+    g_byte_array_unref(reply);
+    return rc;
+}
+
+static int
+read_message(struct fw_relay *r, const msgpack_object *o, const char *addr,
+             int64_t now_us, struct fw_rl_mail *out)
+{
+    int rc = Fw_Digest_Read(r, o, addr, now_us);
+    int is_digest = rc >= 0;
+
+    if (rc == -EBADMSG) {
+        rc = take_report(r, o, addr, now_us, out);
+    }
+    if (rc > 0) {
+        greet(r, addr, is_digest, now_us, out);
+    }
+    if (rc >= 0) {
+        return rc;
+    }
+    if (Fw_Reply_Read(r, o, now_us) == 0 || Fw_Delta_Read(r, o, now_us) == 0 ||
+        Fw_Hubs_Read(r, o, addr, now_us) == 0 || Fw_Learned_Read(r, o) == 0) {
+        return 0;
+    }
+    return Fw_Watch_Read(r, o, addr, now_us, out);
+}
+
+int
+Fw_Relay_ReadMessage(struct fw_relay *r, const char *addr, const void *data,
+                     size_t len, int64_t now_us, struct fw_rl_mail *out)
+{
+    msgpack_unpacked u;
+    int rc = -EBADMSG;
+
+    if (!Fw_PackScan_IsSane(data, len)) {
+        return -EBADMSG;
+    }
+    msgpack_unpacked_init(&u);
+    if (msgpack_unpack_next(&u, data, len, NULL) == MSGPACK_UNPACK_SUCCESS) {
+        rc = read_message(r, &u.data, addr, now_us, out);
+    }
+    msgpack_unpacked_destroy(&u);
+    return rc;
+}
--- a/src/relay/learned.c
+++ b/src/relay/learned.c
@@ -130,7 +130,7 @@
 }
 
 int
-Fw_Relay_WriteLearned(const struct fw_relay *r, GByteArray *out)
+Fw_Learned_Write(const struct fw_relay *r, GByteArray *out)
 {
     msgpack_packer pk;
 
--- a/src/relay/members.c
+++ b/src/relay/members.c
@@ -1,9 +1,7 @@
-/*
- * Other instances that count. Each tells all others: right for some ten
- * instances; docs/CAPACITY.md says what takes its place beyond.
- */
+/* Other instances that this one knows, and how many count. */
 #include <string.h>
 
+#include "base/hash.h"
 #include "relay/relay_internal.h"
 
 /*
@@ -11,23 +9,91 @@
  * the allowances stays unused: it may only be cut off.
  */
 #define FW_MEMBER_LIFE_US (20 * FW_SEC)
+/* The count is worked out again after so long. */
+#define FW_CENSUS_US (10 * FW_MSEC)
+/* What a member has at servers counts for so long after its last message. */
+#define FW_LOAD_LIFE_US (2 * FW_SEC)
+
+/**
+ * struct seen - an instance in the census.
+ * @seen_us: when it was in touch with this instance or a hub, 0 for not yet
+ * @member: NULL where only others know it
+ * @is_gone: silent for so long that it doesn't count
+ */
+struct seen {
+    int64_t added_us;
+    int64_t seen_us;
+    struct fw_rl_member *member;
+    int is_gone;
+};
+
+static struct seen *
+seen_of(struct fw_relay *r, uint64_t hash)
+{
+    struct seen *s = g_hash_table_lookup(r->census, &hash);
 
-static GHashTable *
-table_new(GDestroyNotify free_value)
+    if (!s) {
+        s = g_new0(struct seen, 1);
+        g_hash_table_insert(r->census, Fw_Rows_Key(hash), s);
+    }
+    return s;
+}
+
+int64_t
+Fw_Members_Touch(const struct fw_relay *r)
 {
-    return g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
-                                 free_value);
+    return FW_RL_TOUCH_PERIODS * r->opts.digest_every_us;
+}
+
+void
+Fw_Members_Seen(struct fw_relay *r, uint64_t hash, int64_t seen_us)
+{
+    struct seen *s;
+
+    if (hash == r->hash) {
+        return;
+    }
+    s = seen_of(r, hash);
+    s->seen_us = MAX(s->seen_us, seen_us);
+    r->x.recount = 1;
+}
+
+/* What it said is in what its hub says now. */
+static void
+forget_words(struct fw_relay *r, struct fw_rl_member *m)
+{
+    m->report_us = 0;
+    m->digest_us = 0;
+    Fw_Load_Drop(r, m);
+    g_clear_pointer(&m->strikes, g_hash_table_destroy);
+    g_clear_pointer(&m->reading, g_hash_table_destroy);
+}
+
+void
+Fw_Members_Elsewhere(struct fw_relay *r, uint64_t hash, int64_t seen_us)
+{
+    struct fw_rl_member *m;
+
+    if (hash == r->hash) {
+        return;
+    }
+    m = seen_of(r, hash)->member;
+    if (m && m != r->x.hub && m->heard_us < seen_us) {
+        forget_words(r, m);
+    }
+    Fw_Members_Seen(r, hash, seen_us);
 }
 
 struct fw_rl_member *
 Fw_Members_Find(const struct fw_relay *r, const char *name)
 {
+    uint64_t hash = Fw_Hash_Str(name);
     struct fw_list *pos;
 
     FW_LIST_EACH (pos, &r->members) {
         struct fw_rl_member *m = FW_LIST_ENTRY(pos, struct fw_rl_member, link);
 
-        if (strcmp(m->name, name) == 0) {
+        if (m->hash == hash && strcmp(m->name, name) == 0) {
             return m;
         }
     }
@@ -40,23 +106,39 @@
     struct fw_rl_member *m = g_new0(struct fw_rl_member, 1);
 
     g_strlcpy(m->name, name, sizeof(m->name));
+    m->hash = Fw_Hash_Str(name);
     m->added_us = now_us;
-    m->spent = table_new(g_free);
-    m->load = table_new(g_free);
-    m->strikes = table_new(NULL);
-    m->reading = table_new(g_free);
+    seen_of(r, m->hash)->added_us = now_us;
+    seen_of(r, m->hash)->member = m;
+    r->x.recount = 1;
     Fw_List_Append(&r->members, &m->link);
     return m;
 }
 
+void
+Fw_Members_Heard(struct fw_relay *r, struct fw_rl_member *m, int64_t now_us)
+{
+    if (m->failed_us) {
+        r->x.list_us = 0; /* leaves may return to it */
+    }
+    m->heard_us = now_us;
+    m->asked_us = 0;
+    m->failed_us = 0;
+    Fw_Members_Seen(r, m->hash, now_us);
+}
+
 static void
-member_free(struct fw_rl_member *m)
+member_free(struct fw_relay *r, struct fw_rl_member *m)
 {
+    if (r->x.hub == m) {
+        r->x.hub = NULL;
+    }
+    seen_of(r, m->hash)->member = NULL;
+    Fw_Load_Drop(r, m);
     Fw_List_Remove(&m->link);
-    g_hash_table_destroy(m->spent);
-    g_hash_table_destroy(m->load);
-    g_hash_table_destroy(m->strikes);
-    g_hash_table_destroy(m->reading);
+    g_clear_pointer(&m->spent, g_hash_table_destroy);
+    g_clear_pointer(&m->strikes, g_hash_table_destroy);
+    g_clear_pointer(&m->reading, g_hash_table_destroy);
     g_free(m);
 }
 
@@ -64,57 +146,128 @@
 Fw_Members_Clear(struct fw_relay *r)
 {
     while (!Fw_List_Empty(&r->members)) {
-        member_free(FW_LIST_ENTRY(r->members.next, struct fw_rl_member, link));
+        member_free(r,
+                    FW_LIST_ENTRY(r->members.next, struct fw_rl_member, link));
     }
 }
 
 void
-Fw_Relay_AddMember(struct fw_relay *r, const char *name, const char *addr,
+Fw_Relay_AddMember(struct fw_relay *r, const struct fw_rl_peer *peer,
                    int64_t now_us)
 {
     struct fw_rl_member *m;
 
-    if (strcmp(name, r->opts.name) == 0) {
+    if (strcmp(peer->name, r->opts.name) == 0) {
         return;
     }
-    m = Fw_Members_Find(r, name);
+    m = Fw_Members_Find(r, peer->name);
     if (!m) {
-        m = Fw_Members_Add(r, name, now_us);
+        m = Fw_Members_Add(r, peer->name, now_us);
     }
     if (!m->heard_us) {
-        g_strlcpy(m->addr, addr, sizeof(m->addr));
+        g_strlcpy(m->addr, peer->addr, sizeof(m->addr));
+        m->domain = Fw_Hash_Str(peer->domain);
+        m->cpu_ppm = peer->cpu_ppm;
     }
 }
 
-void
-Fw_Relay_Members(const struct fw_relay *r, GPtrArray *addrs)
+int
+Fw_Relay_IsIsolated(const struct fw_relay *r, int64_t now_us)
 {
     struct fw_list *pos;
 
     FW_LIST_EACH (pos, &r->members) {
-        g_ptr_array_add(addrs,
-                        FW_LIST_ENTRY(pos, struct fw_rl_member, link)->addr);
+        const struct fw_rl_member *m =
+            FW_LIST_ENTRY(pos, struct fw_rl_member, link);
+
+        if (m->heard_us && now_us - m->heard_us < FW_RL_ISOLATED_US) {
+            return 0;
+        }
     }
+    return 1;
 }
 
 int
-Fw_Members_Count(const struct fw_relay *r, int64_t now_us, int *heard)
+Fw_Members_IsSeen(struct fw_relay *r, const struct fw_rl_member *m,
+                  int64_t now_us)
 {
-    struct fw_list *pos;
-    int in_touch = 1;
-    int n = 1;
+    const struct seen *s = seen_of(r, m->hash);
 
-    FW_LIST_EACH (pos, &r->members) {
-        const struct fw_rl_member *m =
-            FW_LIST_ENTRY(pos, struct fw_rl_member, link);
+    return s->seen_us && now_us - s->seen_us < FW_RL_ISOLATED_US;
+}
+
+static void
+take_census(struct fw_relay *r, int64_t now_us)
+{
+    int64_t touch_us = Fw_Members_Touch(r);
+    GHashTableIter it;
+    gpointer v;
+
+    r->x.census_us = now_us;
+    r->x.recount = 0;
+    r->x.count = 1;
+    r->x.in_touch = 1;
+    g_hash_table_iter_init(&it, r->census);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        const struct seen *s = v;
+
+        if (s->is_gone) {
+            continue;
+        }
+        r->x.count++;
+        r->x.in_touch += s->seen_us && now_us - s->seen_us < touch_us;
+    }
+}
+
+/* A leaf knows what its hub says, for as long as that is in touch. */
+int
+Fw_Members_Count(struct fw_relay *r, int64_t now_us, int *in_touch)
+{
+    struct fw_rl_exchange *x = &r->x;
+    int reports = !x->is_hub && x->hub;
 
-        n++;
-        in_touch += m->heard_us && now_us - m->heard_us < FW_RL_TOUCH_US;
+    if (reports && now_us - x->census_us >= Fw_Members_Touch(r)) {
+        x->in_touch = 1;
+    }
+    else if (!reports &&
+             (x->recount || now_us - x->census_us >= FW_CENSUS_US)) {
+        take_census(r, now_us);
     }
-    if (heard) {
-        *heard = in_touch;
+    if (in_touch) {
+        *in_touch = x->in_touch;
+    }
+    return x->count;
+}
+
+/*
+ * One that was never contacted stays: it may have to take a hub's place, and
+ * only hubs can tell whether it still lives.
+ */
+static int
+is_gone(struct fw_relay *r, const struct fw_rl_member *m, int64_t now_us)
+{
+    int64_t seen_us = MAX(seen_of(r, m->hash)->seen_us, m->heard_us);
+
+    return ((r->x.is_hub && m->heard_us) || m->failed_us) &&
+           now_us - MAX(seen_us, m->added_us) >= FW_MEMBER_LIFE_US;
+}
+
+static void
+forget_gone(struct fw_relay *r, int64_t now_us)
+{
+    GHashTableIter it;
+    gpointer v;
+
+    g_hash_table_iter_init(&it, r->census);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        struct seen *s = v;
+
+        s->is_gone =
+            now_us - MAX(s->seen_us, s->added_us) >= FW_MEMBER_LIFE_US;
+        if (s->is_gone && !s->member) {
+            g_hash_table_iter_remove(&it);
+        }
     }
-    return n;
 }
 
 void
@@ -126,11 +279,15 @@
     FW_LIST_EACH_SAFE (pos, tmp, &r->members) {
         struct fw_rl_member *m = FW_LIST_ENTRY(pos, struct fw_rl_member, link);
 
-        if (now_us - MAX(m->heard_us, m->added_us) >= FW_MEMBER_LIFE_US) {
+        if (m->rows && now_us - m->load_us >= FW_LOAD_LIFE_US) {
+            Fw_Load_Drop(r, m);
+        }
+        if (is_gone(r, m, now_us)) {
             Fw_Acts_Log(out, r, LOG_NOTICE, "member_gone",
                         "\"member\":\"%s\",\"addr\":\"%s\"", m->name, m->addr);
-            member_free(m);
+            member_free(r, m);
         }
     }
+    forget_gone(r, now_us);
     r->n.members.value = Fw_Members_Count(r, now_us, NULL);
 }
--- a/src/relay/open.c
+++ b/src/relay/open.c
@@ -123,7 +123,7 @@
  * off a quick return would only be refused again.
  */
 int64_t
-Fw_Relay_UnreadyRetry(const struct fw_relay *r, int64_t now_us)
+Fw_Relay_UnreadyRetry(struct fw_relay *r, int64_t now_us)
 {
     int heard;
     int count = Fw_Members_Count(r, now_us, &heard);
--- a/src/relay/order.c
+++ b/src/relay/order.c
@@ -50,17 +50,21 @@
     return *rule && (*rule)->engines;
 }
 
-/* The instance that orders: of those in touch the one of the lowest name. */
+/* The instance that orders: of the hubs in touch the one of the lowest name.
+ */
 static int
 is_mine(const struct fw_relay *r, int64_t now_us)
 {
     struct fw_list *pos;
 
+    if (!r->x.is_hub) {
+        return 0;
+    }
     FW_LIST_EACH (pos, &r->members) {
         const struct fw_rl_member *m =
             FW_LIST_ENTRY(pos, struct fw_rl_member, link);
 
-        if (m->heard_us && now_us - m->heard_us < FW_SEC &&
+        if (m->digest_us && now_us - m->digest_us < FW_SEC &&
             strcmp(m->name, r->opts.name) < 0) {
             return 0;
         }
@@ -99,10 +103,8 @@
     FW_LIST_EACH (pos, &r->members) {
         const struct fw_rl_member *m =
             FW_LIST_ENTRY(pos, struct fw_rl_member, link);
-        const int64_t *rate = g_hash_table_lookup(m->reading, &hash);
-
-        if (rate && now_us - m->heard_us < FW_RATE_LIFE_US) {
-            sum += (double)*rate;
+        if (now_us - m->heard_us < FW_RATE_LIFE_US) {
+            sum += (double)Fw_Rows_Lookup(m->reading, hash);
         }
     }
     return sum;
--- a/src/relay/place.c
+++ b/src/relay/place.c
@@ -30,8 +30,6 @@
 #define FW_CROWD_RAMP 0.5
 /* A prefill engine that turned a prompt away is left alone for so long. */
 #define FW_BUSY_US (300 * FW_MSEC)
-/* Digests of a member count as its load for so long after the last one. */
-#define FW_LOAD_LIFE_US (2 * FW_SEC)
 /* Baselines rate engines by requests and chance: parts of one request. */
 #define FW_BASELINE_SCALE 1000.0
 /* A transfer in the same failure domain is cheaper: worth a short wait. */
@@ -52,7 +50,7 @@
 Fw_Place_Load(const struct fw_relay *r, const struct fw_rl_server *s,
               int64_t now_us, struct fw_rl_load *out)
 {
-    struct fw_list *pos;
+    struct fw_rl_load part;
 
     *out = (struct fw_rl_load){.to_stage = Fw_Servers_Switching(s, now_us)
                                                ? s->to_stage
@@ -60,23 +58,9 @@
                                .running = s->running,
                                .reserved = s->reserved,
                                .reading = s->reading};
-    FW_LIST_EACH (pos, &r->members) {
-        const struct fw_rl_member *m =
-            FW_LIST_ENTRY(pos, struct fw_rl_member, link);
-        const struct fw_rl_load *l = NULL;
-
-        if (now_us - m->heard_us < FW_LOAD_LIFE_US) {
-            l = g_hash_table_lookup(m->load, &s->hash);
-        }
-        if (l) {
-            if (l->to_stage != FW_RL_STAGE_NONE) {
-                out->to_stage = l->to_stage;
-            }
-            out->unreachable += l->unreachable;
-            out->running += l->running;
-            out->reserved += l->reserved;
-            out->reading += l->reading;
-        }
+    for (int scope = 0; scope < FW_RL_SCOPES; scope++) {
+        Fw_Load_Of(r, s->hash, (enum fw_rl_scope)scope, &part);
+        Fw_Load_Add(out, &part, 1);
     }
 }
 
--- a/src/relay/poison.c
+++ b/src/relay/poison.c
@@ -3,8 +3,8 @@
  * again, so one such request could take down a whole service.
  *
  * A connection that breaks proves little; a strike is counted only when the
- * server's lifetime ends soon after it broke. Instances tell each other
- * their strikes.
+ * server's lifetime ends soon after it broke. Strikes of all instances are
+ * added up.
  */
 #include "relay/relay_internal.h"
 
@@ -89,7 +89,7 @@
         const struct fw_rl_member *m =
             FW_LIST_ENTRY(pos, struct fw_rl_member, link);
 
-        n += GPOINTER_TO_INT(g_hash_table_lookup(m->strikes, &digest));
+        n += (int)Fw_Rows_Lookup(m->strikes, digest);
     }
     return n;
 }
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -2,8 +2,11 @@
 #include <errno.h>
 #include <string.h>
 
+#include "base/hash.h"
 #include "relay/relay_internal.h"
 
+/* Of digests and reports, where the settings name none. */
+#define FW_PERIOD_US (150 * FW_MSEC)
 /* Tokens a team earns with each turn in the queue: about one request. */
 #define FW_QUANTUM 16384
 /* Ticks while something waits for room, and otherwise. */
@@ -20,13 +23,21 @@
 {
     struct fw_relay *r = g_new0(struct fw_relay, 1);
 
-    r->opts = *opts;
+    Fw_Relay_SetOpts(r, opts);
+    r->hash = Fw_Hash_Str(opts->name);
+    r->x.is_hub = 1;
+    r->x.count = 1;
+    r->x.in_touch = 1;
     r->rand = g_rand_new_with_seed(opts->seed);
     r->fresh_us = now_us - opts->key_stale_us;
     r->calls = g_hash_table_new(g_int64_hash, g_int64_equal);
     r->ops = g_hash_table_new(g_int64_hash, g_int64_equal);
     r->allowances =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+    r->census =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+    r->loads =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
     r->budgets = g_ptr_array_new_with_free_func(g_free);
     r->learned = g_ptr_array_new_with_free_func(g_free);
     Fw_List_Init(&r->servers);
@@ -65,6 +76,8 @@
     g_hash_table_destroy(r->calls);
     g_hash_table_destroy(r->ops);
     g_hash_table_destroy(r->allowances);
+    g_hash_table_destroy(r->census);
+    g_hash_table_destroy(r->loads);
     g_ptr_array_unref(r->budgets);
     g_ptr_array_unref(r->learned);
     g_rand_free(r->rand);
@@ -75,6 +88,9 @@
 Fw_Relay_SetOpts(struct fw_relay *r, const struct fw_relay_opts *opts)
 {
     r->opts = *opts;
+    if (r->opts.digest_every_us <= 0) {
+        r->opts.digest_every_us = FW_PERIOD_US;
+    }
 }
 
 struct fw_metrics *
@@ -270,7 +286,10 @@
 int64_t
 Fw_Relay_Wake(const struct fw_relay *r, int64_t now_us)
 {
-    return now_us + (r->queue.n ? FW_TICK_BUSY_US : FW_TICK_IDLE_US);
+    int64_t tick_us =
+        now_us + (r->queue.n ? FW_TICK_BUSY_US : FW_TICK_IDLE_US);
+
+    return CLAMP(Fw_Relay_ExchangeDue(r), now_us + FW_MSEC, tick_us);
 }
 
 void
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -181,6 +181,8 @@
  * @overage_ppm, @tolerance: what the operator tolerates beyond a team's rate
  *     and burst: part of them, and tokens
  * @lease_us: how long the order role lasts
+ * @cpu_ppm: part of a core that this instance has: large ones serve others
+ * @digest_every_us: between digests, and between reports
  * @grace_us: from SIGTERM until the process is killed
  * @log_level: lines of a lower severity are left out
  * @log_sample: of the requests that go well one in so many is logged
@@ -203,6 +205,8 @@
     int64_t tolerance;
     int64_t lease_us;
     int64_t grace_us;
+    int64_t cpu_ppm;
+    int64_t digest_every_us;
     int log_level;
     int log_sample;
 };
@@ -262,7 +266,10 @@
 Fw_Relay_ListBegin(struct fw_relay *r);
 void
 Fw_Relay_ListEnd(struct fw_relay *r, int64_t now_us, struct fw_rl_acts *out);
-/* The store answers again after it did not. */
+/* The store does not answer. */
+void
+Fw_Relay_StoreLost(struct fw_relay *r);
+/* It answers again after it did not. */
 void
 Fw_Relay_StoreBack(struct fw_relay *r, int64_t now_us);
 
@@ -281,77 +288,69 @@
 Fw_Relay_Lead(struct fw_relay *r, enum fw_rl_claim claim, uint64_t offset,
               int64_t sent_us, int64_t now_us);
 
-/* What other instances should know; appended to @out. */
-void
-Fw_Relay_WriteDigest(struct fw_relay *r, int64_t now_us, GByteArray *out);
-/**
- * enum fw_rl_tell - whether there is something to tell, and how.
- * @FW_RL_TELL_DIRECTLY: to each instance itself: what was spent must not be
- *     lost with one that would pass it on, or others spend it again
- */
-enum fw_rl_tell {
-    FW_RL_TELL_NOTHING,
-    FW_RL_TELL,
-    FW_RL_TELL_DIRECTLY,
+/** struct fw_rl_datagram - a message to the instance at @addr. */
+struct fw_rl_datagram {
+    char addr[FW_URL_MAX];
+    GBytes *data;
 };
 
-/* Nonzero when the others should be told sooner than usual. */
-int
-Fw_Relay_DigestWanted(const struct fw_relay *r);
-/*
- * What this instance has just taken, of a tight team's allowance or at an
- * engine, for all others when they should know at once: appended to @out.
- */
-enum fw_rl_tell
-Fw_Relay_WriteDelta(struct fw_relay *r, int64_t now_us, GByteArray *out);
-/*
- * What was learned here, for an instance that has just started: appended to
- * @out. Return: nonzero when there is any.
- */
-int
-Fw_Relay_WriteLearned(const struct fw_relay *r, GByteArray *out);
+/** struct fw_rl_mail - messages to go out, of struct fw_rl_datagram. */
+struct fw_rl_mail {
+    GPtrArray *all;
+};
+
+void
+Fw_Mail_Init(struct fw_rl_mail *mail);
+/* Drops the messages. */
+void
+Fw_Mail_Clear(struct fw_rl_mail *mail);
+/* What other instances should get by now. */
+void
+Fw_Relay_Exchange(struct fw_relay *r, int64_t now_us, struct fw_rl_mail *out);
+/* When there is something at the latest. */
+int64_t
+Fw_Relay_ExchangeDue(const struct fw_relay *r);
 /*
- * A message of another instance at @addr. @reply: what goes back, may stay
- * empty. Return: 1 when its sender wasn't known, 0 when it was, -EBADMSG.
+ * A message of another instance at @addr; @out takes what goes back. Return:
+ * 1 when its sender has just been met, 0, or -EBADMSG.
  */
 int
 Fw_Relay_ReadMessage(struct fw_relay *r, const char *addr, const void *data,
-                     size_t len, int64_t now_us, GByteArray *reply);
-/*
- * A question to another instance about how far it has read the store, when
- * one is due: appended to @out for @addr. Return: nonzero when there is one.
- */
-int
-Fw_Relay_WriteQuestion(struct fw_relay *r, int64_t now_us, GByteArray *out,
-                       const char **addr);
+                     size_t len, int64_t now_us, struct fw_rl_mail *out);
 /* Does this instance read the store itself, or learn from others? */
 int
 Fw_Relay_ReadsStore(const struct fw_relay *r, int64_t now_us);
 /* How long a read of the configuration may wait for a change. */
 int64_t
-Fw_Relay_RulesWait(const struct fw_relay *r, int64_t base_us, int64_t now_us);
+Fw_Relay_RulesWait(struct fw_relay *r, int64_t base_us, int64_t now_us);
 /*
- * Should the configuration, or the servers' entries, be read once although
- * others do the reading? Asked about, it is taken as done.
+ * Does another instance know a newer configuration, or newer entries of
+ * servers? @addr takes its address; asked about, it is taken as done.
  */
 int
-Fw_Relay_TakeWantRules(struct fw_relay *r);
+Fw_Relay_TakeWantRules(struct fw_relay *r, char addr[FW_URL_MAX]);
 int
-Fw_Relay_TakeWantList(struct fw_relay *r);
+Fw_Relay_TakeWantList(struct fw_relay *r, char addr[FW_URL_MAX]);
 /* The servers' entries were read up to @offset. */
 void
 Fw_Relay_ListOffset(struct fw_relay *r, uint64_t offset);
-/* Between two digests, milliseconds: grows with the number of instances. */
-int64_t
-Fw_Relay_DigestEvery(const struct fw_relay *r, int64_t base_us,
-                     int64_t now_us);
-/* Another instance is registered at @addr. */
+/**
+ * struct fw_rl_peer - another instance as it is registered.
+ * @cpu_ppm: part of a core that it has
+ */
+struct fw_rl_peer {
+    char name[FW_NAME_MAX];
+    char addr[FW_URL_MAX];
+    char domain[FW_NAME_MAX];
+    int64_t cpu_ppm;
+};
+
 void
-Fw_Relay_AddMember(struct fw_relay *r, const char *name, const char *addr,
+Fw_Relay_AddMember(struct fw_relay *r, const struct fw_rl_peer *peer,
                    int64_t now_us);
-/* Addresses of all other instances that are not long gone. */
-void
-Fw_Relay_Members(const struct fw_relay *r, GPtrArray *addrs);
+/* Has no other instance been heard for a while? */
+int
+Fw_Relay_IsIsolated(const struct fw_relay *r, int64_t now_us);
 
 /* SIGTERM: no longer ready. */
 void
--- a/src/relay/relay_internal.h
+++ b/src/relay/relay_internal.h
@@ -6,6 +6,7 @@
 #include <syslog.h>
 
 #include "decide/learned.h"
+#include "relay/peers.h"
 #include "relay/relay.h"
 #include "route/queue.h"
 
@@ -31,12 +32,8 @@
  * servers that live are back within two seconds. See servers.c.
  */
 #define FW_RL_STORE_RETURN_US (2200 * FW_MSEC)
-/*
- * An instance that was silent for so long isn't counted as in touch: four
- * digests. Until then both sides of a cut spend the whole rate, so this is
- * what a cut can cost beyond it.
- */
-#define FW_RL_TOUCH_US (600 * FW_MSEC)
+/* Without a message of any peer for so long an instance is on its own. */
+#define FW_RL_ISOLATED_US (3 * FW_SEC)
 
 /**
  * struct fw_rl_server - a server in one lifetime.
@@ -52,7 +49,7 @@
  * @work_us: the same of answers to requests that found a free slot
  * @refusals: runs refused in a row that had a reservation there
  * @to_stage, @stage_us: a stage change under way, over by then at the latest
- * @untold: the others don't know yet what was last taken of it here
+ * @unsent: the others don't know yet what was last taken of it here
  */
 struct fw_rl_server {
     struct fw_list link;
@@ -76,47 +73,7 @@
     double work_us;
     enum fw_rl_stage to_stage;
     int64_t stage_us;
-    int untold;
-};
-
-/** struct fw_rl_load - what another instance has at a server. */
-struct fw_rl_load {
-    enum fw_rl_stage to_stage; /* that it is changed to, or NONE */
-    int unreachable;           /* instances that could not reach it lately */
-    int running;
-    int64_t reserved;
-    int64_t reading;
-};
-
-/**
- * struct fw_rl_member - another instance.
- * @domain: hash of its failure domain, 0 when not known yet
- * @heard_us: when its last digest came, 0 for never
- * @spent: team's hash to its tokens since the start there
- * @load: server's hash to struct fw_rl_load
- * @strikes: request's digest to servers lost with it
- * @reading: service's hash to its prompts there, tokens a second
- * @reads: it reads the platform's store itself
- * @rules_offset, @list_offset, @list_hash: how far it has read, and what it
- *     knows of the servers
- */
-struct fw_rl_member {
-    struct fw_list link;
-    char name[FW_NAME_MAX];
-    char addr[FW_URL_MAX];
-    uint64_t domain;
-    uint64_t boot;
-    uint64_t seq;
-    int64_t added_us;
-    int64_t heard_us;
-    GHashTable *spent;
-    GHashTable *load;
-    GHashTable *strikes;
-    GHashTable *reading;
-    int reads;
-    uint64_t rules_offset;
-    uint64_t list_offset;
-    uint64_t list_hash;
+    int unsent;
 };
 
 /**
@@ -124,8 +81,11 @@
  * @hash: of the team's name
  * @level: tokens; below zero when others spent what was not known here yet
  * @part: of the fleet that is in touch, as of @at_us
- * @spent: tokens spent here since the start, told to the others
- * @untold: of these, not told yet
+ * @spent: tokens spent here since the start
+ * @leaves: tokens that leaves of this hub have spent, as counted here
+ * @sent: of both together, what the other hubs were sent
+ * @counted: of @spent, what hubs are known to have counted
+ * @reported: @spent as of the last report
  * @born_us, @adopted: the level of an instance that has just started is a
  *     guess until another one's was taken over
  */
@@ -137,7 +97,10 @@
     double part;
     int64_t at_us;
     int64_t spent;
-    int64_t untold;
+    int64_t leaves;
+    int64_t sent;
+    int64_t counted;
+    int64_t reported;
     int64_t born_us;
     int adopted;
 };
@@ -146,15 +109,18 @@
  * struct fw_rl_watch - how the store is kept up with; see watch.c.
  * @asked_us, @nonce: the question that is out, @nonce 0 for none
  * @list_offset: how far the servers' entries were read here
- * @want_rules, @want_list: another instance knows of something newer
+ * @rules_from, @list_from: address of an instance that knows of something
+ *     newer, "" for none
+ * @store_lost: the store does not answer here
  */
 struct fw_rl_watch {
     int64_t asked_us;
     uint64_t nonce;
     uint64_t last_nonce;
     uint64_t list_offset;
-    int want_rules;
-    int want_list;
+    char rules_from[FW_URL_MAX];
+    char list_from[FW_URL_MAX];
+    int store_lost;
 };
 
 #define FW_RL_BUDGET_SLOTS 16
@@ -335,6 +301,10 @@
     struct fw_queue queue;
     uint64_t last_xid;
     struct fw_list members;
+    struct fw_rl_exchange x;
+    uint64_t hash;      /* of the own name */
+    GHashTable *census; /* hash of a name to when it was in touch */
+    GHashTable *loads;  /* hash of a server's id to what peers have there */
     GHashTable *allowances; /* hash of a team to struct fw_rl_allowance */
     GPtrArray *budgets;
     struct fw_rl_suspicion suspicions[FW_RL_SUSPICIONS];
@@ -345,12 +315,9 @@
     struct fw_rl_watch watch;
     GPtrArray *learned; /* of struct fw_learned */
     uint64_t digest_seq;
-    unsigned spread_turn;
-    int digest_wanted; /* others should know soon */
-    int delta_wanted;  /* of what was just taken, at once */
-    int64_t look_us;   /* when engines are looked at next */
-    int settled;       /* the stages were as wanted once */
-    int64_t short_us;  /* since when a stage has too many or too few */
+    int64_t look_us;  /* when engines are looked at next */
+    int settled;      /* the stages were as wanted once */
+    int64_t short_us; /* since when a stage has too many or too few */
     int draining;
     int64_t drain_us;
 };
@@ -459,7 +426,7 @@
 Fw_Relay_KeysFresh(const struct fw_relay *r, int64_t now_us);
 /* When a caller that is refused for stale keys should come back. */
 int64_t
-Fw_Relay_UnreadyRetry(const struct fw_relay *r, int64_t now_us);
+Fw_Relay_UnreadyRetry(struct fw_relay *r, int64_t now_us);
 /* Looked at again right before a request goes to a server. */
 int
 Fw_Relay_MayServe(const struct fw_relay *r, const struct fw_rl_call *c,
@@ -518,6 +485,12 @@
 void
 Fw_Learned_TakeRuns(struct fw_relay *r, const char *service,
                     const struct fw_rl_up_answer *ans);
+/*
+ * What was learned here, for an instance that has just started: appended to
+ * @out. Return: nonzero when there is any.
+ */
+int
+Fw_Learned_Write(const struct fw_relay *r, GByteArray *out);
 /* What another instance has learned; -EBADMSG for another message. */
 int
 Fw_Learned_Read(struct fw_relay *r, const msgpack_object *o);
@@ -543,38 +516,32 @@
 void
 Fw_Allowance_Others(struct fw_relay *r, uint64_t hash, int64_t tokens,
                     int64_t level, int64_t now_us);
-
-/* rows.c */
-/* Rows of one kind in a message that are taken in. */
-#define FW_RL_ROWS_MAX 20000
-/* A key of a hash table of hashes, to be freed by the table. */
-gint64 *
-Fw_Rows_Key(uint64_t hash);
-/* Element @i: rows of @width whole numbers; NULL if it is not that. */
-const msgpack_object_array *
-Fw_Rows_Of(const msgpack_object *o, uint32_t i, uint32_t width);
-int64_t
-Fw_Rows_Cell(const msgpack_object_array *rows, uint32_t i, int k);
-
-/* delta.c */
-/* Rows of team, tokens and level; these count as told then. */
-void
-Fw_Delta_PackSpent(struct fw_relay *r, msgpack_packer *pk, int only_untold);
-/* Rows of servers and what this instance has there. */
+/* A leaf has spent @tokens more of the team with @hash. */
 void
-Fw_Delta_PackLoad(struct fw_relay *r, msgpack_packer *pk, int only_untold,
+Fw_Allowance_Leaf(struct fw_relay *r, uint64_t hash, int64_t tokens,
                   int64_t now_us);
+
+/**
+ * struct fw_rl_level - a team's level as a hub knows it.
+ * @counted: what the hub has counted of this instance's spending
+ * @may_rise: the newest word, not one that may have been overtaken
+ */
+struct fw_rl_level {
+    uint64_t hash;
+    int64_t level;
+    int64_t counted;
+    int may_rise;
+};
+
 void
-Fw_Delta_TakeSpent(struct fw_relay *r, struct fw_rl_member *m, int first,
-                   const msgpack_object_array *rows, int64_t now_us);
+Fw_Allowance_Hub(struct fw_relay *r, const struct fw_rl_level *level,
+                 int64_t now_us);
+/* A hub has counted all that was reported; what it doesn't name is full. */
 void
-Fw_Delta_TakeLoad(struct fw_rl_member *m, const msgpack_object_array *rows);
-/* A message between digests; -EBADMSG for another one. */
+Fw_Allowance_Counted(struct fw_relay *r, int64_t now_us);
 int
-Fw_Delta_Read(struct fw_relay *r, const msgpack_object *o, int64_t now_us);
-/* More of @s was just taken here: the others should know. */
-void
-Fw_Delta_Placed(struct fw_relay *r, struct fw_rl_server *s, int64_t now_us);
+Fw_Allowance_IsFull(struct fw_relay *r, struct fw_rl_allowance *p,
+                    int64_t now_us);
 
 /* budget.c */
 void
@@ -584,34 +551,6 @@
 Fw_Budget_Repeat(struct fw_relay *r, const char *service, int n,
                  int64_t now_us);
 
-/* members.c */
-struct fw_rl_member *
-Fw_Members_Find(const struct fw_relay *r, const char *name);
-struct fw_rl_member *
-Fw_Members_Add(struct fw_relay *r, const char *name, int64_t now_us);
-/* Instances that count, this one included; @heard: those in touch now. */
-int
-Fw_Members_Count(const struct fw_relay *r, int64_t now_us, int *heard);
-void
-Fw_Members_Tick(struct fw_relay *r, int64_t now_us, struct fw_rl_acts *out);
-void
-Fw_Members_Clear(struct fw_relay *r);
-
-/* watch.c */
-/* A member said how far it has read. */
-void
-Fw_Watch_Heard(struct fw_relay *r, const struct fw_rl_member *m);
-/* What this instance knows of the servers, in one figure. */
-uint64_t
-Fw_Watch_ListHash(const struct fw_relay *r);
-/* Does an instance in touch know a newer configuration? */
-int
-Fw_Watch_IsBehind(const struct fw_relay *r, int64_t now_us);
-/* A question (form 2) or an answer (form 3); -EBADMSG for neither. */
-int
-Fw_Watch_Read(struct fw_relay *r, const msgpack_object *o, int64_t now_us,
-              GByteArray *reply);
-
 /* poison.c */
 void
 Fw_Poison_CutOff(struct fw_relay *r, uint64_t digest,
--- /dev/null
+++ b/src/relay/reply.c
@@ -0,0 +1,207 @@
+/*
+ * What a hub replies to a leaf's report: the levels of the teams' allowances,
+ * what all others have at the servers, and how far the store was read. Between
+ * reports the same goes out when an allowance has run out.
+ */
+#include <errno.h>
+#include <string.h>
+
+#include "base/fault.h"
+#include "base/hash.h"
+#include "core/pack.h"
+#include "relay/relay_internal.h"
+
+#define FW_FORM_REPLY 9
+#define FW_REPLY_SIZE 11
+
+static void
+pack_levels(struct fw_relay *r, const struct fw_rl_member *m, int64_t now_us,
+            msgpack_packer *pk)
+{
+    GHashTableIter it;
+    gpointer v;
+    size_t n = 0;
+
+    g_hash_table_iter_init(&it, r->allowances);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        n += (size_t)!Fw_Allowance_IsFull(r, v, now_us);
+    }
+    msgpack_pack_array(pk, n);
+    g_hash_table_iter_init(&it, r->allowances);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        const struct fw_rl_allowance *p = v;
+
+        if (!Fw_Allowance_IsFull(r, v, now_us)) {
+            msgpack_pack_array(pk, 3);
+            msgpack_pack_uint64(pk, p->hash);
+            msgpack_pack_int64(pk, (int64_t)p->level);
+            msgpack_pack_int64(pk, Fw_Rows_Lookup(m->spent, p->hash));
+        }
+    }
+}
+
+void
+Fw_Reply_Write(struct fw_relay *r, struct fw_rl_member *m, uint64_t echo,
+               int64_t now_us, GByteArray *out)
+{
+    int in_touch;
+    int count = Fw_Members_Count(r, now_us, &in_touch);
+    msgpack_packer pk;
+
+    Fw_Pack_Begin(&pk, out);
+    msgpack_pack_array(&pk, FW_REPLY_SIZE);
+    msgpack_pack_int(&pk, FW_FORM_REPLY);
+    Fw_Pack_Str(&pk, r->opts.name);
+    msgpack_pack_uint64(&pk, r->opts.boot);
+    msgpack_pack_uint64(&pk, m->boot);
+    msgpack_pack_uint64(&pk, m->session);
+    msgpack_pack_uint64(&pk, echo);
+    msgpack_pack_array(&pk, 1);
+    msgpack_pack_array(&pk, 2);
+    msgpack_pack_int(&pk, r->draining ? 0 : count);
+    msgpack_pack_int(&pk, in_touch);
+    pack_levels(r, m, now_us, &pk);
+    if (echo) {
+        Fw_Share_PackLoad(r, &pk, m, 0, now_us);
+        Fw_Share_PackStrikes(r, &pk, m);
+    }
+    else {
+        msgpack_pack_array(&pk, 0);
+        msgpack_pack_array(&pk, 0);
+    }
+    Fw_Share_PackWatch(r, &pk, now_us);
+}
+
+/** struct reply - a message, checked. */
+struct reply {
+    char name[FW_NAME_MAX];
+    uint64_t boot;
+    uint64_t echo_boot;
+    uint64_t session;
+    uint64_t echo;
+    const msgpack_object_array *fleet;
+    const msgpack_object_array *levels;
+    const msgpack_object_array *load;
+    const msgpack_object_array *strikes;
+    const msgpack_object_array *watch;
+};
+
+static int
+read_reply(const msgpack_object *o, struct reply *p)
+{
+    uint64_t form;
+
+    if (o->type != MSGPACK_OBJECT_ARRAY ||
+        o->via.array.size != FW_REPLY_SIZE || Fw_Unpack_U64(o, 0, &form) ||
+        form != FW_FORM_REPLY ||
+        Fw_Unpack_Str(o, 1, p->name, sizeof(p->name)) || !p->name[0] ||
+        Fw_Unpack_U64(o, 2, &p->boot) || Fw_Unpack_U64(o, 3, &p->echo_boot) ||
+        Fw_Unpack_U64(o, 4, &p->session) || Fw_Unpack_U64(o, 5, &p->echo)) {
+        return -EBADMSG;
+    }
+    p->fleet = Fw_Rows_Of(o, 6, 2);
+    p->levels = Fw_Rows_Of(o, 7, 3);
+    p->load = Fw_Rows_Of(o, 8, 6);
+    p->strikes = Fw_Rows_Of(o, 9, 2);
+    p->watch = Fw_Rows_Of(o, 10, FW_RL_WATCH_WIDTH);
+    return p->fleet && p->levels && p->load && p->strikes && p->watch &&
+                   p->fleet->size == 1 && p->watch->size == 1
+               ? 0
+               : -EBADMSG;
+}
+
+/* What is full at the hub isn't named. */
+static void
+take_levels(struct fw_relay *r, const struct reply *p, int64_t now_us)
+{
+    if (p->echo) {
+        Fw_Allowance_Counted(r, now_us);
+    }
+    for (uint32_t i = 0; i < p->levels->size; i++) {
+        struct fw_rl_level level = {
+            .hash = (uint64_t)Fw_Rows_Cell(p->levels, i, 0),
+            .level = Fw_Rows_Cell(p->levels, i, 1),
+            .counted = Fw_Rows_Cell(p->levels, i, 2),
+            .may_rise = p->echo != 0};
+
+        Fw_Allowance_Hub(r, &level, now_us);
+    }
+}
+
+/* All others are in the hub's rows. */
+static void
+take_load(struct fw_relay *r, struct fw_rl_member *hub, const struct reply *p,
+          int64_t now_us)
+{
+    struct fw_list *pos;
+
+    FW_LIST_EACH (pos, &r->members) {
+        struct fw_rl_member *m = FW_LIST_ENTRY(pos, struct fw_rl_member, link);
+
+        if (m != hub) {
+            Fw_Load_Drop(r, m);
+            g_clear_pointer(&m->strikes, g_hash_table_destroy);
+        }
+    }
+    Fw_Load_Replace(r, hub, p->load, FW_RL_SCOPE_OTHER, now_us);
+    Fw_Rows_Table(&hub->strikes, p->strikes);
+}
+
+/* As old as what the hub knew, and as the report was when it came back. */
+static void
+take_freshness(struct fw_relay *r, const struct reply *p, int64_t now_us)
+{
+    int64_t age_us = MAX(Fw_Rows_Cell(p->watch, 0, 5), 0);
+    int64_t from_us = r->x.sent_us;
+
+    if (FW_FAULT("fresh-from-arrival")) {
+        from_us = now_us;
+    }
+    if (r->rules &&
+        (uint64_t)Fw_Rows_Cell(p->watch, 0, 2) == r->rules_offset) {
+        Fw_Relay_Fresh(r, from_us - age_us);
+    }
+}
+
+/* A hub that is stopping counts no instances: another one takes its place. */
+static void
+leave(struct fw_relay *r, struct fw_rl_member *hub, int64_t now_us)
+{
+    hub->failed_us = now_us;
+    Fw_Hubs_Rank(r, now_us);
+    r->x.wants = 1;
+}
+
+int
+Fw_Reply_Read(struct fw_relay *r, const msgpack_object *o, int64_t now_us)
+{
+    struct fw_rl_member *hub;
+    struct reply p;
+
+    if (read_reply(o, &p)) {
+        return -EBADMSG;
+    }
+    hub = r->x.hub;
+    if (!hub || r->x.is_hub || strcmp(hub->name, p.name) != 0 ||
+        p.echo_boot != r->opts.boot || p.session != r->x.session) {
+        return 0; /* of a report that was given up */
+    }
+    Fw_Members_Heard(r, hub, now_us);
+    if (p.echo && p.echo != r->x.seq) {
+        return 0; /* another report has gone out since */
+    }
+    if (Fw_Rows_Cell(p.fleet, 0, 0) <= 0) {
+        leave(r, hub, now_us);
+        return 0;
+    }
+    r->x.count = (int)Fw_Rows_Cell(p.fleet, 0, 0);
+    r->x.in_touch = (int)CLAMP(Fw_Rows_Cell(p.fleet, 0, 1), 1, r->x.count);
+    r->x.census_us = now_us;
+    take_levels(r, &p, now_us);
+    if (p.echo) {
+        take_load(r, hub, &p, now_us);
+        take_freshness(r, &p, now_us);
+    }
+    Fw_Share_TakeWatch(r, hub, p.watch, now_us);
+    return 0;
+}
--- /dev/null
+++ b/src/relay/report.c
@@ -0,0 +1,202 @@
+/*
+ * A leaf's report to its hub: what it has spent and what it has at servers.
+ *
+ * Spending is a running total, with the part of it that some hub is known to
+ * have counted: a hub that is new to the leaf counts the rest, so that nothing
+ * goes uncounted when a leaf changes its hub.
+ */
+#include <errno.h>
+#include <string.h>
+
+#include "base/fault.h"
+#include "base/hash.h"
+#include "core/pack.h"
+#include "relay/relay_internal.h"
+
+#define FW_FORM_REPORT 8
+#define FW_REPORT_SIZE 12
+
+static void
+pack_spent(struct fw_relay *r, msgpack_packer *pk)
+{
+    GHashTableIter it;
+    gpointer v;
+    size_t n = 0;
+
+    g_hash_table_iter_init(&it, r->allowances);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        n += ((struct fw_rl_allowance *)v)->spent != 0;
+    }
+    msgpack_pack_array(pk, n);
+    g_hash_table_iter_init(&it, r->allowances);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        struct fw_rl_allowance *p = v;
+
+        p->reported = p->spent;
+        if (p->spent) {
+            msgpack_pack_array(pk, 3);
+            msgpack_pack_uint64(pk, p->hash);
+            msgpack_pack_int64(pk, p->spent);
+            msgpack_pack_int64(pk, p->counted);
+        }
+    }
+}
+
+void
+Fw_Report_Write(struct fw_relay *r, int64_t now_us, GByteArray *out)
+{
+    msgpack_packer pk;
+
+    r->x.sent_us = now_us;
+    Fw_Pack_Begin(&pk, out);
+    msgpack_pack_array(&pk, FW_REPORT_SIZE);
+    msgpack_pack_int(&pk, FW_FORM_REPORT);
+    Fw_Pack_Str(&pk, r->opts.name);
+    msgpack_pack_uint64(&pk, Fw_Hash_Str(r->opts.domain));
+    msgpack_pack_int64(&pk, r->opts.cpu_ppm);
+    msgpack_pack_uint64(&pk, r->opts.boot);
+    msgpack_pack_uint64(&pk, r->x.session);
+    msgpack_pack_uint64(&pk, ++r->x.seq);
+    Fw_Share_PackReading(r, &pk, now_us);
+    pack_spent(r, &pk);
+    Fw_Share_PackLoad(r, &pk, NULL, 0, now_us);
+    Fw_Share_PackStrikes(r, &pk, NULL);
+    Fw_Share_PackWatch(r, &pk, now_us);
+}
+
+/** struct report - a message, checked. */
+struct report {
+    char name[FW_NAME_MAX];
+    uint64_t domain;
+    int64_t cpu_ppm;
+    uint64_t boot;
+    uint64_t session;
+    uint64_t seq;
+    const msgpack_object_array *reading;
+    const msgpack_object_array *spent;
+    const msgpack_object_array *load;
+    const msgpack_object_array *strikes;
+    const msgpack_object_array *watch;
+};
+
+static int
+read_report(const msgpack_object *o, struct report *p)
+{
+    uint64_t form;
+
+    if (o->type != MSGPACK_OBJECT_ARRAY ||
+        o->via.array.size != FW_REPORT_SIZE || Fw_Unpack_U64(o, 0, &form) ||
+        form != FW_FORM_REPORT ||
+        Fw_Unpack_Str(o, 1, p->name, sizeof(p->name)) || !p->name[0] ||
+        Fw_Unpack_U64(o, 2, &p->domain) || Fw_Unpack_I64(o, 3, &p->cpu_ppm) ||
+        Fw_Unpack_U64(o, 4, &p->boot) || Fw_Unpack_U64(o, 5, &p->session) ||
+        Fw_Unpack_U64(o, 6, &p->seq)) {
+        return -EBADMSG;
+    }
+    p->reading = Fw_Rows_Of(o, 7, 2);
+    p->spent = Fw_Rows_Of(o, 8, 3);
+    p->load = Fw_Rows_Of(o, 9, 6);
+    p->strikes = Fw_Rows_Of(o, 10, 2);
+    p->watch = Fw_Rows_Of(o, 11, FW_RL_WATCH_WIDTH);
+    return p->reading && p->spent && p->load && p->strikes && p->watch &&
+                   p->watch->size == 1
+               ? 0
+               : -EBADMSG;
+}
+
+static void
+count_spent(struct fw_relay *r, struct fw_rl_member *m,
+            const msgpack_object_array *rows, int64_t now_us)
+{
+    for (uint32_t i = 0; i < rows->size; i++) {
+        uint64_t hash = (uint64_t)Fw_Rows_Cell(rows, i, 0);
+        int64_t spent = Fw_Rows_Cell(rows, i, 1);
+        int64_t *before = g_hash_table_lookup(m->spent, &hash);
+
+        if (!before) {
+            before = g_new(int64_t, 1);
+            *before =
+                FW_FAULT("leaf-uncounted") ? spent : Fw_Rows_Cell(rows, i, 2);
+            g_hash_table_insert(m->spent, Fw_Rows_Key(hash), before);
+        }
+        Fw_Allowance_Leaf(r, hash, spent - *before, now_us);
+        *before = spent;
+    }
+}
+
+static void
+begin_session(struct fw_rl_member *m, const struct report *p)
+{
+    m->session = p->session;
+    if (m->spent) {
+        g_hash_table_remove_all(m->spent);
+    }
+    else {
+        m->spent =
+            g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+    }
+}
+
+static int
+is_old(const struct fw_rl_member *m, const struct report *p)
+{
+    return p->boot < m->boot ||
+           (p->boot == m->boot && (p->session < m->session ||
+                                   (p->session == m->session && m->report_us &&
+                                    p->seq <= m->report_seq)));
+}
+
+static int
+take(struct fw_relay *r, struct fw_rl_member *m, const struct report *p,
+     const char *addr, int64_t now_us)
+{
+    int is_new = !Fw_Hubs_IsLeaf(r, m, now_us);
+
+    if (p->boot != m->boot || p->session != m->session || !m->spent) {
+        begin_session(m, p);
+        is_new = 1;
+    }
+    m->boot = p->boot;
+    m->report_seq = p->seq;
+    m->domain = p->domain;
+    m->cpu_ppm = p->cpu_ppm;
+    g_strlcpy(m->addr, addr, sizeof(m->addr));
+    Fw_Members_Heard(r, m, now_us);
+    m->report_us = now_us;
+    m->digest_us = 0;
+    Fw_Rows_Table(&m->reading, p->reading);
+    count_spent(r, m, p->spent, now_us);
+    Fw_Load_Replace(r, m, p->load, FW_RL_SCOPE_LEAF, now_us);
+    Fw_Rows_Table(&m->strikes, p->strikes);
+    Fw_Share_TakeWatch(r, m, p->watch, now_us);
+    return is_new;
+}
+
+int
+Fw_Report_Read(struct fw_relay *r, const msgpack_object *o, const char *addr,
+               int64_t now_us, GByteArray *reply)
+{
+    struct fw_rl_member *m;
+    struct report p;
+    int is_new;
+
+    if (read_report(o, &p)) {
+        return -EBADMSG;
+    }
+    if (strcmp(p.name, r->opts.name) == 0) {
+        return 0;
+    }
+    m = Fw_Members_Find(r, p.name);
+    if (!m) {
+        m = Fw_Members_Add(r, p.name, now_us);
+    }
+    if (is_old(m, &p)) {
+        return 0;
+    }
+    is_new = take(r, m, &p, addr, now_us);
+    if (!r->x.is_hub) {
+        Fw_Hubs_Rank(r, now_us);
+    }
+    Fw_Reply_Write(r, m, p.seq, now_us, reply);
+    return is_new;
+}
--- a/src/relay/rows.c
+++ b/src/relay/rows.c
@@ -42,3 +42,29 @@
 {
     return rows->ptr[i].via.array.ptr[k].via.i64;
 }
+
+void
+Fw_Rows_Table(GHashTable **table, const msgpack_object_array *rows)
+{
+    g_clear_pointer(table, g_hash_table_destroy);
+    if (!rows->size) {
+        return;
+    }
+    *table =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+    for (uint32_t i = 0; i < rows->size; i++) {
+        int64_t *v = g_new(int64_t, 1);
+
+        *v = MAX(Fw_Rows_Cell(rows, i, 1), 0);
+        g_hash_table_insert(
+            *table, Fw_Rows_Key((uint64_t)Fw_Rows_Cell(rows, i, 0)), v);
+    }
+}
+
+int64_t
+Fw_Rows_Lookup(GHashTable *table, uint64_t hash)
+{
+    const int64_t *v = table ? g_hash_table_lookup(table, &hash) : NULL;
+
+    return v ? *v : 0;
+}
--- a/src/relay/servers.c
+++ b/src/relay/servers.c
@@ -275,9 +275,16 @@
     }
 }
 
+void
+Fw_Relay_StoreLost(struct fw_relay *r)
+{
+    r->watch.store_lost = 1;
+}
+
 void
 Fw_Relay_StoreBack(struct fw_relay *r, int64_t now_us)
 {
+    r->watch.store_lost = 0;
     r->store_back_us = now_us;
 }
 
--- /dev/null
+++ b/src/relay/share.c
@@ -0,0 +1,208 @@
+/* Parts that messages between instances have in common. */
+#include "base/hash.h"
+#include "relay/relay_internal.h"
+
+/* What @s bears by all but @to; of a leaf's report, by this instance alone. */
+static void
+load_for(const struct fw_relay *r, const struct fw_rl_server *s,
+         const struct fw_rl_member *to, int64_t now_us, struct fw_rl_load *out)
+{
+    struct fw_rl_load part;
+
+    *out = (struct fw_rl_load){.to_stage = Fw_Servers_Switching(s, now_us)
+                                               ? s->to_stage
+                                               : FW_RL_STAGE_NONE,
+                               .unreachable = now_us < s->suspect_us,
+                               .running = s->running,
+                               .reserved = s->reserved,
+                               .reading = s->reading};
+    if (!r->x.is_hub) {
+        return;
+    }
+    Fw_Load_Of(r, s->hash, FW_RL_SCOPE_LEAF, &part);
+    Fw_Load_Add(out, &part, 1);
+    if (to) {
+        Fw_Load_Of(r, s->hash, FW_RL_SCOPE_OTHER, &part);
+        Fw_Load_Add(out, &part, 1);
+        Fw_Load_OfMember(to, s->hash, &part);
+        Fw_Load_Add(out, &part, -1);
+    }
+}
+
+static int
+is_empty(const struct fw_rl_load *l)
+{
+    return l->to_stage == FW_RL_STAGE_NONE && !l->unreachable && !l->running &&
+           !l->reserved && !l->reading;
+}
+
+static void
+pack_load(msgpack_packer *pk, uint64_t hash, const struct fw_rl_load *l)
+{
+    msgpack_pack_array(pk, 6);
+    msgpack_pack_uint64(pk, hash);
+    msgpack_pack_int64(pk, l->running);
+    msgpack_pack_int64(pk, l->reserved);
+    msgpack_pack_int64(pk, l->reading);
+    msgpack_pack_int64(pk, (int64_t)l->to_stage);
+    msgpack_pack_int64(pk, l->unreachable);
+}
+
+void
+Fw_Share_PackLoad(struct fw_relay *r, msgpack_packer *pk,
+                  const struct fw_rl_member *to, int only_changed,
+                  int64_t now_us)
+{
+    GArray *rows = g_array_new(FALSE, FALSE, sizeof(struct fw_rl_load_row));
+    struct fw_list *pos;
+
+    FW_LIST_EACH (pos, &r->servers) {
+        struct fw_rl_server *s = FW_LIST_ENTRY(pos, struct fw_rl_server, link);
+        struct fw_rl_load_row row = {.hash = s->hash};
+        int changed = 1;
+
+        if (!to) {
+            changed = Fw_Load_TakeChanged(r, s->hash) | s->unsent;
+            s->unsent = 0;
+        }
+        load_for(r, s, to, now_us, &row.load);
+        if (only_changed ? changed : !is_empty(&row.load)) {
+            g_array_append_val(rows, row);
+        }
+    }
+    msgpack_pack_array(pk, rows->len);
+    for (guint i = 0; i < rows->len; i++) {
+        const struct fw_rl_load_row *row =
+            &g_array_index(rows, struct fw_rl_load_row, i);
+
+        pack_load(pk, row->hash, &row->load);
+    }
+    g_array_unref(rows);
+}
+
+/* Adds @more to the number at @hash. */
+static void
+add_to(GHashTable *sums, uint64_t hash, int64_t more)
+{
+    int64_t *sum = g_hash_table_lookup(sums, &hash);
+
+    if (!sum) {
+        sum = g_new0(int64_t, 1);
+        g_hash_table_insert(sums, Fw_Rows_Key(hash), sum);
+    }
+    *sum += more;
+}
+
+static void
+add_table(GHashTable *sums, GHashTable *more)
+{
+    GHashTableIter it;
+    gpointer k;
+    gpointer v;
+
+    if (!more) {
+        return;
+    }
+    g_hash_table_iter_init(&it, more);
+    while (g_hash_table_iter_next(&it, &k, &v)) {
+        add_to(sums, (uint64_t) * (gint64 *)k, *(int64_t *)v);
+    }
+}
+
+static GHashTable *
+sums_new(void)
+{
+    return g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+}
+
+/* Packs and frees @sums. */
+static void
+pack_sums(msgpack_packer *pk, GHashTable *sums)
+{
+    GHashTableIter it;
+    gpointer k;
+    gpointer v;
+
+    msgpack_pack_array(pk, g_hash_table_size(sums));
+    g_hash_table_iter_init(&it, sums);
+    while (g_hash_table_iter_next(&it, &k, &v)) {
+        msgpack_pack_array(pk, 2);
+        msgpack_pack_uint64(pk, (uint64_t) * (gint64 *)k);
+        msgpack_pack_int64(pk, MAX(*(int64_t *)v, 0));
+    }
+    g_hash_table_destroy(sums);
+}
+
+void
+Fw_Share_PackStrikes(struct fw_relay *r, msgpack_packer *pk,
+                     const struct fw_rl_member *to)
+{
+    GHashTable *sums = sums_new();
+    struct fw_list *pos;
+
+    FW_LIST_EACH (pos, &r->members) {
+        const struct fw_rl_member *m =
+            FW_LIST_ENTRY(pos, struct fw_rl_member, link);
+
+        if (r->x.is_hub && (to ? m != to : m->report_us != 0)) {
+            add_table(sums, m->strikes);
+        }
+    }
+    for (int i = 0; i < r->n_strikes; i++) {
+        add_to(sums, r->strikes[i].digest, r->strikes[i].count);
+    }
+    pack_sums(pk, sums);
+}
+
+void
+Fw_Share_PackReading(struct fw_relay *r, msgpack_packer *pk, int64_t now_us)
+{
+    GHashTable *sums = sums_new();
+    struct fw_list *pos;
+
+    for (guint i = 0; i < r->learned->len; i++) {
+        const struct fw_learned *l = g_ptr_array_index(r->learned, i);
+
+        add_to(sums, Fw_Hash_Str(l->service),
+               (int64_t)Fw_Reading_Rate(&l->reading, now_us));
+    }
+    FW_LIST_EACH (pos, &r->members) {
+        const struct fw_rl_member *m =
+            FW_LIST_ENTRY(pos, struct fw_rl_member, link);
+
+        if (r->x.is_hub && Fw_Hubs_IsLeaf(r, m, now_us)) {
+            add_table(sums, m->reading);
+        }
+    }
+    pack_sums(pk, sums);
+}
+
+void
+Fw_Share_PackWatch(struct fw_relay *r, msgpack_packer *pk, int64_t now_us)
+{
+    msgpack_pack_array(pk, 1);
+    msgpack_pack_array(pk, FW_RL_WATCH_WIDTH);
+    msgpack_pack_int(pk, Fw_Relay_ReadsStore(r, now_us));
+    msgpack_pack_int(pk, r->watch.store_lost);
+    msgpack_pack_uint64(pk, r->rules_offset);
+    msgpack_pack_uint64(pk, r->watch.list_offset);
+    msgpack_pack_uint64(pk, Fw_Watch_ListHash(r));
+    msgpack_pack_int64(pk, MAX(now_us - r->fresh_us, 0));
+}
+
+void
+Fw_Share_TakeWatch(struct fw_relay *r, struct fw_rl_member *m,
+                   const msgpack_object_array *rows, int64_t now_us)
+{
+    int lost = Fw_Rows_Cell(rows, 0, 1) != 0;
+
+    if (m->store_lost && !lost) {
+        r->store_back_us = now_us; /* entries that lapsed may be back soon */
+    }
+    m->store_lost = lost;
+    m->reads = (int)Fw_Rows_Cell(rows, 0, 0);
+    m->rules_offset = (uint64_t)Fw_Rows_Cell(rows, 0, 2);
+    m->list_offset = (uint64_t)Fw_Rows_Cell(rows, 0, 3);
+    m->list_hash = (uint64_t)Fw_Rows_Cell(rows, 0, 4);
+    Fw_Watch_Heard(r, m);
+}
--- a/src/relay/stream.c
+++ b/src/relay/stream.c
@@ -97,7 +97,7 @@
     };
 
     take_server(c, s);
-    Fw_Delta_Placed(r, s, now_us);
+    Fw_Delta_Placed(r, s);
     c->state = FW_RL_HOLD;
     r->n.holds.value++;
     Fw_Call_Ask(r, c, s, &up, now_us + FW_HOLD_WAIT_US, now_us, out);
@@ -239,7 +239,7 @@
     c->reader = Fw_Servers_Ref(s);
     c->reading = 1;
     s->reading += c->ask.tokens_in;
-    Fw_Delta_Placed(r, s, now_us);
+    Fw_Delta_Placed(r, s);
     c->state = FW_RL_READ;
     r->n.reads.value++;
     Fw_Call_Ask(
--- a/src/relay/watch.c
+++ b/src/relay/watch.c
@@ -1,7 +1,7 @@
 /*
- * Keeping up with the platform's store in a large fleet. Its rates are shared
- * by all instances, so only some read it; the others ask those how far they
- * are, and read once when there is something newer.
+ * Keeping up with the platform's store. Its rates are shared by all instances,
+ * so two hubs read it; the other hubs ask those how far they are, leaves learn
+ * it from their hub, and who is behind reads once.
  *
  * How old one's knowledge is must not depend on how long a message was under
  * way: what an answer says counts from when the question was sent. An
@@ -19,15 +19,14 @@
 #define FW_FORM_QUESTION 2
 #define FW_FORM_ANSWER 3
 
-/* A fleet up to this size reads the store by itself, each instance. */
-#define FW_READ_ALL 4
-/* Of a larger one, one in so many, but no fewer than FW_READERS_MIN. */
-#define FW_READERS_PART 16
-#define FW_READERS_MIN 4
+/* Hubs that read the store; the next one takes over where one can't. */
+#define FW_READERS 2
 /* Questions come so often; one without an answer is given up by then. */
-#define FW_ASK_US (700 * FW_MSEC)
-/* Without news for so long an instance reads for itself. */
-#define FW_LEFT_ALONE_US (3 * FW_SEC)
+#define FW_ASK_US (300 * FW_MSEC)
+/* A leaf asks only where its hub is stale. */
+#define FW_ASK_LEAF_US (1 * FW_SEC)
+/* With knowledge that is older a hub reads for itself. */
+#define FW_STALE_US (3 * FW_SEC)
 /*
  * One that reads for itself and learnt nothing for so long asks as well: the
  * store may turn some instances away while it serves others. Their keys would
@@ -37,8 +36,6 @@
 #define FW_ASK_TOO_US (2 * FW_SEC)
 /* A member whose digests come is asked. */
 #define FW_HEARD_US (2500 * FW_MSEC)
-/* Instances up to which digests go out at the base interval. */
-#define FW_DIGEST_BASE 48
 
 static int
 in_touch(const struct fw_rl_member *m, int64_t now_us)
@@ -49,26 +46,26 @@
 int
 Fw_Relay_ReadsStore(const struct fw_relay *r, int64_t now_us)
 {
-    uint64_t mine = Fw_Hash_Str(r->opts.name);
     struct fw_list *pos;
     int before = 0;
-    int n = 1;
 
-    if (!r->rules || !r->list_known ||
-        now_us - r->fresh_us > FW_LEFT_ALONE_US) {
+    if (!r->rules || !r->list_known) {
+        return 1;
+    }
+    if (!r->x.is_hub) {
+        return Fw_Relay_IsIsolated(r, now_us);
+    }
+    if (now_us - r->fresh_us > FW_STALE_US) {
         return 1;
     }
     FW_LIST_EACH (pos, &r->members) {
         const struct fw_rl_member *m =
             FW_LIST_ENTRY(pos, struct fw_rl_member, link);
 
-        if (in_touch(m, now_us)) {
-            n++;
-            before += Fw_Hash_Str(m->name) < mine;
-        }
+        before += m->digest_us && now_us - m->digest_us < FW_HEARD_US &&
+                  !m->store_lost && m->hash < r->hash;
     }
-    return n <= FW_READ_ALL ||
-           before < MAX(FW_READERS_MIN, n / FW_READERS_PART);
+    return before < FW_READERS;
 }
 
 /*
@@ -76,10 +73,10 @@
  * others' knowledge is older still by a question.
  */
 int64_t
-Fw_Relay_RulesWait(const struct fw_relay *r, int64_t base_us, int64_t now_us)
+Fw_Relay_RulesWait(struct fw_relay *r, int64_t base_us, int64_t now_us)
 {
-    return Fw_Members_Count(r, now_us, NULL) <= FW_READ_ALL ? base_us
-                                                            : base_us / 2;
+    return Fw_Members_Count(r, now_us, NULL) <= FW_READERS ? base_us
+                                                           : base_us / 2;
 }
 
 /* Order doesn't matter: the sum of what each entry amounts to. */
@@ -104,11 +101,11 @@
 Fw_Watch_Heard(struct fw_relay *r, const struct fw_rl_member *m)
 {
     if (m->rules_offset > r->rules_offset) {
-        r->watch.want_rules = 1;
+        g_strlcpy(r->watch.rules_from, m->addr, FW_URL_MAX);
     }
     if (m->list_offset > r->watch.list_offset &&
         m->list_hash != Fw_Watch_ListHash(r)) {
-        r->watch.want_list = 1;
+        g_strlcpy(r->watch.list_from, m->addr, FW_URL_MAX);
     }
 }
 
@@ -128,22 +125,27 @@
     return 0;
 }
 
-int
-Fw_Relay_TakeWantRules(struct fw_relay *r)
+static int
+take_want(char from[FW_URL_MAX], char addr[FW_URL_MAX])
 {
-    int want = r->watch.want_rules;
-
-    r->watch.want_rules = 0;
-    return want;
+    if (!from[0]) {
+        return 0;
+    }
+    g_strlcpy(addr, from, FW_URL_MAX);
+    from[0] = 0;
+    return 1;
 }
 
 int
-Fw_Relay_TakeWantList(struct fw_relay *r)
+Fw_Relay_TakeWantRules(struct fw_relay *r, char addr[FW_URL_MAX])
 {
-    int want = r->watch.want_list;
+    return take_want(r->watch.rules_from, addr);
+}
 
-    r->watch.want_list = 0;
-    return want;
+int
+Fw_Relay_TakeWantList(struct fw_relay *r, char addr[FW_URL_MAX])
+{
+    return take_want(r->watch.list_from, addr);
 }
 
 void
@@ -152,14 +154,6 @@
     r->watch.list_offset = offset;
 }
 
-int64_t
-Fw_Relay_DigestEvery(const struct fw_relay *r, int64_t base_us, int64_t now_us)
-{
-    int n = Fw_Members_Count(r, now_us, NULL);
-
-    return base_us * MAX(n, FW_DIGEST_BASE) / FW_DIGEST_BASE;
-}
-
 /* One that reads the store itself, drawn at random, or NULL. */
 static struct fw_rl_member *
 pick_reader(struct fw_relay *r, int64_t now_us)
@@ -179,42 +173,48 @@
     return picked;
 }
 
-int
-Fw_Relay_WriteQuestion(struct fw_relay *r, int64_t now_us, GByteArray *out,
-                       const char **addr)
+void
+Fw_Watch_Ask(struct fw_relay *r, int64_t now_us, struct fw_rl_mail *out)
 {
     struct fw_rl_member *m;
+    GByteArray *msg;
     msgpack_packer pk;
 
-    if (now_us - r->watch.asked_us < FW_ASK_US ||
+    int64_t every_us = r->x.is_hub ? FW_ASK_US : FW_ASK_LEAF_US;
+
+    if (now_us - r->watch.asked_us < every_us ||
+        (!r->x.is_hub && now_us - r->fresh_us < FW_ASK_TOO_US) ||
         (Fw_Relay_ReadsStore(r, now_us) &&
          now_us - r->fresh_us < FW_ASK_TOO_US)) {
-        return 0;
+        return;
     }
     m = pick_reader(r, now_us);
     if (!m) {
-        return 0;
+        return;
     }
     r->watch.asked_us = now_us;
     r->watch.nonce = ++r->watch.last_nonce;
-    Fw_Pack_Begin(&pk, out);
+    msg = g_byte_array_new();
+    Fw_Pack_Begin(&pk, msg);
     msgpack_pack_array(&pk, 3);
     msgpack_pack_int(&pk, FW_FORM_QUESTION);
     msgpack_pack_uint64(&pk, r->opts.boot);
     msgpack_pack_uint64(&pk, r->watch.nonce);
-    *addr = m->addr;
-    return 1;
+    Fw_Mail_Add(out, m->addr, msg);
+    g_byte_array_unref(msg);
 }
 
 static void
-write_answer(struct fw_relay *r, const msgpack_object *f, int64_t now_us,
-             GByteArray *reply)
+write_answer(struct fw_relay *r, const msgpack_object *f, const char *addr,
+             int64_t now_us, struct fw_rl_mail *out)
 {
+    GByteArray *reply;
     msgpack_packer pk;
 
     if (!r->rules) {
         return;
     }
+    reply = g_byte_array_new();
     Fw_Pack_Begin(&pk, reply);
     msgpack_pack_array(&pk, 5);
     msgpack_pack_int(&pk, FW_FORM_ANSWER);
@@ -222,10 +222,13 @@
     msgpack_pack_uint64(&pk, f[2].via.u64);
     msgpack_pack_uint64(&pk, r->rules_offset);
     msgpack_pack_uint64(&pk, (uint64_t)MAX(now_us - r->fresh_us, 0));
+    Fw_Mail_Add(out, addr, reply);
+    g_byte_array_unref(reply);
 }
 
 static void
-take_answer(struct fw_relay *r, const msgpack_object *f, int64_t now_us)
+take_answer(struct fw_relay *r, const msgpack_object *f, const char *addr,
+            int64_t now_us)
 {
     int64_t from_us = r->watch.asked_us;
 
@@ -234,7 +237,7 @@
     }
     r->watch.nonce = 0;
     if (f[3].via.u64 > r->rules_offset) {
-        r->watch.want_rules = 1;
+        g_strlcpy(r->watch.rules_from, addr, FW_URL_MAX);
     }
     else if (f[3].via.u64 == r->rules_offset) {
         if (FW_FAULT("fresh-from-arrival")) {
@@ -256,8 +259,8 @@
 }
 
 int
-Fw_Watch_Read(struct fw_relay *r, const msgpack_object *o, int64_t now_us,
-              GByteArray *reply)
+Fw_Watch_Read(struct fw_relay *r, const msgpack_object *o, const char *addr,
+              int64_t now_us, struct fw_rl_mail *out)
 {
     const msgpack_object_array *a = &o->via.array;
 
@@ -265,11 +268,11 @@
         return -EBADMSG;
     }
     if (a->size == 3 && a->ptr[0].via.u64 == FW_FORM_QUESTION) {
-        write_answer(r, a->ptr, now_us, reply);
+        write_answer(r, a->ptr, addr, now_us, out);
         return 0;
     }
     if (a->size == 5 && a->ptr[0].via.u64 == FW_FORM_ANSWER) {
-        take_answer(r, a->ptr, now_us);
+        take_answer(r, a->ptr, addr, now_us);
         return 0;
     }
     return -EBADMSG;
--- a/src/relayd/acts.c
+++ b/src/relayd/acts.c
@@ -122,5 +122,5 @@
         g_free(xid);
     }
     Fw_Acts_Clear(acts);
-    Fw_Peer_TellDelta(d);
+    Fw_Peer_Send(d);
 }
--- /dev/null
+++ b/src/relayd/handover.c
@@ -0,0 +1,203 @@
+/*
+ * The newest records of the configuration and of the servers, handed on to
+ * other instances: a change is read from the store by those that watch it,
+ * and an instance that the store turns away gets it all the same.
+ */
+#include <errno.h>
+#include <msgpack.h>
+#include <string.h>
+
+#include "core/pack.h"
+#include "core/pack_scan.h"
+#include "http/conn.h"
+#include "relayd/store_internal.h"
+
+/* Offset, key and value. */
+#define FW_RECORD_WIDTH 3
+
+/** struct kept - the newest record of one key. */
+struct kept {
+    uint64_t offset;
+    GBytes *value;
+};
+
+static void
+kept_free(gpointer data)
+{
+    struct kept *k = data;
+
+    g_bytes_unref(k->value);
+    g_free(k);
+}
+
+GHashTable *
+Fw_Handover_New(void)
+{
+    return g_hash_table_new_full(g_str_hash, g_str_equal, g_free, kept_free);
+}
+
+void
+Fw_Handover_Keep(GHashTable *newest, const struct fw_record *rec)
+{
+    const struct kept *old = g_hash_table_lookup(newest, rec->key);
+    struct kept *k;
+
+    if (old && old->offset > rec->offset) {
+        return;
+    }
+    if (!rec->value) {
+        g_hash_table_remove(newest, rec->key);
+        return;
+    }
+    k = g_new(struct kept, 1);
+    k->offset = rec->offset;
+    k->value = g_bytes_new(rec->value, rec->len);
+    g_hash_table_replace(newest, g_strdup(rec->key), k);
+}
+
+static void
+write_records(GHashTable *newest, uint64_t end, GByteArray *out)
+{
+    GHashTableIter it;
+    gpointer key;
+    gpointer v;
+    msgpack_packer pk;
+
+    Fw_Pack_Begin(&pk, out);
+    msgpack_pack_array(&pk, 2);
+    msgpack_pack_uint64(&pk, end);
+    msgpack_pack_array(&pk, g_hash_table_size(newest));
+    g_hash_table_iter_init(&it, newest);
+    while (g_hash_table_iter_next(&it, &key, &v)) {
+        const struct kept *k = v;
+        gsize len;
+        const void *data = g_bytes_get_data(k->value, &len);
+
+        msgpack_pack_array(&pk, FW_RECORD_WIDTH);
+        msgpack_pack_uint64(&pk, k->offset);
+        Fw_Pack_Str(&pk, key);
+        msgpack_pack_bin(&pk, len);
+        msgpack_pack_bin_body(&pk, data, len);
+    }
+}
+
+static int
+read_record(const msgpack_object *o, struct fw_records *out)
+{
+    struct fw_record rec = {0};
+    const msgpack_object *value;
+    char *copy;
+
+    if (o->type != MSGPACK_OBJECT_ARRAY ||
+        o->via.array.size != FW_RECORD_WIDTH ||
+        Fw_Unpack_U64(o, 0, &rec.offset) ||
+        Fw_Unpack_Str(o, 1, rec.key, sizeof(rec.key))) {
+        return -EBADMSG;
+    }
+    value = &o->via.array.ptr[2];
+    if (value->type != MSGPACK_OBJECT_BIN || !value->via.bin.size) {
+        return -EBADMSG;
+    }
+    copy = g_memdup2(value->via.bin.ptr, value->via.bin.size);
+    g_ptr_array_add(out->owned, copy);
+    rec.value = copy;
+    rec.len = value->via.bin.size;
+    g_array_append_val(out->all, rec);
+    return 0;
+}
+
+static int
+read_records(const msgpack_object *o, struct fw_records *out)
+{
+    const msgpack_object *rows;
+    int rc = 0;
+
+    if (o->type != MSGPACK_OBJECT_ARRAY || o->via.array.size != 2 ||
+        Fw_Unpack_U64(o, 0, &out->end) || !(rows = Fw_Unpack_Array(o, 1))) {
+        return -EBADMSG;
+    }
+    for (uint32_t i = 0; i < rows->via.array.size && !rc; i++) {
+        rc = read_record(&rows->via.array.ptr[i], out);
+    }
+    return rc;
+}
+
+int
+Fw_Handover_Read(const void *data, size_t len, struct fw_records *out)
+{
+    msgpack_unpacked u;
+    int rc = -EBADMSG;
+
+    *out = (struct fw_records){
+        .status = 200,
+        .all = g_array_new(FALSE, TRUE, sizeof(struct fw_record)),
+        .owned = g_ptr_array_new_with_free_func(g_free),
+    };
+    if (!Fw_PackScan_IsSane(data, len)) {
+        return -EBADMSG;
+    }
+    msgpack_unpacked_init(&u);
+    if (msgpack_unpack_next(&u, data, len, NULL) == MSGPACK_UNPACK_SUCCESS) {
+        rc = read_records(&u.data, out);
+    }
+    msgpack_unpacked_destroy(&u);
+    return rc;
+}
+
+static const char *const paths[] = {[FW_TOPIC_RULES] = "/newest/configuration",
+                                    [FW_TOPIC_SERVERS] = "/newest/servers"};
+
+void
+Fw_Handover_WriteAsk(enum fw_topic topic, const char *addr, GString *head)
+{
+    g_string_append_printf(head, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n",
+                           paths[topic], addr);
+}
+
+static void
+answer(struct fw_http_caller *c, const struct fw_follow *f)
+{
+    GByteArray *body;
+
+    if (f->step != FW_STEP_READ || !f->from) {
+        Fw_Caller_Answer(c, 503, "", "");
+        return;
+    }
+    body = g_byte_array_new();
+    write_records(f->newest, f->from, body);
+    Fw_Caller_Start(c, 200, "Content-Type: application/msgpack\r\n",
+                    (int64_t)body->len);
+    Fw_Caller_Data(c, body->data, body->len);
+    Fw_Caller_End(c);
+    g_byte_array_unref(body);
+}
+
+static void
+on_request(void *ctx, struct fw_http_caller *c,
+           const struct fw_http_head *head, GBytes *body)
+{
+    struct fw_relayd *d = ctx;
+
+    (void)body;
+    if (Fw_Status_AsksFor(head, paths[FW_TOPIC_RULES])) {
+        answer(c, &d->store->rules);
+    }
+    else if (Fw_Status_AsksFor(head, paths[FW_TOPIC_SERVERS])) {
+        answer(c, &d->store->servers);
+    }
+    else {
+        Fw_Caller_Answer(c, 404, "", "");
+    }
+}
+
+static const struct fw_http_ops ops = {.request = on_request,
+                                       .refused = Fw_Relayd_Malformed};
+
+int
+Fw_Handover_Listen(struct fw_relayd *d)
+{
+    int err = 0;
+
+    d->handover = Fw_Server_New(d->opts.peers, &ops, d, &err);
+    return d->handover ? 0 : err;
+}
--- a/src/relayd/peers.c
+++ b/src/relayd/peers.c
@@ -1,10 +1,9 @@
-/* Digests between instances, as datagrams. */
+/* Messages between instances, as datagrams. */
 #include <string.h>
 
 #include "http/conn.h"
 #include "io/addr.h"
 #include "io/note.h"
-#include "relay/spread.h"
 #include "relayd/relayd_internal.h"
 
 /* A datagram that passes any link unfragmented is smaller; ours are too. */
@@ -25,139 +24,58 @@
 }
 
 static void
-send_to(struct fw_relayd *d, const char *addr, const GByteArray *msg)
+send_to(struct fw_relayd *d, const struct fw_rl_datagram *msg)
 {
-    GSocketAddress *to = Fw_Addr_Parse(addr);
+    GSocketAddress *to = Fw_Addr_Parse(msg->addr);
     GError *error = NULL;
+    gsize len;
+    const char *data = g_bytes_get_data(msg->data, &len);
 
     if (!to) {
-        unsent(d, addr, "no address");
+        unsent(d, msg->addr, "no address");
         return;
     }
-    if (g_socket_send_to(d->peers, to, (char *)msg->data, msg->len, NULL,
-                         &error) < 0) {
-        unsent(d, addr, error->message);
+    if (g_socket_send_to(d->peers, to, data, len, NULL, &error) < 0) {
+        unsent(d, msg->addr, error->message);
         g_error_free(error);
     }
+    d->sent.value++;
+    d->sent_bytes.value += (int64_t)len;
     g_object_unref(to);
 }
 
 static void
-send_each(struct fw_relayd *d, const GPtrArray *addrs, const GByteArray *msg)
+send_all(struct fw_relayd *d)
 {
-    for (guint i = 0; i < addrs->len; i++) {
-        send_to(d, g_ptr_array_index(addrs, i), msg);
+    for (guint i = 0; i < d->mail.all->len; i++) {
+        send_to(d, g_ptr_array_index(d->mail.all, i));
     }
-}
-
-static void
-send_to_all(struct fw_relayd *d, const GByteArray *msg)
-{
-    GPtrArray *direct = g_ptr_array_new();
-    GPtrArray *through = g_ptr_array_new();
-    GByteArray *envelope = g_byte_array_new();
-
-    Fw_Relay_Routes(d->relay, Fw_Conn_Now(), direct, through);
-    send_each(d, direct, msg);
-    if (through->len) {
-        Fw_Envelope_Write(1, "", msg->data, msg->len, envelope);
-        send_each(d, through, envelope);
-    }
-    g_byte_array_unref(envelope);
-    g_ptr_array_unref(direct);
-    g_ptr_array_unref(through);
-}
-
-static void
-pass_on(struct fw_relayd *d, const struct fw_rl_envelope *e)
-{
-    GPtrArray *to = g_ptr_array_new();
-    GByteArray *envelope = g_byte_array_new();
-
-    Fw_Envelope_Write(0, e->addr, e->data, e->len, envelope);
-    Fw_Relay_PassOn(d->relay, e->addr, to);
-    send_each(d, to, envelope);
-    g_byte_array_unref(envelope);
-    g_ptr_array_unref(to);
-}
-
-static void
-send_digest(struct fw_relayd *d, const char *only)
-{
-    GByteArray *msg = g_byte_array_new();
-
-    Fw_Relay_WriteDigest(d->relay, Fw_Conn_Now(), msg);
-    if (only) {
-        send_to(d, only, msg);
-    }
-    else {
-        send_to_all(d, msg);
-    }
-    g_byte_array_unref(msg);
+    Fw_Mail_Clear(&d->mail);
 }
 
 void
-Fw_Peer_TellDelta(struct fw_relayd *d)
+Fw_Peer_Send(struct fw_relayd *d)
 {
-    GByteArray *msg = g_byte_array_new();
-    GPtrArray *addrs = g_ptr_array_new();
-
-    switch (Fw_Relay_WriteDelta(d->relay, Fw_Conn_Now(), msg)) {
-    case FW_RL_TELL_NOTHING:
-        break;
-    case FW_RL_TELL:
-        send_to_all(d, msg);
-        break;
-    case FW_RL_TELL_DIRECTLY:
-        Fw_Relay_Members(d->relay, addrs);
-        send_each(d, addrs, msg);
-        break;
-    }
-    g_ptr_array_unref(addrs);
-    g_byte_array_unref(msg);
-}
-
-static void
-send_learned(struct fw_relayd *d, const char *addr)
-{
-    GByteArray *msg = g_byte_array_new();
-
-    if (Fw_Relay_WriteLearned(d->relay, msg)) {
-        send_to(d, addr, msg);
-    }
-    g_byte_array_unref(msg);
+    Fw_Relay_Exchange(d->relay, Fw_Conn_Now(), &d->mail);
+    send_all(d);
 }
 
 static void
 take(struct fw_relayd *d, GSocketAddress *from, const char *data, size_t len)
 {
-    GByteArray *reply = g_byte_array_new();
     char addr[FW_URL_MAX];
-    struct fw_rl_envelope e;
     int rc;
 
     Fw_Addr_Print(from, addr);
-    if (Fw_Envelope_Open(data, len, &e)) {
-        if (e.pass_on) {
-            g_strlcpy(e.addr, addr, sizeof(e.addr));
-            pass_on(d, &e);
-        }
-        g_strlcpy(addr, e.addr, sizeof(addr));
-        data = e.data;
-        len = e.len;
-    }
-    rc = Fw_Relay_ReadMessage(d->relay, addr, data, len, Fw_Conn_Now(), reply);
-    if (reply->len) {
-        send_to(d, addr, reply);
-    }
-    g_byte_array_unref(reply);
+    d->received.value++;
+    rc = Fw_Relay_ReadMessage(d->relay, addr, data, len, Fw_Conn_Now(),
+                              &d->mail);
+    send_all(d);
     if (rc < 0) {
         Fw_Note_Log(LOG_WARNING, "digest_unreadable", "from", addr, NULL);
     }
     else if (rc > 0) {
         Fw_Note_Log(LOG_NOTICE, "member_met", "addr", addr, NULL);
-        send_digest(d, addr);
-        send_learned(d, addr);
     }
 }
 
@@ -179,16 +97,36 @@
     return G_SOURCE_CONTINUE;
 }
 
+static void
+add_metrics(struct fw_relayd *d)
+{
+    struct fw_metrics *m = Fw_Relay_Metrics(d->relay);
+
+    d->digests_unsent = (struct fw_metric){
+        .name = "fw_digests_unsent_total",
+        .help = "Messages to other instances that could not be sent"};
+    d->sent = (struct fw_metric){.name = "fw_peer_messages_sent_total",
+                                 .help = "Messages sent to other instances"};
+    d->sent_bytes =
+        (struct fw_metric){.name = "fw_peer_bytes_sent_total",
+                           .help = "Bytes of messages to other instances"};
+    d->received =
+        (struct fw_metric){.name = "fw_peer_messages_received_total",
+                           .help = "Messages received of other instances"};
+    Fw_Metrics_Add(m, &d->digests_unsent);
+    Fw_Metrics_Add(m, &d->sent);
+    Fw_Metrics_Add(m, &d->sent_bytes);
+    Fw_Metrics_Add(m, &d->received);
+}
+
 int
 Fw_Peer_Listen(struct fw_relayd *d)
 {
     GSocketAddress *at = Fw_Addr_Parse(d->opts.peers);
     int ok;
 
-    d->digests_unsent = (struct fw_metric){
-        .name = "fw_digests_unsent_total",
-        .help = "Digests and questions that could not be sent"};
-    Fw_Metrics_Add(Fw_Relay_Metrics(d->relay), &d->digests_unsent);
+    Fw_Mail_Init(&d->mail);
+    add_metrics(d);
     if (!at) {
         return -EINVAL;
     }
@@ -208,33 +146,6 @@
     return 0;
 }
 
-static void
-send_question(struct fw_relayd *d, int64_t now_us)
-{
-    GByteArray *msg = g_byte_array_new();
-    const char *addr;
-
-    if (Fw_Relay_WriteQuestion(d->relay, now_us, msg, &addr)) {
-        send_to(d, addr, msg);
-    }
-    g_byte_array_unref(msg);
-}
-
-void
-Fw_Peer_Tick(struct fw_relayd *d, int64_t now_us)
-{
-    int64_t every =
-        Fw_Relay_DigestEvery(d->relay, d->opts.digest_every_us, now_us);
-    int64_t early_us = d->digest_us - every / 2;
-
-    if (now_us >= d->digest_us ||
-        (now_us >= early_us && Fw_Relay_DigestWanted(d->relay))) {
-        d->digest_us = now_us + every;
-        send_digest(d, NULL);
-    }
-    send_question(d, now_us);
-}
-
 void
 Fw_Peer_Close(struct fw_relayd *d)
 {
@@ -243,4 +154,8 @@
         g_source_unref(d->peers_source);
     }
     g_clear_object(&d->peers);
+    if (d->mail.all) {
+        Fw_Mail_Clear(&d->mail);
+        g_clear_pointer(&d->mail.all, g_ptr_array_unref);
+    }
 }
--- a/src/relayd/relayd.c
+++ b/src/relayd/relayd.c
@@ -151,7 +151,6 @@
     d->opts.relay = o->relay;
     d->opts.rules_wait_us = o->rules_wait_us;
     d->opts.servers_every_us = o->servers_every_us;
-    d->opts.digest_every_us = o->digest_every_us;
     g_strlcpy(d->opts.store, o->store, sizeof(d->opts.store));
     Fw_Relay_SetOpts(d->relay, &d->opts.relay);
 }
@@ -264,11 +263,9 @@
     Fw_Pool_Tick(d->pool, now);
     Fw_Server_Tick(d->callers, now);
     Fw_Server_Tick(d->ready, now);
-    if (d->metrics) {
-        Fw_Server_Tick(d->metrics, now);
-    }
+    Fw_Server_Tick(d->metrics, now);
+    Fw_Server_Tick(d->handover, now);
     Fw_Store_Tick(d->store, now);
-    Fw_Peer_Tick(d, now);
     follow_limits(d);
     check_settings(d, now);
     check_over(d, now);
@@ -297,7 +294,8 @@
         return err;
     }
     err = Fw_Status_Listen(d);
-    return err ? err : Fw_Peer_Listen(d);
+    err = err ? err : Fw_Peer_Listen(d);
+    return err ? err : Fw_Handover_Listen(d);
 }
 
 static void
@@ -402,6 +400,7 @@
     Fw_Server_Free(d->callers);
     Fw_Server_Free(d->ready);
     Fw_Server_Free(d->metrics);
+    Fw_Server_Free(d->handover);
     g_hash_table_destroy(d->by_caller);
     g_hash_table_destroy(d->by_call);
     Fw_Pool_Free(d->pool);
--- a/src/relayd/relayd.h
+++ b/src/relayd/relayd.h
@@ -16,7 +16,6 @@
  * @store: "ip:port" of the platform's store
  * @rules_wait_us: how long a read of the configuration may wait for a change
  * @servers_every_us: how often the servers' entries are read
- * @digest_every_us: how often the other instances are told
  * @log_bytes: bytes of log lines that may wait for their reader
  */
 struct fw_relayd_opts {
@@ -29,7 +28,6 @@
     char store[FW_URL_MAX];
     int64_t rules_wait_us;
     int64_t servers_every_us;
-    int64_t digest_every_us;
     int64_t log_bytes;
 };
 
--- a/src/relayd/relayd_internal.h
+++ b/src/relayd/relayd_internal.h
@@ -57,10 +57,14 @@
     struct fw_http_server *callers;
     struct fw_http_server *ready;
     struct fw_http_server *metrics;
+    struct fw_http_server *handover; /* to other instances */
     GSocket *peers;
     GSource *peers_source;
-    int64_t digest_us;
+    struct fw_rl_mail mail;
     struct fw_metric digests_unsent;
+    struct fw_metric sent;
+    struct fw_metric sent_bytes;
+    struct fw_metric received;
     struct fw_histogram gap_s;
     GHashTable *by_caller; /* struct fw_http_caller to fw_caller_rec */
     GHashTable *by_call;   /* id to fw_caller_rec */
@@ -110,24 +114,32 @@
 Fw_Store_Claim(struct fw_store *s, uint64_t end);
 
 /* store_take.c */
-/* Tells the core what the records @got of @topic say. */
+/*
+ * Hands the core what the records @got of @topic say, and keeps them in
+ * @newest unless that is NULL.
+ */
 void
-Fw_Store_Take(struct fw_relayd *d, enum fw_topic topic,
+Fw_Store_Take(struct fw_relayd *d, enum fw_topic topic, GHashTable *newest,
               const struct fw_records *got, struct fw_rl_acts *acts);
 
 /* peers.c */
 int
 Fw_Peer_Listen(struct fw_relayd *d);
+/* Sends what other instances should get by now. */
 void
-Fw_Peer_Tick(struct fw_relayd *d, int64_t now_us);
-/* What others must know at once of what was just decided. */
-void
-Fw_Peer_TellDelta(struct fw_relayd *d);
+Fw_Peer_Send(struct fw_relayd *d);
 void
 Fw_Peer_Close(struct fw_relayd *d);
 
 /* status.c */
 int
 Fw_Status_Listen(struct fw_relayd *d);
+/* Is @path what was asked for? */
+int
+Fw_Status_AsksFor(const struct fw_http_head *h, const char *path);
+
+/* handover.c */
+int
+Fw_Handover_Listen(struct fw_relayd *d);
 
 #endif
--- a/src/relayd/settings.c
+++ b/src/relayd/settings.c
@@ -60,6 +60,8 @@
 static const struct fw_ini_key keys[] = {
     FW_TEXT("relay", "name", FW_INI_NAME, NULL, out.relay.name),
     FW_TEXT("relay", "domain", FW_INI_NAME, NULL, out.relay.domain),
+    {"relay", "cpu-share", FW_INI_DECIMAL, "1", 0, 1000000000,
+     FW_AT(out.relay.cpu_ppm), NULL},
     FW_TEXT("listen", "callers", FW_INI_LISTEN, NULL, out.callers),
     FW_TEXT("listen", "ready", FW_INI_LISTEN, NULL, out.ready),
     FW_TEXT("listen", "ready-path", FW_INI_PATH, "/readyz", out.ready_path),
@@ -108,7 +110,7 @@
     r->log_sample = (int)v->log_sample;
     out->rules_wait_us = v->rules_wait_ms * FW_MSEC;
     out->servers_every_us = v->servers_every_ms * FW_MSEC;
-    out->digest_every_us = v->digest_every_ms * FW_MSEC;
+    r->digest_every_us = v->digest_every_ms * FW_MSEC;
     out->log_bytes = v->log_kb * 1024;
 }
 
--- a/src/relayd/status.c
+++ b/src/relayd/status.c
@@ -4,8 +4,8 @@
 #include "http/conn.h"
 #include "relayd/relayd_internal.h"
 
-static int
-asks_for(const struct fw_http_head *h, const char *path)
+int
+Fw_Status_AsksFor(const struct fw_http_head *h, const char *path)
 {
     return h->target_len == strlen(path) &&
            memcmp(h->target, path, h->target_len) == 0;
@@ -19,7 +19,7 @@
     int ready = Fw_Relayd_Ready(d);
 
     (void)body;
-    if (!asks_for(head, d->opts.ready_path)) {
+    if (!Fw_Status_AsksFor(head, d->opts.ready_path)) {
         Fw_Caller_Answer(c, 404, "", "");
         return;
     }
@@ -34,7 +34,7 @@
     GString *text;
 
     (void)body;
-    if (!asks_for(head, "/metrics")) {
+    if (!Fw_Status_AsksFor(head, "/metrics")) {
         Fw_Caller_Answer(c, 404, "", "");
         return;
     }
--- a/src/relayd/store.c
+++ b/src/relayd/store.c
@@ -58,6 +58,7 @@
     if (!s->lost_us) {
         s->lost_us = now;
         Fw_Note_Log(LOG_WARNING, "store_lost", "why", why, NULL);
+        Fw_Relay_StoreLost(s->d->relay);
     }
     f->next_us = now + pause;
 }
@@ -71,11 +72,14 @@
 
     if (!f->paging) {
         f->page_end = got->end;
+        if (f->newest) {
+            g_hash_table_remove_all(f->newest);
+        }
         if (f->topic == FW_TOPIC_SERVERS) {
             Fw_Relay_ListBegin(d->relay);
         }
     }
-    Fw_Store_Take(f->store->d, f->topic, got, acts);
+    Fw_Store_Take(f->store->d, f->topic, f->newest, got, acts);
     f->paging = got->more && got->all->len;
     if (f->paging) {
         const struct fw_record *last =
@@ -102,7 +106,7 @@
 took_read(struct fw_follow *f, const struct fw_records *got,
           struct fw_rl_acts *acts)
 {
-    Fw_Store_Take(f->store->d, f->topic, got, acts);
+    Fw_Store_Take(f->store->d, f->topic, f->newest, got, acts);
     f->from = got->next;
     f->next_us = f->from < got->end ? 0 : f->sent_us + f->every_us;
     if (f->topic == FW_TOPIC_SERVERS) {
@@ -138,6 +142,52 @@
     f->next_us = 0;
 }
 
+/* What was read of the store meanwhile may be newer. */
+static void
+took_peers(struct fw_follow *f, const struct fw_records *got,
+           struct fw_rl_acts *acts)
+{
+    if (got->end > f->from) {
+        f->paging = 0;
+        took_newest(f, got, acts);
+    }
+    f->next_us = f->sent_us + f->every_us;
+}
+
+/* The store is asked then. */
+static void
+peer_failed(struct fw_follow *f, const char *why)
+{
+    Fw_Note_Log(LOG_NOTICE, "handover_failed", "topic", topic_words[f->topic],
+                "from", f->peer, "why", why, NULL);
+    f->peer[0] = 0;
+    f->next_us = 0;
+    f->must = 1;
+}
+
+static void
+on_peer_end(struct fw_follow *f)
+{
+    struct fw_records got;
+    struct fw_rl_acts acts;
+
+    if (f->status != 200) {
+        peer_failed(f, "refused");
+        return;
+    }
+    Fw_Acts_Init(&acts);
+    if (Fw_Handover_Read(f->body->data, f->body->len, &got)) {
+        peer_failed(f, "an answer that can't be read");
+    }
+    else {
+        took_peers(f, &got, &acts);
+        f->peer[0] = 0;
+    }
+    Fw_Platform_ClearRecords(&got);
+    g_byte_array_set_size(f->body, 0);
+    Fw_Relayd_CarryOut(f->store->d, &acts);
+}
+
 static int
 decode(struct fw_follow *f, struct fw_records *got)
 {
@@ -234,6 +284,10 @@
     struct fw_records got;
 
     f->x = NULL;
+    if (f->peer[0]) {
+        on_peer_end(f);
+        return;
+    }
     if (!is_word(f)) {
         char status[16];
 
@@ -263,6 +317,10 @@
 
     (void)sent;
     f->x = NULL;
+    if (f->peer[0]) {
+        peer_failed(f, g_strerror(-err));
+        return;
+    }
     missed(f, FW_OUTCOME_LOST, g_strerror(-err));
     claim_failed(f);
 }
@@ -274,6 +332,23 @@
     .fail = on_fail,
 };
 
+static void
+ask_peer(struct fw_follow *f)
+{
+    struct fw_exchange_opts how = {.reuse_us = FW_STORE_REUSE_US,
+                                   .connect_us = FW_STORE_CONNECT_US};
+    GString *head = g_string_new(NULL);
+    int err = 0;
+
+    Fw_Handover_WriteAsk(f->topic, f->peer, head);
+    f->x = Fw_Exchange_Start(f->store->d->pool, f->peer, head, NULL, &how,
+                             &ops, f, &err);
+    if (!f->x) {
+        peer_failed(f, g_strerror(-err));
+    }
+    g_string_free(head, TRUE);
+}
+
 static void
 ask(struct fw_follow *f, int64_t now)
 {
@@ -281,7 +356,7 @@
     struct fw_relayd *d = s->d;
     struct fw_exchange_opts how = {.reuse_us = FW_STORE_REUSE_US,
                                    .connect_us = FW_STORE_CONNECT_US};
-    GString *head = g_string_new(NULL);
+    GString *head;
     GBytes *body = NULL;
     int64_t wait_us;
     int err = 0;
@@ -289,6 +364,11 @@
     f->sent_us = now;
     f->until_us = now + FW_STORE_WAIT_US;
     g_byte_array_set_size(f->body, 0);
+    if (f->peer[0]) {
+        ask_peer(f);
+        return;
+    }
+    head = g_string_new(NULL);
     switch (f->step) {
     case FW_STEP_NEWEST:
         Fw_Platform_WriteNewest(f->topic, f->after, d->opts.store, head);
@@ -315,18 +395,24 @@
     }
 }
 
-/* Others may read the two large topics for this instance. */
+/*
+ * Others read the two large topics for most instances; @f->peer is set then
+ * to whom is asked.
+ */
 static int
 is_wanted(struct fw_follow *f, int64_t now)
 {
     struct fw_relay *r = f->store->d->relay;
+    int must = f->must;
 
+    f->must = 0;
     switch (f->topic) {
     case FW_TOPIC_RULES:
-        return Fw_Relay_ReadsStore(r, now) || Fw_Relay_TakeWantRules(r);
+        return must || Fw_Relay_TakeWantRules(r, f->peer) ||
+               Fw_Relay_ReadsStore(r, now);
     case FW_TOPIC_SERVERS:
-        return f->step == FW_STEP_NEWEST || Fw_Relay_ReadsStore(r, now) ||
-               Fw_Relay_TakeWantList(r);
+        return must || Fw_Relay_TakeWantList(r, f->peer) ||
+               f->step == FW_STEP_NEWEST || Fw_Relay_ReadsStore(r, now);
     case FW_TOPIC_LEAD:
         return f->value != NULL;
     case FW_TOPIC_MEMBERS:
@@ -341,6 +427,10 @@
     if (f->x && now >= f->until_us) {
         Fw_Exchange_Stop(f->x);
         f->x = NULL;
+        if (f->peer[0]) {
+            peer_failed(f, "no answer");
+            return;
+        }
         missed(f, FW_OUTCOME_LOST, "no answer");
         claim_failed(f);
     }
@@ -349,18 +439,6 @@
     }
 }
 
-static int
-alone(const struct fw_store *s)
-{
-    GPtrArray *addrs = g_ptr_array_new();
-    int none;
-
-    Fw_Relay_Members(s->d->relay, addrs);
-    none = addrs->len == 0;
-    g_ptr_array_unref(addrs);
-    return none;
-}
-
 void
 Fw_Store_Tick(struct fw_store *s, int64_t now_us)
 {
@@ -369,8 +447,8 @@
     s->servers.every_us = s->d->opts.servers_every_us;
     tick(&s->rules, now_us);
     tick(&s->servers, now_us);
-    if (s->members.value || s->members.page_end == 0 || alone(s) ||
-        s->members.x) {
+    if (s->members.value || s->members.page_end == 0 || s->members.x ||
+        Fw_Relay_IsIsolated(s->d->relay, now_us)) {
         tick(&s->members, now_us);
     }
     tick(&s->lead, now_us);
@@ -393,6 +471,8 @@
 
     json_builder_begin_object(b);
     Fw_Json_SetStr(b, "addr", d->opts.peers);
+    Fw_Json_SetStr(b, "domain", d->opts.relay.domain);
+    Fw_Json_SetInt(b, "cpu_ppm", d->opts.relay.cpu_ppm);
     Fw_Json_SetInt(b, "boot", (int64_t)d->opts.relay.boot);
     json_builder_end_object(b);
     return Fw_Json_Take(b);
@@ -409,6 +489,8 @@
     follow_init(s, &s->servers, FW_TOPIC_SERVERS);
     follow_init(s, &s->members, FW_TOPIC_MEMBERS);
     follow_init(s, &s->lead, FW_TOPIC_LEAD);
+    s->rules.newest = Fw_Handover_New();
+    s->servers.newest = Fw_Handover_New();
     s->members.step = FW_STEP_APPEND;
     s->members.value = own_entry(d);
     s->lead.step = FW_STEP_APPEND;
@@ -437,6 +519,7 @@
         Fw_Exchange_Stop(f->x);
     }
     g_byte_array_unref(f->body);
+    g_clear_pointer(&f->newest, g_hash_table_destroy);
     g_free(f->value);
 }
 
--- a/src/relayd/store_internal.h
+++ b/src/relayd/store_internal.h
@@ -19,6 +19,9 @@
  * @wait_us: how long a read may wait for a record
  * @every_us: pause between two reads
  * @value: what is appended, NULL when nothing is
+ * @peer: instance that the newest records are asked of; "" for the store
+ * @must: a peer has failed to give them: the store is asked
+ * @newest: for other instances: key to its newest record
  */
 struct fw_follow {
     struct fw_store *store;
@@ -38,6 +41,9 @@
     int64_t every_us;
     char *value;
     uint64_t at;
+    char peer[FW_URL_MAX];
+    int must;
+    GHashTable *newest;
 };
 
 /** enum fw_outcome - of a call to the store. */
@@ -74,4 +80,16 @@
 void
 Fw_Store_AddCounts(struct fw_store *s, struct fw_metrics *m);
 
+/* handover.c */
+/* Records by key; see Fw_Handover_Keep. */
+GHashTable *
+Fw_Handover_New(void);
+void
+Fw_Handover_Keep(GHashTable *newest, const struct fw_record *rec);
+void
+Fw_Handover_WriteAsk(enum fw_topic topic, const char *addr, GString *head);
+/* Return: 0 or -EBADMSG; @out is to be cleared in any case. */
+int
+Fw_Handover_Read(const void *data, size_t len, struct fw_records *out);
+
 #endif
--- a/src/relayd/store_take.c
+++ b/src/relayd/store_take.c
@@ -4,7 +4,7 @@
 #include "http/conn.h"
 #include "io/json.h"
 #include "io/note.h"
-#include "relayd/relayd_internal.h"
+#include "relayd/store_internal.h"
 
 static void
 take_rules(struct fw_relayd *d, const struct fw_record *rec,
@@ -48,11 +48,16 @@
 take_member(struct fw_relayd *d, const struct fw_record *rec)
 {
     JsonNode *root = rec->value ? Fw_Json_Parse(rec->value, rec->len) : NULL;
-    char addr[FW_URL_MAX];
+    JsonObject *obj = root ? json_node_get_object(root) : NULL;
+    struct fw_rl_peer peer = {0};
 
-    if (root && Fw_Json_CopyStr(json_node_get_object(root), "addr", addr,
-                                sizeof(addr)) == 0) {
-        Fw_Relay_AddMember(d->relay, rec->key, addr, Fw_Conn_Now());
+    g_strlcpy(peer.name, rec->key, sizeof(peer.name));
+    if (obj &&
+        Fw_Json_CopyStr(obj, "addr", peer.addr, sizeof(peer.addr)) == 0) {
+        /* An older version names neither of these. */
+        Fw_Json_CopyStr(obj, "domain", peer.domain, sizeof(peer.domain));
+        Fw_Json_Int(obj, "cpu_ppm", &peer.cpu_ppm);
+        Fw_Relay_AddMember(d->relay, &peer, Fw_Conn_Now());
     }
     if (root) {
         json_node_unref(root);
@@ -60,13 +65,16 @@
 }
 
 void
-Fw_Store_Take(struct fw_relayd *d, enum fw_topic topic,
+Fw_Store_Take(struct fw_relayd *d, enum fw_topic topic, GHashTable *newest,
               const struct fw_records *got, struct fw_rl_acts *acts)
 {
     for (guint i = 0; i < got->all->len; i++) {
         const struct fw_record *rec =
             &g_array_index(got->all, struct fw_record, i);
 
+        if (newest) {
+            Fw_Handover_Keep(newest, rec);
+        }
         switch (topic) {
         case FW_TOPIC_RULES:
             take_rules(d, rec, acts);
--- a/tests/relay/play_world.c
+++ b/tests/relay/play_world.c
@@ -91,13 +91,15 @@
             int64_t level)
 {
     GByteArray *msg = g_byte_array_new();
+    struct fw_rl_mail mail;
     msgpack_packer pk;
 
     Fw_Pack_Begin(&pk, msg);
-    msgpack_pack_array(&pk, 10);
-    msgpack_pack_int(&pk, 6);
+    msgpack_pack_array(&pk, 12);
+    msgpack_pack_int(&pk, 7);
     Fw_Pack_Str(&pk, name);
     msgpack_pack_uint64(&pk, Fw_Hash_Str(""));
+    msgpack_pack_int64(&pk, 0);
     msgpack_pack_uint64(&pk, 1);
     msgpack_pack_uint64(&pk, ++p->digest_seq);
     msgpack_pack_array(&pk, 0);
@@ -111,14 +113,18 @@
     msgpack_pack_array(&pk, 0);
     msgpack_pack_array(&pk, 0);
     msgpack_pack_array(&pk, 1);
-    msgpack_pack_array(&pk, 4);
+    msgpack_pack_array(&pk, FW_RL_WATCH_WIDTH);
     msgpack_pack_int(&pk, 1);
-    msgpack_pack_uint64(&pk, 0);
-    msgpack_pack_uint64(&pk, 0);
-    msgpack_pack_uint64(&pk, 0);
+    for (int i = 1; i < FW_RL_WATCH_WIDTH; i++) {
+        msgpack_pack_uint64(&pk, 0);
+    }
+    msgpack_pack_array(&pk, 0);
+    Fw_Mail_Init(&mail);
     ck_assert_int_ge(Fw_Relay_ReadMessage(p->r, "127.0.0.9:1", msg->data,
-                                          msg->len, p->now_us, NULL),
+                                          msg->len, p->now_us, &mail),
                      0);
+    Fw_Mail_Clear(&mail);
+    g_ptr_array_unref(mail.all);
     g_byte_array_unref(msg);
 }
 
--- a/tests/relay/test_digest.c
+++ b/tests/relay/test_digest.c
@@ -1,6 +1,6 @@
 /*
  * Messages between instances: those that break the form, which anyone who
- * reaches the port can send, and what an instance learns between digests.
+ * reaches the port can send, and what a hub learns between digests.
  */
 #include <check.h>
 #include <errno.h>
@@ -35,6 +35,15 @@
     {"a delta of another form", "\x96\x09\xa1n\x01\x01\x90\x90", 8},
     {"a delta whose rows are too short",
      "\x96\x04\xa1n\x01\x01\x91\x91\x01\x90", 10},
+    {"a report whose rows are too short",
+     "\x9c\x08\xa1n\x01\x01\x01\x01\x01\x90\x91\x91\x01\x90\x90\x90", 16},
+    {"a report without a name",
+     "\x9c\x08\xa0\x01\x01\x01\x01\x01\x90\x90\x90\x90\x90", 13},
+    {"a reply without its counts",
+     "\x9b\x09\xa1n\x01\x01\x01\x01\x90\x90\x90\x90\x90", 13},
+    {"a list of hubs with a short row", "\x95\x0a\xa1n\x01\x01\x91\x91\xa1m",
+     9},
+    {"a list of hubs from nobody", "\x95\x0a\xa0\x01\x01\x90", 6},
     {"a question without its number", "\x92\x02\x01", 3},
     {"an answer with a text in it", "\x95\x03\x01\x01\xa1n\x00", 7},
 };
@@ -44,18 +53,16 @@
     struct fw_relay_opts opts = {
         .name = "n1", .boot = 1, .retry_window_us = 1};
     struct fw_relay *r = Fw_Relay_New(&opts, FW_SEC);
-    GByteArray *reply = g_byte_array_new();
-    GPtrArray *members = g_ptr_array_new();
+    struct fw_rl_mail mail;
 
+    Fw_Mail_Init(&mail);
     ck_assert_msg(Fw_Relay_ReadMessage(r, "127.0.0.9:1", broken[_i].bytes,
                                        broken[_i].len, FW_SEC,
-                                       reply) == -EBADMSG,
+                                       &mail) == -EBADMSG,
                   "%s is taken", broken[_i].name);
-    Fw_Relay_Members(r, members);
-    ck_assert_uint_eq(members->len, 0);
-    ck_assert_uint_eq(reply->len, 0);
-    g_ptr_array_unref(members);
-    g_byte_array_unref(reply);
+    ck_assert(Fw_List_Empty(&r->members));
+    ck_assert_uint_eq(mail.all->len, 0);
+    g_ptr_array_unref(mail.all);
     Fw_Relay_Free(r);
 }
 END_TEST
@@ -67,6 +74,7 @@
     struct fw_rl_rules *rules;
     const struct fw_rl_team_rule *team;
     GByteArray *msg;
+    struct fw_rl_mail mail;
 };
 
 #define FW_NOW_US (10 * FW_SEC)
@@ -92,8 +100,9 @@
 tell(struct pair *p)
 {
     ck_assert_int_ge(Fw_Relay_ReadMessage(p->to, "127.0.0.9:1", p->msg->data,
-                                          p->msg->len, FW_NOW_US, NULL),
+                                          p->msg->len, FW_NOW_US, &p->mail),
                      0);
+    Fw_Mail_Clear(&p->mail);
 }
 
 static int
@@ -119,7 +128,8 @@
     p->from = instance("n1", p->rules);
     p->to = instance("n2", p->rules);
     p->msg = g_byte_array_new();
-    Fw_Relay_WriteDigest(p->from, FW_NOW_US, p->msg);
+    Fw_Mail_Init(&p->mail);
+    Fw_Digest_Write(p->from, FW_NOW_US, p->msg);
     tell(p);
     g_byte_array_set_size(p->msg, 0);
 }
@@ -128,6 +138,8 @@
 pair_clear(struct pair *p)
 {
     g_byte_array_unref(p->msg);
+    Fw_Mail_Clear(&p->mail);
+    g_ptr_array_unref(p->mail.all);
     Fw_Relay_Free(p->from);
     Fw_Relay_Free(p->to);
     Fw_Rules_Unref(p->rules);
@@ -145,7 +157,8 @@
 
     pair_init(&p);
     ck_assert(takes(p.from, &p));
-    ck_assert(Fw_Relay_WriteDelta(p.from, FW_NOW_US, p.msg));
+    ck_assert(p.from->x.wants_delta);
+    Fw_Delta_Write(p.from, FW_NOW_US, p.msg);
     tell(&p);
     ck_assert(!takes(p.to, &p));
     pair_clear(&p);
@@ -163,8 +176,7 @@
 
     pair_init(&p);
     ck_assert(takes(p.from, &p));
-    ck_assert(Fw_Relay_WriteDelta(p.from, FW_NOW_US, first));
-    ck_assert(!Fw_Relay_WriteDelta(p.from, FW_NOW_US, p.msg));
+    Fw_Delta_Write(p.from, FW_NOW_US, first);
     g_byte_array_append(p.msg, first->data, first->len);
     tell(&p);
     tell(&p);
@@ -197,8 +209,9 @@
     s = Fw_Servers_Find(p.from, "e1");
     s->running = 1;
     s->reserved = 7000;
-    Fw_Delta_Placed(p.from, s, FW_NOW_US);
-    ck_assert(Fw_Relay_WriteDelta(p.from, FW_NOW_US, p.msg));
+    Fw_Delta_Placed(p.from, s);
+    ck_assert(p.from->x.wants_delta);
+    Fw_Delta_Write(p.from, FW_NOW_US, p.msg);
     tell(&p);
     Fw_Place_Load(p.to, Fw_Servers_Find(p.to, "e1"), FW_NOW_US, &load);
     ck_assert_int_eq(load.running, 1);
@@ -215,28 +228,34 @@
  */
 START_TEST(an_instance_that_the_store_turns_away_asks_another)
 {
-    GByteArray *reply = g_byte_array_new();
     int64_t later_us = FW_NOW_US + 4500 * FW_MSEC;
-    const char *addr;
+    const struct fw_rl_datagram *d;
+    gsize len;
+    const void *data;
     struct pair p;
 
     pair_init(&p);
     Fw_Relay_Fresh(p.to, FW_NOW_US);
-    ck_assert(!Fw_Relay_WriteQuestion(p.to, FW_NOW_US + FW_SEC, p.msg, &addr));
-    Fw_Relay_WriteDigest(p.from, later_us, p.msg);
+    Fw_Watch_Ask(p.to, FW_NOW_US + FW_SEC, &p.mail);
+    ck_assert_uint_eq(p.mail.all->len, 0);
+    Fw_Digest_Write(p.from, later_us, p.msg);
     Fw_Relay_ReadMessage(p.to, "127.0.0.9:1", p.msg->data, p.msg->len,
-                         later_us, NULL);
-    g_byte_array_set_size(p.msg, 0);
-    ck_assert(Fw_Relay_WriteQuestion(p.to, later_us, p.msg, &addr));
-    ck_assert_str_eq(addr, "127.0.0.9:1");
+                         later_us, &p.mail);
+    Fw_Mail_Clear(&p.mail);
+    Fw_Watch_Ask(p.to, later_us, &p.mail);
+    ck_assert_uint_eq(p.mail.all->len, 1);
+    d = g_ptr_array_index(p.mail.all, 0);
+    ck_assert_str_eq(d->addr, "127.0.0.9:1");
+    data = g_bytes_get_data(d->data, &len);
     Fw_Relay_Fresh(p.from, later_us - FW_SEC);
-    Fw_Relay_ReadMessage(p.from, "127.0.0.8:1", p.msg->data, p.msg->len,
-                         later_us, reply);
-    Fw_Relay_ReadMessage(p.to, "127.0.0.9:1", reply->data, reply->len,
-                         later_us, NULL);
+    Fw_Relay_ReadMessage(p.from, "127.0.0.8:1", data, len, later_us, &p.mail);
+    ck_assert_uint_eq(p.mail.all->len, 2);
+    d = g_ptr_array_index(p.mail.all, 1);
+    ck_assert_str_eq(d->addr, "127.0.0.8:1");
+    data = g_bytes_get_data(d->data, &len);
+    Fw_Relay_ReadMessage(p.to, "127.0.0.9:1", data, len, later_us, &p.mail);
     ck_assert(Fw_Relay_KeysFresh(p.to, later_us + 2 * FW_SEC));
     ck_assert(!Fw_Relay_KeysFresh(p.to, later_us + 3 * FW_SEC));
-    g_byte_array_unref(reply);
     pair_clear(&p);
 }
 END_TEST
--- a/tests/relayd/test_shell_events.c
+++ b/tests/relayd/test_shell_events.c
@@ -126,9 +126,9 @@
 upset(struct world *w, struct tail *t)
 {
     static const char digest[] =
-        "\x9a\x06\xa2"
-        "n2\x05\x01\x01\x90\x90\x90\x90\x91\x94\x01\x00"
-        "\x00\x00";
+        "\x9c\x07\xa2"
+        "n2\x05\x00\x01\x01\x90\x90\x90\x90\x91\x96\x01\x00"
+        "\x00\x00\x00\x00\x90";
     struct rig_conn *c;
 
     Fw_WireStore_Put(w->store, "keyed.servers", "i-bad", "{}");
--- a/tests/relayd/world.c
+++ b/tests/relayd/world.c
@@ -32,7 +32,6 @@
                                  .peers = "127.0.0.1:0",
                                  .rules_wait_us = 200 * FW_MSEC,
                                  .servers_every_us = 20 * FW_MSEC,
-                                 .digest_every_us = FW_SEC,
                                  .log_bytes = 65536};
     o->relay = (struct fw_relay_opts){.name = "n1",
                                       .domain = "a",
@@ -42,6 +41,7 @@
                                       .retry_extra = 50,
                                       .retry_window_us = 10 * FW_SEC,
                                       .key_stale_us = 2 * FW_SEC,
+                                      .digest_every_us = FW_SEC,
                                       .queue_us = 500 * FW_MSEC,
                                       .read_here_us = 600 * FW_MSEC,
                                       .reserve_permille = 1000,
