Test what instances hand on to each other

A broken body must cost neither memory nor entries, an old record must not replace a newer one, and an instance must give what it has read itself.

--- a/src/relayd/handover.c
+++ b/src/relayd/handover.c
@@ -55,8 +55,8 @@
     g_hash_table_replace(newest, g_strdup(rec->key), k);
 }
 
-static void
-write_records(GHashTable *newest, uint64_t end, GByteArray *out)
+void
+Fw_Handover_Write(GHashTable *newest, uint64_t end, GByteArray *out)
 {
     GHashTableIter it;
     gpointer key;
@@ -164,7 +164,7 @@
         return;
     }
     body = g_byte_array_new();
-    write_records(f->newest, f->from, body);
+    Fw_Handover_Write(f->newest, f->from, body);
     Fw_Caller_Start(c, 200, "Content-Type: application/msgpack\r\n",
                     (int64_t)body->len);
     Fw_Caller_Data(c, body->data, body->len);
--- a/src/relayd/store_internal.h
+++ b/src/relayd/store_internal.h
@@ -86,6 +86,9 @@
 Fw_Handover_New(void);
 void
 Fw_Handover_Keep(GHashTable *newest, const struct fw_record *rec);
+/* The records, and the offset @end up to which they are the newest. */
+void
+Fw_Handover_Write(GHashTable *newest, uint64_t end, GByteArray *out);
 void
 Fw_Handover_WriteAsk(enum fw_topic topic, const char *addr, GString *head);
 /* Return: 0 or -EBADMSG; @out is to be cleared in any case. */
--- /dev/null
+++ b/tests/relayd/test_handover.c
@@ -0,0 +1,132 @@
+/* The newest records, handed from one instance to another. */
+#include <check.h>
+#include <errno.h>
+#include <string.h>
+
+#include "relayd/store_internal.h"
+#include "tests/relayd/world.h"
+
+static void
+keep(GHashTable *newest, uint64_t offset, const char *key, const char *value)
+{
+    struct fw_record rec = {
+        .offset = offset, .value = value, .len = value ? strlen(value) : 0};
+
+    g_strlcpy(rec.key, key, sizeof(rec.key));
+    Fw_Handover_Keep(newest, &rec);
+}
+
+/* Return: to be freed. */
+static char *
+value_of(const struct fw_records *got, const char *key)
+{
+    for (guint i = 0; i < got->all->len; i++) {
+        const struct fw_record *rec =
+            &g_array_index(got->all, struct fw_record, i);
+
+        if (strcmp(rec->key, key) == 0) {
+            return g_strndup(rec->value, rec->len);
+        }
+    }
+    return NULL;
+}
+
+/* Guards against an entry that comes back after it was dropped, or is old. */
+START_TEST(the_newest_record_of_each_key_is_kept)
+{
+    GHashTable *newest = Fw_Handover_New();
+    GByteArray *body = g_byte_array_new();
+    struct fw_records got;
+    char *value;
+
+    keep(newest, 3, "a", "new");
+    keep(newest, 2, "a", "old");
+    keep(newest, 4, "b", "gone");
+    keep(newest, 5, "b", NULL);
+    Fw_Handover_Write(newest, 6, body);
+    ck_assert_int_eq(Fw_Handover_Read(body->data, body->len, &got), 0);
+    ck_assert_uint_eq(got.end, 6);
+    ck_assert_uint_eq(got.all->len, 1);
+    value = value_of(&got, "a");
+    ck_assert_str_eq(value, "new");
+    g_free(value);
+    Fw_Platform_ClearRecords(&got);
+    /* Cut off anywhere it is nothing. */
+    for (guint len = 0; len < body->len; len++) {
+        ck_assert_int_lt(Fw_Handover_Read(body->data, len, &got), 0);
+        Fw_Platform_ClearRecords(&got);
+    }
+    g_byte_array_unref(body);
+    g_hash_table_destroy(newest);
+}
+END_TEST
+
+/* Bodies that a peer of another version, or none of ours, may send. */
+static const struct {
+    const char *name;
+    const char *bytes;
+    size_t len;
+} broken[] = {
+    {"no array", "\x01", 1},
+    {"an array that claims gigabytes", "\xdd\xff\xff\xff\xff", 5},
+    {"an end that is a text", "\x92\xa1x\x90", 4},
+    {"a record without a value", "\x92\x01\x91\x92\x01\xa1k", 7},
+    {"an empty value", "\x92\x01\x91\x93\x01\xa1k\xc4\x00", 9},
+    {"a value that is a text", "\x92\x01\x91\x93\x01\xa1k\xa1v", 9},
+    {"a value that claims more than there is",
+     "\x92\x01\x91\x93\x01\xa1k\xc6\xff\xff\xff\xff", 12},
+};
+
+/* Guards against memory spent, or entries dropped, for a bad answer. */
+START_TEST(a_broken_answer_is_refused)
+{
+    struct fw_records got;
+
+    ck_assert_msg(Fw_Handover_Read(broken[_i].bytes, broken[_i].len, &got) ==
+                      -EBADMSG,
+                  "%s is taken", broken[_i].name);
+    Fw_Platform_ClearRecords(&got);
+}
+END_TEST
+
+static void
+ask(struct world *w, const char *path, const char *wanted)
+{
+    char addr[FW_URL_MAX];
+    char *text = g_strdup_printf("GET %s HTTP/1.1\r\nHost: h\r\n\r\n", path);
+    struct rig_conn *c;
+
+    g_snprintf(addr, sizeof(addr), "127.0.0.1:%d",
+               Fw_Server_Port(w->relay->handover));
+    c = Fw_RigConn_Open(addr);
+    Fw_RigConn_Send(c, text, -1);
+    Fw_RigConn_Expect(c, wanted);
+    Fw_RigConn_Close(c);
+    g_free(text);
+}
+
+/* Guards against an instance that can't give what it has read. */
+START_TEST(an_instance_hands_on_what_it_has_read)
+{
+    struct world w;
+
+    Fw_World_Open(&w);
+    ask(&w, "/newest/configuration", "application/msgpack");
+    ask(&w, "/newest/servers", "application/msgpack");
+    ask(&w, "/newest/keys", "404");
+    Fw_World_Close(&w);
+}
+END_TEST
+
+int
+main(void)
+{
+    TCase *tc = Fw_Suite_New("relayd handover");
+
+    tcase_set_timeout(tc, 30);
+    tcase_add_test(tc, the_newest_record_of_each_key_is_kept);
+    tcase_add_loop_test(tc, a_broken_answer_is_refused, 0,
+                        G_N_ELEMENTS(broken));
+    tcase_add_test(tc, an_instance_hands_on_what_it_has_read);
+    return Fw_Suite_Run(tc);
+}
