Start from what a hub hands on; a leaf's hub is one that all agree on

Cause: each instance that started read the configuration and all entries of servers from the store, though a hub has both: 590 calls at each start of the fleet of 295.

Change: an instance that has just started waits up to a second for a hub, or until it knows that it is one; offsets are exchanged as ends, so that the first record's offset, 0, isn't none. A leaf chooses among the hubs by rank that it can reach, and others only where there are none of these.

--- a/explore/relay_hubs.c
+++ b/explore/relay_hubs.c
@@ -79,6 +79,8 @@
     }
     f->lose_pct = 0;
     f->late_pct = 0;
+    /* The last message that is late is a fault as well. */
+    Fw_RelayFleet_Advance(f, f->late_max_us);
     Fw_RelayFleet_Advance(f, FW_SETTLE_US);
 }
 
--- a/src/relay/hubs.c
+++ b/src/relay/hubs.c
@@ -21,7 +21,7 @@
 /* One that sent no digest for so long has become a leaf, or failed. */
 #define FW_ACTING_US (2 * FW_SEC)
 /* Of a listed hub that was unreachable from here: until it is tried again. */
-#define FW_RETRY_FAILED_US (1 * FW_SEC)
+#define FW_RETRY_FAILED_US (300 * FW_MSEC)
 /* Name, address, domain and processor. */
 #define FW_HUB_WIDTH 4
 
@@ -224,11 +224,21 @@
     }
 }
 
-struct fw_rl_member *
-Fw_Hubs_Choose(const struct fw_relay *r)
+/*
+ * Of the hubs that all agree on; of those that take their places only where
+ * none of them can be reached.
+ */
+static int
+may_choose(const struct fw_relay *r, const struct fw_rl_member *m, int agreed)
+{
+    return m->domain == own_domain(r) && m->is_ranked &&
+           (m->was_ranked || !agreed);
+}
+
+static struct fw_rl_member *
+choose(const struct fw_relay *r, int agreed)
 {
     struct fw_rl_member *found[FW_HUBS];
-    uint64_t mine = own_domain(r);
     struct fw_list *pos;
     int n = 0;
 
@@ -236,7 +246,7 @@
         struct fw_rl_member *m = FW_LIST_ENTRY(pos, struct fw_rl_member, link);
         int at = n;
 
-        if (!m->is_ranked || m->domain != mine || n == FW_HUBS) {
+        if (!may_choose(r, m, agreed) || n == FW_HUBS) {
             continue;
         }
         for (; at > 0 && is_better(r, m, found[at - 1]); at--) {
@@ -248,6 +258,14 @@
     return n ? found[r->hash % (uint64_t)n] : NULL;
 }
 
+struct fw_rl_member *
+Fw_Hubs_Choose(const struct fw_relay *r)
+{
+    struct fw_rl_member *m = choose(r, 1);
+
+    return m ? m : choose(r, 0);
+}
+
 static void
 pack_hub(msgpack_packer *pk, const struct fw_rl_member *m)
 {
--- a/src/relay/peers.h
+++ b/src/relay/peers.h
@@ -68,7 +68,7 @@
  * @reading: service's hash to its prompts there, tokens a second; or NULL
  * @reads: it reads the platform's store itself
  * @store_lost: it can't reach the store
- * @rules_offset, @list_offset, @list_hash: how far it has read, and what it
+ * @rules_end, @list_offset, @list_hash: how far it has read, and what it
  *     knows of the servers
  */
 struct fw_rl_member {
@@ -99,7 +99,7 @@
     GHashTable *reading;
     int reads;
     int store_lost;
-    uint64_t rules_offset;
+    uint64_t rules_end;
     uint64_t list_offset;
     uint64_t list_hash;
 };
@@ -313,6 +313,9 @@
 /* A member said how far it has read. */
 void
 Fw_Watch_Heard(struct fw_relay *r, const struct fw_rl_member *m);
+/* Offset behind the configuration in force, 0 for none. */
+uint64_t
+Fw_Watch_RulesEnd(const struct fw_relay *r);
 /* What this instance knows of the servers, in one figure. */
 uint64_t
 Fw_Watch_ListHash(const struct fw_relay *r);
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -25,6 +25,7 @@
 
     Fw_Relay_SetOpts(r, opts);
     r->hash = Fw_Hash_Str(opts->name);
+    r->start_us = now_us;
     r->x.is_hub = 1;
     r->x.count = 1;
     r->x.in_touch = 1;
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -348,6 +348,9 @@
 void
 Fw_Relay_AddMember(struct fw_relay *r, const struct fw_rl_peer *peer,
                    int64_t now_us);
+/* All that are registered were named. */
+void
+Fw_Relay_MembersEnd(struct fw_relay *r, int64_t now_us);
 /* Has no other instance been heard for a while? */
 int
 Fw_Relay_IsIsolated(const struct fw_relay *r, int64_t now_us);
--- a/src/relay/relay_internal.h
+++ b/src/relay/relay_internal.h
@@ -112,6 +112,7 @@
  * @rules_from, @list_from: address of an instance that knows of something
  *     newer, "" for none
  * @store_lost: the store does not answer here
+ * @members_known: the instances were read from the store
  */
 struct fw_rl_watch {
     int64_t asked_us;
@@ -121,6 +122,7 @@
     char rules_from[FW_URL_MAX];
     char list_from[FW_URL_MAX];
     int store_lost;
+    int members_known;
 };
 
 #define FW_RL_BUDGET_SLOTS 16
@@ -286,6 +288,7 @@
 struct fw_relay {
     struct fw_relay_opts opts;
     GRand *rand;
+    int64_t start_us;
     struct fw_metrics metrics;
     struct fw_rl_counts n;
     struct fw_rl_rules *rules;
--- a/src/relay/reply.c
+++ b/src/relay/reply.c
@@ -158,7 +158,7 @@
         from_us = now_us;
     }
     if (r->rules &&
-        (uint64_t)Fw_Rows_Cell(p->watch, 0, 2) == r->rules_offset) {
+        (uint64_t)Fw_Rows_Cell(p->watch, 0, 2) == Fw_Watch_RulesEnd(r)) {
         Fw_Relay_Fresh(r, from_us - age_us);
     }
 }
--- a/src/relay/share.c
+++ b/src/relay/share.c
@@ -184,7 +184,7 @@
     msgpack_pack_array(pk, FW_RL_WATCH_WIDTH);
     msgpack_pack_int(pk, Fw_Relay_ReadsStore(r, now_us));
     msgpack_pack_int(pk, r->watch.store_lost);
-    msgpack_pack_uint64(pk, r->rules_offset);
+    msgpack_pack_uint64(pk, Fw_Watch_RulesEnd(r));
     msgpack_pack_uint64(pk, r->watch.list_offset);
     msgpack_pack_uint64(pk, Fw_Watch_ListHash(r));
     msgpack_pack_int64(pk, MAX(now_us - r->fresh_us, 0));
@@ -201,7 +201,7 @@
     }
     m->store_lost = lost;
     m->reads = (int)Fw_Rows_Cell(rows, 0, 0);
-    m->rules_offset = (uint64_t)Fw_Rows_Cell(rows, 0, 2);
+    m->rules_end = (uint64_t)Fw_Rows_Cell(rows, 0, 2);
     m->list_offset = (uint64_t)Fw_Rows_Cell(rows, 0, 3);
     m->list_hash = (uint64_t)Fw_Rows_Cell(rows, 0, 4);
     Fw_Watch_Heard(r, m);
--- a/src/relay/watch.c
+++ b/src/relay/watch.c
@@ -34,6 +34,9 @@
  * hop off. Its own reads take 1.5 s when nothing goes wrong.
  */
 #define FW_ASK_TOO_US (2 * FW_SEC)
+/* From the start until others are known, and until a hub has answered. */
+#define FW_MEMBERS_WAIT_US (300 * FW_MSEC)
+#define FW_HUB_WAIT_US (1 * FW_SEC)
 /* A member whose digests come is asked. */
 #define FW_HEARD_US (2500 * FW_MSEC)
 
@@ -43,6 +46,19 @@
     return m->heard_us && now_us - m->heard_us < FW_HEARD_US;
 }
 
+/*
+ * An instance that has just started and finds others gets from a hub what it
+ * would read: when many start at once, each of them would read it all.
+ */
+static int
+waits_for_hub(const struct fw_relay *r, int64_t now_us)
+{
+    int64_t wait_us = r->x.is_hub ? FW_MEMBERS_WAIT_US : FW_HUB_WAIT_US;
+
+    return !(r->watch.members_known && r->x.is_hub) &&
+           now_us - r->start_us < wait_us;
+}
+
 int
 Fw_Relay_ReadsStore(const struct fw_relay *r, int64_t now_us)
 {
@@ -50,7 +66,7 @@
     int before = 0;
 
     if (!r->rules || !r->list_known) {
-        return 1;
+        return !waits_for_hub(r, now_us);
     }
     if (!r->x.is_hub) {
         return Fw_Relay_IsIsolated(r, now_us);
@@ -79,6 +95,12 @@
                                                            : base_us / 2;
 }
 
+uint64_t
+Fw_Watch_RulesEnd(const struct fw_relay *r)
+{
+    return r->rules ? r->rules_offset + 1 : 0;
+}
+
 /* Order doesn't matter: the sum of what each entry amounts to. */
 uint64_t
 Fw_Watch_ListHash(const struct fw_relay *r)
@@ -100,7 +122,7 @@
 void
 Fw_Watch_Heard(struct fw_relay *r, const struct fw_rl_member *m)
 {
-    if (m->rules_offset > r->rules_offset) {
+    if (m->rules_end > Fw_Watch_RulesEnd(r)) {
         g_strlcpy(r->watch.rules_from, m->addr, FW_URL_MAX);
     }
     if (m->list_offset > r->watch.list_offset &&
@@ -118,7 +140,7 @@
         const struct fw_rl_member *m =
             FW_LIST_ENTRY(pos, struct fw_rl_member, link);
 
-        if (in_touch(m, now_us) && m->rules_offset > r->rules_offset) {
+        if (in_touch(m, now_us) && m->rules_end > Fw_Watch_RulesEnd(r)) {
             return 1;
         }
     }
@@ -148,6 +170,13 @@
     return take_want(r->watch.list_from, addr);
 }
 
+void
+Fw_Relay_MembersEnd(struct fw_relay *r, int64_t now_us)
+{
+    r->watch.members_known = 1;
+    Fw_Hubs_Rank(r, now_us);
+}
+
 void
 Fw_Relay_ListOffset(struct fw_relay *r, uint64_t offset)
 {
@@ -220,7 +249,7 @@
     msgpack_pack_int(&pk, FW_FORM_ANSWER);
     msgpack_pack_uint64(&pk, f[1].via.u64);
     msgpack_pack_uint64(&pk, f[2].via.u64);
-    msgpack_pack_uint64(&pk, r->rules_offset);
+    msgpack_pack_uint64(&pk, Fw_Watch_RulesEnd(r));
     msgpack_pack_uint64(&pk, (uint64_t)MAX(now_us - r->fresh_us, 0));
     Fw_Mail_Add(out, addr, reply);
     g_byte_array_unref(reply);
@@ -236,10 +265,10 @@
         return; /* to a question that was given up */
     }
     r->watch.nonce = 0;
-    if (f[3].via.u64 > r->rules_offset) {
+    if (f[3].via.u64 > Fw_Watch_RulesEnd(r)) {
         g_strlcpy(r->watch.rules_from, addr, FW_URL_MAX);
     }
-    else if (f[3].via.u64 == r->rules_offset) {
+    else if (f[3].via.u64 == Fw_Watch_RulesEnd(r)) {
         if (FW_FAULT("fresh-from-arrival")) {
             from_us = now_us;
         }
--- a/src/relayd/store.c
+++ b/src/relayd/store.c
@@ -97,6 +97,7 @@
         Fw_Relay_ListOffset(d->relay, f->from);
     }
     if (f->topic == FW_TOPIC_MEMBERS) {
+        Fw_Relay_MembersEnd(d->relay, Fw_Conn_Now());
         f->step = FW_STEP_NEWEST;
         f->next_us = Fw_Conn_Now() + FW_MEMBERS_EVERY_US;
     }
@@ -406,13 +407,16 @@
     int must = f->must;
 
     f->must = 0;
+    if (f->paging) {
+        return 1;
+    }
     switch (f->topic) {
     case FW_TOPIC_RULES:
         return must || Fw_Relay_TakeWantRules(r, f->peer) ||
                Fw_Relay_ReadsStore(r, now);
     case FW_TOPIC_SERVERS:
         return must || Fw_Relay_TakeWantList(r, f->peer) ||
-               f->step == FW_STEP_NEWEST || Fw_Relay_ReadsStore(r, now);
+               Fw_Relay_ReadsStore(r, now);
     case FW_TOPIC_LEAD:
         return f->value != NULL;
     case FW_TOPIC_MEMBERS:
