Split lists of hubs and mail from the exchange; one sender for all messages

Digests and reports packed and checked their sender each for itself; both go through Fw_Share_*Sender now. Behaviour and wire stay as they were.

--- a/src/relay/digest.c
+++ b/src/relay/digest.c
@@ -4,9 +4,7 @@
  * the whole, so a lost one costs only time.
  */
 #include <errno.h>
-#include <string.h>
 
-#include "base/hash.h"
 #include "core/pack.h"
 #include "relay/relay_internal.h"
 
@@ -51,10 +49,7 @@
     Fw_Pack_Begin(&pk, out);
     msgpack_pack_array(&pk, FW_DIGEST_SIZE);
     msgpack_pack_int(&pk, FW_FORM_DIGEST);
-    Fw_Pack_Str(&pk, r->opts.name);
-    msgpack_pack_uint64(&pk, Fw_Hash_Str(r->opts.domain));
-    msgpack_pack_int64(&pk, r->opts.cpu_ppm);
-    msgpack_pack_uint64(&pk, r->opts.boot);
+    Fw_Share_PackSender(r, &pk);
     msgpack_pack_uint64(&pk, ++r->digest_seq);
     Fw_Share_PackReading(r, &pk, now_us);
     Fw_Delta_PackSpent(r, &pk, 0);
@@ -66,10 +61,7 @@
 
 /** struct digest - a message, checked. */
 struct digest {
-    char name[FW_NAME_MAX];
-    uint64_t domain;
-    int64_t cpu_ppm;
-    uint64_t boot;
+    struct fw_rl_sender from;
     uint64_t seq;
     const msgpack_object_array *reading;
     const msgpack_object_array *spent;
@@ -86,10 +78,8 @@
 
     if (o->type != MSGPACK_OBJECT_ARRAY ||
         o->via.array.size != FW_DIGEST_SIZE || Fw_Unpack_U64(o, 0, &form) ||
-        form != FW_FORM_DIGEST ||
-        Fw_Unpack_Str(o, 1, d->name, sizeof(d->name)) || !d->name[0] ||
-        Fw_Unpack_U64(o, 2, &d->domain) || Fw_Unpack_I64(o, 3, &d->cpu_ppm) ||
-        Fw_Unpack_U64(o, 4, &d->boot) || Fw_Unpack_U64(o, 5, &d->seq)) {
+        form != FW_FORM_DIGEST || Fw_Share_ReadSender(o, &d->from) ||
+        Fw_Unpack_U64(o, 5, &d->seq)) {
         return -EBADMSG;
     }
     d->reading = Fw_Rows_Of(o, 6, 2);
@@ -108,7 +98,8 @@
 static int
 is_old(const struct fw_rl_member *m, const struct digest *d)
 {
-    return d->boot < m->boot || (d->boot == m->boot && d->seq <= m->seq);
+    return d->from.boot < m->boot ||
+           (d->from.boot == m->boot && d->seq <= m->seq);
 }
 
 static void
@@ -145,29 +136,18 @@
 take(struct fw_relay *r, const struct digest *d, const char *addr,
      int64_t now_us)
 {
-    struct fw_rl_member *m = Fw_Members_Find(r, d->name);
-    int known = m && m->digest_us;
+    struct fw_rl_member *m = Fw_Share_MemberOf(r, &d->from, now_us);
     int first;
 
-    if (strcmp(d->name, r->opts.name) == 0) {
+    if (!m || (m->heard_us && is_old(m, d))) {
         return 0;
     }
-    if (!m) {
-        m = Fw_Members_Add(r, d->name, now_us);
-    }
-    if (m->heard_us && is_old(m, d)) {
-        return 0;
-    }
-    first = !known || now_us - m->digest_us >= Fw_Members_Touch(r);
-    if (d->boot != m->boot && m->spent) {
+    first = !m->digest_us || now_us - m->digest_us >= Fw_Members_Touch(r);
+    if (d->from.boot != m->boot && m->spent) {
         g_hash_table_remove_all(m->spent);
     }
-    m->boot = d->boot;
     m->seq = d->seq;
-    m->domain = d->domain;
-    m->cpu_ppm = d->cpu_ppm;
-    g_strlcpy(m->addr, addr, sizeof(m->addr));
-    Fw_Members_Heard(r, m, now_us);
+    Fw_Share_TakeSender(r, m, &d->from, addr, now_us);
     m->digest_us = now_us;
     m->report_us = 0;
     take_sums(r, m, d, first, now_us);
--- a/src/relay/exchange.c
+++ b/src/relay/exchange.c
@@ -16,42 +16,6 @@
 /* A hub that is unreachable is tried so often. */
 #define FW_TRY_FAILED_US (500 * FW_MSEC)
 
-void
-Fw_Mail_Init(struct fw_rl_mail *mail)
-{
-    mail->all = g_ptr_array_new_with_free_func(g_free);
-}
-
-void
-Fw_Mail_Clear(struct fw_rl_mail *mail)
-{
-    for (guint i = 0; i < mail->all->len; i++) {
-        struct fw_rl_datagram *d = g_ptr_array_index(mail->all, i);
-
-        g_bytes_unref(d->data);
-    }
-    g_ptr_array_set_size(mail->all, 0);
-}
-
-static void
-add(struct fw_rl_mail *mail, const char *addr, GBytes *data)
-{
-    struct fw_rl_datagram *d = g_new0(struct fw_rl_datagram, 1);
-
-    g_strlcpy(d->addr, addr, sizeof(d->addr));
-    d->data = g_bytes_ref(data);
-    g_ptr_array_add(mail->all, d);
-}
-
-void
-Fw_Mail_Add(struct fw_rl_mail *mail, const char *addr, const GByteArray *msg)
-{
-    GBytes *data = g_bytes_new(msg->data, msg->len);
-
-    add(mail, addr, data);
-    g_bytes_unref(data);
-}
-
 static int
 is_acting(struct fw_relay *r, struct fw_rl_member *m, int64_t now_us)
 {
@@ -103,7 +67,7 @@
         struct fw_rl_member *m = FW_LIST_ENTRY(pos, struct fw_rl_member, link);
 
         if (meant(r, m, now_us)) {
-            add(out, m->addr, data);
+            Fw_Mail_Share(out, m->addr, data);
             n++;
         }
     }
--- a/src/relay/hubs.c
+++ b/src/relay/hubs.c
@@ -3,14 +3,9 @@
  * bear, so all agree but for those that one can't reach; an instance that
  * others report to is one all the same.
  */
-#include <errno.h>
-#include <string.h>
-
 #include "base/hash.h"
-#include "core/pack.h"
 #include "relay/relay_internal.h"
 
-#define FW_FORM_HUBS 10
 /* Hubs of the fleet; more where each domain needs its least. */
 #define FW_HUBS 10
 /* So that one may fail without its domain. */
@@ -20,10 +15,6 @@
 #define FW_DOMAINS_MAX 64
 /* One that sent no digest for so long has become a leaf, or failed. */
 #define FW_ACTING_US (2 * FW_SEC)
-/* Of a listed hub that was unreachable from here: until it is tried again. */
-#define FW_RETRY_FAILED_US (300 * FW_MSEC)
-/* Name, address, domain and processor. */
-#define FW_HUB_WIDTH 4
 
 /** struct domain - @hubs: the @n best of one, best first; NULL is @r itself */
 struct domain {
@@ -265,120 +256,3 @@
 
     return m ? m : choose(r, 0);
 }
-
-static void
-pack_hub(msgpack_packer *pk, const struct fw_rl_member *m)
-{
-    msgpack_pack_array(pk, FW_HUB_WIDTH);
-    Fw_Pack_Str(pk, m->name);
-    Fw_Pack_Str(pk, m->addr);
-    msgpack_pack_uint64(pk, m->domain);
-    msgpack_pack_int64(pk, m->cpu_ppm);
-}
-
-/* Hubs that are in touch, for who may not know them. */
-void
-Fw_Hubs_Write(const struct fw_relay *r, int64_t now_us, GByteArray *out)
-{
-    int64_t touch_us = Fw_Members_Touch(r);
-    struct fw_list *pos;
-    msgpack_packer pk;
-    size_t n = 0;
-
-    FW_LIST_EACH (pos, &r->members) {
-        const struct fw_rl_member *m =
-            FW_LIST_ENTRY(pos, struct fw_rl_member, link);
-
-        n += m->digest_us && now_us - m->digest_us < touch_us;
-    }
-    Fw_Pack_Begin(&pk, out);
-    msgpack_pack_array(&pk, 5);
-    msgpack_pack_int(&pk, FW_FORM_HUBS);
-    Fw_Pack_Str(&pk, r->opts.name);
-    msgpack_pack_uint64(&pk, own_domain(r));
-    msgpack_pack_int64(&pk, r->opts.cpu_ppm);
-    msgpack_pack_array(&pk, n);
-    FW_LIST_EACH (pos, &r->members) {
-        const struct fw_rl_member *m =
-            FW_LIST_ENTRY(pos, struct fw_rl_member, link);
-
-        if (m->digest_us && now_us - m->digest_us < touch_us) {
-            pack_hub(&pk, m);
-        }
-    }
-}
-
-/** struct listed - a hub as a message names it. */
-struct listed {
-    char name[FW_NAME_MAX];
-    char addr[FW_URL_MAX];
-    uint64_t domain;
-    int64_t cpu_ppm;
-};
-
-static int
-read_listed(const msgpack_object *o, struct listed *out)
-{
-    return Fw_Unpack_Str(o, 0, out->name, sizeof(out->name)) ||
-                   !out->name[0] ||
-                   Fw_Unpack_Str(o, 1, out->addr, sizeof(out->addr)) ||
-                   Fw_Unpack_U64(o, 2, &out->domain) ||
-                   Fw_Unpack_I64(o, 3, &out->cpu_ppm)
-               ? -EBADMSG
-               : 0;
-}
-
-static void
-take_listed(struct fw_relay *r, const struct listed *l, int64_t now_us)
-{
-    struct fw_rl_member *m;
-
-    if (strcmp(l->name, r->opts.name) == 0) {
-        return;
-    }
-    m = Fw_Members_Find(r, l->name);
-    if (!m) {
-        m = Fw_Members_Add(r, l->name, now_us);
-    }
-    g_strlcpy(m->addr, l->addr, sizeof(m->addr));
-    m->domain = l->domain;
-    m->cpu_ppm = l->cpu_ppm;
-    if (m->failed_us && now_us - m->failed_us >= FW_RETRY_FAILED_US) {
-        m->failed_us = 0;
-        m->asked_us = 0;
-    }
-}
-
-int
-Fw_Hubs_Read(struct fw_relay *r, const msgpack_object *o, const char *addr,
-             int64_t now_us)
-{
-    const msgpack_object *rows;
-    struct listed from;
-    struct listed l;
-    uint64_t form;
-
-    if (o->type != MSGPACK_OBJECT_ARRAY || o->via.array.size != 5 ||
-        Fw_Unpack_U64(o, 0, &form) || form != FW_FORM_HUBS ||
-        Fw_Unpack_Str(o, 1, from.name, sizeof(from.name)) || !from.name[0] ||
-        Fw_Unpack_U64(o, 2, &from.domain) ||
-        Fw_Unpack_I64(o, 3, &from.cpu_ppm) ||
-        !(rows = Fw_Unpack_Array(o, 4)) ||
-        rows->via.array.size > FW_DOMAINS_MAX * FW_HUBS) {
-        return -EBADMSG;
-    }
-    for (uint32_t i = 0; i < rows->via.array.size; i++) {
-        const msgpack_object *row = Fw_Unpack_Array(rows, i);
-
-        if (!row || read_listed(row, &l)) {
-            return -EBADMSG;
-        }
-    }
-    g_strlcpy(from.addr, addr, sizeof(from.addr));
-    take_listed(r, &from, now_us);
-    for (uint32_t i = 0; i < rows->via.array.size; i++) {
-        read_listed(Fw_Unpack_Array(rows, i), &l);
-        take_listed(r, &l, now_us);
-    }
-    return 0;
-}
--- /dev/null
+++ b/src/relay/mail.c
@@ -0,0 +1,38 @@
+/* Messages that are to go out. */
+#include "relay/relay_internal.h"
+
+void
+Fw_Mail_Init(struct fw_rl_mail *mail)
+{
+    mail->all = g_ptr_array_new_with_free_func(g_free);
+}
+
+void
+Fw_Mail_Clear(struct fw_rl_mail *mail)
+{
+    for (guint i = 0; i < mail->all->len; i++) {
+        struct fw_rl_datagram *d = g_ptr_array_index(mail->all, i);
+
+        g_bytes_unref(d->data);
+    }
+    g_ptr_array_set_size(mail->all, 0);
+}
+
+void
+Fw_Mail_Share(struct fw_rl_mail *mail, const char *addr, GBytes *data)
+{
+    struct fw_rl_datagram *d = g_new0(struct fw_rl_datagram, 1);
+
+    g_strlcpy(d->addr, addr, sizeof(d->addr));
+    d->data = g_bytes_ref(data);
+    g_ptr_array_add(mail->all, d);
+}
+
+void
+Fw_Mail_Add(struct fw_rl_mail *mail, const char *addr, const GByteArray *msg)
+{
+    GBytes *data = g_bytes_new(msg->data, msg->len);
+
+    Fw_Mail_Share(mail, addr, data);
+    g_bytes_unref(data);
+}
--- a/src/relay/peers.h
+++ b/src/relay/peers.h
@@ -186,6 +186,8 @@
 int
 Fw_Hubs_IsLeaf(const struct fw_relay *r, const struct fw_rl_member *m,
                int64_t now_us);
+
+/* hub_list.c */
 void
 Fw_Hubs_Write(const struct fw_relay *r, int64_t now_us, GByteArray *out);
 /* -EBADMSG for another message. */
@@ -238,7 +240,33 @@
 int64_t
 Fw_Rows_Lookup(GHashTable *table, uint64_t hash);
 
+/**
+ * struct fw_rl_sender - who sent a message.
+ * @domain: hash of its failure domain
+ */
+struct fw_rl_sender {
+    char name[FW_NAME_MAX];
+    uint64_t domain;
+    int64_t cpu_ppm;
+    uint64_t boot;
+};
+
 /* share.c: parts of messages that digests, deltas, reports, replies share */
+/* Four elements; they are read from element 1 on. */
+void
+Fw_Share_PackSender(const struct fw_relay *r, msgpack_packer *pk);
+/* Return: 0 or -EBADMSG. */
+int
+Fw_Share_ReadSender(const msgpack_object *o, struct fw_rl_sender *out);
+/* The member that @from is, added where it is new; NULL for this instance. */
+struct fw_rl_member *
+Fw_Share_MemberOf(struct fw_relay *r, const struct fw_rl_sender *from,
+                  int64_t now_us);
+/* @m has sent a message that is not old, from @addr. */
+void
+Fw_Share_TakeSender(struct fw_relay *r, struct fw_rl_member *m,
+                    const struct fw_rl_sender *from, const char *addr,
+                    int64_t now_us);
 /* Rows of a server and its load; none for a load of nothing. */
 void
 Fw_Share_PackLoad(struct fw_relay *r, msgpack_packer *pk,
@@ -305,7 +333,10 @@
 int
 Fw_Reply_Read(struct fw_relay *r, const msgpack_object *o, int64_t now_us);
 
-/* exchange.c */
+/* mail.c */
+/* A message that several get. */
+void
+Fw_Mail_Share(struct fw_rl_mail *mail, const char *addr, GBytes *data);
 void
 Fw_Mail_Add(struct fw_rl_mail *mail, const char *addr, const GByteArray *msg);
 
--- a/src/relay/report.c
+++ b/src/relay/report.c
@@ -6,10 +6,8 @@
  * goes uncounted when a leaf changes its hub.
  */
 #include <errno.h>
-#include <string.h>
 
 #include "base/fault.h"
-#include "base/hash.h"
 #include "core/pack.h"
 #include "relay/relay_internal.h"
 
@@ -51,10 +49,7 @@
     Fw_Pack_Begin(&pk, out);
     msgpack_pack_array(&pk, FW_REPORT_SIZE);
     msgpack_pack_int(&pk, FW_FORM_REPORT);
-    Fw_Pack_Str(&pk, r->opts.name);
-    msgpack_pack_uint64(&pk, Fw_Hash_Str(r->opts.domain));
-    msgpack_pack_int64(&pk, r->opts.cpu_ppm);
-    msgpack_pack_uint64(&pk, r->opts.boot);
+    Fw_Share_PackSender(r, &pk);
     msgpack_pack_uint64(&pk, r->x.session);
     msgpack_pack_uint64(&pk, ++r->x.seq);
     Fw_Share_PackReading(r, &pk, now_us);
@@ -66,10 +61,7 @@
 
 /** struct report - a message, checked. */
 struct report {
-    char name[FW_NAME_MAX];
-    uint64_t domain;
-    int64_t cpu_ppm;
-    uint64_t boot;
+    struct fw_rl_sender from;
     uint64_t session;
     uint64_t seq;
     const msgpack_object_array *reading;
@@ -86,11 +78,8 @@
 
     if (o->type != MSGPACK_OBJECT_ARRAY ||
         o->via.array.size != FW_REPORT_SIZE || Fw_Unpack_U64(o, 0, &form) ||
-        form != FW_FORM_REPORT ||
-        Fw_Unpack_Str(o, 1, p->name, sizeof(p->name)) || !p->name[0] ||
-        Fw_Unpack_U64(o, 2, &p->domain) || Fw_Unpack_I64(o, 3, &p->cpu_ppm) ||
-        Fw_Unpack_U64(o, 4, &p->boot) || Fw_Unpack_U64(o, 5, &p->session) ||
-        Fw_Unpack_U64(o, 6, &p->seq)) {
+        form != FW_FORM_REPORT || Fw_Share_ReadSender(o, &p->from) ||
+        Fw_Unpack_U64(o, 5, &p->session) || Fw_Unpack_U64(o, 6, &p->seq)) {
         return -EBADMSG;
     }
     p->reading = Fw_Rows_Of(o, 7, 2);
@@ -140,10 +129,11 @@
 static int
 is_old(const struct fw_rl_member *m, const struct report *p)
 {
-    return p->boot < m->boot ||
-           (p->boot == m->boot && (p->session < m->session ||
-                                   (p->session == m->session && m->report_us &&
-                                    p->seq <= m->report_seq)));
+    return p->from.boot < m->boot ||
+           (p->from.boot == m->boot &&
+            (p->session < m->session ||
+             (p->session == m->session && m->report_us &&
+              p->seq <= m->report_seq)));
 }
 
 static int
@@ -152,16 +142,12 @@
 {
     int is_new = !Fw_Hubs_IsLeaf(r, m, now_us);
 
-    if (p->boot != m->boot || p->session != m->session || !m->spent) {
+    if (p->from.boot != m->boot || p->session != m->session || !m->spent) {
         begin_session(m, p);
         is_new = 1;
     }
-    m->boot = p->boot;
     m->report_seq = p->seq;
-    m->domain = p->domain;
-    m->cpu_ppm = p->cpu_ppm;
-    g_strlcpy(m->addr, addr, sizeof(m->addr));
-    Fw_Members_Heard(r, m, now_us);
+    Fw_Share_TakeSender(r, m, &p->from, addr, now_us);
     m->report_us = now_us;
     m->digest_us = 0;
     Fw_Rows_Table(&m->reading, p->reading);
@@ -183,14 +169,8 @@
     if (read_report(o, &p)) {
         return -EBADMSG;
     }
-    if (strcmp(p.name, r->opts.name) == 0) {
-        return 0;
-    }
-    m = Fw_Members_Find(r, p.name);
-    if (!m) {
-        m = Fw_Members_Add(r, p.name, now_us);
-    }
-    if (is_old(m, &p)) {
+    m = Fw_Share_MemberOf(r, &p.from, now_us);
+    if (!m || is_old(m, &p)) {
         return 0;
     }
     is_new = take(r, m, &p, addr, now_us);
--- a/src/relay/share.c
+++ b/src/relay/share.c
@@ -1,7 +1,56 @@
 /* Parts that messages between instances have in common. */
+#include <errno.h>
+#include <string.h>
+
 #include "base/hash.h"
+#include "core/pack.h"
 #include "relay/relay_internal.h"
 
+void
+Fw_Share_PackSender(const struct fw_relay *r, msgpack_packer *pk)
+{
+    Fw_Pack_Str(pk, r->opts.name);
+    msgpack_pack_uint64(pk, Fw_Hash_Str(r->opts.domain));
+    msgpack_pack_int64(pk, r->opts.cpu_ppm);
+    msgpack_pack_uint64(pk, r->opts.boot);
+}
+
+int
+Fw_Share_ReadSender(const msgpack_object *o, struct fw_rl_sender *out)
+{
+    return Fw_Unpack_Str(o, 1, out->name, sizeof(out->name)) ||
+                   !out->name[0] || Fw_Unpack_U64(o, 2, &out->domain) ||
+                   Fw_Unpack_I64(o, 3, &out->cpu_ppm) ||
+                   Fw_Unpack_U64(o, 4, &out->boot)
+               ? -EBADMSG
+               : 0;
+}
+
+struct fw_rl_member *
+Fw_Share_MemberOf(struct fw_relay *r, const struct fw_rl_sender *from,
+                  int64_t now_us)
+{
+    struct fw_rl_member *m;
+
+    if (strcmp(from->name, r->opts.name) == 0) {
+        return NULL;
+    }
+    m = Fw_Members_Find(r, from->name);
+    return m ? m : Fw_Members_Add(r, from->name, now_us);
+}
+
+void
+Fw_Share_TakeSender(struct fw_relay *r, struct fw_rl_member *m,
+                    const struct fw_rl_sender *from, const char *addr,
+                    int64_t now_us)
+{
+    m->boot = from->boot;
+    m->domain = from->domain;
+    m->cpu_ppm = from->cpu_ppm;
+    g_strlcpy(m->addr, addr, sizeof(m->addr));
+    Fw_Members_Heard(r, m, now_us);
+}
+
 /* What @s bears by all but @to; of a leaf's report, by this instance alone. */
 static void
 load_for(const struct fw_relay *r, const struct fw_rl_server *s,
