Place by a fresh picture; hubs learn at once what leaves have placed

Placements were broadcast at once before; with hubs a leaf's went to its hub at once, but on to the other hubs with the next digest only, and a leaf placed by a picture of up to 150 ms.

Change: a report that shows more requests or prompts at servers than the last one wants a delta. A leaf whose picture is older than 30 ms reports first and places with the reply, or after 15 ms without one.

Tests: a_leaf_places_by_a_fresh_picture failed until the first half was there; a_placement_waits_for_a_silent_hub_only_shortly bounds the wait.

--- a/src/relay/exchange.c
+++ b/src/relay/exchange.c
@@ -13,6 +13,10 @@
 /* Instances that no hub has heard of get it so often, first after a start. */
 #define FW_ANNOUNCE_US (3 * FW_SEC)
 #define FW_ANNOUNCE_FIRST_US (300 * FW_MSEC)
+/* A leaf places by what its hub said so long ago at the most. */
+#define FW_VIEW_US (30 * FW_MSEC)
+/* For a newer word a request waits so long. */
+#define FW_VIEW_WAIT_US (15 * FW_MSEC)
 /* A hub that is unreachable is tried so often. */
 #define FW_TRY_FAILED_US (500 * FW_MSEC)
 
@@ -237,6 +241,20 @@
     g_byte_array_unref(msg);
 }
 
+int
+Fw_Exchange_Awaits(struct fw_relay *r, int64_t since_us, int64_t now_us)
+{
+    const struct fw_rl_member *hub = r->x.hub;
+
+    if (r->x.is_hub || !hub || hub->failed_us ||
+        now_us - r->x.view_us < FW_VIEW_US ||
+        now_us - since_us >= FW_VIEW_WAIT_US) {
+        return 0;
+    }
+    r->x.wants_delta = 1;
+    return 1;
+}
+
 void
 Fw_Relay_Exchange(struct fw_relay *r, int64_t now_us, struct fw_rl_mail *out)
 {
--- a/src/relay/load.c
+++ b/src/relay/load.c
@@ -69,14 +69,37 @@
                  .unreachable = (int)Fw_Rows_Cell(rows, i, 5)}};
 }
 
+/* Requests and prompts of @m, at all servers. */
+static void
+total(const struct fw_rl_member *m, int64_t *running, int64_t *reading)
+{
+    *running = 0;
+    *reading = 0;
+    for (guint i = 0; m->rows && i < m->rows->len; i++) {
+        const struct fw_rl_load_row *row =
+            &g_array_index(m->rows, struct fw_rl_load_row, i);
+
+        *running += row->load.running;
+        *reading += row->load.reading;
+    }
+}
+
+/* What a leaf has placed the other hubs should know at once, too. */
 void
 Fw_Load_Replace(struct fw_relay *r, struct fw_rl_member *m,
                 const msgpack_object_array *rows, enum fw_rl_scope scope,
                 int64_t now_us)
 {
+    int64_t running[2];
+    int64_t reading[2];
+
+    total(m, &running[0], &reading[0]);
     Fw_Load_Drop(r, m);
     m->scope = scope;
     Fw_Load_Merge(r, m, rows, now_us);
+    total(m, &running[1], &reading[1]);
+    r->x.wants_delta |= scope == FW_RL_SCOPE_LEAF &&
+                        (running[1] > running[0] || reading[1] > reading[0]);
 }
 
 static struct fw_rl_load_row *
--- a/src/relay/peers.h
+++ b/src/relay/peers.h
@@ -120,6 +120,7 @@
  * @wants_delta, @wants_push: what was taken should be known at once
  * @count, @in_touch: instances, as of @census_us; from @hub for a leaf
  * @recount: they have changed since
+ * @view_us: as of when a leaf knows the others' load
  */
 struct fw_rl_exchange {
     int is_hub;
@@ -140,6 +141,7 @@
     int in_touch;
     int64_t census_us;
     int recount;
+    int64_t view_us;
 };
 
 /* members.c */
@@ -340,6 +342,14 @@
 void
 Fw_Mail_Add(struct fw_rl_mail *mail, const char *addr, const GByteArray *msg);
 
+/* exchange.c */
+/*
+ * Should a placement wait for the reply to a report that is under way, or
+ * goes out now? What waits began to at @since_us.
+ */
+int
+Fw_Exchange_Awaits(struct fw_relay *r, int64_t since_us, int64_t now_us);
+
 /* watch.c */
 /* A member said how far it has read. */
 void
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -284,6 +284,14 @@
     Fw_Relay_UpdateGauges(r, now_us);
 }
 
+void
+Fw_Relay_Place(struct fw_relay *r, int64_t now_us, struct fw_rl_acts *out)
+{
+    if (r->queue.n) {
+        Fw_Stream_Pump(r, now_us, out);
+    }
+}
+
 int64_t
 Fw_Relay_Wake(const struct fw_relay *r, int64_t now_us)
 {
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -307,6 +307,9 @@
 /* What other instances should get by now. */
 void
 Fw_Relay_Exchange(struct fw_relay *r, int64_t now_us, struct fw_rl_mail *out);
+/* What waits for an engine is placed, where there is room by now. */
+void
+Fw_Relay_Place(struct fw_relay *r, int64_t now_us, struct fw_rl_acts *out);
 /* When there is something at the latest. */
 int64_t
 Fw_Relay_ExchangeDue(const struct fw_relay *r);
--- a/src/relay/reply.c
+++ b/src/relay/reply.c
@@ -143,6 +143,7 @@
             g_clear_pointer(&m->strikes, g_hash_table_destroy);
         }
     }
+    r->x.view_us = r->x.sent_us;
     Fw_Load_Replace(r, hub, p->load, FW_RL_SCOPE_OTHER, now_us);
     Fw_Rows_Table(&hub->strikes, p->strikes);
 }
--- a/src/relay/stream.c
+++ b/src/relay/stream.c
@@ -110,8 +110,11 @@
 
     while (r->rules && (it = Fw_Queue_Take(&r->queue))) {
         struct fw_rl_call *c = call_of(it);
-        struct fw_rl_server *s = Fw_Place_Decode(r, c, now_us);
+        struct fw_rl_server *s = NULL;
 
+        if (!Fw_Exchange_Awaits(r, c->opened_us, now_us)) {
+            s = Fw_Place_Decode(r, c, now_us);
+        }
         if (!s) {
             Fw_Queue_PutBack(&r->queue, it);
             return;
--- a/src/relayd/peers.c
+++ b/src/relayd/peers.c
@@ -60,6 +60,17 @@
     send_all(d);
 }
 
+/* Requests that waited for what just came. */
+static void
+place(struct fw_relayd *d)
+{
+    struct fw_rl_acts acts;
+
+    Fw_Acts_Init(&acts);
+    Fw_Relay_Place(d->relay, Fw_Conn_Now(), &acts);
+    Fw_Relayd_CarryOut(d, &acts);
+}
+
 static void
 take(struct fw_relayd *d, GSocketAddress *from, const char *data, size_t len)
 {
@@ -77,6 +88,7 @@
     else if (rc > 0) {
         Fw_Note_Log(LOG_NOTICE, "member_met", "addr", addr, NULL);
     }
+    place(d);
 }
 
 static gboolean
--- a/tests/relay/test_hubs.c
+++ b/tests/relay/test_hubs.c
@@ -251,6 +251,65 @@
 }
 END_TEST
 
+static int
+places(struct rig *g, int i, int64_t since_us)
+{
+    return !Fw_Exchange_Awaits(at(g, i), since_us,
+                               Fw_RelayFleet_Now(&g->f, i));
+}
+
+/* Guards against streams that leaves send to one engine by an old picture. */
+START_TEST(a_leaf_places_by_a_fresh_picture)
+{
+    struct rig g;
+    struct fw_rl_load load;
+    int leaf;
+    int other;
+    int64_t since;
+
+    rig_init(&g, 40);
+    leaf = find(&g, 0, 0);
+    other = find(&g, 0, leaf + 1);
+    Fw_RelayFleet_Advance(&g.f, 100 * FW_MSEC);
+    while (places(&g, leaf, Fw_RelayFleet_Now(&g.f, leaf))) {
+        Fw_RelayFleet_Advance(&g.f, 20 * FW_MSEC);
+    }
+    Fw_Servers_Find(at(&g, other), FW_SERVER)->running = 5;
+    Fw_Delta_Placed(at(&g, other), Fw_Servers_Find(at(&g, other), FW_SERVER));
+    Fw_RelayFleet_Send(&g.f, other);
+    Fw_RelayFleet_Advance(&g.f, 80 * FW_MSEC);
+    since = Fw_RelayFleet_Now(&g.f, leaf);
+    places(&g, leaf, since);
+    Fw_RelayFleet_Send(&g.f, leaf);
+    Fw_RelayFleet_Advance(&g.f, 5 * FW_MSEC);
+    Fw_RelayFleet_Advance(&g.f, 5 * FW_MSEC);
+    ck_assert(places(&g, leaf, since));
+    Fw_Place_Load(at(&g, leaf), Fw_Servers_Find(at(&g, leaf), FW_SERVER),
+                  Fw_RelayFleet_Now(&g.f, leaf), &load);
+    ck_assert_int_eq(load.running, 5);
+    rig_clear(&g);
+}
+END_TEST
+
+/* Guards against requests that wait for a hub that doesn't answer. */
+START_TEST(a_placement_waits_for_a_silent_hub_only_shortly)
+{
+    struct rig g;
+    int leaf;
+    int64_t since;
+
+    rig_init(&g, 40);
+    leaf = find(&g, 0, 0);
+    g.f.sites[leaf].cut = 1;
+    Fw_RelayFleet_Advance(&g.f, 100 * FW_MSEC);
+    since = Fw_RelayFleet_Now(&g.f, leaf);
+    ck_assert(!places(&g, leaf, since));
+    Fw_RelayFleet_Advance(&g.f, 20 * FW_MSEC);
+    ck_assert(places(&g, leaf, since));
+    rig_clear(&g);
+}
+END_TEST
+
 /* Guards against a domain that stays alone after its power is back. */
 START_TEST(a_domain_that_lost_power_is_met_again)
 {
@@ -369,6 +428,8 @@
     tcase_add_test(tc, leaves_of_a_dead_hub_find_another);
     tcase_add_test(tc, a_hub_that_stops_sends_its_leaves_away);
     tcase_add_test(tc, a_domain_that_lost_power_is_met_again);
+    tcase_add_test(tc, a_leaf_places_by_a_fresh_picture);
+    tcase_add_test(tc, a_placement_waits_for_a_silent_hub_only_shortly);
     tcase_add_test(tc, large_instances_are_hubs_first);
     tcase_add_test(tc, a_new_instance_gets_what_was_learned);
     return Fw_Suite_Run(tc);
