--- a/src/decide/length.h
+++ b/src/decide/length.h
@@ -22,7 +22,7 @@
  * @x, @y: means of estimates in tokens and of answers in events
  * @xx, @yy, @xy: mean squares and products of the distances from them
  * @per_event: tokens of an event, 0 before an estimate was compared
- * @measured: that was told by an engine, not guessed from estimates
+ * @measured: @per_event is an engine's figure, not one from estimates
  * @longest: events of the longest answer of late
  */
 struct fw_length {
@@ -55,7 +55,7 @@
 void
 Fw_Length_Guess(const struct fw_length *l, int64_t hint, int64_t most,
                 struct fw_length_guess *out);
-/* An engine has said that @events of a stream are @tokens. */
+/* An engine has reported that @events of a stream are @tokens. */
 void
 Fw_Length_NoteTokens(struct fw_length *l, int64_t tokens, int64_t events);
 /* Tokens of an event; 0 when nothing is known. */
--- a/src/decide/readers.h
+++ b/src/decide/readers.h
@@ -29,7 +29,7 @@
 
 /**
  * Fw_Readers_Mean - engines that reading keeps busy.
- * @mine: to tell for how long the load was seen
+ * @mine: prompts of this instance: how long the load has been seen
  * @rate: tokens a second, of all instances
  * @token_us: to read one
  * @guess: engines, before the load was seen
--- a/src/relay/exchange.c
+++ b/src/relay/exchange.c
@@ -10,12 +10,12 @@
 #define FW_REPORT_GAP_US (20 * FW_MSEC)
 /* Leaves get the list of hubs so often. */
 #define FW_LIST_US (1 * FW_SEC)
-/* Instances that no hub has heard of get it so often, first after a start. */
+/* Instances that no hub has seen get it so often, first after a start. */
 #define FW_ANNOUNCE_US (3 * FW_SEC)
 #define FW_ANNOUNCE_FIRST_US (300 * FW_MSEC)
-/* A leaf places by what its hub said so long ago at the most. */
+/* Age of its hub's reply at which a leaf still places by it. */
 #define FW_VIEW_US (30 * FW_MSEC)
-/* For a newer word a request waits so long. */
+/* Longest wait of a request for a newer reply. */
 #define FW_VIEW_WAIT_US (15 * FW_MSEC)
 /* A hub that is unreachable is tried so often. */
 #define FW_TRY_FAILED_US (500 * FW_MSEC)
--- a/src/relay/hub_list.c
+++ b/src/relay/hub_list.c
@@ -1,6 +1,6 @@
 /*
- * Lists of hubs, for leaves and for instances that nobody has heard of: those
- * that started first know none of those that started later.
+ * Lists of hubs, for leaves and for instances that no hub has seen: those that
+ * started first know none of those that started later.
  */
 #include <errno.h>
 #include <string.h>
--- a/src/relay/hubs.c
+++ b/src/relay/hubs.c
@@ -182,8 +182,8 @@
 }
 
 /*
- * What a hub said of all others would be counted beside what they say
- * themselves. Who owed an answer in the other role owes none in this one.
+ * The load in a hub's reply would be counted beside that in the digests of
+ * others. Answers that are due to the other role are not awaited any more.
  */
 static void
 change_role(struct fw_relay *r)
--- a/src/relay/learned.c
+++ b/src/relay/learned.c
@@ -63,8 +63,8 @@
 }
 
 /*
- * The caller's estimates tell what an event holds only where there are any,
- * and not exactly; engines know.
+ * Callers' estimates give the tokens of an event only roughly, and not every
+ * caller sends one; engines report them exactly.
  */
 void
 Fw_Learned_Tick(struct fw_relay *r, int64_t now_us, struct fw_rl_acts *out)
--- a/src/relay/members.c
+++ b/src/relay/members.c
@@ -58,9 +58,9 @@
     r->x.recount = 1;
 }
 
-/* What it said is in what its hub says now. */
+/* Its hub's digest includes it from now on. */
 static void
-forget_words(struct fw_relay *r, struct fw_rl_member *m)
+drop_sums(struct fw_relay *r, struct fw_rl_member *m)
 {
     m->report_us = 0;
     m->digest_us = 0;
@@ -79,7 +79,7 @@
     }
     m = seen_of(r, hash)->member;
     if (m && m != r->x.hub && m->heard_us < seen_us) {
-        forget_words(r, m);
+        drop_sums(r, m);
     }
     Fw_Members_Seen(r, hash, seen_us);
 }
@@ -219,7 +219,7 @@
     }
 }
 
-/* A leaf knows what its hub says, for as long as that is in touch. */
+/* A leaf uses its hub's counts for as long as that is in touch. */
 int
 Fw_Members_Count(struct fw_relay *r, int64_t now_us, int *in_touch)
 {
@@ -240,8 +240,8 @@
 }
 
 /*
- * One that was never contacted stays: it may have to take a hub's place, and
- * only hubs can tell whether it still lives.
+ * One that was never contacted stays: it may have to replace a hub, and only
+ * hubs know whether it is alive.
  */
 static int
 is_gone(struct fw_relay *r, const struct fw_rl_member *m, int64_t now_us)
--- a/src/relay/order.c
+++ b/src/relay/order.c
@@ -16,7 +16,7 @@
 #include "base/hash.h"
 #include "relay/relay_internal.h"
 
-/* What an instance said of its load counts for so long. */
+/* A peer's rate of prompts counts for so long. */
 #define FW_RATE_LIFE_US (5 * FW_SEC)
 /* Engines are looked at so often. */
 #define FW_LOOK_US (1 * FW_SEC)
@@ -139,7 +139,8 @@
 
 /*
  * The next engine of @service whose stage should change, or NULL. Those with
- * the highest hash of their id go first: all instances agree without a word.
+ * the highest hash of their id go first: all instances agree without a
+ * message.
  */
 static struct fw_rl_server *
 next_of_service(struct fw_relay *r, const char *service, int64_t now_us,
--- a/src/relay/peers.h
+++ b/src/relay/peers.h
@@ -115,7 +115,7 @@
  * @delta_us, @push_us: the same of messages between digests, to hubs and to
  *     leaves
  * @list_us, @announce_us: when hubs are listed to leaves, and to instances
- *     that nobody has heard of
+ *     that no hub has seen
  * @wants: a digest or report should go out soon
  * @wants_delta, @wants_push: what was taken should be known at once
  * @count, @in_touch: instances, as of @census_us; from @hub for a leaf
@@ -351,7 +351,7 @@
 Fw_Exchange_Awaits(struct fw_relay *r, int64_t since_us, int64_t now_us);
 
 /* watch.c */
-/* A member said how far it has read. */
+/* A member has sent how far it has read. */
 void
 Fw_Watch_Heard(struct fw_relay *r, const struct fw_rl_member *m);
 /* Offset behind the configuration in force, 0 for none. */
--- a/src/relay/place.c
+++ b/src/relay/place.c
@@ -300,7 +300,7 @@
 /*
  * Of two engines drawn at random the one that would be ready first. Loads of
  * other instances are known late, so the best of all looks best to everyone,
- * and until the next news all prompts would go to it.
+ * and until the next digest all prompts would go to it.
  */
 struct fw_rl_server *
 Fw_Place_Read(struct fw_relay *r, const struct fw_rl_call *c, int64_t now_us,
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -354,7 +354,7 @@
 /* All that are registered were named. */
 void
 Fw_Relay_MembersEnd(struct fw_relay *r, int64_t now_us);
-/* Has no other instance been heard for a while? */
+/* Has no other instance sent anything for a while? */
 int
 Fw_Relay_IsIsolated(const struct fw_relay *r, int64_t now_us);
 
--- a/src/relay/relay_internal.h
+++ b/src/relay/relay_internal.h
@@ -527,7 +527,7 @@
 /**
  * struct fw_rl_level - a team's level as a hub knows it.
  * @counted: what the hub has counted of this instance's spending
- * @may_rise: the newest word, not one that may have been overtaken
+ * @may_rise: in reply to the last report, not possibly overtaken
  */
 struct fw_rl_level {
     uint64_t hash;
--- a/src/relayd/handover.c
+++ b/src/relayd/handover.c
@@ -1,7 +1,7 @@
 /*
  * The newest records of the configuration and of the servers, handed on to
  * other instances: a change is read from the store by those that watch it,
- * and an instance that the store turns away gets it all the same.
+ * and an instance that the store rejects gets it all the same.
  */
 #include <errno.h>
 #include <msgpack.h>
--- a/tests/relay/test_hubs.c
+++ b/tests/relay/test_hubs.c
@@ -227,7 +227,7 @@
 }
 END_TEST
 
-/* Guards against 0.6 s without a word for the leaves of a hub that stops. */
+/* Guards against leaves that wait 0.6 s for a hub that has stopped. */
 START_TEST(a_hub_that_stops_sends_its_leaves_away)
 {
     struct rig g;
--- a/tests/relayd/test_settings.c
+++ b/tests/relayd/test_settings.c
@@ -135,7 +135,7 @@
      "[limits] retry-ratio: must be a number from 0 to 10"},
 };
 
-/* Guards against a figure out of range that is taken without a word. */
+/* Guards against a figure out of range that is accepted silently. */
 START_TEST(a_bad_figure_is_named)
 {
     const struct refused *t = &refused[_i];
