--- a/explore/p_relay.h
+++ b/explore/p_relay.h
@@ -8,6 +8,8 @@
 void
 Fw_Explore_RelayAllowance(struct fw_run *run);
 void
+Fw_Explore_RelayAllowanceLapse(struct fw_run *run);
+void
 Fw_Explore_RelayAllowanceHubs(struct fw_run *run);
 /* relay_hubs.c */
 void
--- a/explore/relay_allowance.c
+++ b/explore/relay_allowance.c
@@ -118,7 +118,7 @@
 }
 
 static void
-explore(struct fw_run *run, int least, int more)
+explore(struct fw_run *run, int least, int more, int ticks)
 {
     struct fw_rl_rules *rules = make_rules();
     GArray *grants = g_array_new(FALSE, FALSE, sizeof(struct grant));
@@ -128,6 +128,7 @@
 
     Fw_RelayFleet_Init(&f, run, least + g_rand_int_range(run->rand, 0, more),
                        rules);
+    f.ticks = ticks;
     Fw_RelayFleet_Advance(&f, 10 * FW_SEC);
     for (int s = 0; s < run->steps && !run->breach[0]; s++) {
         int i = Fw_RelayFleet_Below(&f, f.n);
@@ -157,12 +158,19 @@
 void
 Fw_Explore_RelayAllowance(struct fw_run *run)
 {
-    explore(run, 3, 7);
+    explore(run, 3, 7, 0);
+}
+
+/* Cuts may last longer than a silent member counts. */
+void
+Fw_Explore_RelayAllowanceLapse(struct fw_run *run)
+{
+    explore(run, 3, 7, 1);
 }
 
 /* Of a fleet in which most instances are leaves. */
 void
 Fw_Explore_RelayAllowanceHubs(struct fw_run *run)
 {
-    explore(run, 14, 26);
+    explore(run, 14, 26, 0);
 }
