One reader of the rows that digests and reports share, one table of hashes

Digests and reports checked the same five kinds of rows each for itself, five places made the same table of hashes, three looked up or made a number in it, members were searched in a list beside a table that has them by hash, and a ranking counted the hubs of a domain twice.

--- a/src/relay/delta.c
+++ b/src/relay/delta.c
@@ -88,18 +88,13 @@
                    const msgpack_object_array *rows, int64_t now_us)
 {
     if (!m->spent) {
-        m->spent =
-            g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+        m->spent = Fw_Rows_NewTable();
     }
     for (uint32_t i = 0; i < rows->size; i++) {
         uint64_t hash = (uint64_t)Fw_Rows_Cell(rows, i, 0);
-        int64_t *before = g_hash_table_lookup(m->spent, &hash);
+        int64_t *before = Fw_Rows_Slot(m->spent, hash, 0);
         int64_t spent = Fw_Rows_Cell(rows, i, 1);
 
-        if (!before) {
-            before = g_new0(int64_t, 1);
-            g_hash_table_insert(m->spent, Fw_Rows_Key(hash), before);
-        }
         Fw_Allowance_Others(r, hash, first ? 0 : spent - *before,
                             Fw_Rows_Cell(rows, i, 2), now_us);
         *before = spent;
--- a/src/relay/digest.c
+++ b/src/relay/digest.c
@@ -63,11 +63,7 @@
 struct digest {
     struct fw_rl_sender from;
     uint64_t seq;
-    const msgpack_object_array *reading;
-    const msgpack_object_array *spent;
-    const msgpack_object_array *load;
-    const msgpack_object_array *strikes;
-    const msgpack_object_array *watch;
+    struct fw_rl_sums sums;
     const msgpack_object_array *leaves;
 };
 
@@ -82,16 +78,8 @@
         Fw_Unpack_U64(o, 5, &d->seq)) {
         return -EBADMSG;
     }
-    d->reading = Fw_Rows_Of(o, 6, 2);
-    d->spent = Fw_Rows_Of(o, 7, 3);
-    d->load = Fw_Rows_Of(o, 8, 6);
-    d->strikes = Fw_Rows_Of(o, 9, 2);
-    d->watch = Fw_Rows_Of(o, 10, FW_RL_WATCH_WIDTH);
     d->leaves = Fw_Rows_Of(o, 11, 2);
-    return d->reading && d->spent && d->load && d->strikes && d->watch &&
-                   d->leaves && d->watch->size == 1
-               ? 0
-               : -EBADMSG;
+    return d->leaves ? Fw_Share_ReadSums(o, 6, &d->sums) : -EBADMSG;
 }
 
 /* Datagrams overtake each other: an older one says nothing new. */
@@ -120,10 +108,10 @@
     if (!r->x.is_hub) {
         return;
     }
-    Fw_Rows_Table(&m->reading, d->reading);
-    Fw_Delta_TakeSpent(r, m, first, d->spent, now_us);
-    Fw_Load_Replace(r, m, d->load, FW_RL_SCOPE_OTHER, now_us);
-    Fw_Rows_Table(&m->strikes, d->strikes);
+    Fw_Rows_Table(&m->reading, d->sums.reading);
+    Fw_Delta_TakeSpent(r, m, first, d->sums.spent, now_us);
+    Fw_Load_Replace(r, m, d->sums.load, FW_RL_SCOPE_OTHER, now_us);
+    Fw_Rows_Table(&m->strikes, d->sums.strikes);
     take_leaves(r, d->leaves, now_us);
 }
 
@@ -151,7 +139,7 @@
     m->digest_us = now_us;
     m->report_us = 0;
     take_sums(r, m, d, first, now_us);
-    Fw_Share_TakeWatch(r, m, d->watch, now_us);
+    Fw_Share_TakeWatch(r, m, d->sums.watch, now_us);
     return first;
 }
 
--- a/src/relay/hub_list.c
+++ b/src/relay/hub_list.c
@@ -26,11 +26,17 @@
     msgpack_pack_int64(pk, m->cpu_ppm);
 }
 
+static int
+is_listed(const struct fw_relay *r, const struct fw_rl_member *m,
+          int64_t now_us)
+{
+    return m->digest_us && now_us - m->digest_us < Fw_Members_Touch(r);
+}
+
 /* Hubs that are in touch, for who may not know them. */
 void
 Fw_Hubs_Write(const struct fw_relay *r, int64_t now_us, GByteArray *out)
 {
-    int64_t touch_us = Fw_Members_Touch(r);
     struct fw_list *pos;
     msgpack_packer pk;
     size_t n = 0;
@@ -39,7 +45,7 @@
         const struct fw_rl_member *m =
             FW_LIST_ENTRY(pos, struct fw_rl_member, link);
 
-        n += m->digest_us && now_us - m->digest_us < touch_us;
+        n += (size_t)is_listed(r, m, now_us);
     }
     Fw_Pack_Begin(&pk, out);
     msgpack_pack_array(&pk, 5);
@@ -52,7 +58,7 @@
         const struct fw_rl_member *m =
             FW_LIST_ENTRY(pos, struct fw_rl_member, link);
 
-        if (m->digest_us && now_us - m->digest_us < touch_us) {
+        if (is_listed(r, m, now_us)) {
             pack_hub(&pk, m);
         }
     }
--- a/src/relay/hubs.c
+++ b/src/relay/hubs.c
@@ -120,11 +120,11 @@
                : MAX(FW_HUBS / k.n_domains, FW_HUBS_A_DOMAIN);
 }
 
-/* Marks the hubs. Return: is this instance among them? */
+/* Marks @each hubs a domain. Return: is this instance among them? */
 static int
-rank(struct fw_relay *r, int with_failed)
+rank(struct fw_relay *r, int each, int with_failed)
 {
-    struct ranking k = {.r = r, .each = MIN(hubs_of_each(r), FW_HUBS)};
+    struct ranking k = {.r = r, .each = each};
     struct fw_list *pos;
     int is_hub = 0;
 
@@ -204,9 +204,10 @@
 Fw_Hubs_Rank(struct fw_relay *r, int64_t now_us)
 {
     int was_hub = r->x.is_hub;
+    int each = MIN(hubs_of_each(r), FW_HUBS);
 
-    rank(r, 1);
-    r->x.is_hub = rank(r, 0) || has_leaves(r, now_us);
+    rank(r, each, 1);
+    r->x.is_hub = rank(r, each, 0) || has_leaves(r, now_us);
     if (r->draining && Fw_Hubs_Choose(r)) {
         r->x.is_hub = 0;
     }
--- a/src/relay/members.c
+++ b/src/relay/members.c
@@ -88,16 +88,9 @@
 Fw_Members_Find(const struct fw_relay *r, const char *name)
 {
     uint64_t hash = Fw_Hash_Str(name);
-    struct fw_list *pos;
-
-    FW_LIST_EACH (pos, &r->members) {
-        struct fw_rl_member *m = FW_LIST_ENTRY(pos, struct fw_rl_member, link);
+    const struct seen *s = g_hash_table_lookup(r->census, &hash);
 
-        if (m->hash == hash && strcmp(m->name, name) == 0) {
-            return m;
-        }
-    }
-    return NULL;
+    return s ? s->member : NULL;
 }
 
 struct fw_rl_member *
--- a/src/relay/peers.h
+++ b/src/relay/peers.h
@@ -235,6 +235,12 @@
 Fw_Rows_Of(const msgpack_object *o, uint32_t i, uint32_t width);
 int64_t
 Fw_Rows_Cell(const msgpack_object_array *rows, uint32_t i, int k);
+/* A table of hash to int64_t. */
+GHashTable *
+Fw_Rows_NewTable(void);
+/* The number at @hash of such a table, made with @initial where missing. */
+int64_t *
+Fw_Rows_Slot(GHashTable *table, uint64_t hash, int64_t initial);
 /* Replaces @table, hash to int64_t, by the first two columns of @rows. */
 void
 Fw_Rows_Table(GHashTable **table, const msgpack_object_array *rows);
@@ -253,6 +259,18 @@
     uint64_t boot;
 };
 
+/**
+ * struct fw_rl_sums - the rows that digests and reports have in common.
+ * @spent: rows of three columns, of which the last differs
+ */
+struct fw_rl_sums {
+    const msgpack_object_array *reading;
+    const msgpack_object_array *spent;
+    const msgpack_object_array *load;
+    const msgpack_object_array *strikes;
+    const msgpack_object_array *watch;
+};
+
 /* share.c: parts of messages that digests, deltas, reports, replies share */
 /* Four elements; they are read from element 1 on. */
 void
@@ -269,6 +287,9 @@
 Fw_Share_TakeSender(struct fw_relay *r, struct fw_rl_member *m,
                     const struct fw_rl_sender *from, const char *addr,
                     int64_t now_us);
+/* Reads them from element @i on. Return: 0 or -EBADMSG. */
+int
+Fw_Share_ReadSums(const msgpack_object *o, uint32_t i, struct fw_rl_sums *out);
 /* Rows of a server and its load; none for a load of nothing. */
 void
 Fw_Share_PackLoad(struct fw_relay *r, msgpack_packer *pk,
--- a/src/relay/report.c
+++ b/src/relay/report.c
@@ -64,11 +64,7 @@
     struct fw_rl_sender from;
     uint64_t session;
     uint64_t seq;
-    const msgpack_object_array *reading;
-    const msgpack_object_array *spent;
-    const msgpack_object_array *load;
-    const msgpack_object_array *strikes;
-    const msgpack_object_array *watch;
+    struct fw_rl_sums sums;
 };
 
 static int
@@ -82,15 +78,7 @@
         Fw_Unpack_U64(o, 5, &p->session) || Fw_Unpack_U64(o, 6, &p->seq)) {
         return -EBADMSG;
     }
-    p->reading = Fw_Rows_Of(o, 7, 2);
-    p->spent = Fw_Rows_Of(o, 8, 3);
-    p->load = Fw_Rows_Of(o, 9, 6);
-    p->strikes = Fw_Rows_Of(o, 10, 2);
-    p->watch = Fw_Rows_Of(o, 11, FW_RL_WATCH_WIDTH);
-    return p->reading && p->spent && p->load && p->strikes && p->watch &&
-                   p->watch->size == 1
-               ? 0
-               : -EBADMSG;
+    return Fw_Share_ReadSums(o, 7, &p->sums);
 }
 
 static void
@@ -100,14 +88,10 @@
     for (uint32_t i = 0; i < rows->size; i++) {
         uint64_t hash = (uint64_t)Fw_Rows_Cell(rows, i, 0);
         int64_t spent = Fw_Rows_Cell(rows, i, 1);
-        int64_t *before = g_hash_table_lookup(m->spent, &hash);
+        int64_t counted =
+            FW_FAULT("leaf-uncounted") ? spent : Fw_Rows_Cell(rows, i, 2);
+        int64_t *before = Fw_Rows_Slot(m->spent, hash, counted);
 
-        if (!before) {
-            before = g_new(int64_t, 1);
-            *before =
-                FW_FAULT("leaf-uncounted") ? spent : Fw_Rows_Cell(rows, i, 2);
-            g_hash_table_insert(m->spent, Fw_Rows_Key(hash), before);
-        }
         Fw_Allowance_Leaf(r, hash, spent - *before, now_us);
         *before = spent;
     }
@@ -117,13 +101,8 @@
 begin_session(struct fw_rl_member *m, const struct report *p)
 {
     m->session = p->session;
-    if (m->spent) {
-        g_hash_table_remove_all(m->spent);
-    }
-    else {
-        m->spent =
-            g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
-    }
+    g_clear_pointer(&m->spent, g_hash_table_destroy);
+    m->spent = Fw_Rows_NewTable();
 }
 
 static int
@@ -150,11 +129,11 @@
     Fw_Share_TakeSender(r, m, &p->from, addr, now_us);
     m->report_us = now_us;
     m->digest_us = 0;
-    Fw_Rows_Table(&m->reading, p->reading);
-    count_spent(r, m, p->spent, now_us);
-    Fw_Load_Replace(r, m, p->load, FW_RL_SCOPE_LEAF, now_us);
-    Fw_Rows_Table(&m->strikes, p->strikes);
-    Fw_Share_TakeWatch(r, m, p->watch, now_us);
+    Fw_Rows_Table(&m->reading, p->sums.reading);
+    count_spent(r, m, p->sums.spent, now_us);
+    Fw_Load_Replace(r, m, p->sums.load, FW_RL_SCOPE_LEAF, now_us);
+    Fw_Rows_Table(&m->strikes, p->sums.strikes);
+    Fw_Share_TakeWatch(r, m, p->sums.watch, now_us);
     return is_new;
 }
 
--- a/src/relay/rows.c
+++ b/src/relay/rows.c
@@ -43,6 +43,25 @@
     return rows->ptr[i].via.array.ptr[k].via.i64;
 }
 
+GHashTable *
+Fw_Rows_NewTable(void)
+{
+    return g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+}
+
+int64_t *
+Fw_Rows_Slot(GHashTable *table, uint64_t hash, int64_t initial)
+{
+    int64_t *v = g_hash_table_lookup(table, &hash);
+
+    if (!v) {
+        v = g_new(int64_t, 1);
+        *v = initial;
+        g_hash_table_insert(table, Fw_Rows_Key(hash), v);
+    }
+    return v;
+}
+
 void
 Fw_Rows_Table(GHashTable **table, const msgpack_object_array *rows)
 {
@@ -50,14 +69,10 @@
     if (!rows->size) {
         return;
     }
-    *table =
-        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+    *table = Fw_Rows_NewTable();
     for (uint32_t i = 0; i < rows->size; i++) {
-        int64_t *v = g_new(int64_t, 1);
-
-        *v = MAX(Fw_Rows_Cell(rows, i, 1), 0);
-        g_hash_table_insert(
-            *table, Fw_Rows_Key((uint64_t)Fw_Rows_Cell(rows, i, 0)), v);
+        *Fw_Rows_Slot(*table, (uint64_t)Fw_Rows_Cell(rows, i, 0), 0) =
+            MAX(Fw_Rows_Cell(rows, i, 1), 0);
     }
 }
 
--- a/src/relay/share.c
+++ b/src/relay/share.c
@@ -51,6 +51,20 @@
     Fw_Members_Heard(r, m, now_us);
 }
 
+int
+Fw_Share_ReadSums(const msgpack_object *o, uint32_t i, struct fw_rl_sums *out)
+{
+    out->reading = Fw_Rows_Of(o, i, 2);
+    out->spent = Fw_Rows_Of(o, i + 1, 3);
+    out->load = Fw_Rows_Of(o, i + 2, 6);
+    out->strikes = Fw_Rows_Of(o, i + 3, 2);
+    out->watch = Fw_Rows_Of(o, i + 4, FW_RL_WATCH_WIDTH);
+    return out->reading && out->spent && out->load && out->strikes &&
+                   out->watch && out->watch->size == 1
+               ? 0
+               : -EBADMSG;
+}
+
 /* What @s bears by all but @to; of a leaf's report, by this instance alone. */
 static void
 load_for(const struct fw_relay *r, const struct fw_rl_server *s,
@@ -129,19 +143,6 @@
     g_array_unref(rows);
 }
 
-/* Adds @more to the number at @hash. */
-static void
-add_to(GHashTable *sums, uint64_t hash, int64_t more)
-{
-    int64_t *sum = g_hash_table_lookup(sums, &hash);
-
-    if (!sum) {
-        sum = g_new0(int64_t, 1);
-        g_hash_table_insert(sums, Fw_Rows_Key(hash), sum);
-    }
-    *sum += more;
-}
-
 static void
 add_table(GHashTable *sums, GHashTable *more)
 {
@@ -154,16 +155,10 @@
     }
     g_hash_table_iter_init(&it, more);
     while (g_hash_table_iter_next(&it, &k, &v)) {
-        add_to(sums, (uint64_t) * (gint64 *)k, *(int64_t *)v);
+        *Fw_Rows_Slot(sums, (uint64_t) * (gint64 *)k, 0) += *(int64_t *)v;
     }
 }
 
-static GHashTable *
-sums_new(void)
-{
-    return g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
-}
-
 /* Packs and frees @sums. */
 static void
 pack_sums(msgpack_packer *pk, GHashTable *sums)
@@ -186,7 +181,7 @@
 Fw_Share_PackStrikes(struct fw_relay *r, msgpack_packer *pk,
                      const struct fw_rl_member *to)
 {
-    GHashTable *sums = sums_new();
+    GHashTable *sums = Fw_Rows_NewTable();
     struct fw_list *pos;
 
     FW_LIST_EACH (pos, &r->members) {
@@ -198,7 +193,7 @@
         }
     }
     for (int i = 0; i < r->n_strikes; i++) {
-        add_to(sums, r->strikes[i].digest, r->strikes[i].count);
+        *Fw_Rows_Slot(sums, r->strikes[i].digest, 0) += r->strikes[i].count;
     }
     pack_sums(pk, sums);
 }
@@ -206,14 +201,14 @@
 void
 Fw_Share_PackReading(struct fw_relay *r, msgpack_packer *pk, int64_t now_us)
 {
-    GHashTable *sums = sums_new();
+    GHashTable *sums = Fw_Rows_NewTable();
     struct fw_list *pos;
 
     for (guint i = 0; i < r->learned->len; i++) {
         const struct fw_learned *l = g_ptr_array_index(r->learned, i);
 
-        add_to(sums, Fw_Hash_Str(l->service),
-               (int64_t)Fw_Reading_Rate(&l->reading, now_us));
+        *Fw_Rows_Slot(sums, Fw_Hash_Str(l->service), 0) +=
+            (int64_t)Fw_Reading_Rate(&l->reading, now_us);
     }
     FW_LIST_EACH (pos, &r->members) {
         const struct fw_rl_member *m =
