Split what the store's answers mean from when it is asked

The two ends of a call, an answer or none, are one function each now, for the store and for a peer that hands records on; three places chose between the two before. Behaviour stays.

--- a/src/relayd/store_internal.h
+++ b/src/relayd/store_internal.h
@@ -80,6 +80,14 @@
 void
 Fw_Store_AddCounts(struct fw_store *s, struct fw_metrics *m);
 
+/* store_answer.c */
+/* What was asked last for @f has an answer, in @f->status and @f->body. */
+void
+Fw_Follow_Ended(struct fw_follow *f);
+/* It has none, for the reason @why. */
+void
+Fw_Follow_Failed(struct fw_follow *f, const char *why);
+
 /* handover.c */
 /* Records by key; see Fw_Handover_Keep. */
 GHashTable *
