Keep evacuations of failure domains, and limit what cold servers get

The limit of requests a second to a cold server was not read either and held by the load's luck.

Change: an evacuation is a versioned record of the operator, read and handed on with the configuration; how far the operator's records were read, in place of the configuration's own offset, is what instances compare. An older record never takes effect again, and a listing that lacks a domain ends only older evacuations.

--- a/src/relay/call.c
+++ b/src/relay/call.c
@@ -26,6 +26,7 @@
     up->call = c ? c->id : 0;
     g_strlcpy(up->addr, s->entry.addr, sizeof(up->addr));
     g_strlcpy(up->server, s->entry.id, sizeof(up->server));
+    Fw_ColdWindow_NoteSent(&s->cold_window, now_us);
     Fw_RelayActions_Add(out, FW_RL_DO_CALL)->u.upstream_call = *up;
     if (c) {
         c->op = op;
@@ -92,6 +93,7 @@
 Fw_Call_DetachServer(struct fw_rl_call *c)
 {
     if (c->server) {
+        Fw_Cold_EndReservation(c);
         c->server->running--;
         c->server->kv_tokens -= c->kv_tokens;
         Fw_Servers_Unref(c->server);
@@ -112,6 +114,7 @@
         free_at_engine(r, c->prefill_server, FW_RL_UP_FREE_KV, c->kv_handle,
                        now_us, out);
     }
+    Fw_Cold_EndReservation(c);
     if (c->reservation[0] && c->server) {
         free_at_engine(r, c->server, FW_RL_UP_RELEASE, c->reservation, now_us,
                        out);
--- a/src/relay/place.c
+++ b/src/relay/place.c
@@ -117,7 +117,8 @@
         struct fw_rl_server *s = FW_LIST_ENTRY(pos, struct fw_rl_server, link);
         double score;
 
-        if (!runs_service(s, c) || s->gone || s->entry.draining) {
+        if (!runs_service(s, c) || !Fw_Servers_IsInService(s) ||
+            !Fw_Cold_MaySend(r, s, now_us)) {
             continue;
         }
         score = plain_score(r, s);
@@ -290,7 +291,7 @@
         int64_t left;
 
         if (!runs_service(s, c) || !can_decode(s, now_us) ||
-            Fw_Call_HasTried(c, s)) {
+            Fw_Call_HasTried(c, s) || !Fw_Cold_MayReserve(r, s, now_us)) {
             continue;
         }
         left = room_left(r, s, &rule->engine, c, now_us);
@@ -306,7 +307,7 @@
  * the same failure domain. Negative when @c can't be sent there.
  */
 static int64_t
-prefill_time_us(const struct fw_relay *r, const struct fw_rl_server *s,
+prefill_time_us(struct fw_relay *r, const struct fw_rl_server *s,
                 const struct fw_rl_call *c, int64_t now_us)
 {
     struct fw_rl_load l;
@@ -315,7 +316,7 @@
     if (!runs_service(s, c) || s->entry.stage != FW_RL_STAGE_PREFILL ||
         Fw_Servers_IsChangingStage(s, now_us) || Fw_Call_HasTried(c, s) ||
         now_us - s->full_us < FW_PREFILL_BACKOFF_US ||
-        !Fw_Servers_IsUsable(s, now_us)) {
+        !Fw_Servers_IsUsable(s, now_us) || !Fw_Cold_MaySend(r, s, now_us)) {
         return -1;
     }
     Fw_Place_Load(r, s, now_us, &l);
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -38,6 +38,7 @@
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
     r->retry_budgets = g_ptr_array_new_with_free_func(g_free);
     r->service_stats = g_ptr_array_new_with_free_func(g_free);
+    r->evacuations = g_ptr_array_new_with_free_func(g_free);
     Fw_List_Init(&r->servers);
     Fw_List_Init(&r->call_list);
     Fw_List_Init(&r->op_list);
@@ -78,6 +79,7 @@
     g_hash_table_destroy(r->loads);
     g_ptr_array_unref(r->retry_budgets);
     g_ptr_array_unref(r->service_stats);
+    g_ptr_array_unref(r->evacuations);
     g_rand_free(r->rand);
     g_free(r);
 }
@@ -193,10 +195,12 @@
                         int64_t now_us, struct fw_rl_actions *out)
 {
     struct fw_rl_op *op = find_op(r, xid);
+    struct fw_rl_server *s;
 
     if (!op) {
         return;
     }
+    s = Fw_Servers_Ref(op->server);
     Fw_RelayActions_Log(
         out, r, LOG_NOTICE, "upstream_failed",
         "\"id\":\"%s\",\"server\":\"%s\",\"kind\":%d,\"error\":%d,"
@@ -212,6 +216,10 @@
     else {
         Fw_Plain_HandleFailure(r, op, err, sent, now_us, out);
     }
+    if (now_us < s->backoff_until_us) {
+        Fw_Cold_Assume(r, s, now_us); /* it may have been restarted */
+    }
+    Fw_Servers_Unref(s);
 }
 
 static void
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -207,6 +207,8 @@
  *     prefill until prompts have been received long enough to estimate it
  * @overage_ppm: tolerated excess over a team's rate
  * @tolerance_tokens: tolerated excess over a team's burst
+ * @cold_overage_ppm: factor of the rate that cold servers tolerate
+ * @cold_tolerance: requests that they tolerate beyond that in any second
  * @lease_us: duration of a lease of the order role
  * @grace_us: time from SIGTERM until the process is killed
  * @cpu_ppm: CPU share of this instance, one core being 1,000,000; instances
@@ -231,6 +233,8 @@
     int prefill_permille;
     int64_t overage_ppm;
     int64_t tolerance_tokens;
+    int64_t cold_overage_ppm;
+    int64_t cold_tolerance;
     int64_t lease_us;
     int64_t grace_us;
     int64_t cpu_ppm;
@@ -289,6 +293,26 @@
 void
 Fw_Relay_SetRules(struct fw_relay *r, struct fw_rl_rules *rules,
                   uint64_t offset, int64_t now_us, struct fw_rl_actions *out);
+/*
+ * Sets whether the failure domain @domain is evacuated, as the record at the
+ * log's @offset says. Ignored if a newer record about the domain is known.
+ */
+void
+Fw_Relay_SetEvacuation(struct fw_relay *r, const char *domain, int active,
+                       uint64_t offset, int64_t now_us,
+                       struct fw_rl_actions *out);
+/*
+ * Enclose a complete listing of the evacuations as of the log's offset @end.
+ * Those not set in between have ended, unless their record is not older.
+ */
+void
+Fw_Relay_BeginEvacuationList(struct fw_relay *r);
+void
+Fw_Relay_EndEvacuationList(struct fw_relay *r, uint64_t end, int64_t now_us,
+                           struct fw_rl_actions *out);
+/* All records of the operator before the log's @offset were read. */
+void
+Fw_Relay_SetRulesOffset(struct fw_relay *r, uint64_t offset);
 /* The current configuration was the newest in the store at @as_of_us. */
 void
 Fw_Relay_SetFreshAsOf(struct fw_relay *r, int64_t as_of_us);
--- a/src/relay/relay_internal.h
+++ b/src/relay/relay_internal.h
@@ -5,6 +5,7 @@
 #include <msgpack.h>
 #include <syslog.h>
 
+#include "decide/cold.h"
 #include "decide/service_stats.h"
 #include "relay/peers.h"
 #include "relay/relay.h"
@@ -57,6 +58,9 @@
  * @stage_change_until_us: latest end of the stage change
  * @is_unsent: requests were placed there since its load was last sent to
  *     other instances
+ * @is_evacuated: its failure domain is evacuated
+ * @cold_until_us: it is, or may be, cold before this time
+ * @cold_window: requests that this instance sent there in the last second
  */
 struct fw_rl_server {
     struct fw_list link;
@@ -81,6 +85,9 @@
     enum fw_rl_stage target_stage;
     int64_t stage_change_until_us;
     int is_unsent;
+    int is_evacuated;
+    int64_t cold_until_us;
+    struct fw_cold_window cold_window;
 };
 
 /**
@@ -122,6 +129,7 @@
  * @nonce: nonce of the pending query, 0 for none
  * @last_nonce: nonce of the last query
  * @list_offset: log offset up to which servers' entries were read
+ * @rules_offset: log offset up to which the operator's records were read
  * @rules_source: address of an instance with a newer configuration, or empty
  * @list_source: address of an instance with newer servers, or empty
  * @store_lost: the store does not answer this instance
@@ -132,6 +140,7 @@
     uint64_t nonce;
     uint64_t last_nonce;
     uint64_t list_offset;
+    uint64_t rules_offset;
     char rules_source[FW_URL_MAX];
     char list_source[FW_URL_MAX];
     int store_lost;
@@ -183,6 +192,7 @@
  * @kv_handle: KV cache at @prefill_server, empty for none
  * @kv_addr: address of the engine that holds @kv_handle
  * @is_prefilling: its prompt counts in @prefill_server's prefill_tokens
+ * @is_committed: counted in @server's cold_window as a request to follow
  * @reserved_us: when its reservation was granted, 0 if not yet
  * @sent_us: when it was sent to @server, 0 if not yet
  * @response_us: when its response began, 0 if not yet
@@ -217,6 +227,7 @@
     char kv_handle[FW_RL_KEY_MAX];
     char kv_addr[FW_URL_MAX];
     int is_prefilling;
+    int is_committed;
     int64_t reserved_us;
     int64_t sent_us;
     int64_t response_us;
@@ -354,6 +365,8 @@
  * @rules_fresh_us: latest time at which @rules was known to be the newest
  * @store_recovered_us: when the store last answered again, 0 for never
  * @has_server_list: a complete listing of the servers was received
+ * @largest_fleet: largest number of instances known so far, 0 if unknown
+ * @evacuations: struct evacuation, see evacuation.c
  * @calls: request id to struct fw_rl_call
  * @ops: xid to struct fw_rl_op
  * @hash: hash of this instance's name
@@ -381,6 +394,8 @@
     int64_t store_recovered_us;
     int has_server_list;
     struct fw_list servers;
+    int largest_fleet;
+    GPtrArray *evacuations;
     GHashTable *calls;
     struct fw_list call_list;
     GHashTable *ops;
@@ -436,6 +451,9 @@
 Fw_Servers_Ref(struct fw_rl_server *s);
 void
 Fw_Servers_Unref(struct fw_rl_server *s);
+/* Whether the server is listed, does not drain and is not evacuated. */
+int
+Fw_Servers_IsInService(const struct fw_rl_server *s);
 /* Whether new requests may be sent to the server. */
 int
 Fw_Servers_IsUsable(const struct fw_rl_server *s, int64_t now_us);
@@ -462,6 +480,39 @@
 void
 Fw_Servers_Clear(struct fw_relay *r);
 
+/* evacuation.c */
+/* Whether the failure domain is evacuated. */
+int
+Fw_Evacuation_IsActive(const struct fw_relay *r, const char *domain);
+
+/* cold.c */
+/*
+ * Treats the server as cold until its registration certainly says whether it
+ * is.
+ */
+void
+Fw_Cold_Assume(const struct fw_relay *r, struct fw_rl_server *s,
+               int64_t now_us);
+/* Takes over from the server's entry how long it is cold. */
+void
+Fw_Cold_ApplyEntry(struct fw_rl_server *s, int64_t now_us);
+/*
+ * Whether a request, or a reservation and the run that uses it, may be sent to
+ * the server without exceeding the limit of a cold one.
+ */
+int
+Fw_Cold_MaySend(struct fw_relay *r, const struct fw_rl_server *s,
+                int64_t now_us);
+int
+Fw_Cold_MayReserve(struct fw_relay *r, const struct fw_rl_server *s,
+                   int64_t now_us);
+/* @c requests a reservation of its server, which will run it or release it. */
+void
+Fw_Cold_NoteReserving(struct fw_rl_call *c);
+/* The run or the release is being sent, or neither will be. */
+void
+Fw_Cold_EndReservation(struct fw_rl_call *c);
+
 /* place.c */
 /* Chooses the server for the plain request @c; NULL if there is none. */
 struct fw_rl_server *
--- a/src/relay/servers.c
+++ b/src/relay/servers.c
@@ -57,10 +57,16 @@
     }
 }
 
+int
+Fw_Servers_IsInService(const struct fw_rl_server *s)
+{
+    return !s->gone && !s->entry.draining && !s->is_evacuated;
+}
+
 int
 Fw_Servers_IsUsable(const struct fw_rl_server *s, int64_t now_us)
 {
-    return !s->gone && !s->entry.draining && now_us >= s->backoff_until_us;
+    return Fw_Servers_IsInService(s) && now_us >= s->backoff_until_us;
 }
 
 int
@@ -164,7 +170,7 @@
 
 static void
 add_server(struct fw_relay *r, const struct fw_rl_server_entry *e,
-           struct fw_rl_actions *out)
+           int64_t now_us, struct fw_rl_actions *out)
 {
     struct fw_rl_server *s = g_new0(struct fw_rl_server, 1);
 
@@ -172,6 +178,8 @@
     s->refs = 1;
     s->listed = 1;
     s->hash = Fw_Hash_Str(e->id);
+    s->is_evacuated = Fw_Evacuation_IsActive(r, e->domain);
+    Fw_Cold_ApplyEntry(s, now_us);
     Fw_List_Append(&r->servers, &s->link);
     Fw_RelayActions_Log(out, r, LOG_NOTICE, "server_seen",
                         "\"server\":\"%s\",\"addr\":\"%s\",\"service\":\"%s\","
@@ -191,7 +199,8 @@
 
 static void
 update_server(struct fw_relay *r, struct fw_rl_server *s,
-              const struct fw_rl_server_entry *e, struct fw_rl_actions *out)
+              const struct fw_rl_server_entry *e, int64_t now_us,
+              struct fw_rl_actions *out)
 {
     if (e->draining != s->entry.draining || e->stage != s->entry.stage) {
         Fw_RelayActions_Log(out, r, LOG_NOTICE, "server_changed",
@@ -202,6 +211,8 @@
         close_idle_connections(s, out);
     }
     s->entry = *e;
+    s->is_evacuated = Fw_Evacuation_IsActive(r, e->domain);
+    Fw_Cold_ApplyEntry(s, now_us);
     s->listed = 1;
     s->removal_us = 0;
 }
@@ -245,10 +256,10 @@
         s = NULL;
     }
     if (s) {
-        update_server(r, s, entry, out);
+        update_server(r, s, entry, now_us, out);
     }
     else {
-        add_server(r, entry, out);
+        add_server(r, entry, now_us, out);
     }
     Fw_Stream_PlaceQueued(r, now_us, out);
 }
--- a/src/relay/service_stats.c
+++ b/src/relay/service_stats.c
@@ -54,7 +54,8 @@
         const struct fw_rl_call *c =
             FW_LIST_ENTRY(pos, struct fw_rl_call, link);
 
-        if (c->kv_tokens && c->is_forwarded && c->server && !c->server->gone &&
+        if (c->kv_tokens && c->is_forwarded && c->server &&
+            Fw_Servers_IsInService(c->server) &&
             now_us - c->response_us >= FW_REPORT_MIN_AGE_US &&
             strcmp(c->service, service) == 0) {
             return c->server;
--- a/src/relay/stage_order.c
+++ b/src/relay/stage_order.c
@@ -38,12 +38,12 @@
 /* Delay of the first check, for servers and instances to become known. */
 #define FW_FIRST_CHECK_DELAY_US (700 * FW_MSEC)
 
-/* Whether @s is an engine that does not drain; @rule receives its service. */
+/* Whether @s is an engine in service; @rule receives its service. */
 static int
 find_engine_rule(const struct fw_relay *r, const struct fw_rl_server *s,
                  const struct fw_rl_service_rule **rule)
 {
-    if (s->gone || s->entry.draining || s->entry.stage == FW_RL_STAGE_NONE) {
+    if (!Fw_Servers_IsInService(s) || s->entry.stage == FW_RL_STAGE_NONE) {
         return 0;
     }
     *rule = Fw_Rules_Service(r->rules, s->entry.service);
--- a/src/relay/store_sync.c
+++ b/src/relay/store_sync.c
@@ -111,7 +111,13 @@
 uint64_t
 Fw_StoreSync_RulesEnd(const struct fw_relay *r)
 {
-    return r->rules ? r->rules_offset + 1 : 0;
+    return r->rules ? MAX(r->rules_offset + 1, r->store_sync.rules_offset) : 0;
+}
+
+void
+Fw_Relay_SetRulesOffset(struct fw_relay *r, uint64_t offset)
+{
+    r->store_sync.rules_offset = MAX(r->store_sync.rules_offset, offset);
 }
 
 /* Adds the hashes of the entries, so that their order doesn't matter. */
@@ -124,7 +130,8 @@
     FW_LIST_EACH (pos, &r->servers) {
         const struct fw_rl_server *s =
             FW_LIST_ENTRY(pos, struct fw_rl_server, link);
-        uint64_t seed = (uint64_t)s->entry.born_ms * 8 +
+        uint64_t seed = (uint64_t)s->entry.born_ms * 16 +
+                        (uint64_t)(s->entry.cold_us > 0) * 8 +
                         (uint64_t)s->entry.draining * 4 +
                         (uint64_t)s->entry.stage;
 
--- a/src/relay/stream.c
+++ b/src/relay/stream.c
@@ -99,6 +99,7 @@
 
     assign_server(c, s);
     Fw_Delta_NotePlacement(r, s);
+    Fw_Cold_NoteReserving(c);
     c->state = FW_RL_RESERVING;
     r->relay_metrics.reservations.value++;
     Fw_Call_Upstream(r, c, s, &up, now_us + FW_RESERVE_TIMEOUT_US, now_us,
@@ -202,6 +203,11 @@
     if (reject_if_stale(r, c, now_us, out)) {
         return;
     }
+    if (c->server->is_evacuated) {
+        restart(r, c, "engine_evacuated", 0, now_us, out);
+        return;
+    }
+    Fw_Cold_EndReservation(c);
     g_strlcpy(up.team, c->team, sizeof(up.team));
     g_strlcpy(up.reservation, c->reservation, sizeof(up.reservation));
     g_strlcpy(up.kv_handle, c->kv_handle, sizeof(up.kv_handle));
--- a/src/relay/types.h
+++ b/src/relay/types.h
@@ -78,12 +78,16 @@
 
 /**
  * struct fw_rl_service_rule - configuration of one service.
+ * @cold_us: time for which a server is cold after its start
+ * @cold_rate: requests a second that a cold server tolerates, 0 for no limit
  * @has_engines: its servers are engines, described by @engine
  */
 struct fw_rl_service_rule {
     char name[FW_NAME_MAX];
     char health[FW_URL_MAX];
     int max_conns;
+    int64_t cold_us;
+    double cold_rate;
     int has_engines;
     struct fw_rl_engine_spec engine;
 };
@@ -174,7 +178,7 @@
  * @draining: accepts no new requests
  * @born_ms: start of its process in Unix milliseconds, to distinguish
  *     processes that use the same id; 0 if unknown
- * @warmup_us: remaining time of slow operation after its start
+ * @cold_us: how much longer it is cold, as of the entry
  */
 struct fw_rl_server_entry {
     char id[FW_NAME_MAX];
@@ -185,7 +189,7 @@
     int draining;
     enum fw_rl_stage stage;
     int64_t born_ms;
-    int64_t warmup_us;
+    int64_t cold_us;
 };
 
 /**
--- a/src/relayd/store_apply.c
+++ b/src/relayd/store_apply.c
@@ -13,9 +13,6 @@
     const char *why = "record deleted";
     struct fw_rl_rules *config = NULL;
 
-    if (!Fw_Platform_IsConfigKey(rec->key)) {
-        return;
-    }
     if (rec->value) {
         config = Fw_Platform_ParseConfig(rec->value, rec->len, &why);
     }
@@ -26,6 +23,34 @@
     Fw_Rules_Unref(config);
 }
 
+static void
+apply_evacuation(struct fw_relayd *d, const struct fw_store_record *rec,
+                 const char *domain, struct fw_rl_actions *acts)
+{
+    int active;
+
+    if (Fw_Platform_ParseEvacuation(rec, &active)) {
+        Fw_Logger_Log(LOG_ERR, "evacuation_unreadable", "key", rec->key, NULL);
+        return;
+    }
+    Fw_Relay_SetEvacuation(d->relay, domain, active, rec->offset,
+                           Fw_Conn_NowUs(), acts);
+}
+
+static void
+apply_operator_record(struct fw_relayd *d, const struct fw_store_record *rec,
+                      struct fw_rl_actions *acts)
+{
+    const char *domain = Fw_Platform_EvacuatedDomain(rec->key);
+
+    if (Fw_Platform_IsConfigKey(rec->key)) {
+        apply_config(d, rec, acts);
+    }
+    else if (domain) {
+        apply_evacuation(d, rec, domain, acts);
+    }
+}
+
 static void
 apply_server(struct fw_relayd *d, const struct fw_store_record *rec,
              struct fw_rl_actions *acts)
@@ -81,7 +106,7 @@
         }
         switch (topic) {
         case FW_TOPIC_CONFIG:
-            apply_config(d, rec, acts);
+            apply_operator_record(d, rec, acts);
             break;
         case FW_TOPIC_SERVERS:
             apply_server(d, rec, acts);
--- a/src/relayd/store_response.c
+++ b/src/relayd/store_response.c
@@ -73,6 +73,9 @@
         if (tc->topic == FW_TOPIC_SERVERS) {
             Fw_Relay_BeginServerList(d->relay);
         }
+        else if (tc->topic == FW_TOPIC_CONFIG) {
+            Fw_Relay_BeginEvacuationList(d->relay);
+        }
     }
     Fw_StoreClient_ApplyRecords(tc->store->d, tc->topic, tc->newest, response,
                                 acts);
@@ -89,6 +92,11 @@
     tc->last_key[0] = 0;
     tc->next_offset = tc->snapshot_end;
     tc->op = FW_STORE_OP_READ;
+    if (tc->topic == FW_TOPIC_CONFIG) {
+        Fw_Relay_EndEvacuationList(d->relay, tc->snapshot_end, Fw_Conn_NowUs(),
+                                   acts);
+        Fw_Relay_SetRulesOffset(d->relay, tc->next_offset);
+    }
     if (tc->topic == FW_TOPIC_SERVERS) {
         Fw_Relay_EndServerList(d->relay, Fw_Conn_NowUs(), acts);
         Fw_Relay_SetServerListOffset(d->relay, tc->next_offset);
@@ -114,6 +122,9 @@
     if (tc->topic == FW_TOPIC_SERVERS) {
         Fw_Relay_SetServerListOffset(tc->store->d->relay, tc->next_offset);
     }
+    else if (tc->topic == FW_TOPIC_CONFIG) {
+        Fw_Relay_SetRulesOffset(tc->store->d->relay, tc->next_offset);
+    }
 }
 
 static void
--- a/tests/platform/test_platform.c
+++ b/tests/platform/test_platform.c
@@ -326,7 +326,80 @@
     ck_assert_int_eq(e.draining, 1);
     ck_assert_int_eq(e.stage, FW_RL_STAGE_PREFILL);
     ck_assert_int_eq(e.born_ms, 1700000000000);
-    ck_assert_int_eq(e.warmup_us, 1500000);
+    ck_assert_int_eq(e.cold_us, 1500000);
+}
+END_TEST
+
+/** struct cold_case - a cold time of a registration; -1: it is invalid. */
+struct cold_case {
+    const char *text;
+    int64_t want_us;
+};
+
+static const struct cold_case cold_cases[] = {
+    {"0", 0},        {"0.5", 500},  {"3000", 3000000}, {"-1", -1},
+    {"3600001", -1}, {"1e300", -1}, {"\"2\"", -1},     {"[1]", -1},
+};
+
+/* Guards against a server that is never used, or used as if it were warm. */
+START_TEST(absurd_cold_times_are_rejected)
+{
+    const struct cold_case *t = &cold_cases[_i];
+    char *text = g_strdup_printf(
+        "{\"Service\":\"s\",\"Address\":\"10.1.2.3:80\",\"Zone\":\"z\","
+        "\"Slots\":48,\"State\":\"ready\",\"ColdRemainingMs\":%s}",
+        t->text);
+    struct fw_rl_server_entry e;
+    int rc = Fw_Platform_ParseServer("i-1", text, strlen(text), &e);
+
+    ck_assert_int_eq(rc, t->want_us < 0 ? -EBADMSG : 0);
+    if (t->want_us >= 0) {
+        ck_assert_int_eq(e.cold_us, t->want_us);
+    }
+    g_free(text);
+}
+END_TEST
+
+/** struct evacuation_case - an operator's record, and what it says. */
+struct evacuation_case {
+    const char *key;
+    const char *value;
+    const char *domain;
+    int rc;
+    int active;
+};
+
+static const struct evacuation_case evacuation_cases[] = {
+    {"evacuate/a", "{}", "a", 0, 1},
+    {"evacuate/a", "{\"By\":\"x\"}", "a", 0, 1},
+    {"evacuate/a", NULL, "a", 0, 0},
+    {"evacuate/a", "x", "a", -EBADMSG, 0},
+    {"evacuate/a", "[]", "a", -EBADMSG, 0},
+    {"evacuate/", "{}", NULL, 0, 0},
+    {"evacuate", "{}", NULL, 0, 0},
+    {"config", "{}", NULL, 0, 0},
+    {"evacuate/a-name-that-is-longer-than-that-of-any-failure-domain", "{}",
+     NULL, 0, 0},
+};
+
+START_TEST(evacuations_are_parsed)
+{
+    const struct evacuation_case *t = &evacuation_cases[_i];
+    struct fw_store_record rec = {.value = t->value,
+                                  .len = t->value ? strlen(t->value) : 0};
+    const char *domain;
+    int active;
+
+    g_strlcpy(rec.key, t->key, sizeof(rec.key));
+    domain = Fw_Platform_EvacuatedDomain(rec.key);
+    ck_assert_str_eq(domain ? domain : "", t->domain ? t->domain : "");
+    if (!t->domain) {
+        return;
+    }
+    ck_assert_int_eq(Fw_Platform_ParseEvacuation(&rec, &active), t->rc);
+    if (!t->rc) {
+        ck_assert_int_eq(active, t->active);
+    }
 }
 END_TEST
 
@@ -396,6 +469,10 @@
     tcase_add_loop_test(tc, invalid_configurations_are_rejected_with_a_reason,
                         0, G_N_ELEMENTS(bad_configs));
     tcase_add_test(tc, a_server_registration_is_parsed);
+    tcase_add_loop_test(tc, absurd_cold_times_are_rejected, 0,
+                        G_N_ELEMENTS(cold_cases));
+    tcase_add_loop_test(tc, evacuations_are_parsed, 0,
+                        G_N_ELEMENTS(evacuation_cases));
     tcase_add_test(tc, appended_records_are_read_back);
     return Fw_Suite_Run(tc);
 }
--- a/tests/relay/script.c
+++ b/tests/relay/script.c
@@ -4,11 +4,18 @@
  *   options KEY=N ...           queue_ms, stale_ms, reserve, prefill, extra,
  *                               here_ms, lease_ms
  *   rules VERSION [KEY=N ...]   loads a configuration (see make_rules); rate,
- *                               burst, keys, attempts, timeout_ms, kv, slots
+ *                               burst, keys, attempts, timeout_ms, kv, slots,
+ *                               cold_rate, cold_ms
  *   fresh MS                    the configuration was current at that time
- *   server ID SERVICE STAGE [draining] [born=N]
+ *   server ID SERVICE STAGE [draining] [born=N] [domain=S] [cold_ms=N]
  *                               adds or updates a server's entry
  *   unlisted ID                 removes a server's entry
+ *   evacuate DOMAIN OFFSET      a record that evacuates a failure domain
+ *   evacuation-ended DOMAIN OFFSET
+ *                               a record that ends that
+ *   evacuations END [DOMAIN=OFFSET] ...
+ *                               a complete listing of the evacuations
+ *   registered                  all instances were read from the store
  *   store-back                  the store is reachable again
  *   list                        the server list was read completely
  *   open N PATH [key=K] [in=N] [out=N] [digest=N] [left_ms=N] [id=S]
@@ -197,6 +204,44 @@
     Fw_Relay_UpdateServer(run->r, run->word[1], NULL, run->now_us, &run->acts);
 }
 
+static void
+do_evacuate(struct relay_script_run *run)
+{
+    Fw_Relay_SetEvacuation(run->r, run->word[1], 1,
+                           Fw_RelayScript_GetArg(run, 2), run->now_us,
+                           &run->acts);
+}
+
+static void
+do_evacuation_ended(struct relay_script_run *run)
+{
+    Fw_Relay_SetEvacuation(run->r, run->word[1], 0,
+                           Fw_RelayScript_GetArg(run, 2), run->now_us,
+                           &run->acts);
+}
+
+static void
+do_evacuations(struct relay_script_run *run)
+{
+    Fw_Relay_BeginEvacuationList(run->r);
+    for (int i = 2; i < run->n; i++) {
+        char **pair = g_strsplit(run->word[i], "=", 2);
+
+        Fw_Relay_SetEvacuation(run->r, pair[0], 1,
+                               g_ascii_strtoull(pair[1], NULL, 10),
+                               run->now_us, &run->acts);
+        g_strfreev(pair);
+    }
+    Fw_Relay_EndEvacuationList(run->r, Fw_RelayScript_GetArg(run, 1),
+                               run->now_us, &run->acts);
+}
+
+static void
+do_registered(struct relay_script_run *run)
+{
+    Fw_Relay_EndMemberList(run->r, run->now_us);
+}
+
 static void
 do_store_back(struct relay_script_run *run)
 {
@@ -278,6 +323,10 @@
     {"fresh", do_fresh},
     {"server", Fw_RelayScript_DoServer},
     {"unlisted", do_unlisted},
+    {"evacuate", do_evacuate},
+    {"evacuation-ended", do_evacuation_ended},
+    {"evacuations", do_evacuations},
+    {"registered", do_registered},
     {"store-back", do_store_back},
     {"list", do_list},
     {"member", Fw_RelayScript_DoMember},
@@ -348,6 +397,7 @@
                                       .reserve_permille = 1000,
                                       .local_prefill_us = 600 * FW_MSEC,
                                       .prefill_permille = 50,
+                                      .cold_overage_ppm = 1000000,
                                       .lease_us = 3 * FW_SEC,
                                       .grace_us = 8 * FW_SEC,
                                       .log_level = LOG_DEBUG};
--- a/tests/relay/script_world.c
+++ b/tests/relay/script_world.c
@@ -29,6 +29,13 @@
     g_strlcpy(r->targets[0].service, service, FW_NAME_MAX);
 }
 
+static void
+set_cold_limit(struct relay_script_run *run, struct fw_rl_service_rule *s)
+{
+    s->cold_rate = (double)Fw_RelayScript_GetNumber(run, "cold_rate", 0);
+    s->cold_us = Fw_RelayScript_GetNumber(run, "cold_ms", 0) * FW_MSEC;
+}
+
 /*
  * Routes to the service "plain": /read/ (idempotent), /order/ (runs at most
  * once) and /open/ (idempotent, no key needed). Routes to the service "llm":
@@ -47,9 +54,12 @@
     add_route(run, rules, "/order/", FW_RL_NON_IDEMPOTENT, "plain");
     add_route(run, rules, "/gen/", FW_RL_STREAM, "llm");
     add_route(run, rules, "/resume/", FW_RL_STREAM, "llm");
-    g_strlcpy(Fw_Rules_AddService(rules)->name, "plain", FW_NAME_MAX);
+    s = Fw_Rules_AddService(rules);
+    g_strlcpy(s->name, "plain", FW_NAME_MAX);
+    set_cold_limit(run, s);
     s = Fw_Rules_AddService(rules);
     g_strlcpy(s->name, "llm", FW_NAME_MAX);
+    set_cold_limit(run, s);
     s->has_engines = 1;
     s->engine = (struct fw_rl_engine_spec){
         .slots = (int)Fw_RelayScript_GetNumber(run, "slots", 8),
@@ -75,7 +85,10 @@
 Fw_RelayScript_DoServer(struct relay_script_run *run)
 {
     struct fw_rl_server_entry e = {.slots = 4};
+    const char *domain = Fw_RelayScript_GetString(run, "domain");
 
+    g_strlcpy(e.domain, domain ? domain : "", sizeof(e.domain));
+    e.cold_us = Fw_RelayScript_GetNumber(run, "cold_ms", 0) * FW_MSEC;
     g_strlcpy(e.id, run->word[1], sizeof(e.id));
     g_strlcpy(e.service, run->word[2], sizeof(e.service));
     g_snprintf(e.addr, sizeof(e.addr), "%s:1", run->word[1]);
--- a/tests/relayd/test_relayd.c
+++ b/tests/relayd/test_relayd.c
@@ -281,6 +281,78 @@
 }
 END_TEST
 
+static int
+is_s1_usable(void *ctx)
+{
+    return Fw_Relayd_IsServerUsable(((struct router_env *)ctx)->router, "s1");
+}
+
+static int
+is_s1_unusable(void *ctx)
+{
+    return !is_s1_usable(ctx);
+}
+
+/* Sends requests and checks that s1 gets none of them. */
+static void
+check_s1_gets_nothing(struct router_env *env)
+{
+    int before = Fw_WireServer_StartedCount(env->s1);
+
+    for (int i = 0; i < 8; i++) {
+        ck_assert(!is_rejected(env));
+    }
+    ck_assert_int_eq(Fw_WireServer_StartedCount(env->s1), before);
+}
+
+/*
+ * The operator evacuates a failure domain and takes that back, also while the
+ * store has lost its history. Guards against requests to an evacuated domain,
+ * and against one that is never used again.
+ */
+START_TEST(an_evacuated_domain_gets_no_requests)
+{
+    struct router_env env;
+
+    Fw_RouterEnv_InitAndStart(&env);
+    Fw_Rig_RunUntil(is_s1_usable, &env);
+    Fw_WireStore_Put(env.store, "keyed.op", "evacuate/a", "{}");
+    Fw_Rig_RunUntil(is_s1_unusable, &env);
+    check_s1_gets_nothing(&env);
+    Fw_WireStore_Put(env.store, "keyed.op", "evacuate/nowhere", "{}");
+    Fw_WireStore_Put(env.store, "keyed.op", "evacuate/a", "not json");
+    Fw_WireStore_Put(env.store, "keyed.op", "evacuate/a", "{}");
+    Fw_WireStore_Truncate(env.store, "keyed.op");
+    Fw_Rig_Settle();
+    check_s1_gets_nothing(&env);
+    Fw_WireStore_SetMode(env.store, FW_WIRE_STORE_UNAVAILABLE);
+    Fw_WireStore_Put(env.store, "keyed.op", "evacuate/a", NULL);
+    if (_i) {
+        Fw_WireStore_Truncate(env.store, "keyed.op");
+    }
+    Fw_WireStore_SetMode(env.store, FW_WIRE_STORE_NORMAL);
+    Fw_Rig_RunUntil(is_s1_usable, &env);
+    ck_assert(!is_rejected(&env));
+    Fw_RouterEnv_Free(&env);
+}
+END_TEST
+
+/*
+ * Guards against an instance that takes its first request before it knows of
+ * an evacuation.
+ */
+START_TEST(an_instance_starts_with_the_evacuations_in_force)
+{
+    struct router_env env;
+
+    Fw_RouterEnv_Init(&env);
+    Fw_WireStore_Put(env.store, "keyed.op", "evacuate/a", "{}");
+    Fw_RouterEnv_StartRouter(&env);
+    check_s1_gets_nothing(&env);
+    Fw_RouterEnv_Free(&env);
+}
+END_TEST
+
 START_TEST(a_draining_server_gets_no_new_requests)
 {
     struct router_env env;
@@ -412,6 +484,8 @@
     tcase_add_loop_test(tc, keys_expire_while_the_store_is_unreachable, 0, 3);
     tcase_add_test(tc, lost_store_responses_block_no_request);
     tcase_add_test(tc, malformed_store_records_are_ignored);
+    tcase_add_loop_test(tc, an_evacuated_domain_gets_no_requests, 0, 2);
+    tcase_add_test(tc, an_instance_starts_with_the_evacuations_in_force);
     tcase_add_test(tc, a_draining_server_gets_no_new_requests);
     tcase_add_test(tc, shutdown_completes_running_streams);
     tcase_add_test(tc, an_unsent_digest_is_logged);
--- a/tests/relayd/test_settings.c
+++ b/tests/relayd/test_settings.c
@@ -28,6 +28,8 @@
     {"Bounds.BudgetWindowS", "10"},
     {"Bounds.QuotaOverage", "0.1"},
     {"Bounds.QuotaTolerance", "72000"},
+    {"Bounds.ColdOverage", "1.5"},
+    {"Bounds.ColdTolerance", "5"},
     {"Bounds.LeaseMs", "3000"},
     {"Bounds.GracePeriodS", "8"},
 };
@@ -41,7 +43,28 @@
     g_free(mark);
 }
 
-/* Renders the template with the defaults and @override, and loads it. */
+/* Renders the section of the value @name, or drops it if there is none. */
+static void
+render_section(GString *text, const char *name, int is_present)
+{
+    char *begin = g_strdup_printf("{{#%s}}", name);
+    char *end = g_strdup_printf("{{/%s}}", name);
+    char *from = strstr(text->str, begin);
+    char *to = strstr(text->str, end);
+
+    if (from && to && !is_present) {
+        g_string_erase(text, from - text->str, to - from);
+    }
+    g_string_replace(text, begin, "", 0);
+    g_string_replace(text, end, "", 0);
+    g_free(begin);
+    g_free(end);
+}
+
+/*
+ * Renders the template with the defaults and @override, and loads it. A value
+ * of NULL is absent.
+ */
 static int
 render_and_load(const struct placeholder *override, struct fw_relayd_opts *out,
                 char **error)
@@ -57,8 +80,10 @@
     ck_assert(g_file_get_contents("deploy/node.ini.in", &file, NULL, NULL));
     text = g_string_new(file);
     g_free(file);
-    replace(text, override->name, override->value);
+    render_section(text, override->name, override->value != NULL);
+    replace(text, override->name, override->value ? override->value : "");
     for (size_t i = 0; i < G_N_ELEMENTS(defaults); i++) {
+        render_section(text, defaults[i].name, 1);
         replace(text, defaults[i].name, defaults[i].value);
     }
     ck_assert_ptr_null(strstr(text->str, "{{"));
@@ -98,6 +123,12 @@
     {{"Bounds.BudgetWindowS", "true"}, FW_AT(retry_window_us), 1000000},
     {{"Bounds.GracePeriodS", "7.25"}, FW_AT(grace_us), 7250000},
     {{"Bounds.GracePeriodS", "true"}, FW_AT(grace_us), 1000000},
+    {{"Bounds.ColdOverage", "2"}, FW_AT(cold_overage_ppm), 2000000},
+    {{"Bounds.ColdOverage", "1.5"}, FW_AT(cold_overage_ppm), 1500000},
+    {{"Bounds.ColdOverage", NULL}, FW_AT(cold_overage_ppm), 1000000},
+    {{"Bounds.ColdTolerance", "5.5"}, FW_AT(cold_tolerance), 5},
+    {{"Bounds.ColdTolerance", "true"}, FW_AT(cold_tolerance), 1},
+    {{"Bounds.ColdTolerance", NULL}, FW_AT(cold_tolerance), 0},
     {{"Bounds.LeaseMs", "3000.7"}, FW_AT(lease_us), 3000000},
     {{"Bounds.RevocationMs", "5000.9"}, FW_AT(key_stale_us), 4800000},
 };
