Start in tens of milliseconds: ask for all at once, from hubs, compressed

Cause: after all lost power, or were killed, callers got answers late for two seconds.

Change: the list of members is read first, and an instance that is registered already appends nothing. An instance that learns the members, the configuration or the servers sends messages at once, and a notice of newer records is followed at once. A rejection shortly after the start suggests 150 ms, not 1 s.

--- a/src/relay/exchange.c
+++ b/src/relay/exchange.c
@@ -268,6 +268,14 @@
     return 1;
 }
 
+void
+Fw_Exchange_ReportProgress(struct fw_relay *r)
+{
+    r->exchange.next_send_us = 0;
+    r->exchange.push_pending = 1;
+    r->exchange.next_push_us = 0;
+}
+
 void
 Fw_Relay_WriteMessages(struct fw_relay *r, int64_t now_us,
                        struct fw_rl_outbox *out)
--- a/src/relay/hubs.c
+++ b/src/relay/hubs.c
@@ -243,6 +243,28 @@
            (m->is_nominal_hub || !nominal_only);
 }
 
+/* Picks by hash: a hub gets leaves in proportion to its CPU. */
+static struct fw_rl_member *
+pick_by_cpu(const struct fw_relay *r, struct fw_rl_member *const *hubs, int n)
+{
+    uint64_t total = 0;
+    uint64_t point;
+
+    for (int i = 0; i < n; i++) {
+        total += (uint64_t)MAX(hubs[i]->cpu_ppm, 1);
+    }
+    point = r->hash % total;
+    for (int i = 0; i < n - 1; i++) {
+        uint64_t weight = (uint64_t)MAX(hubs[i]->cpu_ppm, 1);
+
+        if (point < weight) {
+            return hubs[i];
+        }
+        point -= weight;
+    }
+    return hubs[n - 1];
+}
+
 static struct fw_rl_member *
 choose_hub(const struct fw_relay *r, int nominal_only)
 {
@@ -263,7 +285,7 @@
         candidates[at] = m;
         n++;
     }
-    return n ? candidates[r->hash % (uint64_t)n] : NULL;
+    return n ? pick_by_cpu(r, candidates, n) : NULL;
 }
 
 struct fw_rl_member *
--- a/src/relay/open.c
+++ b/src/relay/open.c
@@ -6,6 +6,12 @@
 
 /* Retry-After of a rejection for lack of a current configuration. */
 #define FW_RETRY_NO_CONFIG_US (1 * FW_SEC)
+/*
+ * The same shortly after the start, when the configuration is about to be
+ * received, and how long that is.
+ */
+#define FW_RETRY_STARTING_US (150 * FW_MSEC)
+#define FW_STARTING_US (1 * FW_SEC)
 /*
  * A request with this many strikes, counted by all instances, is rejected. One
  * or two can be coincidence.
@@ -129,6 +135,9 @@
     int n_live;
     int count = Fw_Members_Count(r, now_us, &n_live);
 
+    if (now_us - r->start_us < FW_STARTING_US) {
+        return FW_RETRY_STARTING_US;
+    }
     return n_live * 2 < count || Fw_StoreSync_IsBehind(r, now_us)
                ? FW_RETRY_ELSEWHERE_US
                : FW_RETRY_NO_CONFIG_US;
@@ -235,8 +244,8 @@
     const struct fw_rl_route_rule *route;
 
     if (!r->rules) {
-        Fw_Call_Reject(r, c, 503, FW_RETRY_NO_CONFIG_US, "no_configuration",
-                       now_us, out);
+        Fw_Call_Reject(r, c, 503, Fw_Relay_StaleRetryUs(r, now_us),
+                       "no_configuration", now_us, out);
         return;
     }
     route = Fw_Rules_Route(r->rules, info->host, info->path);
--- a/src/relay/peers.h
+++ b/src/relay/peers.h
@@ -200,6 +200,15 @@
 void
 Fw_Members_Clear(struct fw_relay *r);
 
+/* exchange.c */
+/*
+ * An instance that has started has learned the members, the configuration or
+ * the servers: sends messages without delay, as its hub or its leaves may wait
+ * for them.
+ */
+void
+Fw_Exchange_ReportProgress(struct fw_relay *r);
+
 /* hubs.c */
 /* Updates which members are hubs, and whether this instance is one. */
 void
--- a/src/relay/plain.c
+++ b/src/relay/plain.c
@@ -88,8 +88,10 @@
     struct fw_rl_server *s = Fw_Place_Plain(r, c, now_us);
 
     if (!s) {
-        Fw_Call_Reject(r, c, 503, FW_RETRY_NO_SERVER_US, "no_server", now_us,
-                       out);
+        Fw_Call_Reject(r, c, 503,
+                       r->has_server_list ? FW_RETRY_NO_SERVER_US
+                                          : Fw_Relay_StaleRetryUs(r, now_us),
+                       "no_server", now_us, out);
     }
     else if (Fw_Place_IsOverloaded(r, c, s, now_us)) {
         reject_overloaded(r, c, "servers_crowded", now_us, out);
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -9,9 +9,12 @@
 #define FW_DIGEST_PERIOD_US (150 * FW_MSEC)
 /* Deficit round robin quantum of a team in tokens, about one request. */
 #define FW_QUEUE_QUANTUM_TOKENS 16384
-/* Tick interval with and without queued requests. */
+/* Tick interval with and without queued requests, and until it is ready. */
 #define FW_TICK_BUSY_US (20 * FW_MSEC)
 #define FW_TICK_IDLE_US (100 * FW_MSEC)
+#define FW_TICK_STARTING_US (10 * FW_MSEC)
+/* Time after the start for which the last of these applies. */
+#define FW_STARTING_MAX_US (3 * FW_SEC)
 /* Time by which an upstream may exceed a deadline before the call ends. */
 #define FW_DEADLINE_SLACK_US (60 * FW_MSEC)
 
@@ -116,6 +119,9 @@
         (offset <= r->rules_offset || rules->version <= r->rules->version)) {
         return;
     }
+    if (!r->rules) {
+        Fw_Exchange_ReportProgress(r);
+    }
     Fw_Rules_Unref(r->rules);
     r->rules = Fw_Rules_Ref(rules);
     r->rules_offset = offset;
@@ -306,13 +312,21 @@
     }
 }
 
+static int64_t
+tick_interval_us(const struct fw_relay *r, int64_t now_us)
+{
+    if (!Fw_Relay_IsReady(r, now_us) && !r->draining &&
+        now_us - r->start_us < FW_STARTING_MAX_US) {
+        return FW_TICK_STARTING_US;
+    }
+    return r->queue.n ? FW_TICK_BUSY_US : FW_TICK_IDLE_US;
+}
+
 int64_t
 Fw_Relay_NextTickUs(const struct fw_relay *r, int64_t now_us)
 {
-    int64_t tick_us =
-        now_us + (r->queue.n ? FW_TICK_BUSY_US : FW_TICK_IDLE_US);
-
-    return CLAMP(Fw_Relay_NextMessageUs(r), now_us + FW_MSEC, tick_us);
+    return CLAMP(Fw_Relay_NextMessageUs(r), now_us + FW_MSEC,
+                 now_us + tick_interval_us(r, now_us));
 }
 
 void
--- a/src/relay/servers.c
+++ b/src/relay/servers.c
@@ -345,6 +345,9 @@
     struct fw_list *pos;
     struct fw_list *tmp;
 
+    if (!r->has_server_list) {
+        Fw_Exchange_ReportProgress(r);
+    }
     r->has_server_list = 1;
     FW_LIST_EACH_SAFE (pos, tmp, &r->servers) {
         struct fw_rl_server *s = FW_LIST_ENTRY(pos, struct fw_rl_server, link);
--- a/src/relay/store_sync.c
+++ b/src/relay/store_sync.c
@@ -137,9 +137,13 @@
     return r->list_hash;
 }
 
+/* Leaves have slow links, which many that start at once would congest. */
 void
 Fw_StoreSync_NoteMember(struct fw_relay *r, const struct fw_rl_member *m)
 {
+    if (r->store_sync.members_known && !m->is_ranked_hub) {
+        return;
+    }
     if (m->rules_end > Fw_StoreSync_RulesEnd(r)) {
         g_strlcpy(r->store_sync.rules_source, m->addr, FW_URL_MAX);
     }
@@ -194,6 +198,7 @@
 {
     r->store_sync.members_known = 1;
     Fw_Hubs_UpdateRoles(r, now_us);
+    Fw_Exchange_ReportProgress(r);
 }
 
 void
--- a/src/relayd/peer_snapshot.c
+++ b/src/relayd/peer_snapshot.c
@@ -10,10 +10,13 @@
 #include "core/pack.h"
 #include "core/pack_scan.h"
 #include "http/conn.h"
+#include "io/gzip.h"
 #include "relayd/store_internal.h"
 
 /* Fields of an encoded record: offset, key and value, empty if deleted. */
 #define FW_RECORD_FIELDS 3
+/* Largest snapshot that is accepted, bytes. */
+#define FW_SNAPSHOT_BYTES_MAX (32 << 20)
 /* Deletions that are remembered. */
 #define FW_DELETIONS_MAX 4096
 
@@ -34,11 +37,13 @@
  * @newest: key to struct snapshot_record
  * @deletions: of struct deletion, in order
  * @deletions_since: offset from which on all deletions are in @deletions
+ * @complete: encoded with all records, NULL if records changed since
  */
 struct fw_peer_snapshot {
     GHashTable *newest;
     GQueue deletions;
     uint64_t deletions_since;
+    GByteArray *complete;
 };
 
 static void
@@ -61,6 +66,12 @@
     return s;
 }
 
+static void
+drop_encoded(struct fw_peer_snapshot *s)
+{
+    g_clear_pointer(&s->complete, g_byte_array_unref);
+}
+
 void
 Fw_PeerSnapshot_Free(struct fw_peer_snapshot *s)
 {
@@ -69,6 +80,7 @@
     }
     g_hash_table_destroy(s->newest);
     g_queue_clear_full(&s->deletions, g_free);
+    drop_encoded(s);
     g_free(s);
 }
 
@@ -78,6 +90,7 @@
     g_hash_table_remove_all(s->newest);
     g_queue_clear_full(&s->deletions, g_free);
     s->deletions_since = end;
+    drop_encoded(s);
 }
 
 int
@@ -112,6 +125,7 @@
     if (old && old->offset > rec->offset) {
         return;
     }
+    drop_encoded(s);
     if (!rec->value) {
         note_deletion(s, rec);
         g_hash_table_remove(s->newest, rec->key);
@@ -178,31 +192,50 @@
 }
 
 /* Deletions come first: a key may have been added again since. */
-void
-Fw_PeerSnapshot_Encode(struct fw_peer_snapshot *s, uint64_t since,
-                       uint64_t end, GByteArray *out)
+static void
+encode(const struct fw_peer_snapshot *s, uint64_t since, uint64_t end,
+       GByteArray *out)
 {
     GByteArray *rows = g_byte_array_new();
+    GByteArray *plain = g_byte_array_new();
     msgpack_packer pk;
     size_t n = 0;
 
-    if (since < s->deletions_since) {
-        since = 0;
-    }
     Fw_Pack_Begin(&pk, rows);
     if (since) {
         n = pack_deletions(s, since, &pk);
     }
     n += pack_records(s, since, &pk);
-    Fw_Pack_Begin(&pk, out);
+    Fw_Pack_Begin(&pk, plain);
     msgpack_pack_array(&pk, 3);
     msgpack_pack_uint64(&pk, end);
     msgpack_pack_uint64(&pk, since);
     msgpack_pack_array(&pk, n);
-    g_byte_array_append(out, rows->data, rows->len);
+    g_byte_array_append(plain, rows->data, rows->len);
+    Fw_Gzip_Compress(plain->data, plain->len, out);
+    g_byte_array_unref(plain);
     g_byte_array_unref(rows);
 }
 
+/*
+ * Many instances that start at once request all records. These are encoded
+ * once: until one of them changes, a snapshot of an earlier end is as good.
+ */
+void
+Fw_PeerSnapshot_Encode(struct fw_peer_snapshot *s, uint64_t since,
+                       uint64_t end, GByteArray *out)
+{
+    if (since && since >= s->deletions_since) {
+        encode(s, since, end, out);
+        return;
+    }
+    if (!s->complete) {
+        s->complete = g_byte_array_new();
+        encode(s, 0, end, s->complete);
+    }
+    g_byte_array_append(out, s->complete->data, s->complete->len);
+}
+
 static int
 read_record(const msgpack_object *o, int with_deletions,
             struct fw_store_response *out)
@@ -250,12 +283,31 @@
     return rc;
 }
 
+static int
+decode_plain(const GByteArray *plain, uint64_t *since,
+             struct fw_store_response *out)
+{
+    msgpack_unpacked u;
+    int rc = -EBADMSG;
+
+    if (!Fw_PackScan_IsSane(plain->data, plain->len)) {
+        return -EBADMSG;
+    }
+    msgpack_unpacked_init(&u);
+    if (msgpack_unpack_next(&u, (const char *)plain->data, plain->len, NULL) ==
+        MSGPACK_UNPACK_SUCCESS) {
+        rc = read_records(&u.data, since, out);
+    }
+    msgpack_unpacked_destroy(&u);
+    return rc;
+}
+
 int
 Fw_PeerSnapshot_Decode(const void *data, size_t len, uint64_t *since,
                        struct fw_store_response *out)
 {
-    msgpack_unpacked u;
-    int rc = -EBADMSG;
+    GByteArray *plain = g_byte_array_new();
+    int rc;
 
     *since = 0;
     *out = (struct fw_store_response){
@@ -263,15 +315,12 @@
         .records = g_array_new(FALSE, TRUE, sizeof(struct fw_store_record)),
         .buffers = g_ptr_array_new_with_free_func(g_free),
     };
-    if (!Fw_PackScan_IsSane(data, len)) {
-        return -EBADMSG;
+    rc = Fw_Gzip_Decompress(data, len, FW_SNAPSHOT_BYTES_MAX, plain);
+    if (!rc) {
+        rc = decode_plain(plain, since, out);
     }
-    msgpack_unpacked_init(&u);
-    if (msgpack_unpack_next(&u, data, len, NULL) == MSGPACK_UNPACK_SUCCESS) {
-        rc = read_records(&u.data, since, out);
-    }
-    msgpack_unpacked_destroy(&u);
-    return rc;
+    g_byte_array_unref(plain);
+    return rc ? -EBADMSG : 0;
 }
 
 static const char *const paths[] = {[FW_TOPIC_CONFIG] =
@@ -325,7 +374,9 @@
     }
     body = g_byte_array_new();
     Fw_PeerSnapshot_Encode(tc->snapshot, since, tc->next_offset, body);
-    Fw_Caller_Start(c, 200, "Content-Type: application/msgpack\r\n",
+    Fw_Caller_Start(c, 200,
+                    "Content-Type: application/msgpack\r\n"
+                    "Content-Encoding: gzip\r\n",
                     (int64_t)body->len);
     Fw_Caller_Data(c, body->data, body->len);
     Fw_Caller_End(c);
--- a/src/relayd/peer_socket.c
+++ b/src/relayd/peer_socket.c
@@ -106,6 +106,7 @@
         g_clear_object(&from);
     }
     g_clear_object(&from);
+    Fw_StoreClient_Tick(d->store, Fw_Conn_NowUs());
     return G_SOURCE_CONTINUE;
 }
 
--- a/src/relayd/store_apply.c
+++ b/src/relayd/store_apply.c
@@ -70,6 +70,15 @@
     return Fw_Relay_UpdateServer(d->relay, rec->key, &e, now, acts);
 }
 
+static int
+is_own_registration(const struct fw_relayd *d, const struct fw_rl_peer *peer)
+{
+    return strcmp(peer->name, d->opts.relay.name) == 0 &&
+           strcmp(peer->addr, d->opts.peers_addr) == 0 &&
+           strcmp(peer->domain, d->opts.relay.domain) == 0 &&
+           peer->cpu_ppm == d->opts.relay.cpu_ppm;
+}
+
 static void
 apply_instance(struct fw_relayd *d, const struct fw_store_record *rec)
 {
@@ -84,6 +93,7 @@
         Fw_Json_CopyStr(obj, "domain", peer.domain, sizeof(peer.domain));
         Fw_Json_Int(obj, "cpu_ppm", &peer.cpu_ppm);
         Fw_Relay_AddMember(d->relay, &peer, Fw_Conn_NowUs());
+        d->store->is_registered |= is_own_registration(d, &peer);
     }
     if (root) {
         json_node_unref(root);
--- a/src/relayd/store_client.c
+++ b/src/relayd/store_client.c
@@ -226,7 +226,6 @@
     init_topic(s, &s->leader, FW_TOPIC_LEADER);
     s->config.snapshot = Fw_PeerSnapshot_New();
     s->servers.snapshot = Fw_PeerSnapshot_New();
-    s->instances.op = FW_STORE_OP_APPEND;
     s->instances.append_value = registration_json(d);
     s->leader.op = FW_STORE_OP_APPEND;
     Fw_StoreClient_AddMetrics(s, m);
--- a/src/relayd/store_internal.h
+++ b/src/relayd/store_internal.h
@@ -73,6 +73,7 @@
 
 /**
  * struct fw_store_client - client of the store, one part per topic.
+ * @is_registered: the list of instances has this one, with its present address
  * @unreachable_since_us: time of the first failure since the store last
  *                        answered, 0 while it answers
  * @requests: counters by operation and outcome
@@ -83,6 +84,7 @@
     struct fw_topic_client servers;
     struct fw_topic_client instances;
     struct fw_topic_client leader;
+    int is_registered;
     int64_t unreachable_since_us;
     struct fw_metric requests[FW_STORE_OP_COUNT][FW_STORE_OUTCOME_COUNT];
     struct fw_metric unreachable_ms;
--- a/src/relayd/store_response.c
+++ b/src/relayd/store_response.c
@@ -54,6 +54,26 @@
     tc->next_request_us = now + delay_us;
 }
 
+/*
+ * Registers this instance unless it is registered already, and reads the list
+ * again then: instances that started at the same time may have registered
+ * since. An instance that is restarted thus waits for no append, which the
+ * store executes one at a time.
+ */
+static void
+end_member_list(struct fw_topic_client *tc)
+{
+    Fw_Relay_EndMemberList(tc->store->d->relay, Fw_Conn_NowUs());
+    if (tc->append_value && !tc->store->is_registered) {
+        tc->op = FW_STORE_OP_APPEND;
+        tc->next_request_us = 0;
+        return;
+    }
+    g_clear_pointer(&tc->append_value, g_free);
+    tc->op = FW_STORE_OP_NEWEST;
+    tc->next_request_us = Fw_Conn_NowUs() + FW_INSTANCES_INTERVAL_US;
+}
+
 /*
  * Pages are not one consistent snapshot. Records appended while they are read
  * are read afterwards, from the end offset of the first page.
@@ -102,9 +122,7 @@
         Fw_Relay_SetServerListOffset(d->relay, tc->next_offset);
     }
     if (tc->topic == FW_TOPIC_INSTANCES) {
-        Fw_Relay_EndMemberList(d->relay, Fw_Conn_NowUs());
-        tc->op = FW_STORE_OP_NEWEST;
-        tc->next_request_us = Fw_Conn_NowUs() + FW_INSTANCES_INTERVAL_US;
+        end_member_list(tc);
     }
 }
 
@@ -157,6 +175,7 @@
     }
     g_clear_pointer(&tc->append_value, g_free);
     tc->op = FW_STORE_OP_NEWEST;
+    tc->snapshot_end = 0;
     tc->next_request_us = 0;
 }
 
--- a/tests/relay/test_hubs.c
+++ b/tests/relay/test_hubs.c
@@ -424,6 +424,58 @@
 }
 END_TEST
 
+#define FW_LEAVES 400
+
+static void
+add_peer(struct fw_relay *r, const char *name, int64_t cpu_ppm)
+{
+    struct fw_rl_peer peer = {.domain = "d", .cpu_ppm = cpu_ppm};
+
+    g_strlcpy(peer.name, name, sizeof(peer.name));
+    g_strlcpy(peer.addr, name, sizeof(peer.addr));
+    Fw_Relay_AddMember(r, &peer, FW_SEC);
+}
+
+/* The name of the hub that the instance @name chooses. */
+static void
+choose_hub(const char *name, char *chosen)
+{
+    struct fw_relay_opts opts = {
+        .domain = "d", .boot = 1, .seed = 1, .cpu_ppm = 1000};
+    struct fw_relay *r;
+    char other[FW_NAME_MAX];
+
+    g_strlcpy(opts.name, name, sizeof(opts.name));
+    r = Fw_Relay_New(&opts, FW_SEC);
+    for (int i = 0; i < FW_LARGE; i++) {
+        g_snprintf(other, sizeof(other), "other%d", i);
+        add_peer(r, other, i == 0 ? 700000 : i < 10 ? 20000 : 1000);
+    }
+    Fw_Hubs_UpdateRoles(r, FW_SEC);
+    g_strlcpy(chosen, Fw_Hubs_ChooseHub(r)->name, FW_NAME_MAX);
+    Fw_Relay_Free(r);
+}
+
+/* Guards against a slow hub that delays as many leaves as a fast one serves.
+ */
+START_TEST(hubs_get_leaves_by_their_cpu)
+{
+    int n_fast = 0;
+
+    for (int i = 0; i < FW_LEAVES; i++) {
+        char name[FW_NAME_MAX];
+        char chosen[FW_NAME_MAX];
+
+        g_snprintf(name, sizeof(name), "leaf%d", i);
+        choose_hub(name, chosen);
+        n_fast += strcmp(chosen, "other0") == 0;
+    }
+    /* 700 of 880 thousandths of a core. */
+    ck_assert_int_gt(n_fast, FW_LEAVES * 72 / 100);
+    ck_assert_int_lt(n_fast, FW_LEAVES * 88 / 100);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -440,5 +492,6 @@
     tcase_add_test(tc, a_placement_stops_waiting_for_an_unreachable_hub);
     tcase_add_test(tc, instances_with_more_cpu_are_hubs_first);
     tcase_add_test(tc, a_new_instance_receives_learned_values);
+    tcase_add_test(tc, hubs_get_leaves_by_their_cpu);
     return Fw_Suite_Run(tc);
 }
--- a/tests/relayd/test_peer_snapshot.c
+++ b/tests/relayd/test_peer_snapshot.c
@@ -3,6 +3,7 @@
 #include <errno.h>
 #include <string.h>
 
+#include "io/gzip.h"
 #include "relayd/store_internal.h"
 #include "tests/relayd/router_env.h"
 
@@ -152,17 +153,43 @@
 /* Guards against excessive allocation and lost records. */
 START_TEST(malformed_snapshots_are_rejected)
 {
+    GByteArray *body = g_byte_array_new();
     struct fw_store_response got;
     uint64_t since;
 
-    ck_assert_msg(Fw_PeerSnapshot_Decode(malformed[_i].bytes,
-                                         malformed[_i].len, &since,
+    Fw_Gzip_Compress(malformed[_i].bytes, malformed[_i].len, body);
+    ck_assert_msg(Fw_PeerSnapshot_Decode(body->data, body->len, &since,
                                          &got) == -EBADMSG,
                   "%s is accepted", malformed[_i].name);
+    g_byte_array_unref(body);
     Fw_Platform_ClearStoreResponse(&got);
 }
 END_TEST
 
+/* Guards against a small body that fills the memory when decompressed. */
+START_TEST(a_body_that_expands_too_far_is_rejected)
+{
+    GByteArray *plain = g_byte_array_new();
+    GByteArray *body = g_byte_array_new();
+    GByteArray *out = g_byte_array_new();
+
+    g_byte_array_set_size(plain, 1 << 20);
+    memset(plain->data, 0, plain->len);
+    Fw_Gzip_Compress(plain->data, plain->len, body);
+    ck_assert_uint_lt(body->len, 10000);
+    ck_assert_int_eq(
+        Fw_Gzip_Decompress(body->data, body->len, plain->len - 1, out),
+        -EMSGSIZE);
+    g_byte_array_set_size(out, 0);
+    ck_assert_int_eq(
+        Fw_Gzip_Decompress(body->data, body->len, plain->len, out), 0);
+    ck_assert_uint_eq(out->len, plain->len);
+    g_byte_array_unref(out);
+    g_byte_array_unref(body);
+    g_byte_array_unref(plain);
+}
+END_TEST
+
 static void
 expect_response(struct router_env *env, const char *path, const char *wanted)
 {
@@ -205,6 +232,7 @@
                         G_N_ELEMENTS(since_cases));
     tcase_add_loop_test(tc, malformed_snapshots_are_rejected, 0,
                         G_N_ELEMENTS(malformed));
+    tcase_add_test(tc, a_body_that_expands_too_far_is_rejected);
     tcase_add_test(tc, an_instance_serves_snapshots);
     return Fw_Suite_Run(tc);
 }
--- a/tests/relayd/test_relayd.c
+++ b/tests/relayd/test_relayd.c
@@ -251,6 +251,34 @@
 }
 END_TEST
 
+/*
+ * Guards against registrations of all instances that are restarted at once,
+ * which the store appends one at a time.
+ */
+START_TEST(a_restarted_instance_is_still_registered)
+{
+    struct router_env env;
+    int before;
+
+    Fw_RouterEnv_InitAndStart(&env);
+    Fw_Rig_Settle();
+    before = Fw_WireStore_RecordCount(env.store, "keyed.fuchsiaward");
+    ck_assert_int_eq(before, 1);
+    Fw_Relayd_Free(env.router);
+    Fw_RouterEnv_StartRouter(&env);
+    Fw_Rig_Settle();
+    ck_assert_int_eq(Fw_WireStore_RecordCount(env.store, "keyed.fuchsiaward"),
+                     before);
+    Fw_Relayd_Free(env.router);
+    env.opts.relay.cpu_ppm = 500000;
+    Fw_RouterEnv_StartRouter(&env);
+    Fw_Rig_Settle();
+    ck_assert_int_eq(Fw_WireStore_RecordCount(env.store, "keyed.fuchsiaward"),
+                     before + 1);
+    Fw_RouterEnv_Free(&env);
+}
+END_TEST
+
 /* Guards against a malformed record that affects valid ones. */
 START_TEST(malformed_store_records_are_ignored)
 {
@@ -483,6 +511,7 @@
     tcase_add_test(tc, a_revoked_key_is_rejected);
     tcase_add_loop_test(tc, keys_expire_while_the_store_is_unreachable, 0, 3);
     tcase_add_test(tc, lost_store_responses_block_no_request);
+    tcase_add_test(tc, a_restarted_instance_is_still_registered);
     tcase_add_test(tc, malformed_store_records_are_ignored);
     tcase_add_loop_test(tc, an_evacuated_domain_gets_no_requests, 0, 2);
     tcase_add_test(tc, an_instance_starts_with_the_evacuations_in_force);
