Count instances behind a long partition until the store proves them gone

The sides also removed each other as members and could not find each other again.

Change: while instances are missing, one hub of each side publishes in the store which instances it sees, every 5 s, and hubs read these records. An instance is forgotten only after 20 s unseen here and unpublished elsewhere, with the store read for 12 s without interruption. The script of member_gone reads the store before the member goes, and checks that it stays without that.

--- a/explore/relay_fleet.c
+++ b/explore/relay_fleet.c
@@ -3,6 +3,8 @@
 #include <string.h>
 
 #define FW_STEP_US (20 * FW_MSEC)
+/* Interval at which an instance reads what others have published. */
+#define FW_STORE_READ_INTERVAL_US (3 * FW_SEC)
 #define FW_DOMAIN_COUNT 3
 
 /** struct datagram - a message in flight between two instances. */
@@ -13,6 +15,21 @@
     GBytes *data;
 };
 
+/** struct presence_record - instances that @publisher sees. */
+struct presence_record {
+    int publisher;
+    GArray *seen;
+};
+
+static void
+presence_record_free(gpointer p)
+{
+    struct presence_record *rec = p;
+
+    g_array_unref(rec->seen);
+    g_free(rec);
+}
+
 static void
 msg_free(gpointer data)
 {
@@ -96,6 +113,7 @@
                             .delay_pct = 3,
                             .delay_max_us = 5 * FW_SEC};
     fleet->in_flight = g_ptr_array_new_with_free_func(msg_free);
+    fleet->published = g_ptr_array_new_with_free_func(presence_record_free);
     Fw_Outbox_Init(&fleet->outbox);
     for (int i = 0; i < n; i++) {
         struct fleet_instance *inst = &fleet->instances[i];
@@ -118,6 +136,7 @@
         Fw_Relay_Free(fleet->instances[i].relay);
     }
     g_ptr_array_unref(fleet->in_flight);
+    g_ptr_array_unref(fleet->published);
     Fw_Outbox_Clear(&fleet->outbox);
     g_ptr_array_unref(fleet->outbox.all);
 }
@@ -210,6 +229,34 @@
     }
 }
 
+/* Instance @i publishes what it sees, and reads what others have published. */
+static void
+sync_presence(struct fleet *fleet, int i)
+{
+    struct fw_relay *r = fleet->instances[i].relay;
+    int64_t now = Fw_RelayFleet_Now(fleet, i);
+    GArray *seen = Fw_Relay_TakePresence(r, now);
+
+    if (seen) {
+        struct presence_record *rec = g_new(struct presence_record, 1);
+
+        *rec = (struct presence_record){.publisher = i, .seen = seen};
+        g_ptr_array_add(fleet->published, rec);
+    }
+    if (!Fw_Relay_WatchesPresence(r) ||
+        now - r->presence.read_us < FW_STORE_READ_INTERVAL_US) {
+        return;
+    }
+    for (guint k = 0; k < fleet->published->len; k++) {
+        const struct presence_record *rec =
+            g_ptr_array_index(fleet->published, k);
+
+        Fw_Relay_NotePresence(r, fleet->instances[rec->publisher].name, k,
+                              rec->seen, now);
+    }
+    Fw_Presence_NoteRead(r, now);
+}
+
 void
 Fw_RelayFleet_Send(struct fleet *fleet, int i)
 {
@@ -219,6 +266,7 @@
                             Fw_RelayFleet_Now(fleet, i),
                             &fleet->instances[i].acts);
             g_array_set_size(fleet->instances[i].acts.all, 0);
+            sync_presence(fleet, i);
         }
         Fw_Relay_WriteMessages(fleet->instances[i].relay,
                                Fw_RelayFleet_Now(fleet, i), &fleet->outbox);
--- a/explore/relay_fleet.h
+++ b/explore/relay_fleet.h
@@ -40,7 +40,9 @@
  * @loss_pct, @delay_pct: percentage of messages that are lost, or delayed by
  *     up to @delay_max_us
  * @outbox: messages of the instance that is sending
- * @expires_members: instances remove members that have expired
+ * @expires_members: instances remove members that have expired, and publish
+ *     in the store, which all of them reach, which ones they see
+ * @published: records of the store, of struct presence_record
  * @n_cross_domain: messages received from another failure domain
  */
 struct fleet {
@@ -55,6 +57,7 @@
     int64_t delay_max_us;
     struct fw_rl_outbox outbox;
     int expires_members;
+    GPtrArray *published;
     int n_cross_domain;
 };
 
--- a/src/relay/members.c
+++ b/src/relay/members.c
@@ -5,8 +5,9 @@
 #include "relay/relay_internal.h"
 
 /*
- * An instance that isn't seen for this long is removed. Until then its share
- * of the allowances stays reserved, as it may be running in another partition.
+ * An instance that isn't seen for this long, here or on another side of a
+ * partition, is removed. Until then its share of the allowances stays
+ * reserved.
  */
 #define FW_MEMBER_EXPIRY_US (20 * FW_SEC)
 /* Maximum age of a hub's counts of instances. */
@@ -18,12 +19,14 @@
  * struct known_instance - an instance known to this one or to a hub.
  * @seen_us: when this instance or a hub last received a message from it, 0 for
  *     never
+ * @published_us: when another side of a partition last published it as seen
  * @member: NULL if only hubs know its name and address
  * @is_expired: excluded from the size of the fleet
  */
 struct known_instance {
     int64_t added_us;
     int64_t seen_us;
+    int64_t published_us;
     struct fw_rl_member *member;
     int is_expired;
 };
@@ -61,6 +64,34 @@
 }
 
 /* The values of @m are in the digests of the hub that it reports to now. */
+void
+Fw_Members_NotePublished(struct fw_relay *r, uint64_t hash, int64_t now_us)
+{
+    if (hash != r->hash) {
+        find_or_add_instance(r, hash)->published_us = now_us;
+        r->exchange.recount = 1;
+    }
+}
+
+void
+Fw_Members_AppendSeen(struct fw_relay *r, int64_t now_us, GArray *out)
+{
+    GHashTableIter it;
+    gpointer k;
+    gpointer v;
+
+    g_hash_table_iter_init(&it, r->known_instances);
+    while (g_hash_table_iter_next(&it, &k, &v)) {
+        const struct known_instance *known = v;
+        uint64_t hash = (uint64_t) * (gint64 *)k;
+
+        if (known->seen_us &&
+            now_us - known->seen_us < FW_RL_ISOLATION_TIMEOUT_US) {
+            g_array_append_val(out, hash);
+        }
+    }
+}
+
 static void
 drop_reported_state(struct fw_relay *r, struct fw_rl_member *m)
 {
@@ -242,25 +273,32 @@
     return x->n_instances;
 }
 
+/* The latest time at which the instance certainly ran. */
+static int64_t
+last_alive_us(const struct known_instance *known)
+{
+    return MAX(MAX(known->seen_us, known->published_us), known->added_us);
+}
+
 /*
  * A leaf removes only members that are unreachable, a hub also those that have
  * sent it messages before. The others are kept: they may be live and may have
  * to replace a hub.
  */
 static int
-is_expired(struct fw_relay *r, const struct fw_rl_member *m, int64_t now_us)
+should_remove(struct fw_relay *r, const struct fw_rl_member *m)
 {
-    int64_t seen_us =
-        MAX(find_or_add_instance(r, m->hash)->seen_us, m->last_message_us);
-
-    return ((r->exchange.is_hub && m->last_message_us) ||
-            m->unreachable_since_us) &&
-           now_us - MAX(seen_us, m->added_us) >= FW_MEMBER_EXPIRY_US;
+    return find_or_add_instance(r, m->hash)->is_expired &&
+           ((r->exchange.is_hub && m->last_message_us) ||
+            m->unreachable_since_us);
 }
 
+/* An instance that has expired remains so until it is seen again. */
 static void
 expire_instances(struct fw_relay *r, int64_t now_us)
 {
+    int proven = Fw_Presence_IsProven(r, now_us);
+    int any_missing = 0;
     GHashTableIter it;
     gpointer v;
 
@@ -268,12 +306,18 @@
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         struct known_instance *known = v;
 
-        known->is_expired = now_us - MAX(known->seen_us, known->added_us) >=
-                            FW_MEMBER_EXPIRY_US;
+        known->is_expired =
+            now_us - last_alive_us(known) >= FW_MEMBER_EXPIRY_US &&
+            (known->is_expired || proven);
         if (known->is_expired && !known->member) {
             g_hash_table_iter_remove(&it);
+            continue;
         }
+        any_missing |= !known->is_expired &&
+                       now_us - MAX(known->seen_us, known->added_us) >=
+                           Fw_Presence_MissingUs();
     }
+    Fw_Presence_SetMissing(r, any_missing);
 }
 
 void
@@ -288,7 +332,7 @@
         if (m->load_rows && now_us - m->load_us >= FW_LOAD_EXPIRY_US) {
             Fw_Load_Drop(r, m);
         }
-        if (is_expired(r, m, now_us)) {
+        if (should_remove(r, m)) {
             Fw_RelayActions_Log(out, r, LOG_NOTICE, "member_gone",
                                 "\"member\":\"%s\",\"addr\":\"%s\"", m->name,
                                 m->addr);
--- a/src/relay/peers.h
+++ b/src/relay/peers.h
@@ -166,6 +166,38 @@
     int64_t load_as_of_us;
 };
 
+/**
+ * struct fw_rl_presence - what the store says about missing instances.
+ * @any_missing: an instance has been missing for a while
+ * @read_since_us: since when the store is read without interruption, 0 if not
+ * @read_us: when it was last read
+ * @published_us: when this instance last published which ones it sees
+ * @record_ends: hash of a publisher's name to the offset after its last record
+ */
+struct fw_rl_presence {
+    int any_missing;
+    int64_t read_since_us;
+    int64_t read_us;
+    int64_t published_us;
+    GHashTable *record_ends;
+};
+
+/* presence.c */
+void
+Fw_Presence_SetMissing(struct fw_relay *r, int any_missing);
+/* Time without being seen after which an instance is missing. */
+int64_t
+Fw_Presence_MissingUs(void);
+/*
+ * Whether an instance that no other side has published meanwhile is certainly
+ * gone.
+ */
+int
+Fw_Presence_IsProven(const struct fw_relay *r, int64_t now_us);
+/* The published records were read. */
+void
+Fw_Presence_NoteRead(struct fw_relay *r, int64_t now_us);
+
 /* members.c */
 struct fw_rl_member *
 Fw_Members_Find(const struct fw_relay *r, const char *name);
@@ -178,6 +210,12 @@
 /* Records that the instance whose name has @hash was live at @seen_us. */
 void
 Fw_Members_NoteSeen(struct fw_relay *r, uint64_t hash, int64_t seen_us);
+/* Another side of a partition has published the instance as seen there. */
+void
+Fw_Members_NotePublished(struct fw_relay *r, uint64_t hash, int64_t now_us);
+/* Appends the hashes of the instances seen recently, of uint64_t. */
+void
+Fw_Members_AppendSeen(struct fw_relay *r, int64_t now_us, GArray *out);
 /*
  * Records that the instance whose name has @hash reported to another hub at
  * @seen_us. What it sent here before that is dropped.
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -45,6 +45,7 @@
     r->servers_by_hash = g_hash_table_new(g_int64_hash, g_int64_equal);
     Fw_List_Init(&r->servers);
     Fw_List_Init(&r->active_servers);
+    r->presence.record_ends = Fw_Rows_NewTable();
     Fw_List_Init(&r->call_list);
     Fw_List_Init(&r->op_list);
     Fw_List_Init(&r->members);
@@ -86,6 +87,7 @@
     g_ptr_array_unref(r->service_stats);
     g_ptr_array_unref(r->evacuations);
     g_hash_table_destroy(r->servers_by_hash);
+    g_hash_table_destroy(r->presence.record_ends);
     g_rand_free(r->rand);
     g_free(r);
 }
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -426,6 +426,22 @@
 /* All registered instances have been added with Fw_Relay_AddMember(). */
 void
 Fw_Relay_EndMemberList(struct fw_relay *r, int64_t now_us);
+/*
+ * Whether to read the registrations and what other instances have published
+ * every few seconds, because instances are missing.
+ */
+int
+Fw_Relay_WatchesPresence(const struct fw_relay *r);
+/*
+ * The instances seen here, hashes of their names, if they are to be published
+ * now; NULL otherwise. The caller frees it.
+ */
+GArray *
+Fw_Relay_TakePresence(struct fw_relay *r, int64_t now_us);
+/* The instance @publisher has published what it sees at the log's @offset. */
+void
+Fw_Relay_NotePresence(struct fw_relay *r, const char *publisher,
+                      uint64_t offset, const GArray *seen, int64_t now_us);
 /* Whether no message of any other instance was received recently. */
 int
 Fw_Relay_IsIsolated(const struct fw_relay *r, int64_t now_us);
--- a/src/relay/relay_internal.h
+++ b/src/relay/relay_internal.h
@@ -418,6 +418,7 @@
     uint64_t last_xid;
     struct fw_list members;
     struct fw_rl_exchange exchange;
+    struct fw_rl_presence presence;
     uint64_t hash;
     GHashTable *known_instances;
     GHashTable *loads;
--- a/src/relay/store_sync.c
+++ b/src/relay/store_sync.c
@@ -196,9 +196,14 @@
 void
 Fw_Relay_EndMemberList(struct fw_relay *r, int64_t now_us)
 {
+    int is_first = !r->store_sync.members_known;
+
     r->store_sync.members_known = 1;
+    Fw_Presence_NoteRead(r, now_us);
     Fw_Hubs_UpdateRoles(r, now_us);
-    Fw_Exchange_ReportProgress(r);
+    if (is_first) {
+        Fw_Exchange_ReportProgress(r);
+    }
 }
 
 void
--- a/src/relayd/store_apply.c
+++ b/src/relayd/store_apply.c
@@ -70,6 +70,22 @@
     return Fw_Relay_UpdateServer(d->relay, rec->key, &e, now, acts);
 }
 
+static void
+apply_presence(struct fw_relayd *d, const struct fw_store_record *rec,
+               const char *publisher)
+{
+    GArray *seen = rec->value ? Fw_Presence_Parse(rec->value, rec->len) : NULL;
+
+    if (!seen) {
+        Fw_Logger_Log(LOG_WARNING, "presence_unreadable", "key", rec->key,
+                      NULL);
+        return;
+    }
+    Fw_Relay_NotePresence(d->relay, publisher, rec->offset, seen,
+                          Fw_Conn_NowUs());
+    g_array_unref(seen);
+}
+
 static int
 is_own_registration(const struct fw_relayd *d, const struct fw_rl_peer *peer)
 {
@@ -112,7 +128,12 @@
     case FW_TOPIC_SERVERS:
         return apply_server(d, rec, acts);
     case FW_TOPIC_INSTANCES:
-        apply_instance(d, rec);
+        if (Fw_Presence_Publisher(rec->key)) {
+            apply_presence(d, rec, Fw_Presence_Publisher(rec->key));
+        }
+        else {
+            apply_instance(d, rec);
+        }
         break;
     case FW_TOPIC_LEADER:
         break;
--- a/src/relayd/store_client.c
+++ b/src/relayd/store_client.c
@@ -111,7 +111,7 @@
         break;
     case FW_STORE_OP_APPEND:
         Fw_Platform_WriteAppendRequest(tc->topic, tc->append_offset,
-                                       d->opts.relay.name, tc->append_value,
+                                       tc->append_key, tc->append_value,
                                        d->opts.store_addr, head, &body);
         break;
     }
@@ -171,6 +171,28 @@
     }
 }
 
+/* Appends a record of the instances seen here, if one is due. */
+static void
+publish_presence(struct fw_store_client *s, int64_t now_us)
+{
+    struct fw_topic_client *tc = &s->instances;
+    GArray *seen;
+
+    if (tc->exchange || tc->append_value || !tc->snapshot_end || tc->paging) {
+        return;
+    }
+    seen = Fw_Relay_TakePresence(s->d->relay, now_us);
+    if (!seen) {
+        return;
+    }
+    tc->append_value = Fw_Presence_ToJson(seen);
+    Fw_Presence_Key(s->d->opts.relay.name, tc->append_key,
+                    sizeof(tc->append_key));
+    tc->op = FW_STORE_OP_APPEND;
+    tc->next_request_us = 0;
+    g_array_unref(seen);
+}
+
 void
 Fw_StoreClient_Tick(struct fw_store_client *s, int64_t now_us)
 {
@@ -179,8 +201,10 @@
     s->servers.interval_us = s->d->opts.servers_interval_us;
     tick_topic(&s->config, now_us);
     tick_topic(&s->servers, now_us);
+    publish_presence(s, now_us);
     if (s->instances.append_value || s->instances.snapshot_end == 0 ||
-        s->instances.exchange || Fw_Relay_IsIsolated(s->d->relay, now_us)) {
+        s->instances.exchange || Fw_Relay_IsIsolated(s->d->relay, now_us) ||
+        Fw_Relay_WatchesPresence(s->d->relay)) {
         tick_topic(&s->instances, now_us);
     }
     tick_topic(&s->leader, now_us);
@@ -197,6 +221,7 @@
     tc->topic = topic;
     tc->body = g_byte_array_new();
     tc->append_offset = UINT64_MAX;
+    g_strlcpy(tc->append_key, s->d->opts.relay.name, sizeof(tc->append_key));
 }
 
 static char *
--- a/src/relayd/store_internal.h
+++ b/src/relayd/store_internal.h
@@ -32,6 +32,7 @@
  * @wait_us: how long the store may hold a read open for a new record
  * @interval_us: time between reads
  * @append_value: value to append, NULL for none
+ * @append_key: its key
  * @append_offset: append only at this offset, UINT64_MAX for any
  * @peer_addr: instance that a snapshot is requested from; empty for the store
  * @force_store: a snapshot request failed: the next request goes to the store
@@ -54,6 +55,7 @@
     int64_t wait_us;
     int64_t interval_us;
     char *append_value;
+    char append_key[FW_ID_MAX];
     uint64_t append_offset;
     char peer_addr[FW_URL_MAX];
     int force_store;
@@ -98,6 +100,24 @@
 void
 Fw_StoreClient_AddMetrics(struct fw_store_client *s, struct fw_metrics *m);
 
+/*
+ * presence_record.c: records of the instances that one of them sees, in the
+ * topic of the registrations.
+ */
+/* JSON of the hashes in @seen, which the caller frees. */
+char *
+Fw_Presence_ToJson(const GArray *seen);
+/* Key of the record that the instance @name publishes. */
+void
+Fw_Presence_Key(const char *name, char *key, size_t size);
+/* The publisher's name, a part of @key, or NULL for a registration. */
+const char *
+Fw_Presence_Publisher(const char *key);
+/* Return: the hashes, which the caller frees, or NULL for an invalid record.
+ */
+GArray *
+Fw_Presence_Parse(const void *data, size_t len);
+
 /* store_response.c */
 /* Handles the response in @tc->status and @tc->body. */
 void
--- a/tests/relay/test_events.c
+++ b/tests/relay/test_events.c
@@ -224,8 +224,16 @@
          "listed after the store's recovery\"\n"
          "  forget s2:1\n"
          "member n2\n"
+         "at 8000\n"
+         "tick\n"
          "at 25000\n"
          "tick\n"
+         "registered\n"
+         "at 32000\n"
+         "registered\n"
+         "at 39000\n"
+         "registered\n"
+         "tick\n"
          "  5 member_gone \"member\":\"n2\",\"addr\":\"127.0.0.9:1\"\n"},
     {.name = "events of a stage change",
      .text =
--- a/tests/relay/test_hubs.c
+++ b/tests/relay/test_hubs.c
@@ -424,6 +424,60 @@
 }
 END_TEST
 
+#define FW_SMALL 6
+
+static int
+count_instances(struct fleet_fixture *g, int i)
+{
+    return Fw_Members_Count(relay_at(g, i), Fw_RelayFleet_Now(&g->f, i), NULL);
+}
+
+/*
+ * Guards against a share of every allowance that stays reserved for ever for
+ * an instance that has ended.
+ */
+START_TEST(an_instance_that_ended_is_forgotten)
+{
+    struct fleet_fixture g;
+
+    fixture_init(&g, FW_SMALL);
+    g.f.instances[0].frozen_until_us = INT64_MAX;
+    Fw_RelayFleet_Advance(&g.f, 15 * FW_SEC);
+    ck_assert_int_eq(count_instances(&g, 1), FW_SMALL);
+    Fw_RelayFleet_Advance(&g.f, 15 * FW_SEC);
+    for (int i = 1; i < FW_SMALL; i++) {
+        ck_assert_int_eq(count_instances(&g, i), FW_SMALL - 1);
+    }
+    fixture_clear(&g);
+}
+END_TEST
+
+/*
+ * Guards against both sides of a long partition taking the whole of every
+ * allowance, and against sides that never find each other again.
+ */
+START_TEST(both_sides_of_a_long_partition_count_each_other)
+{
+    struct fleet_fixture g;
+
+    fixture_init(&g, FW_SMALL);
+    Fw_RelayFleet_Partition(&g.f);
+    Fw_RelayFleet_Advance(&g.f, 90 * FW_SEC);
+    for (int i = 0; i < FW_SMALL; i++) {
+        ck_assert_int_eq(count_instances(&g, i), FW_SMALL);
+    }
+    Fw_RelayFleet_Heal(&g.f);
+    Fw_RelayFleet_Advance(&g.f, 3 * FW_SEC);
+    for (int i = 0; i < FW_SMALL; i++) {
+        int n_live;
+
+        Fw_Members_Count(relay_at(&g, i), Fw_RelayFleet_Now(&g.f, i), &n_live);
+        ck_assert_int_eq(n_live, FW_SMALL);
+    }
+    fixture_clear(&g);
+}
+END_TEST
+
 #define FW_LEAVES 400
 
 static void
@@ -493,5 +547,7 @@
     tcase_add_test(tc, instances_with_more_cpu_are_hubs_first);
     tcase_add_test(tc, a_new_instance_receives_learned_values);
     tcase_add_test(tc, hubs_get_leaves_by_their_cpu);
+    tcase_add_test(tc, an_instance_that_ended_is_forgotten);
+    tcase_add_test(tc, both_sides_of_a_long_partition_count_each_other);
     return Fw_Suite_Run(tc);
 }
--- a/tests/relayd/test_relayd.c
+++ b/tests/relayd/test_relayd.c
@@ -3,6 +3,7 @@
 #include <string.h>
 #include <unistd.h>
 
+#include "relayd/store_internal.h"
 #include "tests/relayd/router_env.h"
 
 static int
@@ -279,6 +280,38 @@
 }
 END_TEST
 
+START_TEST(published_instances_are_parsed)
+{
+    static const char *const bad[] = {"x",
+                                      "{}",
+                                      "{\"seen\":1}",
+                                      "{\"seen\":[1]}",
+                                      "{\"seen\":[\"12\"]}",
+                                      "{\"seen\":[\"000000000000000g\"]}"};
+    const uint64_t hashes[] = {1, UINT64_MAX, 0xfedcba9876543210};
+    GArray *seen = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    GArray *parsed;
+    char key[FW_ID_MAX];
+    char *json;
+
+    g_array_append_vals(seen, hashes, G_N_ELEMENTS(hashes));
+    json = Fw_Presence_ToJson(seen);
+    parsed = Fw_Presence_Parse(json, strlen(json));
+    ck_assert_ptr_nonnull(parsed);
+    ck_assert_uint_eq(parsed->len, G_N_ELEMENTS(hashes));
+    ck_assert_mem_eq(parsed->data, hashes, sizeof(hashes));
+    for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+        ck_assert_ptr_null(Fw_Presence_Parse(bad[i], strlen(bad[i])));
+    }
+    Fw_Presence_Key("n1", key, sizeof(key));
+    ck_assert_str_eq(Fw_Presence_Publisher(key), "n1");
+    ck_assert_ptr_null(Fw_Presence_Publisher("n1"));
+    g_free(json);
+    g_array_unref(parsed);
+    g_array_unref(seen);
+}
+END_TEST
+
 /* Guards against a malformed record that affects valid ones. */
 START_TEST(malformed_store_records_are_ignored)
 {
@@ -511,6 +544,7 @@
     tcase_add_test(tc, a_revoked_key_is_rejected);
     tcase_add_loop_test(tc, keys_expire_while_the_store_is_unreachable, 0, 3);
     tcase_add_test(tc, lost_store_responses_block_no_request);
+    tcase_add_test(tc, published_instances_are_parsed);
     tcase_add_test(tc, a_restarted_instance_is_still_registered);
     tcase_add_test(tc, malformed_store_records_are_ignored);
     tcase_add_loop_test(tc, an_evacuated_domain_gets_no_requests, 0, 2);
