--- a/src/relay/peers.h
+++ b/src/relay/peers.h
@@ -27,6 +27,9 @@
  */
 #define FW_RL_SEND_INTERVAL_PER_PEER_US 2500
 
+/* Reports whose time of sending is remembered. */
+#define FW_RL_REPORTS_MAX 16
+
 struct fw_rl_server;
 
 /**
@@ -128,6 +131,8 @@
  * @hub: the hub that a leaf reports to, NULL while it has none
  * @report_session: incremented when @hub changes
  * @report_seq, @report_sent_us: of the last report sent
+ * @reports_sent_us: when the last reports were sent, by @report_seq modulo the
+ *     size
  * @next_send_us: when the next digest or report is due
  * @earliest_send_us: when it may be sent if @send_soon is set
  * @next_delta_us: when the next delta may be sent to hubs
@@ -150,6 +155,7 @@
     uint64_t report_session;
     uint64_t report_seq;
     int64_t report_sent_us;
+    int64_t reports_sent_us[FW_RL_REPORTS_MAX];
     int64_t next_send_us;
     int64_t earliest_send_us;
     int64_t next_delta_us;
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -144,6 +144,14 @@
     r->rules_fresh_us = MAX(r->rules_fresh_us, as_of_us);
 }
 
+int64_t
+Fw_Relay_RulesAgeUs(const struct fw_relay *r, int64_t now_us)
+{
+    return Fw_Relay_AreKeysFresh(r, now_us)
+               ? MAX(now_us - r->rules_fresh_us, 0)
+               : -1;
+}
+
 static struct fw_rl_op *
 find_op(const struct fw_relay *r, uint64_t xid)
 {
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -316,6 +316,9 @@
 /* The current configuration was the newest in the store at @as_of_us. */
 void
 Fw_Relay_SetFreshAsOf(struct fw_relay *r, int64_t as_of_us);
+/* How long ago the configuration was known to be the newest, -1 if never. */
+int64_t
+Fw_Relay_RulesAgeUs(const struct fw_relay *r, int64_t now_us);
 /*
  * Adds or updates a server; @entry is NULL if it is no longer listed. Return:
  * zero if the entry says nothing new, but for how long the server is cold.
--- a/src/relay/reply.c
+++ b/src/relay/reply.c
@@ -167,7 +167,8 @@
 apply_freshness(struct fw_relay *r, const struct reply *p, int64_t now_us)
 {
     int64_t age_us = MAX(Fw_Rows_Cell(p->store_state, 0, 5), 0);
-    int64_t from_us = r->exchange.report_sent_us;
+    int64_t from_us =
+        r->exchange.reports_sent_us[p->report_seq % FW_RL_REPORTS_MAX];
 
     if (FW_FAULT("fresh-from-arrival")) {
         from_us = now_us;
@@ -187,6 +188,21 @@
     r->exchange.send_soon = 1;
 }
 
+/*
+ * A reply that isn't to the last report: later ones were sent meanwhile, so
+ * that its levels and load are out of date.
+ */
+static void
+apply_late_reply(struct fw_relay *r, struct fw_rl_member *hub,
+                 const struct reply *p, int64_t now_us)
+{
+    if (p->report_seq < r->exchange.report_seq &&
+        r->exchange.report_seq - p->report_seq < FW_RL_REPORTS_MAX) {
+        apply_freshness(r, p, now_us);
+        Fw_Message_ApplyStoreState(r, hub, p->store_state, now_us);
+    }
+}
+
 int
 Fw_Reply_Read(struct fw_relay *r, const msgpack_object *o, int64_t now_us)
 {
@@ -204,7 +220,8 @@
     }
     Fw_Members_NoteMessage(r, hub, now_us);
     if (p.report_seq && p.report_seq != r->exchange.report_seq) {
-        return 0; /* not to the last report */
+        apply_late_reply(r, hub, &p, now_us);
+        return 0;
     }
     if (Fw_Rows_Cell(p.counts, 0, 0) <= 0) {
         leave_hub(r, hub, now_us);
--- a/src/relay/report.c
+++ b/src/relay/report.c
@@ -53,6 +53,8 @@
     Fw_Message_PackSender(r, &pk);
     msgpack_pack_uint64(&pk, r->exchange.report_session);
     msgpack_pack_uint64(&pk, ++r->exchange.report_seq);
+    r->exchange.reports_sent_us[r->exchange.report_seq % FW_RL_REPORTS_MAX] =
+        now_us;
     Fw_Message_PackPrefillRates(r, &pk, now_us);
     pack_spent(r, &pk);
     Fw_Message_PackLoad(r, &pk, NULL, 0, now_us);
--- a/src/relayd/peer_snapshot.c
+++ b/src/relayd/peer_snapshot.c
@@ -362,11 +362,16 @@
     return !query[0];
 }
 
+/*
+ * The age says when the records were known to be all there are. It is outside
+ * the body, as that is encoded once for many requests.
+ */
 static void
 send_snapshot(struct fw_http_caller *c, const struct fw_topic_client *tc,
               uint64_t since)
 {
     GByteArray *body;
+    char fields[160];
 
     if (tc->op != FW_STORE_OP_READ || !tc->next_offset) {
         Fw_Caller_Respond(c, 503, "", "");
@@ -374,10 +379,12 @@
     }
     body = g_byte_array_new();
     Fw_PeerSnapshot_Encode(tc->snapshot, since, tc->next_offset, body);
-    Fw_Caller_Start(c, 200,
-                    "Content-Type: application/msgpack\r\n"
-                    "Content-Encoding: gzip\r\n",
-                    (int64_t)body->len);
+    g_snprintf(fields, sizeof(fields),
+               "Content-Type: application/msgpack\r\n"
+               "Content-Encoding: gzip\r\n" FW_PEER_AGE_FIELD
+               ": %" G_GINT64_FORMAT "\r\n",
+               Fw_Relay_RulesAgeUs(tc->store->d->relay, Fw_Conn_NowUs()));
+    Fw_Caller_Start(c, 200, fields, (int64_t)body->len);
     Fw_Caller_Data(c, body->data, body->len);
     Fw_Caller_End(c);
     g_byte_array_unref(body);
--- a/src/relayd/store_client.c
+++ b/src/relayd/store_client.c
@@ -16,12 +16,27 @@
 /* Shorter than FW_STORE_TIMEOUT_US, to leave time for the response. */
 #define FW_STORE_CONNECT_US (400 * FW_MSEC)
 
+/* The age of a snapshot's records; -1 if there is none or it is invalid. */
+static int64_t
+read_age(const struct fw_http_head *h)
+{
+    const struct fw_http_field *f = Fw_Http_FindField(h, FW_PEER_AGE_FIELD);
+    g_autofree char *text = f ? g_strndup(f->value, f->value_len) : NULL;
+    gint64 age_us;
+
+    return text && g_ascii_string_to_signed(text, 10, 0, G_MAXINT32 * FW_MSEC,
+                                            &age_us, NULL)
+               ? age_us
+               : -1;
+}
+
 static enum fw_head_action
 on_head(void *ctx, const struct fw_http_head *h)
 {
     struct fw_topic_client *tc = ctx;
 
     tc->status = h->status;
+    tc->age_us = read_age(h);
     return FW_HEAD_ACCEPT;
 }
 
--- a/src/relayd/store_internal.h
+++ b/src/relayd/store_internal.h
@@ -22,6 +22,8 @@
  * @op: the next request, or the one in flight
  * @exchange: the request in flight, or NULL
  * @status, @body: of the response
+ * @age_us: of a snapshot of the configuration: when its source knew it to be
+ *          the newest, before the response; -1 if unknown
  * @sent_us: when the latest request was sent
  * @deadline_us: when the request in flight times out
  * @next_request_us: earliest time of the next request
@@ -44,6 +46,7 @@
     enum fw_store_op op;
     struct fw_exchange *exchange;
     int status;
+    int64_t age_us;
     GByteArray *body;
     int64_t sent_us;
     int64_t deadline_us;
@@ -130,6 +133,9 @@
  * peer_snapshot.c: the newest record of each key of a topic, which instances
  * request from one another.
  */
+/* Header field of a snapshot: age of the configuration in microseconds. */
+#define FW_PEER_AGE_FIELD "Configuration-Age-Us"
+
 struct fw_peer_snapshot *
 Fw_PeerSnapshot_New(void);
 void
--- a/src/relayd/store_response.c
+++ b/src/relayd/store_response.c
@@ -196,6 +196,10 @@
         response->next_offset = response->end_offset;
         handle_read(tc, response, acts);
     }
+    if (tc->topic == FW_TOPIC_CONFIG && tc->age_us >= 0 &&
+        response->end_offset == tc->next_offset) {
+        Fw_Relay_SetFreshAsOf(tc->store->d->relay, tc->sent_us - tc->age_us);
+    }
     tc->next_request_us = tc->sent_us + tc->interval_us;
 }
 
