Keep requests in the regions of their route and team

Cause: AllowedRegions of routes and teams was read nowhere. Deployments known so far have one region, where it can't be broken.

Change: the settings say which region each failure domain is in; routes and teams carry hashes of the regions they are restricted to, both of which bind. A server outside them, or of an unknown region, is not chosen: for plain calls and retries, reservations, prefills and thus KV caches moved. Bodies do not go between instances.

--- a/src/daemon/ini.c
+++ b/src/daemon/ini.c
@@ -146,6 +146,30 @@
                : "must be 1 to 47 characters";
 }
 
+static const char *
+parse_pairs(const char *text, struct fw_ini_pairs *out)
+{
+    static const char problem[] =
+        "must be NAME:VALUE pairs, separated by commas";
+    g_auto(GStrv) words = g_strsplit(text, ",", -1);
+
+    out->n = 0;
+    for (char **w = words; *w; w++) {
+        char *value = strchr(*w, ':');
+
+        if (!value || out->n == FW_INI_PAIRS_MAX) {
+            return problem;
+        }
+        *value++ = 0;
+        if (parse_name(*w, out->pairs[out->n].name) ||
+            parse_name(value, out->pairs[out->n].value)) {
+            return problem;
+        }
+        out->n++;
+    }
+    return NULL;
+}
+
 /* Return: NULL, or an error message. */
 static const char *
 parse_value(const struct fw_ini_key *key, const char *text, void *at)
@@ -163,6 +187,8 @@
         return parse_secret(text, at);
     case FW_INI_PATH:
         return parse_path(text, at);
+    case FW_INI_PAIRS:
+        return parse_pairs(text, at);
     case FW_INI_CHOICE:
         return parse_choice(key->choices, text, at);
     case FW_INI_DECIMAL:
--- a/src/daemon/ini.h
+++ b/src/daemon/ini.h
@@ -20,6 +20,18 @@
     FW_INI_INT,     /* int64_t: integer from @min to @max */
     FW_INI_DECIMAL, /* int64_t: millionths of a decimal number */
     FW_INI_FLOOR,   /* int64_t: decimal number, rounded down */
+    FW_INI_PAIRS,   /* struct fw_ini_pairs: "name:value,..." */
+};
+
+#define FW_INI_PAIRS_MAX 64
+
+/** struct fw_ini_pairs - a list of @n pairs. */
+struct fw_ini_pairs {
+    int n;
+    struct {
+        char name[FW_NAME_MAX];
+        char value[FW_NAME_MAX];
+    } pairs[FW_INI_PAIRS_MAX];
 };
 
 /**
--- a/src/relay/open.c
+++ b/src/relay/open.c
@@ -191,6 +191,7 @@
         return 0;
     }
     g_strlcpy(c->team, t->name, sizeof(c->team));
+    c->team_regions = t->regions;
     if (t->priority >= 0) {
         c->priority = t->priority;
     }
--- a/src/relay/place.c
+++ b/src/relay/place.c
@@ -72,10 +72,27 @@
     }
 }
 
+/* Both the route and the team may restrict the regions. */
 static int
-runs_service(const struct fw_rl_server *s, const struct fw_rl_call *c)
+is_in_regions(const struct fw_relay *r, const struct fw_rl_server *s,
+              const struct fw_rl_call *c)
 {
-    return strcmp(s->entry.service, c->service) == 0;
+    uint64_t region;
+
+    if (!c->route.regions.n && !c->team_regions.n) {
+        return 1;
+    }
+    region = Fw_Regions_OfDomain(&r->opts.regions, s->entry.domain);
+    return Fw_Regions_Allow(&c->route.regions, region) &&
+           Fw_Regions_Allow(&c->team_regions, region);
+}
+
+/* Whether @s runs the service of @c in a region that @c may use. */
+static int
+runs_service(const struct fw_relay *r, const struct fw_rl_server *s,
+             const struct fw_rl_call *c)
+{
+    return strcmp(s->entry.service, c->service) == 0 && is_in_regions(r, s, c);
 }
 
 /* Score under the random and least-loaded policies; lower is better. */
@@ -117,7 +134,7 @@
         struct fw_rl_server *s = FW_LIST_ENTRY(pos, struct fw_rl_server, link);
         double score;
 
-        if (!runs_service(s, c) || !Fw_Servers_IsInService(s) ||
+        if (!runs_service(r, s, c) || !Fw_Servers_IsInService(s) ||
             !Fw_Cold_MaySend(r, s, now_us)) {
             continue;
         }
@@ -290,7 +307,7 @@
         struct fw_rl_server *s = FW_LIST_ENTRY(pos, struct fw_rl_server, link);
         int64_t left;
 
-        if (!runs_service(s, c) || !can_decode(s, now_us) ||
+        if (!runs_service(r, s, c) || !can_decode(s, now_us) ||
             Fw_Call_HasTried(c, s) || !Fw_Cold_MayReserve(r, s, now_us)) {
             continue;
         }
@@ -313,7 +330,7 @@
     struct fw_rl_load l;
     int64_t us;
 
-    if (!runs_service(s, c) || s->entry.stage != FW_RL_STAGE_PREFILL ||
+    if (!runs_service(r, s, c) || s->entry.stage != FW_RL_STAGE_PREFILL ||
         Fw_Servers_IsChangingStage(s, now_us) || Fw_Call_HasTried(c, s) ||
         now_us - s->full_us < FW_PREFILL_BACKOFF_US ||
         !Fw_Servers_IsUsable(s, now_us) || !Fw_Cold_MaySend(r, s, now_us)) {
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -190,6 +190,7 @@
 /**
  * struct fw_relay_opts - settings; see docs/OPERATIONS.md.
  * @domain: failure domain of this instance
+ * @regions: region of each failure domain
  * @boot: identifies this run of the process
  * @seed: seed of the random number generator
  * @retry_ratio_ppm: retries of all instances together, in proportion to the
@@ -220,6 +221,7 @@
 struct fw_relay_opts {
     char name[FW_NAME_MAX];
     char domain[FW_NAME_MAX];
+    struct fw_rl_domain_regions regions;
     uint64_t boot;
     uint32_t seed;
     int64_t retry_ratio_ppm;
--- a/src/relay/relay_internal.h
+++ b/src/relay/relay_internal.h
@@ -179,6 +179,7 @@
 /**
  * struct fw_rl_call - a caller's request until its response has ended.
  * @route: copy of its route's configuration
+ * @team_regions: regions that its team is restricted to
  * @priority: 0 most urgent
  * @opened_us: when it was received
  * @deadline_us: when it times out
@@ -215,6 +216,7 @@
     struct fw_rl_route_rule route;
     char service[FW_NAME_MAX];
     char team[FW_NAME_MAX];
+    struct fw_rl_regions team_regions;
     int priority;
     enum fw_rl_call_state state;
     int64_t opened_us;
--- a/src/relay/rules.c
+++ b/src/relay/rules.c
@@ -2,6 +2,32 @@
 
 #include <string.h>
 
+#include "base/hash.h"
+
+uint64_t
+Fw_Regions_OfDomain(const struct fw_rl_domain_regions *all, const char *domain)
+{
+    uint64_t hash = Fw_Hash_Str(domain);
+
+    for (int i = 0; i < all->n; i++) {
+        if (all->domain[i] == hash) {
+            return all->region[i];
+        }
+    }
+    return 0;
+}
+
+int
+Fw_Regions_Allow(const struct fw_rl_regions *r, uint64_t region)
+{
+    for (int i = 0; i < r->n; i++) {
+        if (r->hash[i] == region) {
+            return 1;
+        }
+    }
+    return !r->n;
+}
+
 struct fw_rl_rules *
 Fw_Rules_New(void)
 {
--- a/src/relay/types.h
+++ b/src/relay/types.h
@@ -17,6 +17,36 @@
 /* Bytes of a caller's key or an engine's handle, terminating null included. */
 #define FW_RL_KEY_MAX 128
 
+/* Regions that one route or team may be restricted to. */
+#define FW_RL_REGIONS_MAX 16
+/* Failure domains whose region is known. */
+#define FW_RL_DOMAINS_MAX 64
+
+/**
+ * struct fw_rl_regions - regions that requests must stay in.
+ * @n: number of regions, 0 for no restriction
+ * @hash: hashes of their names
+ */
+struct fw_rl_regions {
+    int n;
+    uint64_t hash[FW_RL_REGIONS_MAX];
+};
+
+/** struct fw_rl_domain_regions - hashes of domains and of their regions. */
+struct fw_rl_domain_regions {
+    int n;
+    uint64_t domain[FW_RL_DOMAINS_MAX];
+    uint64_t region[FW_RL_DOMAINS_MAX];
+};
+
+/* Hash of the region that the failure domain is in, 0 if unknown. */
+uint64_t
+Fw_Regions_OfDomain(const struct fw_rl_domain_regions *all,
+                    const char *domain);
+/* Whether requests with this restriction may use the region. */
+int
+Fw_Regions_Allow(const struct fw_rl_regions *r, uint64_t region);
+
 /** enum fw_rl_route_kind - whether requests of a route may be retried. */
 enum fw_rl_route_kind {
     FW_RL_IDEMPOTENT,
@@ -42,6 +72,7 @@
  * @anonymous: requests need no key
  * @resumable: an interrupted stream may be continued by another server
  * @generates: requests carry a prompt and go through prefill and decode
+ * @regions: regions of the servers that may get its requests
  */
 struct fw_rl_route_rule {
     char name[FW_NAME_MAX];
@@ -56,6 +87,7 @@
     int anonymous;
     int resumable;
     int generates;
+    struct fw_rl_regions regions;
     int n_targets;
     struct fw_rl_target targets[FW_RL_TARGETS_MAX];
 };
@@ -99,6 +131,7 @@
  * @by_request: @rate and @burst count requests instead of tokens
  * @plain_cost: tokens charged for a request that declares no token counts
  * @priority: replaces the route's priority unless -1
+ * @regions: as for a route; both must allow a server
  */
 struct fw_rl_team_rule {
     char name[FW_NAME_MAX];
@@ -107,6 +140,7 @@
     int by_request;
     int64_t plain_cost;
     int priority;
+    struct fw_rl_regions regions;
 };
 
 /**
--- a/src/relayd/settings.c
+++ b/src/relayd/settings.c
@@ -1,6 +1,7 @@
 #include <string.h>
 #include <syslog.h>
 
+#include "base/hash.h"
 #include "daemon/ini.h"
 #include "relayd/relayd.h"
 
@@ -12,6 +13,7 @@
  */
 struct parsed_settings {
     struct fw_relayd_opts out;
+    struct fw_ini_pairs regions;
     int64_t revocation_ms;
     int64_t lease_ms;
     int64_t config_wait_ms;
@@ -61,6 +63,7 @@
 static const struct fw_ini_key keys[] = {
     FW_TEXT("relay", "name", FW_INI_NAME, NULL, out.relay.name),
     FW_TEXT("relay", "domain", FW_INI_NAME, NULL, out.relay.domain),
+    FW_TEXT("relay", "regions", FW_INI_PAIRS, "", regions),
     {"relay", "cpu-share", FW_INI_DECIMAL, "1", 0, 1000000000,
      FW_AT(out.relay.cpu_ppm), NULL},
     FW_TEXT("listen", "callers", FW_INI_ADDR, NULL, out.callers_addr),
@@ -99,12 +102,26 @@
     FW_INT("log", "buffer-kb", "256", 16, 65536, log_buffer_kb),
 };
 
+static void
+convert_regions(const struct fw_ini_pairs *from,
+                struct fw_rl_domain_regions *to)
+{
+    G_STATIC_ASSERT(FW_RL_DOMAINS_MAX >= FW_INI_PAIRS_MAX);
+
+    to->n = from->n;
+    for (int i = 0; i < from->n; i++) {
+        to->domain[i] = Fw_Hash_Str(from->pairs[i].name);
+        to->region[i] = Fw_Hash_Str(from->pairs[i].value);
+    }
+}
+
 static void
 convert(const struct parsed_settings *v, struct fw_relayd_opts *out)
 {
     struct fw_relay_opts *r = &out->relay;
 
     *out = v->out;
+    convert_regions(&v->regions, &r->regions);
     r->key_stale_us = v->revocation_ms * FW_KEY_STALE_PERMILLE;
     r->policy = (enum fw_rl_policy)v->policy;
     r->queue_limit_us = v->queue_ms * FW_MSEC;
--- a/tests/platform/test_platform.c
+++ b/tests/platform/test_platform.c
@@ -250,14 +250,17 @@
         "{\"Version\":7,\"Routes\":[" FW_ROUTE
         ",{\"Name\":\"g\",\"Host\":\"a.example\",\"PathPrefix\":\"/x/y/\","
         "\"Kind\":\"streaming\",\"StickySessions\":true,\"Resumable\":true,"
+        "\"AllowedRegions\":[\"east\",\"west\"],"
         "\"TrafficSplit\":[{\"Service\":\"s\",\"Weight\":90},"
         "{\"Service\":\"e\",\"Weight\":10}]}],"
-        "\"Services\":[{\"Name\":\"s\"},{\"Name\":\"e\",\"Engine\":{"
+        "\"Services\":[{\"Name\":\"s\"},{\"Name\":\"e\",\"ColdStartS\":3.0,"
+        "\"ColdPerS\":29.5,\"Engine\":{"
         "\"Slots\":48,\"KvCapacityTokens\":107196,\"HandleTtlS\":0.5,"
         "\"RoleSwitchS\":6.0,\"HoldMs\":2000.0}}],"
         "\"Limits\":{\"MaxBodyBytes\":99,\"IdleTimeoutMs\":15000},"
         "\"Tenants\":[{\"Name\":\"t\",\"ApiKeys\":[\"k\"],\"Unit\":\"tokens\","
-        "\"RatePerS\":5,\"Burst\":6,\"UncachedTokens\":200}],\"New\":1}";
+        "\"RatePerS\":5,\"Burst\":6,\"UncachedTokens\":200,"
+        "\"AllowedRegions\":[]}],\"New\":1}";
     const struct fw_rl_route_rule *r;
     struct fw_rl_rules *rules;
     const char *why;
@@ -273,6 +276,12 @@
     ck_assert_str_eq(r->name, "g");
     ck_assert_int_eq(r->generates, 1);
     ck_assert_int_eq(r->n_targets, 2);
+    ck_assert(Fw_Regions_Allow(&r->regions, Fw_Hash_Str("west")));
+    ck_assert(!Fw_Regions_Allow(&r->regions, Fw_Hash_Str("north")));
+    ck_assert(Fw_Regions_Allow(&Fw_Rules_Team(rules, "k")->regions, 0));
+    ck_assert_int_eq(Fw_Rules_Service(rules, "e")->cold_us, 3000000);
+    ck_assert_double_eq(Fw_Rules_Service(rules, "e")->cold_rate, 29.5);
+    ck_assert_double_eq(Fw_Rules_Service(rules, "s")->cold_rate, 0);
     ck_assert_ptr_null(Fw_Rules_Route(rules, "a.example", "/x"));
     ck_assert_ptr_null(Fw_Rules_Route(rules, "b.example", "/x/"));
     ck_assert_int_eq(Fw_Rules_Service(rules, "e")->engine.kv_tokens, 107196);
@@ -296,6 +305,8 @@
     "{\"Version\":7,\"Services\":[{\"Name\":\"e\",\"Engine\":{}}]}",
     "{\"Version\":7,\"Tenants\":[{\"Name\":\"t\",\"ApiKeys\":[7]}]}",
     "{\"Version\":7,\"Tenants\":[{\"Name\":\"t\",\"RatePerS\":\"5\"}]}",
+    "{\"Version\":7,\"Tenants\":[{\"Name\":\"t\",\"AllowedRegions\":[7]}]}",
+    "{\"Version\":7,\"Tenants\":[{\"Name\":\"t\",\"AllowedRegions\":\"x\"}]}",
     "{\"Version\":7,\"Limits\":{\"MaxBodyBytes\":\"x\"}}",
 };
 
--- a/tests/relay/script.c
+++ b/tests/relay/script.c
@@ -5,7 +5,7 @@
  *                               here_ms, lease_ms
  *   rules VERSION [KEY=N ...]   loads a configuration (see make_rules); rate,
  *                               burst, keys, attempts, timeout_ms, kv, slots,
- *                               cold_rate, cold_ms
+ *                               cold_rate, cold_ms, route_region, team_region
  *   fresh MS                    the configuration was current at that time
  *   server ID SERVICE STAGE [draining] [born=N] [domain=S] [cold_ms=N]
  *                               adds or updates a server's entry
@@ -43,6 +43,7 @@
 #include <check.h>
 #include <string.h>
 
+#include "base/hash.h"
 #include "tests/relay/script_internal.h"
 
 static const char *const call_kind_names[] = {
@@ -401,6 +402,11 @@
                                       .lease_us = 3 * FW_SEC,
                                       .grace_us = 8 * FW_SEC,
                                       .log_level = LOG_DEBUG};
+    run.opts.regions.n = 2;
+    run.opts.regions.domain[0] = Fw_Hash_Str("x");
+    run.opts.regions.region[0] = Fw_Hash_Str("east");
+    run.opts.regions.domain[1] = Fw_Hash_Str("y");
+    run.opts.regions.region[1] = Fw_Hash_Str("west");
     run.r = Fw_Relay_New(&run.opts, run.now_us);
     Fw_RelayActions_Init(&run.acts);
     for (char **l = lines; *l; l++) {
--- a/tests/relay/script_world.c
+++ b/tests/relay/script_world.c
@@ -7,6 +7,17 @@
 #include "core/pack.h"
 #include "tests/relay/script_internal.h"
 
+static void
+set_regions(const struct relay_script_run *run, const char *argument,
+            struct fw_rl_regions *out)
+{
+    const char *name = Fw_RelayScript_GetString(run, argument);
+
+    if (name) {
+        out->hash[out->n++] = Fw_Hash_Str(name);
+    }
+}
+
 static void
 add_route(struct relay_script_run *run, struct fw_rl_rules *rules,
           const char *prefix, enum fw_rl_route_kind kind, const char *service)
@@ -20,6 +31,7 @@
     r->timeout_us =
         Fw_RelayScript_GetNumber(run, "timeout_ms", 10000) * FW_MSEC;
     r->objective_us = 900 * FW_MSEC;
+    set_regions(run, "route_region", &r->regions);
     r->attempts = (int)Fw_RelayScript_GetNumber(run, "attempts", 2);
     r->generates = kind == FW_RL_STREAM;
     r->resumable = strcmp(prefix, "/resume/") == 0;
@@ -74,6 +86,7 @@
         t->rate = Fw_RelayScript_GetNumber(run, "rate", 0);
         t->burst = Fw_RelayScript_GetNumber(run, "burst", 0);
         t->plain_cost = 200;
+        set_regions(run, "team_region", &t->regions);
         t->priority = -1;
         Fw_Rules_AddKey(rules, i ? "kb" : "ka", t);
     }
--- a/tests/relay/test_places.c
+++ b/tests/relay/test_places.c
@@ -104,6 +104,37 @@
              "tick\n"
              "  ask 1 report d1\n"
              "  ask 2 report d2\n"},
+    {.name = "a request stays in the regions of its route",
+     .text = "rules 1 route_region=west\n"
+             "fresh 0\n"
+             "server s1 plain none domain=x\n"
+             "server s3 plain none domain=elsewhere\n"
+             "open 1 /read/x key=ka\n"
+             "  refuse 1 503 no_server ran=no later\n"
+             "server s2 plain none domain=y\n"
+             "open 2 /read/x key=ka\n"
+             "  ask 1 run s2 for 2 team=a left=10000\n"
+             "answer 1 500\n"
+             "  stop 1\n"
+             "  ask 2 run s2 for 2 team=a left=10000\n"},
+    {.name = "the regions of route and team both bind",
+     .text = "rules 1 route_region=west team_region=east\n"
+             "fresh 0\n"
+             "server s1 plain none domain=x\n"
+             "server s2 plain none domain=y\n"
+             "open 1 /read/x key=ka\n"
+             "  refuse 1 503 no_server ran=no later\n"
+             "open 2 /open/x\n"
+             "  ask 1 run s2 for 2 left=10000\n"},
+    {.name = "a KV cache is not moved out of the regions",
+     .text = "rules 1 team_region=east\n"
+             "fresh 0\n"
+             "server p1 llm prefill domain=y\n"
+             "server d1 llm decode domain=x\n"
+             "open 1 /gen/x key=ka in=5000 out=700\n"
+             "  ask 1 hold d1 for 1 tokens=5700\n"
+             "answer 1 200 name=h1\n"
+             "  ask 2 run d1 for 1 hold=h1 team=a left=10000\n"},
     /* Guards against a cold server that the whole fleet sends requests to. */
     {.name = "a cold server gets a few requests a second",
      .text = "rules 1 cold_rate=4 cold_ms=3000\n"
--- a/tests/relayd/test_settings.c
+++ b/tests/relayd/test_settings.c
@@ -4,6 +4,7 @@
 #include <string.h>
 #include <unistd.h>
 
+#include "base/hash.h"
 #include "relayd/relayd.h"
 #include "tests/base/suite.h"
 
@@ -43,24 +44,6 @@
     g_free(mark);
 }
 
-/* Renders the section of the value @name, or drops it if there is none. */
-static void
-render_section(GString *text, const char *name, int is_present)
-{
-    char *begin = g_strdup_printf("{{#%s}}", name);
-    char *end = g_strdup_printf("{{/%s}}", name);
-    char *from = strstr(text->str, begin);
-    char *to = strstr(text->str, end);
-
-    if (from && to && !is_present) {
-        g_string_erase(text, from - text->str, to - from);
-    }
-    g_string_replace(text, begin, "", 0);
-    g_string_replace(text, end, "", 0);
-    g_free(begin);
-    g_free(end);
-}
-
 /*
  * Renders the template with the defaults and @override, and loads it. A value
  * of NULL is absent.
@@ -80,10 +63,12 @@
     ck_assert(g_file_get_contents("deploy/node.ini.in", &file, NULL, NULL));
     text = g_string_new(file);
     g_free(file);
-    render_section(text, override->name, override->value != NULL);
+    g_string_replace(text, "{{#Zones}}{{@}}:{{.}}{{,}}{{/Zones}}",
+                     strcmp(override->name, "Zones") == 0 ? override->value
+                                                          : "a:x,b:x,c:y",
+                     0);
     replace(text, override->name, override->value ? override->value : "");
     for (size_t i = 0; i < G_N_ELEMENTS(defaults); i++) {
-        render_section(text, defaults[i].name, 1);
         replace(text, defaults[i].name, defaults[i].value);
     }
     ck_assert_ptr_null(strstr(text->str, "{{"));
@@ -148,6 +133,25 @@
 }
 END_TEST
 
+/* Guards against requests that leave the regions they must stay in. */
+START_TEST(domains_have_regions)
+{
+    struct placeholder none = {"Zones", ""};
+    struct placeholder two = {"Zones", "a:x,b:y"};
+    const uint64_t x = Fw_Hash_Str("x");
+    struct fw_relayd_opts opts;
+    char *error;
+
+    ck_assert_int_eq(render_and_load(&two, &opts, &error), 0);
+    ck_assert_uint_eq(Fw_Regions_OfDomain(&opts.relay.regions, "a"), x);
+    ck_assert_uint_eq(Fw_Regions_OfDomain(&opts.relay.regions, "b"),
+                      Fw_Hash_Str("y"));
+    ck_assert_uint_eq(Fw_Regions_OfDomain(&opts.relay.regions, "c"), 0);
+    ck_assert_int_eq(render_and_load(&none, &opts, &error), 0);
+    ck_assert_uint_eq(Fw_Regions_OfDomain(&opts.relay.regions, "a"), 0);
+}
+END_TEST
+
 /** struct rejected_case - an invalid value, and the end of the error. */
 struct rejected_case {
     struct placeholder override;
@@ -155,6 +159,12 @@
 };
 
 static const struct rejected_case rejected_cases[] = {
+    {{"Zones", "a"},
+     "[relay] regions: must be NAME:VALUE pairs, separated by commas"},
+    {{"Zones", "a:x,,b:y"},
+     "[relay] regions: must be NAME:VALUE pairs, separated by commas"},
+    {{"Zones", "a:x y"},
+     "[relay] regions: must be NAME:VALUE pairs, separated by commas"},
     {{"Bounds.RetryBudgetExtra", "many"},
      "[limits] retry-extra: must be a number from 0 to 1000000"},
     {{"Bounds.RetryBudgetExtra", "-0.5"},
@@ -187,6 +197,7 @@
 {
     TCase *tc = Fw_Suite_New("relay settings");
 
+    tcase_add_test(tc, domains_have_regions);
     tcase_add_loop_test(tc, numbers_are_accepted_in_any_form, 0,
                         G_N_ELEMENTS(accepted_cases));
     tcase_add_loop_test(tc, invalid_numbers_are_reported, 0,
