Ignore records older than a listing that lacks their domain

Change: the end of the latest listing is kept, and older records about domains without a state of their own are ignored.

--- a/explore/p_relay.h
+++ b/explore/p_relay.h
@@ -20,6 +20,9 @@
 /* relay_orders.c */
 void
 Fw_Explore_RelayOrders(struct fw_run *run);
+/* relay_evacuation.c */
+void
+Fw_Explore_RelayEvacuation(struct fw_run *run);
 /* relay_freshness.c */
 void
 Fw_Explore_RelayFreshness(struct fw_run *run);
--- a/src/relay/evacuation.c
+++ b/src/relay/evacuation.c
@@ -6,6 +6,7 @@
  */
 #include <string.h>
 
+#include "base/fault.h"
 #include "relay/relay_internal.h"
 
 /**
@@ -83,15 +84,16 @@
                        struct fw_rl_actions *out)
 {
     struct evacuation *e = find(r, domain);
+    uint64_t known_end = e ? e->offset : r->evacuations_end;
 
+    if (offset < known_end && !FW_FAULT("evacuation-adopt-older")) {
+        return;
+    }
     if (!e) {
         e = g_new0(struct evacuation, 1);
         g_strlcpy(e->domain, domain, sizeof(e->domain));
         g_ptr_array_add(r->evacuations, e);
     }
-    else if (offset < e->offset) {
-        return;
-    }
     e->listed = 1;
     set_active(r, e, active, offset, now_us, out);
 }
@@ -116,4 +118,5 @@
             set_active(r, e, 0, end, now_us, out);
         }
     }
+    r->evacuations_end = MAX(r->evacuations_end, end);
 }
--- a/src/relay/relay_internal.h
+++ b/src/relay/relay_internal.h
@@ -379,6 +379,7 @@
  * @n_removals: servers with removal_us set
  * @largest_fleet: largest number of instances known so far, 0 if unknown
  * @evacuations: struct evacuation, see evacuation.c
+ * @evacuations_end: end of the latest listing of these
  * @calls: request id to struct fw_rl_call
  * @ops: xid to struct fw_rl_op
  * @hash: hash of this instance's name
@@ -412,6 +413,7 @@
     int n_removals;
     int largest_fleet;
     GPtrArray *evacuations;
+    uint64_t evacuations_end;
     GHashTable *calls;
     struct fw_list call_list;
     GHashTable *ops;
--- a/tests/relay/test_places.c
+++ b/tests/relay/test_places.c
@@ -70,6 +70,17 @@
              "evacuate x 9\n"
              "open 5 /read/x key=ka\n"
              "  refuse 5 503 no_server ran=no later\n"},
+    {.name = "a record older than a listing that lacks it is ignored",
+     .text = "rules 1\n"
+             "fresh 0\n"
+             "server s1 plain none domain=x\n"
+             "evacuations 7\n"
+             "evacuate x 6\n"
+             "open 1 /read/x key=ka\n"
+             "  ask 1 run s1 for 1 team=a left=10000\n"
+             "evacuate x 7\n"
+             "open 2 /read/x key=ka\n"
+             "  refuse 2 503 no_server ran=no later\n"},
     /* Guards against a run at an engine that was evacuated meanwhile. */
     {.name = "a stream with a reservation in an evacuated domain moves",
      .text = "rules 1\n"
