--- /dev/null
+++ b/src/relay/calls.h
@@ -0,0 +1,223 @@
+/* Callers' requests and the upstream calls that serve them. */
+#ifndef FW_RELAY_CALLS_H
+#define FW_RELAY_CALLS_H
+
+#include "decide/length.h"
+#include "relay/servers.h"
+#include "route/queue.h"
+
+/* Maximum number of servers that one request may try. */
+#define FW_RL_TRIED_MAX 6
+/*
+ * Maximum idle time of a connection reused for a request that must not be
+ * retried: if the connection has died meanwhile, the request is lost with it.
+ */
+#define FW_RL_REUSE_NON_IDEMPOTENT_US (1 * FW_SEC)
+/* Maximum idle time of a connection reused for any other request. */
+#define FW_RL_REUSE_US (60 * FW_SEC)
+/* A server that does not accept a connection in time is unreachable. */
+#define FW_RL_CONNECT_TIMEOUT_US (250 * FW_MSEC)
+/* Timeout for releasing a reservation or KV cache, which expire anyway. */
+#define FW_RL_RELEASE_TIMEOUT_US (1 * FW_SEC)
+
+enum fw_rl_call_state {
+    FW_RL_QUEUED,     /* waiting for an engine with enough memory */
+    FW_RL_RESERVING,  /* a reservation was requested of an engine */
+    FW_RL_PREFILLING, /* a prefill engine prefills the prompt */
+    FW_RL_RUNNING,    /* sent to the server that generates the response */
+};
+
+/**
+ * struct fw_rl_call - a caller's request until its response has ended.
+ * @route: copy of its route's configuration
+ * @team_regions: regions that its team is restricted to
+ * @priority: 0 most urgent
+ * @opened_us: when it was received
+ * @deadline_us: when it times out
+ * @queue_limit_us: maximum time in the queue
+ * @queue_until_us: when it is rejected if still queued
+ * @cost: tokens that it costs of its team's allowance
+ * @is_charged: @cost was taken, and is refunded if it never runs
+ * @kv_tokens: expected KV cache use, averaged over its run; 0 for a plain
+ *     request
+ * @length: predicted length of its answer
+ * @reservation_tokens: KV cache tokens to reserve at the engine
+ * @prefill_queue_tokens: prompt tokens queued at @prefill_server when its
+ *     prompt was sent there, its own included
+ * @server: server that it runs on
+ * @prefill_server: engine that prefills its prompt, NULL for @server
+ * @reservation: reservation at @server, empty for none
+ * @kv_handle: KV cache at @prefill_server, empty for none
+ * @kv_addr: address of the engine that holds @kv_handle
+ * @is_prefilling: its prompt counts in @prefill_server's prefill_tokens
+ * @is_committed: counted in @server's cold_window as a request to follow
+ * @reserved_us: when its reservation was granted, 0 if not yet
+ * @sent_us: when it was sent to @server, 0 if not yet
+ * @response_us: when its response began, 0 if not yet
+ * @op: pending call to an upstream, NULL for none
+ * @attempts: servers that may have run it
+ * @is_forwarded: its response has begun
+ * @ran: whether it was run
+ * @tried: hashes of the servers to avoid
+ */
+struct fw_rl_call {
+    struct fw_list link;
+    uint64_t id;
+    struct fw_rl_request_info info;
+    struct fw_rl_route_rule route;
+    char service[FW_NAME_MAX];
+    char team[FW_NAME_MAX];
+    struct fw_rl_regions team_regions;
+    int priority;
+    enum fw_rl_call_state state;
+    int64_t opened_us;
+    int64_t deadline_us;
+    int64_t queue_limit_us;
+    int64_t queue_until_us;
+    int64_t cost;
+    int is_charged;
+    int64_t kv_tokens;
+    struct fw_length_estimate length;
+    int64_t reservation_tokens;
+    int64_t prefill_queue_tokens;
+    struct fw_rl_server *server;
+    struct fw_rl_server *prefill_server;
+    char reservation[FW_RL_KEY_MAX];
+    char kv_handle[FW_RL_KEY_MAX];
+    char kv_addr[FW_URL_MAX];
+    int is_prefilling;
+    int is_committed;
+    int64_t reserved_us;
+    int64_t sent_us;
+    int64_t response_us;
+    struct fw_rl_op *op;
+    int attempts;
+    int is_forwarded;
+    enum fw_ran ran;
+    uint64_t tried[FW_RL_TRIED_MAX];
+    int n_tried;
+    struct fw_queue_item item;
+};
+
+/**
+ * struct fw_rl_op - a pending call to an upstream.
+ * @call: the caller's request, NULL if it serves none
+ * @deadline_us: when it times out
+ * @had_free_slot: the server had a free slot when the call was sent
+ * @is_calibration: a report requested only to learn the tokens per event
+ */
+struct fw_rl_op {
+    struct fw_list link;
+    uint64_t xid;
+    enum fw_rl_upstream_kind kind;
+    struct fw_rl_call *call;
+    struct fw_rl_server *server;
+    int64_t sent_us;
+    int64_t deadline_us;
+    int had_free_slot;
+    int is_calibration;
+};
+
+/* call.c */
+/*
+ * Calls the upstream @s; the call times out at the given time.
+ * @c: the request that the call serves, NULL for none
+ * @up: the call; ids and address are filled in
+ */
+struct fw_rl_op *
+Fw_Call_Upstream(struct fw_relay *r, struct fw_rl_call *c,
+                 struct fw_rl_server *s, struct fw_rl_upstream_call *up,
+                 int64_t until_us, int64_t now_us, struct fw_rl_actions *out);
+/* Frees @op; a response that arrives later is ignored. */
+void
+Fw_Op_End(struct fw_relay *r, struct fw_rl_op *op);
+/*
+ * Ends @c with an error response. A status that says that the request was not
+ * run is replaced by 502 if it may have run.
+ */
+void
+Fw_Call_Reject(struct fw_relay *r, struct fw_rl_call *c, int status,
+               int64_t retry_us, const char *reason, int64_t now_us,
+               struct fw_rl_actions *out);
+/* Frees @c and what it holds; its response has ended or has no recipient. */
+void
+Fw_Call_End(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us,
+            struct fw_rl_actions *out);
+/* Cancels @c's pending call and releases its reservation and KV cache. */
+void
+Fw_Call_Release(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us,
+                struct fw_rl_actions *out);
+/* Starts forwarding the response of @c's pending call. */
+void
+Fw_Call_Forward(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us,
+                struct fw_rl_actions *out);
+/* Detaches @c from its server without releasing its reservation there. */
+void
+Fw_Call_DetachServer(struct fw_rl_call *c);
+/* Removes @c's prompt from the load of its prefill engine. */
+void
+Fw_Call_EndPrefill(struct fw_rl_call *c);
+/* Severity of @c's log lines that report no problem; depends on sampling. */
+int
+Fw_Call_LogSeverity(const struct fw_relay *r, const struct fw_rl_call *c);
+/* Ends the forwarded response of @c, complete if @whole, else aborted. */
+void
+Fw_Call_Finish(struct fw_relay *r, struct fw_rl_call *c, int whole,
+               int64_t now_us, struct fw_rl_actions *out);
+
+/* open.c */
+/* Whether callers' keys may be accepted; see open.c. */
+int
+Fw_Relay_AreKeysFresh(const struct fw_relay *r, int64_t now_us);
+/* Retry-After in us for requests rejected because keys are stale. */
+int64_t
+Fw_Relay_StaleRetryUs(struct fw_relay *r, int64_t now_us);
+/* Whether @c may still be sent to a server; checked again before sending. */
+int
+Fw_Relay_MayServe(const struct fw_relay *r, const struct fw_rl_call *c,
+                  int64_t now_us);
+
+/* plain.c */
+void
+Fw_Plain_Send(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us,
+              struct fw_rl_actions *out);
+void
+Fw_Plain_HandleResponse(struct fw_relay *r, struct fw_rl_op *op,
+                        const struct fw_rl_upstream_response *ans,
+                        int64_t now_us, struct fw_rl_actions *out);
+void
+Fw_Plain_HandleFailure(struct fw_relay *r, struct fw_rl_op *op, int err,
+                       int sent, int64_t now_us, struct fw_rl_actions *out);
+
+/* stream.c */
+void
+Fw_Stream_Open(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us,
+               struct fw_rl_actions *out);
+/* Requests reservations for queued requests while an engine has room. */
+void
+Fw_Stream_PlaceQueued(struct fw_relay *r, int64_t now_us,
+                      struct fw_rl_actions *out);
+void
+Fw_Stream_HandleResponse(struct fw_relay *r, struct fw_rl_op *op,
+                         const struct fw_rl_upstream_response *ans,
+                         int64_t now_us, struct fw_rl_actions *out);
+void
+Fw_Stream_HandleFailure(struct fw_relay *r, struct fw_rl_op *op, int err,
+                        int sent, int64_t now_us, struct fw_rl_actions *out);
+/* Retry-After in us for a rejected stream. */
+int64_t
+Fw_Stream_RetryAfter(struct fw_relay *r, const struct fw_rl_call *c);
+
+/* kv_demand.c */
+/* Updates the expected KV cache use of @c, also in its server's total. */
+void
+Fw_KvDemand_Update(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us);
+/* KV cache tokens to reserve for @c at an engine. */
+int64_t
+Fw_KvDemand_Reservation(const struct fw_relay *r, const struct fw_rl_call *c);
+/* Updates the statistics after a complete stream of @events events. */
+void
+Fw_KvDemand_NoteStreamEnd(struct fw_relay *r, const struct fw_rl_call *c,
+                          int64_t events, int64_t now_us);
+
+#endif
--- /dev/null
+++ b/src/relay/servers.h
@@ -0,0 +1,195 @@
+/* Servers: their state, whether they may be used, and choosing one. */
+#ifndef FW_RELAY_SERVERS_H
+#define FW_RELAY_SERVERS_H
+
+#include "decide/cold.h"
+#include "relay/relay.h"
+
+/*
+ * Time after the store's recovery during which unlisted servers are kept, so
+ * that live ones can renew their entries. See servers.c.
+ */
+#define FW_RL_RELIST_GRACE_US (2200 * FW_MSEC)
+
+struct fw_rl_call;
+struct fw_rl_load;
+
+/**
+ * struct fw_rl_server - one process of a server, until it ends.
+ * @hash: hash of its id
+ * @refs: references; freed when removed from the list and unreferenced
+ * @gone: removed from the list
+ * @listed: named since the current listing began
+ * @removal_us: time to remove it unless it is listed again; 0 for none
+ * @running: requests of this instance there
+ * @kv_tokens: expected KV cache use of these, tokens
+ * @prefill_tokens: prompt tokens sent there by this instance that have not
+ *     been prefilled yet
+ * @full_us: when it last rejected a reservation or a prefill
+ * @full_tokens: expected use of the request that it rejected then; 0 for a
+ *     prefill
+ * @backoff_until_us: not chosen before this time
+ * @consecutive_backoffs: backoffs since its last response
+ * @timeouts: calls that timed out since its last response
+ * @rejected_runs: runs with a reservation rejected since one was accepted
+ * @error_rate: moving mean of the share of failures among its responses
+ * @latency_us: moving mean of its response time, 0 if unknown
+ * @service_us: moving mean of its response time for requests that found a
+ *     free slot, 0 if unknown
+ * @target_stage: stage that it is changing to until @stage_change_until_us
+ * @stage_change_until_us: latest end of the stage change
+ * @is_unsent: requests were placed there since its load was last sent to
+ *     other instances
+ * @active_link: in the list of active servers if @is_active
+ * @is_active: may have load, or a state that other instances are sent
+ * @list_hash: hash of the entry's parts that Fw_StoreSync_ServerListHash sums
+ * @is_evacuated: its failure domain is evacuated
+ * @cold_until_us: it is, or may be, cold before this time
+ * @cold_window: requests that this instance sent there in the last second
+ */
+struct fw_rl_server {
+    struct fw_list link;
+    struct fw_rl_server_entry entry;
+    uint64_t hash;
+    int refs;
+    int gone;
+    int listed;
+    int64_t removal_us;
+    int running;
+    int64_t kv_tokens;
+    int64_t prefill_tokens;
+    int64_t full_us;
+    int64_t full_tokens;
+    int64_t backoff_until_us;
+    int consecutive_backoffs;
+    int timeouts;
+    int rejected_runs;
+    double error_rate;
+    double latency_us;
+    double service_us;
+    enum fw_rl_stage target_stage;
+    int64_t stage_change_until_us;
+    int is_unsent;
+    struct fw_list active_link;
+    int is_active;
+    uint64_t list_hash;
+    int is_evacuated;
+    int64_t cold_until_us;
+    struct fw_cold_window cold_window;
+};
+
+/* servers.c */
+/* The server rejected a run that had a reservation there. */
+void
+Fw_Servers_NoteRejectedRun(struct fw_rl_server *s, int64_t now_us);
+/* The server accepted a call and did not answer in time. */
+void
+Fw_Servers_NoteTimeout(struct fw_rl_server *s, int64_t now_us);
+struct fw_rl_server *
+Fw_Servers_Find(const struct fw_relay *r, const char *id);
+/* @hash: of the server's id */
+struct fw_rl_server *
+Fw_Servers_FindByHash(const struct fw_relay *r, uint64_t hash);
+/* Adds the server to the active ones: its load or state may change. */
+void
+Fw_Servers_Activate(struct fw_relay *r, struct fw_rl_server *s);
+/* Removes the server from the active ones if nothing is to be sent of it. */
+void
+Fw_Servers_DeactivateIdle(struct fw_rl_server *s, int64_t now_us);
+struct fw_rl_server *
+Fw_Servers_Ref(struct fw_rl_server *s);
+void
+Fw_Servers_Unref(struct fw_rl_server *s);
+/* Whether the server is listed, does not drain and is not evacuated. */
+int
+Fw_Servers_IsInService(const struct fw_rl_server *s);
+/* Whether new requests may be sent to the server. */
+int
+Fw_Servers_IsUsable(const struct fw_rl_server *s, int64_t now_us);
+/* Whether the server is changing its stage. */
+int
+Fw_Servers_IsChangingStage(const struct fw_rl_server *s, int64_t now_us);
+/* Starts a backoff, longer each time until the server responds. */
+void
+Fw_Servers_NoteUnreachable(struct fw_rl_server *s, int64_t now_us);
+/*
+ * The server has responded.
+ * @failed: the response was a failure
+ * @latency_us: response time, -1 to leave the mean as it is
+ */
+void
+Fw_Servers_NoteResponse(struct fw_rl_server *s, int failed,
+                        int64_t latency_us);
+/* The server has responded to a request that found a free slot there. */
+void
+Fw_Servers_NoteServiceTime(struct fw_rl_server *s, int64_t took_us);
+/* Removes unlisted servers whose grace period is over. */
+void
+Fw_Servers_Tick(struct fw_relay *r, int64_t now_us, struct fw_rl_actions *out);
+void
+Fw_Servers_Clear(struct fw_relay *r);
+
+/* evacuation.c */
+/* Whether the failure domain is evacuated. */
+int
+Fw_Evacuation_IsActive(const struct fw_relay *r, const char *domain);
+
+/* cold.c */
+/*
+ * Treats the server as cold until its registration certainly says whether it
+ * is.
+ */
+void
+Fw_Cold_Assume(const struct fw_relay *r, struct fw_rl_server *s,
+               int64_t now_us);
+/* Takes over from the server's entry how long it is cold. */
+void
+Fw_Cold_ApplyEntry(struct fw_rl_server *s, int64_t now_us);
+/*
+ * Whether a request, or a reservation and the run that uses it, may be sent to
+ * the server without exceeding the limit of a cold one.
+ */
+int
+Fw_Cold_MaySend(struct fw_relay *r, const struct fw_rl_server *s,
+                int64_t now_us);
+int
+Fw_Cold_MayReserve(struct fw_relay *r, const struct fw_rl_server *s,
+                   int64_t now_us);
+/* @c requests a reservation of its server, which will run it or release it. */
+void
+Fw_Cold_NoteReserving(struct fw_rl_call *c);
+/* The run or the release is being sent, or neither will be. */
+void
+Fw_Cold_EndReservation(struct fw_rl_call *c);
+
+/* place.c */
+/* Chooses the server for the plain request @c; NULL if there is none. */
+struct fw_rl_server *
+Fw_Place_Plain(struct fw_relay *r, const struct fw_rl_call *c, int64_t now_us);
+/*
+ * Whether @c would miss its objective in the queue of @s. Near the limit the
+ * result is random, with a probability that grows with the load.
+ */
+int
+Fw_Place_IsOverloaded(struct fw_relay *r, const struct fw_rl_call *c,
+                      const struct fw_rl_server *s, int64_t now_us);
+/* Chooses a decode engine with enough free memory for @c, or NULL. */
+struct fw_rl_server *
+Fw_Place_Decode(struct fw_relay *r, const struct fw_rl_call *c,
+                int64_t now_us);
+/*
+ * Chooses a prefill engine for @c's prompt, or NULL.
+ * @wait_us: receives the predicted time until the prompt is prefilled
+ */
+struct fw_rl_server *
+Fw_Place_Prefill(struct fw_relay *r, const struct fw_rl_call *c,
+                 int64_t now_us, int64_t *wait_us);
+/* Load at @s of all instances together. */
+void
+Fw_Place_Load(const struct fw_relay *r, const struct fw_rl_server *s,
+              int64_t now_us, struct fw_rl_load *out);
+/* Whether @c must avoid @s, which it has tried before. */
+int
+Fw_Call_HasTried(const struct fw_rl_call *c, const struct fw_rl_server *s);
+
+#endif
