Let leaves forget unreachable members, and check the script of member_gone

Cause: with presence a leaf, which reads none, never removed a member. And the script of member_gone had not been run after its last change: instances expired after the loop that removes them, one tick late.

Change: a leaf removes members that are unreachable, as before; they go on counting as instances until a hub proves them gone. Instances expire before members are removed.

--- a/src/relay/members.c
+++ b/src/relay/members.c
@@ -281,16 +281,22 @@
 }
 
 /*
- * A leaf removes only members that are unreachable, a hub also those that have
- * sent it messages before. The others are kept: they may be live and may have
- * to replace a hub.
+ * A hub keeps members until they are certainly gone, to reach them again after
+ * a partition. A leaf removes members that are unreachable, which its hub
+ * names again if they return; they go on counting as instances. Members that
+ * never sent a message are kept: they may have to replace a hub.
  */
 static int
-should_remove(struct fw_relay *r, const struct fw_rl_member *m)
+should_remove(struct fw_relay *r, const struct fw_rl_member *m, int64_t now_us)
 {
-    return find_or_add_instance(r, m->hash)->is_expired &&
-           ((r->exchange.is_hub && m->last_message_us) ||
-            m->unreachable_since_us);
+    const struct known_instance *known = find_or_add_instance(r, m->hash);
+
+    if (r->exchange.is_hub) {
+        return known->is_expired &&
+               (m->last_message_us || m->unreachable_since_us);
+    }
+    return m->unreachable_since_us &&
+           now_us - last_alive_us(known) >= FW_MEMBER_EXPIRY_US;
 }
 
 /* An instance that has expired remains so until it is seen again. */
@@ -326,13 +332,14 @@
     struct fw_list *pos;
     struct fw_list *tmp;
 
+    expire_instances(r, now_us);
     FW_LIST_EACH_SAFE (pos, tmp, &r->members) {
         struct fw_rl_member *m = FW_LIST_ENTRY(pos, struct fw_rl_member, link);
 
         if (m->load_rows && now_us - m->load_us >= FW_LOAD_EXPIRY_US) {
             Fw_Load_Drop(r, m);
         }
-        if (should_remove(r, m)) {
+        if (should_remove(r, m, now_us)) {
             Fw_RelayActions_Log(out, r, LOG_NOTICE, "member_gone",
                                 "\"member\":\"%s\",\"addr\":\"%s\"", m->name,
                                 m->addr);
@@ -340,6 +347,5 @@
         }
     }
     Fw_Load_Prune(r);
-    expire_instances(r, now_us);
     r->relay_metrics.members.value = Fw_Members_Count(r, now_us, NULL);
 }
--- a/tests/relay/test_hubs.c
+++ b/tests/relay/test_hubs.c
@@ -535,6 +535,7 @@
 {
     TCase *tc = Fw_Suite_New("relay hubs");
 
+    tcase_set_timeout(tc, 30);
     tcase_add_test(tc, message_rate_is_bounded_in_a_large_fleet);
     tcase_add_test(tc, all_instances_of_a_small_fleet_are_hubs);
     tcase_add_test(tc, spending_of_a_leaf_reaches_all_instances);
