--- a/tests/relayd/test_peer_snapshot.c
+++ b/tests/relayd/test_peer_snapshot.c
@@ -157,6 +157,11 @@
     struct fw_store_response got;
     uint64_t since;
 
+    ck_assert_msg(Fw_PeerSnapshot_Decode(malformed[_i].bytes,
+                                         malformed[_i].len, &since,
+                                         &got) == -EBADMSG,
+                  "%s is accepted uncompressed", malformed[_i].name);
+    Fw_Platform_ClearStoreResponse(&got);
     Fw_Gzip_Compress(malformed[_i].bytes, malformed[_i].len, body);
     ck_assert_msg(Fw_PeerSnapshot_Decode(body->data, body->len, &since,
                                          &got) == -EBADMSG,
