--- a/stand/wire/control.c
+++ b/stand/wire/control.c
@@ -6,9 +6,14 @@
 #include "stand/wire/internal.h"
 
 static void
-answer_json(struct fw_http_caller *c, int status, char *text)
+answer_json(const struct fw_wire_server *s, struct fw_http_caller *c,
+            int status, char *text)
 {
-    Fw_Caller_Respond(c, status, "Content-Type: application/json\r\n", text);
+    GString *fields = g_string_new("Content-Type: application/json\r\n");
+
+    Fw_Wire_AppendOwnFields(s, fields);
+    Fw_Caller_Respond(c, status, fields->str, text);
+    g_string_free(fields, TRUE);
     g_free(text);
 }
 
@@ -32,11 +37,11 @@
     }
     if (tokens <= 0 ||
         Fw_WireServer_UsedKvTokens(s) + tokens > s->opts.kv_tokens) {
-        Fw_Wire_RejectNotExecuted(c, 503);
+        Fw_Wire_RejectNotExecuted(s, c, 503);
         return;
     }
     name = Fw_Wire_AddLease(s, s->reservations, tokens, (int)ttl);
-    answer_json(c, 200, g_strdup_printf("{\"Hold\":\"%s\"}", name));
+    answer_json(s, c, 200, g_strdup_printf("{\"Hold\":\"%s\"}", name));
     g_free(name);
 }
 
@@ -81,14 +86,14 @@
     if (root) {
         json_node_unref(root);
     }
-    answer_json(c, status, g_strdup("{}"));
+    answer_json(s, c, status, g_strdup("{}"));
 }
 
 static void
 handle_report(struct fw_wire_server *s, struct fw_http_caller *c)
 {
     answer_json(
-        c, 200,
+        s, c, 200,
         g_strdup_printf("{\"Stage\":\"%s\",\"Models\":[],\"Busy\":false,"
                         "\"Sequence\":%" PRId64
                         ",\"Queued\":0,\"Active\":%u,\"KvUsed\":%" PRId64
@@ -106,13 +111,17 @@
 }
 
 static void
-handle_delete(const struct fw_http_head *h, const char *path, GHashTable *from,
-              struct fw_http_caller *c)
+handle_delete(const struct fw_wire_server *s, const struct fw_http_head *h,
+              const char *path, GHashTable *from, struct fw_http_caller *c)
 {
+    GString *fields = g_string_new(NULL);
     char *name =
         g_strndup(h->target + strlen(path), h->target_len - strlen(path));
 
-    Fw_Caller_Respond(c, g_hash_table_remove(from, name) ? 200 : 404, "", "");
+    Fw_Wire_AppendOwnFields(s, fields);
+    Fw_Caller_Respond(c, g_hash_table_remove(from, name) ? 200 : 404,
+                      fields->str, "");
+    g_string_free(fields, TRUE);
     g_free(name);
 }
 
@@ -124,10 +133,10 @@
         handle_reserve(s, c, body);
     }
     else if (is_request(h, "DELETE", "/-/hold-drop/")) {
-        handle_delete(h, "/-/hold-drop/", s->reservations, c);
+        handle_delete(s, h, "/-/hold-drop/", s->reservations, c);
     }
     else if (is_request(h, "DELETE", "/-/kv-handle/")) {
-        handle_delete(h, "/-/kv-handle/", s->kv_handles, c);
+        handle_delete(s, h, "/-/kv-handle/", s->kv_handles, c);
     }
     else if (is_request(h, "GET", "/-/report")) {
         handle_report(s, c);
--- a/stand/wire/internal.h
+++ b/stand/wire/internal.h
@@ -44,6 +44,8 @@
  * @highest_fence: highest fencing token of an order
  * @role_switch_until_us: requests are rejected before this time
  * @register_sequence: sequence number of its entry in the store
+ * @limit: limit that its responses name, empty for none
+ * @arrivals: when requests arrived, of int64_t
  */
 struct fw_wire_server {
     struct fw_http_server *http;
@@ -68,6 +70,8 @@
     int64_t role_switch_until_us;
     int draining;
     int register_sequence;
+    char limit[32];
+    GArray *arrivals;
     unsigned next_lease_id;
 };
 
@@ -78,6 +82,9 @@
 /* Writes the server's entry to the store. */
 void
 Fw_Wire_Register(struct fw_wire_server *s);
+/* Appends the fields that all responses of the server have. */
+void
+Fw_Wire_AppendOwnFields(const struct fw_wire_server *s, GString *fields);
 /* Copy of header field @name, "" if missing; the caller frees it. */
 char *
 Fw_Wire_CopyField(const struct fw_http_head *h, const char *name);
@@ -99,7 +106,8 @@
 Fw_Wire_EndRun(struct run *r);
 /* Answers @status and that the request was not executed. */
 void
-Fw_Wire_RejectNotExecuted(struct fw_http_caller *c, int status);
+Fw_Wire_RejectNotExecuted(const struct fw_wire_server *s,
+                          struct fw_http_caller *c, int status);
 
 /* control.c */
 /* Handles control requests. Return: 0 if the request is not one. */
--- a/stand/wire/run.c
+++ b/stand/wire/run.c
@@ -17,17 +17,27 @@
 }
 
 void
-Fw_Wire_RejectNotExecuted(struct fw_http_caller *c, int status)
+Fw_Wire_RejectNotExecuted(const struct fw_wire_server *s,
+                          struct fw_http_caller *c, int status)
 {
-    Fw_Caller_Respond(c, status, "Not-Executed: 1\r\n", "");
+    GString *fields = g_string_new("Not-Executed: 1\r\n");
+
+    Fw_Wire_AppendOwnFields(s, fields);
+    Fw_Caller_Respond(c, status, fields->str, "");
+    g_string_free(fields, TRUE);
 }
 
 static char *
 response_fields(const struct run *r, const char *type)
 {
-    return g_strdup_printf("Request-Id: %s\r\nServer-Stamp: %s.1\r\n"
-                           "Content-Type: %s\r\n",
-                           r->id, r->server->id, type);
+    GString *fields = g_string_new(NULL);
+
+    g_string_printf(fields,
+                    "Request-Id: %s\r\nServer-Stamp: %s.1\r\n"
+                    "Content-Type: %s\r\n",
+                    r->id, r->server->id, type);
+    Fw_Wire_AppendOwnFields(r->server, fields);
+    return g_string_free(fields, FALSE);
 }
 
 static gboolean
@@ -194,12 +204,12 @@
 
     if (fault == FW_WIRE_FAULT_MOVED ||
         (s->stage[0] && prefill != (strcmp(s->stage, "prefill") == 0))) {
-        Fw_Wire_RejectNotExecuted(c, 421);
+        Fw_Wire_RejectNotExecuted(s, c, 421);
     }
     else if (fault == FW_WIRE_FAULT_FULL ||
              Fw_Conn_NowUs() < s->role_switch_until_us ||
              (tokens = admit(s, h, in_tokens, out_tokens, prefill)) < 0) {
-        Fw_Wire_RejectNotExecuted(c, 503);
+        Fw_Wire_RejectNotExecuted(s, c, 503);
     }
     else {
         int prefill_ms =
--- a/stand/wire/server.c
+++ b/stand/wire/server.c
@@ -78,6 +78,23 @@
     return name;
 }
 
+void
+Fw_Wire_AppendOwnFields(const struct fw_wire_server *s, GString *fields)
+{
+    if (s->limit[0]) {
+        g_string_append_printf(fields, "Server-Limit: %s\r\n", s->limit);
+    }
+}
+
+static void
+handle_request(struct fw_wire_server *s, struct fw_http_caller *c,
+               const struct fw_http_head *h, GBytes *body)
+{
+    if (!Fw_Wire_HandleControl(s, c, h, body)) {
+        Fw_Wire_StartRun(s, c, h);
+    }
+}
+
 static void
 on_request(void *ctx, struct fw_http_caller *c, const struct fw_http_head *h,
            GBytes *body)
@@ -90,8 +107,11 @@
     if (other) {
         Fw_Caller_Respond(c, 421, "Instance-Id: other\r\n", "");
     }
-    else if (!Fw_Wire_HandleControl(s, c, h, body)) {
-        Fw_Wire_StartRun(s, c, h);
+    else {
+        int64_t now = Fw_Conn_NowUs();
+
+        g_array_append_val(s->arrivals, now);
+        handle_request(s, c, h, body);
     }
 }
 
@@ -144,6 +164,7 @@
     s->kv_handles =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     s->last_head = g_string_new(NULL);
+    s->arrivals = g_array_new(FALSE, FALSE, sizeof(int64_t));
     s->http = Fw_Server_New(addr, &ops, s, &err);
     g_assert(s->http);
     g_snprintf(s->addr, sizeof(s->addr), "127.0.0.1:%d",
@@ -164,6 +185,7 @@
     g_hash_table_destroy(s->reservations);
     g_hash_table_destroy(s->kv_handles);
     g_string_free(s->last_head, TRUE);
+    g_array_unref(s->arrivals);
     g_free(s);
 }
 
@@ -175,6 +197,43 @@
     s->faults_left = n;
 }
 
+void
+Fw_WireServer_SetLimit(struct fw_wire_server *s, const char *limit)
+{
+    g_strlcpy(s->limit, limit ? limit : "", sizeof(s->limit));
+}
+
+int
+Fw_WireServer_ArrivedCount(const struct fw_wire_server *s, int64_t from_us,
+                           int64_t to_us)
+{
+    int n = 0;
+
+    for (guint i = 0; i < s->arrivals->len; i++) {
+        int64_t at = g_array_index(s->arrivals, int64_t, i);
+
+        n += at >= from_us && at < to_us;
+    }
+    return n;
+}
+
+int
+Fw_WireServer_MostArrived(const struct fw_wire_server *s, int64_t from_us,
+                          int64_t window_us)
+{
+    int most = 0;
+
+    for (guint i = 0; i < s->arrivals->len; i++) {
+        int64_t at = g_array_index(s->arrivals, int64_t, i);
+
+        if (at >= from_us) {
+            most =
+                MAX(most, Fw_WireServer_ArrivedCount(s, at, at + window_us));
+        }
+    }
+    return most;
+}
+
 int
 Fw_WireServer_FaultTriggered(const struct fw_wire_server *s)
 {
--- a/stand/wire/wire.h
+++ b/stand/wire/wire.h
@@ -94,6 +94,9 @@
 void
 Fw_WireServer_SetFault(struct fw_wire_server *s, enum fw_wire_fault fault,
                        int n);
+/* All responses of the server name @limit; NULL for none. */
+void
+Fw_WireServer_SetLimit(struct fw_wire_server *s, const char *limit);
 /* Nonzero once a fault has been injected. */
 int
 Fw_WireServer_FaultTriggered(const struct fw_wire_server *s);
@@ -103,6 +106,14 @@
 /* Requests started so far. */
 int
 Fw_WireServer_StartedCount(const struct fw_wire_server *s);
+/* Requests of any kind that arrived in [@from_us, @to_us). */
+int
+Fw_WireServer_ArrivedCount(const struct fw_wire_server *s, int64_t from_us,
+                           int64_t to_us);
+/* The most of these within any @window_us from @from_us on. */
+int
+Fw_WireServer_MostArrived(const struct fw_wire_server *s, int64_t from_us,
+                          int64_t window_us);
 /* Requests in progress. */
 int
 Fw_WireServer_ActiveCount(const struct fw_wire_server *s);
