Count the requests sent to a server over spans up to four seconds

A cold server's limit is kept per second; a limit that a server names is to be kept over four. One window of 100 ms slots serves both, so it is now a module of its own and Count takes the beginning of the span. The tests of cold servers hold unchanged but for the names.

--- a/src/decide/cold.h
+++ b/src/decide/cold.h
@@ -11,21 +11,6 @@
 
 #include <stdint.h>
 
-/* Slots of a window, which together cover at least one second. */
-#define FW_COLD_SLOTS 11
-
-/**
- * struct fw_cold_window - requests that this instance sent to a server.
- * @slot: number of the latest slot with a request
- * @sent: requests by slot, a ring
- * @committed: requests that will follow those sent, not sent yet
- */
-struct fw_cold_window {
-    int64_t slot;
-    uint16_t sent[FW_COLD_SLOTS];
-    int committed;
-};
-
 /**
  * struct fw_cold_share - an instance's part of a cold server's limit.
  * @per_second: requests that it may send to a server in any second
@@ -48,10 +33,4 @@
 int
 Fw_ColdShare_Includes(const struct fw_cold_share *share, uint64_t hash);
 
-void
-Fw_ColdWindow_NoteSent(struct fw_cold_window *w, int64_t now_us);
-/* Requests sent within the last second, and committed ones. */
-int
-Fw_ColdWindow_Count(const struct fw_cold_window *w, int64_t now_us);
-
 #endif
--- a/src/relay/calls.h
+++ b/src/relay/calls.h
@@ -50,7 +50,7 @@
  * @kv_handle: KV cache at @prefill_server, empty for none
  * @kv_addr: address of the engine that holds @kv_handle
  * @is_prefilling: its prompt counts in @prefill_server's prefill_tokens
- * @is_committed: counted in @server's cold_window as a request to follow
+ * @is_committed: counted in @server's sends as a request to follow
  * @reserved_us: when its reservation was granted, 0 if not yet
  * @sent_us: when it was sent to @server, 0 if not yet
  * @response_us: when its response began, 0 if not yet
--- a/src/relay/cold.c
+++ b/src/relay/cold.c
@@ -80,7 +80,7 @@
     share = Fw_ColdShare_Get(limit, fleet, n);
     return Fw_ColdShare_Includes(&share,
                                  Fw_Hash_Weight(s->hash, r->opts.name)) &&
-           Fw_ColdWindow_Count(&s->cold_window, now_us) + n <=
+           Fw_SendWindow_Count(&s->sends, now_us - FW_SEC, now_us) + n <=
                share.per_second;
 }
 
@@ -103,7 +103,7 @@
 {
     if (!c->is_committed) {
         c->is_committed = 1;
-        c->server->cold_window.committed++;
+        c->server->sends.committed++;
     }
 }
 
@@ -112,6 +112,6 @@
 {
     if (c->is_committed) {
         c->is_committed = 0;
-        c->server->cold_window.committed--;
+        c->server->sends.committed--;
     }
 }
--- a/src/relay/servers.h
+++ b/src/relay/servers.h
@@ -3,6 +3,7 @@
 #define FW_RELAY_SERVERS_H
 
 #include "decide/cold.h"
+#include "decide/send_window.h"
 #include "relay/relay.h"
 
 /*
@@ -45,7 +46,7 @@
  * @list_hash: hash of the entry's parts that Fw_StoreSync_ServerListHash sums
  * @is_evacuated: its failure domain is evacuated
  * @cold_until_us: it is, or may be, cold before this time
- * @cold_window: requests that this instance sent there in the last second
+ * @sends: requests that this instance has sent there
  * @named_limit_milli: limit named in its last response, thousandths of a
  *     request a second; FW_RL_NO_LIMIT if none
  */
@@ -77,7 +78,7 @@
     uint64_t list_hash;
     int is_evacuated;
     int64_t cold_until_us;
-    struct fw_cold_window cold_window;
+    struct fw_send_window sends;
     int64_t named_limit_milli;
 };
 
--- a/tests/decide/test_cold.c
+++ b/tests/decide/test_cold.c
@@ -4,6 +4,7 @@
 
 #include "base/limits.h"
 #include "decide/cold.h"
+#include "decide/send_window.h"
 #include "tests/base/suite.h"
 
 #define FW_INSTANCES_MAX 320
@@ -30,7 +31,7 @@
 
 /** struct load - instances that all send as much as they may to one server. */
 struct load {
-    struct fw_cold_window windows[FW_INSTANCES_MAX];
+    struct fw_send_window windows[FW_INSTANCES_MAX];
     int includes[FW_INSTANCES_MAX];
     int sent_in_step[FW_STEPS];
 };
@@ -55,13 +56,13 @@
         int64_t now = FW_SEC + k * FW_STEP_US;
 
         for (int i = 0; i < t->instances; i++) {
-            struct fw_cold_window *w = &load->windows[i];
+            struct fw_send_window *w = &load->windows[i];
 
             while (load->includes[i] &&
-                   Fw_ColdWindow_Count(w, now) + t->batch <=
+                   Fw_SendWindow_Count(w, now - FW_SEC, now) + t->batch <=
                        share.per_second) {
                 for (int b = 0; b < t->batch; b++) {
-                    Fw_ColdWindow_NoteSent(w, now);
+                    Fw_SendWindow_NoteSent(w, now);
                     load->sent_in_step[k]++;
                 }
             }
@@ -104,15 +105,25 @@
 
 START_TEST(a_window_covers_one_second)
 {
-    struct fw_cold_window w = {0};
+    struct fw_send_window w = {0};
 
-    Fw_ColdWindow_NoteSent(&w, 5 * FW_SEC + 99 * FW_MSEC);
+    Fw_SendWindow_NoteSent(&w, 5 * FW_SEC + 99 * FW_MSEC);
     w.committed = 2;
-    ck_assert_int_eq(Fw_ColdWindow_Count(&w, 5 * FW_SEC + 99 * FW_MSEC), 3);
-    ck_assert_int_eq(Fw_ColdWindow_Count(&w, 6 * FW_SEC + 99 * FW_MSEC), 3);
-    ck_assert_int_eq(Fw_ColdWindow_Count(&w, 6 * FW_SEC + 100 * FW_MSEC), 2);
-    Fw_ColdWindow_NoteSent(&w, 60 * FW_SEC);
-    ck_assert_int_eq(Fw_ColdWindow_Count(&w, 60 * FW_SEC), 3);
+    ck_assert_int_eq(Fw_SendWindow_Count(&w,
+                                         5 * FW_SEC + 99 * FW_MSEC - FW_SEC,
+                                         5 * FW_SEC + 99 * FW_MSEC),
+                     3);
+    ck_assert_int_eq(Fw_SendWindow_Count(&w,
+                                         6 * FW_SEC + 99 * FW_MSEC - FW_SEC,
+                                         6 * FW_SEC + 99 * FW_MSEC),
+                     3);
+    ck_assert_int_eq(Fw_SendWindow_Count(&w,
+                                         6 * FW_SEC + 100 * FW_MSEC - FW_SEC,
+                                         6 * FW_SEC + 100 * FW_MSEC),
+                     2);
+    Fw_SendWindow_NoteSent(&w, 60 * FW_SEC);
+    ck_assert_int_eq(
+        Fw_SendWindow_Count(&w, 60 * FW_SEC - FW_SEC, 60 * FW_SEC), 3);
 }
 END_TEST
 
