Keep the limits that servers name, shared by all instances

They were sent their usual share all the same: 31 requests in 4 s where 21 were allowed, 59 where 45 were. The servers went on being overrun, and a tenth of the lookups failed.

Even decoded, the limit binds the sum over all instances, and those that a response named it to do not know how many others send.

The fix: one question, Fw_Admission_MaySend, that every way to a server asks: plain requests and their retries, reservations with the runs that follow, prefills, reports and orders. It counts what this instance has sent within 4 s against its share of the limit. Shares are whole requests, dealt out by rank so that they add up to the limit for any size of the fleet; a hub computes those of its leaves. Beliefs carry versions, so that an old report can't bring an ended limit back. It ends at an instance that was named none for 4 s. What the rest can't carry is rejected at once, with 503 and a Retry-After up to the time at which there is room again.

Why it works: shares add up without messages at the time of a request, also in a partition, as the others count an instance until it is proven gone.

--- a/explore/relay_fleet.c
+++ b/explore/relay_fleet.c
@@ -99,6 +99,7 @@
         domain_name(k, peer.domain);
         Fw_Relay_AddMember(inst->relay, &peer, now);
     }
+    Fw_Relay_EndMemberList(inst->relay, now);
 }
 
 void
--- a/explore/relay_fleet.h
+++ b/explore/relay_fleet.h
@@ -8,7 +8,7 @@
 #include "explore/explore.h"
 #include "relay/relay_internal.h"
 
-#define FW_FLEET_MAX 128
+#define FW_FLEET_MAX 300
 
 /**
  * struct fleet_instance - one instance.
--- a/src/relay/call.c
+++ b/src/relay/call.c
@@ -62,7 +62,9 @@
                                      .reuse_us = FW_RL_REUSE_US,
                                      .connect_us = FW_RL_CONNECT_TIMEOUT_US};
 
-    if (s->gone) {
+    if (s->gone ||
+        !(kind == FW_RL_UP_RELEASE ? Fw_Admission_MayFollow(r, s, now_us)
+                                   : Fw_Admission_MaySend(r, s, 1, now_us))) {
         return;
     }
     g_strlcpy(kind == FW_RL_UP_RELEASE ? up.reservation : up.kv_handle, name,
@@ -94,7 +96,7 @@
 Fw_Call_DetachServer(struct fw_rl_call *c)
 {
     if (c->server) {
-        Fw_Cold_EndReservation(c);
+        Fw_Admission_EndReservation(c);
         c->server->running--;
         c->server->kv_tokens -= c->kv_tokens;
         Fw_Servers_Unref(c->server);
@@ -115,7 +117,7 @@
         free_at_engine(r, c->prefill_server, FW_RL_UP_FREE_KV, c->kv_handle,
                        now_us, out);
     }
-    Fw_Cold_EndReservation(c);
+    Fw_Admission_EndReservation(c);
     if (c->reservation[0] && c->server) {
         free_at_engine(r, c->server, FW_RL_UP_RELEASE, c->reservation, now_us,
                        out);
--- a/src/relay/cold.c
+++ b/src/relay/cold.c
@@ -10,8 +10,6 @@
 
 /* Time for a server's registration to be renewed and read: two heartbeats. */
 #define FW_REGISTRATION_DELAY_US (2500 * FW_MSEC)
-/* A reservation, and the run or the release that follows it. */
-#define FW_REQUESTS_PER_RESERVATION 2
 
 static const struct fw_rl_service_rule *
 service_of(const struct fw_relay *r, const struct fw_rl_server *s)
@@ -55,9 +53,9 @@
     return r->largest_fleet;
 }
 
-static int
-may_send(struct fw_relay *r, const struct fw_rl_server *s, int n,
-         int64_t now_us)
+int
+Fw_Cold_MaySend(struct fw_relay *r, const struct fw_rl_server *s, int n,
+                int64_t now_us)
 {
     const struct fw_rl_service_rule *service;
     struct fw_cold_share share;
@@ -83,35 +81,3 @@
            Fw_SendWindow_Count(&s->sends, now_us - FW_SEC, now_us) + n <=
                share.per_second;
 }
-
-int
-Fw_Cold_MaySend(struct fw_relay *r, const struct fw_rl_server *s,
-                int64_t now_us)
-{
-    return may_send(r, s, 1, now_us);
-}
-
-int
-Fw_Cold_MayReserve(struct fw_relay *r, const struct fw_rl_server *s,
-                   int64_t now_us)
-{
-    return may_send(r, s, FW_REQUESTS_PER_RESERVATION, now_us);
-}
-
-void
-Fw_Cold_NoteReserving(struct fw_rl_call *c)
-{
-    if (!c->is_committed) {
-        c->is_committed = 1;
-        c->server->sends.committed++;
-    }
-}
-
-void
-Fw_Cold_EndReservation(struct fw_rl_call *c)
-{
-    if (c->is_committed) {
-        c->is_committed = 0;
-        c->server->sends.committed--;
-    }
-}
--- a/src/relay/exchange.c
+++ b/src/relay/exchange.c
@@ -289,6 +289,7 @@
     else {
         act_as_leaf(r, now_us, out);
     }
+    Fw_LimitMessage_SendDue(r, now_us, out);
     Fw_StoreSync_SendQuery(r, now_us, out);
 }
 
@@ -300,7 +301,8 @@
 
 /*
  * Sends a new peer the list of hubs, the length models of the services and, if
- * both are hubs, a digest.
+ * both are hubs, a digest. The limits of servers follow with the next message
+ * about these.
  */
 static void
 send_initial_state(struct fw_relay *r, const char *addr, int with_digest,
@@ -319,6 +321,7 @@
     if (Fw_ServiceStats_Write(r, msg)) {
         Fw_Outbox_Add(out, addr, msg);
     }
+    r->limits_changed = 1;
     g_byte_array_unref(msg);
 }
 
@@ -354,6 +357,7 @@
     }
     if (Fw_Reply_Read(r, o, now_us) == 0 || Fw_Delta_Read(r, o, now_us) == 0 ||
         Fw_HubList_Read(r, o, addr, now_us) == 0 ||
+        Fw_LimitMessage_Read(r, o, now_us) == 0 ||
         Fw_ServiceStats_Read(r, o) == 0) {
         return 0;
     }
--- a/src/relay/members.c
+++ b/src/relay/members.c
@@ -273,6 +273,35 @@
     return x->n_instances;
 }
 
+static uint64_t
+weight(uint64_t key, uint64_t instance)
+{
+    return Fw_Hash_Bytes(&instance, sizeof(instance), key);
+}
+
+int
+Fw_Members_Rank(const struct fw_relay *r, uint64_t key, uint64_t instance,
+                int *n)
+{
+    uint64_t own = weight(key, instance);
+    int rank = instance != r->hash && weight(key, r->hash) > own;
+    GHashTableIter it;
+    gpointer k;
+    gpointer v;
+
+    *n = 1;
+    g_hash_table_iter_init(&it, r->known_instances);
+    while (g_hash_table_iter_next(&it, &k, &v)) {
+        uint64_t other = (uint64_t) * (gint64 *)k;
+
+        if (!((struct known_instance *)v)->is_expired) {
+            *n += 1;
+            rank += other != instance && weight(key, other) > own;
+        }
+    }
+    return rank;
+}
+
 /* The latest time at which the instance certainly ran. */
 static int64_t
 last_alive_us(const struct known_instance *known)
--- a/src/relay/peers.h
+++ b/src/relay/peers.h
@@ -238,6 +238,14 @@
 /* Size of the fleet; @n_live may be NULL. Both include this instance. */
 int
 Fw_Members_Count(struct fw_relay *r, int64_t now_us, int *n_live);
+/*
+ * Number of instances that come before the one whose name has the hash
+ * @instance, in an order by rendezvous weights for @key. @n: receives the size
+ * of the fleet as this instance knows it. A leaf knows only a part of it.
+ */
+int
+Fw_Members_Rank(const struct fw_relay *r, uint64_t key, uint64_t instance,
+                int *n);
 /* Drops load that is out of date and members that have expired. */
 void
 Fw_Members_Tick(struct fw_relay *r, int64_t now_us, struct fw_rl_actions *out);
@@ -278,6 +286,16 @@
 Fw_HubList_Read(struct fw_relay *r, const msgpack_object *o, const char *addr,
                 int64_t now_us);
 
+/* limit_message.c */
+/* Sends other instances the limits that are known here, if that is due. */
+void
+Fw_LimitMessage_SendDue(struct fw_relay *r, int64_t now_us,
+                        struct fw_rl_outbox *out);
+/* Return: 0, or -EBADMSG if @o isn't a valid message about limits. */
+int
+Fw_LimitMessage_Read(struct fw_relay *r, const msgpack_object *o,
+                     int64_t now_us);
+
 /* load.c */
 /* Replaces the load rows of @m; @scope: which instances @rows cover. */
 void
--- a/src/relay/place.c
+++ b/src/relay/place.c
@@ -134,8 +134,7 @@
         struct fw_rl_server *s = FW_LIST_ENTRY(pos, struct fw_rl_server, link);
         double score;
 
-        if (!runs_service(r, s, c) || !Fw_Servers_IsInService(s) ||
-            !Fw_Cold_MaySend(r, s, now_us)) {
+        if (!runs_service(r, s, c) || !Fw_Admission_MaySend(r, s, 1, now_us)) {
             continue;
         }
         score = plain_score(r, s);
@@ -153,6 +152,32 @@
     return best;
 }
 
+int64_t
+Fw_Place_AvailableUs(struct fw_relay *r, const struct fw_rl_call *c, int n,
+                     int64_t now_us)
+{
+    int64_t earliest = 0;
+    struct fw_list *pos;
+
+    FW_LIST_EACH (pos, &r->servers) {
+        struct fw_rl_server *s = FW_LIST_ENTRY(pos, struct fw_rl_server, link);
+        int64_t at;
+
+        if (!runs_service(r, s, c) || s->entry.stage == FW_RL_STAGE_PREFILL) {
+            continue;
+        }
+        at = Fw_Admission_AvailableUs(r, s, n, now_us);
+        if (!at) {
+            continue;
+        }
+        if (at <= now_us) {
+            return now_us;
+        }
+        earliest = earliest ? MIN(earliest, at) : at;
+    }
+    return earliest;
+}
+
 /* Concurrent requests that @s can answer within the objective. */
 static double
 max_running(const struct fw_rl_server *s, int64_t objective_us)
@@ -308,7 +333,9 @@
         int64_t left;
 
         if (!runs_service(r, s, c) || !can_decode(s, now_us) ||
-            Fw_Call_HasTried(c, s) || !Fw_Cold_MayReserve(r, s, now_us)) {
+            Fw_Call_HasTried(c, s) ||
+            !Fw_Admission_MaySend(r, s, FW_RL_REQUESTS_PER_RESERVATION,
+                                  now_us)) {
             continue;
         }
         left = room_left(r, s, &rule->engine, c, now_us);
@@ -324,7 +351,7 @@
  * the same failure domain. Negative when @c can't be sent there.
  */
 static int64_t
-prefill_time_us(struct fw_relay *r, const struct fw_rl_server *s,
+prefill_time_us(struct fw_relay *r, struct fw_rl_server *s,
                 const struct fw_rl_call *c, int64_t now_us)
 {
     struct fw_rl_load l;
@@ -333,7 +360,8 @@
     if (!runs_service(r, s, c) || s->entry.stage != FW_RL_STAGE_PREFILL ||
         Fw_Servers_IsChangingStage(s, now_us) || Fw_Call_HasTried(c, s) ||
         now_us - s->full_us < FW_PREFILL_BACKOFF_US ||
-        !Fw_Servers_IsUsable(s, now_us) || !Fw_Cold_MaySend(r, s, now_us)) {
+        !Fw_Servers_IsUsable(s, now_us) ||
+        !Fw_Admission_MaySend(r, s, 1, now_us)) {
         return -1;
     }
     Fw_Place_Load(r, s, now_us, &l);
--- a/src/relay/plain.c
+++ b/src/relay/plain.c
@@ -39,6 +39,33 @@
     Fw_Call_Reject(r, c, 503, retry_us, reason, now_us, out);
 }
 
+/*
+ * Rejects @c as no server may be sent it now. Other instances may have a part
+ * of a server's limit left, so that the time at which this one has is only the
+ * longest delay.
+ */
+static void
+reject_unplaced(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us,
+                struct fw_rl_actions *out)
+{
+    int64_t available_us = Fw_Place_AvailableUs(r, c, 1, now_us);
+    int64_t longest_us;
+
+    if (!available_us) {
+        Fw_Call_Reject(r, c, 503,
+                       r->has_server_list ? FW_RETRY_NO_SERVER_US
+                                          : Fw_Relay_StaleRetryUs(r, now_us),
+                       "no_server", now_us, out);
+        return;
+    }
+    longest_us = CLAMP(available_us - now_us, FW_RETRY_FULL_MAX_US,
+                       FW_RETRY_NO_SERVER_US);
+    Fw_Call_Reject(
+        r, c, 503,
+        g_rand_int_range(r->rand, FW_RETRY_FULL_MIN_US, (gint32)longest_us),
+        "servers_limited", now_us, out);
+}
+
 /* Starts an attempt at @s, which must not be NULL. */
 static void
 send_attempt(struct fw_relay *r, struct fw_rl_call *c, struct fw_rl_server *s,
@@ -88,10 +115,7 @@
     struct fw_rl_server *s = Fw_Place_Plain(r, c, now_us);
 
     if (!s) {
-        Fw_Call_Reject(r, c, 503,
-                       r->has_server_list ? FW_RETRY_NO_SERVER_US
-                                          : Fw_Relay_StaleRetryUs(r, now_us),
-                       "no_server", now_us, out);
+        reject_unplaced(r, c, now_us, out);
     }
     else if (Fw_Place_IsOverloaded(r, c, s, now_us)) {
         reject_overloaded(r, c, "servers_crowded", now_us, out);
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -45,6 +45,7 @@
     r->servers_by_hash = g_hash_table_new(g_int64_hash, g_int64_equal);
     Fw_List_Init(&r->servers);
     Fw_List_Init(&r->active_servers);
+    Fw_List_Init(&r->limited_servers);
     r->presence.record_ends = Fw_Rows_NewTable();
     Fw_List_Init(&r->call_list);
     Fw_List_Init(&r->op_list);
@@ -168,7 +169,7 @@
 void
 Fw_Relay_ResponseHead(struct fw_relay *r, uint64_t xid,
                       const struct fw_rl_upstream_response *ans,
-                      struct fw_rl_actions *out)
+                      int64_t now_us, struct fw_rl_actions *out)
 {
     struct fw_rl_op *op = find_op(r, xid);
 
@@ -179,8 +180,10 @@
         Fw_RelayActions_Log(out, r, LOG_WARNING, "server_limit_invalid",
                             "\"server\":\"%s\"", op->server->entry.id);
     }
-    if (!ans->invalid_limit || ans->limit_milli >= 0) {
-        Fw_Servers_NoteNamedLimit(r, op->server, ans->limit_milli, out);
+    /* A rejection without a limit does not say that there is none. */
+    if (ans->limit_milli != FW_NO_LIMIT ||
+        (!ans->invalid_limit && !ans->not_run)) {
+        Fw_ServerLimits_Note(r, op->server, ans->limit_milli, now_us);
     }
 }
 
@@ -327,6 +330,7 @@
         tick_call(r, FW_LIST_ENTRY(pos, struct fw_rl_call, link), now_us, out);
     }
     Fw_Members_Tick(r, now_us, out);
+    Fw_ServerLimits_Tick(r, out);
     Fw_StageOrder_Tick(r, now_us, out);
     Fw_ServiceStats_Tick(r, now_us, out);
     Fw_Stream_PlaceQueued(r, now_us, out);
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -9,6 +9,7 @@
 
 #include "base/metrics.h"
 #include "base/ran.h"
+#include "decide/server_limit.h"
 #include "relay/types.h"
 
 struct fw_relay;
@@ -85,16 +86,14 @@
     int64_t events;
 };
 
-/* Value of @limit_milli when the response names no limit. */
-#define FW_RL_NO_LIMIT (-1)
-/* Largest limit told apart from none, thousandths of a request a second. */
+/* Higher limits of upstreams are taken for this one, milli per second. */
 #define FW_RL_LIMIT_MILLI_MAX (1000 * 1000 * 1000)
 
 /**
  * struct fw_rl_upstream_response - response of an upstream.
  * @status: HTTP status
  * @limit_milli: rate that the upstream takes from all instances together,
- *     thousandths of a request a second; FW_RL_NO_LIMIT if it names none
+ *     thousandths of a request a second; FW_NO_LIMIT if it names none
  * @invalid_limit: it names a limit that could not be parsed
  * @not_run: the upstream states that it did not run the request
  * @wrong_server: another server now uses the address
@@ -283,7 +282,7 @@
 void
 Fw_Relay_ResponseHead(struct fw_relay *r, uint64_t xid,
                       const struct fw_rl_upstream_response *ans,
-                      struct fw_rl_actions *out);
+                      int64_t now_us, struct fw_rl_actions *out);
 /* The headers of an unbuffered response were received (FW_RL_UP_RUN only). */
 void
 Fw_Relay_ResponseBegan(struct fw_relay *r, uint64_t xid,
--- a/src/relay/relay_internal.h
+++ b/src/relay/relay_internal.h
@@ -59,6 +59,9 @@
  * @has_server_list: a complete listing of the servers was received
  * @servers_by_hash: hash of a server's id to struct fw_rl_server
  * @active_servers: servers with is_active set
+ * @limited_servers: servers that name a limit, or did a short while ago
+ * @limits_changed: one of these limits has changed since they were sent
+ * @limits_sent_us: when these limits were last sent to other instances
  * @list_hash: sum of list_hash of @servers
  * @n_removals: servers with removal_us set
  * @largest_fleet: largest number of instances known so far, 0 if unknown
@@ -93,6 +96,9 @@
     struct fw_list servers;
     GHashTable *servers_by_hash;
     struct fw_list active_servers;
+    struct fw_list limited_servers;
+    int limits_changed;
+    int64_t limits_sent_us;
     uint64_t list_hash;
     int n_removals;
     int largest_fleet;
--- a/src/relay/servers.c
+++ b/src/relay/servers.c
@@ -194,19 +194,6 @@
             : s->service_us + FW_MEAN_WEIGHT * (took - s->service_us);
 }
 
-void
-Fw_Servers_NoteNamedLimit(struct fw_relay *r, struct fw_rl_server *s,
-                          int64_t limit_milli, struct fw_rl_actions *out)
-{
-    if (s->named_limit_milli == limit_milli) {
-        return;
-    }
-    Fw_RelayActions_Log(out, r, LOG_NOTICE, "server_limit",
-                        "\"server\":\"%s\",\"milli_per_s\":%" G_GINT64_FORMAT,
-                        s->entry.id, limit_milli);
-    s->named_limit_milli = limit_milli;
-}
-
 static void
 close_idle_connections(const struct fw_rl_server *s, struct fw_rl_actions *out)
 {
@@ -227,6 +214,7 @@
     r->list_hash -= s->list_hash;
     g_hash_table_remove(r->servers_by_hash, &s->hash);
     deactivate(s);
+    Fw_ServerLimits_Remove(s);
     s->gone = 1;
     Fw_List_Remove(&s->link);
     Fw_Servers_Unref(s);
@@ -241,7 +229,8 @@
     s->refs = 1;
     s->listed = 1;
     s->hash = Fw_Hash_Str(e->id);
-    s->named_limit_milli = FW_RL_NO_LIMIT;
+    s->limit.milli = FW_NO_LIMIT;
+    s->logged_limit = FW_NO_LIMIT;
     set_entry(r, s, e, now_us);
     g_hash_table_replace(r->servers_by_hash, &s->hash, s);
     Fw_List_Append(&r->servers, &s->link);
@@ -412,6 +401,7 @@
             FW_LIST_ENTRY(r->servers.next, struct fw_rl_server, link);
 
         deactivate(s);
+        Fw_ServerLimits_Remove(s);
         Fw_List_Remove(&s->link);
         Fw_Servers_Unref(s);
     }
--- a/src/relay/servers.h
+++ b/src/relay/servers.h
@@ -4,6 +4,7 @@
 
 #include "decide/cold.h"
 #include "decide/send_window.h"
+#include "decide/server_limit.h"
 #include "relay/relay.h"
 
 /*
@@ -47,8 +48,15 @@
  * @is_evacuated: its failure domain is evacuated
  * @cold_until_us: it is, or may be, cold before this time
  * @sends: requests that this instance has sent there
- * @named_limit_milli: limit named in its last response, thousandths of a
- *     request a second; FW_RL_NO_LIMIT if none
+ * @limit: rate that it takes from all instances together
+ * @limit_since_us: since when it has named a limit
+ * @limit_changed_us: when @limit last changed, or another instance had an
+ *     outdated one
+ * @limit_share: requests that this instance may send within
+ *     FW_LIMIT_WINDOW_US while a limit is in force
+ * @limit_share_us: when @limit_share was last set
+ * @logged_limit: the limit that was last logged
+ * @limit_link: in the list of limited servers if @is_limit_listed
  */
 struct fw_rl_server {
     struct fw_list link;
@@ -79,7 +87,14 @@
     int is_evacuated;
     int64_t cold_until_us;
     struct fw_send_window sends;
-    int64_t named_limit_milli;
+    struct fw_server_limit limit;
+    int64_t limit_since_us;
+    int64_t limit_changed_us;
+    int limit_share;
+    int64_t limit_share_us;
+    int64_t logged_limit;
+    struct fw_list limit_link;
+    int is_limit_listed;
 };
 
 /* servers.c */
@@ -127,10 +142,6 @@
 /* The server has responded to a request that found a free slot there. */
 void
 Fw_Servers_NoteServiceTime(struct fw_rl_server *s, int64_t took_us);
-/* Records the limit that a response of @s names, FW_RL_NO_LIMIT if none. */
-void
-Fw_Servers_NoteNamedLimit(struct fw_relay *r, struct fw_rl_server *s,
-                          int64_t limit_milli, struct fw_rl_actions *out);
 /* Removes unlisted servers whose grace period is over. */
 void
 Fw_Servers_Tick(struct fw_relay *r, int64_t now_us, struct fw_rl_actions *out);
@@ -154,26 +165,84 @@
 void
 Fw_Cold_ApplyEntry(struct fw_rl_server *s, int64_t now_us);
 /*
- * Whether a request, or a reservation and the run that uses it, may be sent to
- * the server without exceeding the limit of a cold one.
+ * Whether @n requests may be sent to the server without exceeding the limit of
+ * a cold one.
  */
 int
-Fw_Cold_MaySend(struct fw_relay *r, const struct fw_rl_server *s,
+Fw_Cold_MaySend(struct fw_relay *r, const struct fw_rl_server *s, int n,
                 int64_t now_us);
+
+/* server_limits.c */
+/* A response to this instance named @milli, FW_NO_LIMIT for none. */
+void
+Fw_ServerLimits_Note(struct fw_relay *r, struct fw_rl_server *s, int64_t milli,
+                     int64_t now_us);
+/* Another instance believes @milli at @version. */
+void
+Fw_ServerLimits_Merge(struct fw_relay *r, struct fw_rl_server *s,
+                      int64_t milli, int64_t version, int64_t now_us);
+/* Requests that an instance may send within FW_LIMIT_WINDOW_US. */
+int
+Fw_ServerLimits_ShareOf(const struct fw_relay *r, const struct fw_rl_server *s,
+                        uint64_t instance);
+/* Sets this instance's share, which its hub has computed. */
+void
+Fw_ServerLimits_SetShare(struct fw_rl_server *s, int share, int64_t now_us);
+/* Whether @n requests may be sent without exceeding this instance's share. */
+int
+Fw_ServerLimits_MaySend(struct fw_relay *r, struct fw_rl_server *s, int n,
+                        int64_t now_us);
+/* Whether one that was committed before may be sent. */
+int
+Fw_ServerLimits_MayFollow(struct fw_relay *r, struct fw_rl_server *s,
+                          int64_t now_us);
+/* When @n may be sent, INT64_MAX if this instance has no share. */
+int64_t
+Fw_ServerLimits_AvailableUs(struct fw_relay *r, struct fw_rl_server *s, int n,
+                            int64_t now_us);
+void
+Fw_ServerLimits_Tick(struct fw_relay *r, struct fw_rl_actions *out);
+/* Removes the server from the limited ones. */
+void
+Fw_ServerLimits_Remove(struct fw_rl_server *s);
+
+/* admission.c */
+/* A reservation, and the run or the release that follows it. */
+#define FW_RL_REQUESTS_PER_RESERVATION 2
+/* Whether @n new requests may be sent to the server. */
+int
+Fw_Admission_MaySend(struct fw_relay *r, struct fw_rl_server *s, int n,
+                     int64_t now_us);
+/* Whether the run or the release that follows a reservation may be sent. */
 int
-Fw_Cold_MayReserve(struct fw_relay *r, const struct fw_rl_server *s,
-                   int64_t now_us);
+Fw_Admission_MayFollow(struct fw_relay *r, struct fw_rl_server *s,
+                       int64_t now_us);
+/*
+ * Earliest time at which the server's limit lets @n new requests pass,
+ * INT64_MAX if there is none; 0 if it is out of service or cold.
+ */
+int64_t
+Fw_Admission_AvailableUs(struct fw_relay *r, struct fw_rl_server *s, int n,
+                         int64_t now_us);
 /* @c requests a reservation of its server, which will run it or release it. */
 void
-Fw_Cold_NoteReserving(struct fw_rl_call *c);
+Fw_Admission_NoteReserving(struct fw_rl_call *c);
 /* The run or the release is being sent, or neither will be. */
 void
-Fw_Cold_EndReservation(struct fw_rl_call *c);
+Fw_Admission_EndReservation(struct fw_rl_call *c);
 
 /* place.c */
 /* Chooses the server for the plain request @c; NULL if there is none. */
 struct fw_rl_server *
 Fw_Place_Plain(struct fw_relay *r, const struct fw_rl_call *c, int64_t now_us);
+/*
+ * Earliest time at which the limit of a server other than a prefill engine
+ * lets @n requests of @c pass. INT64_MAX if this instance has no share of any
+ * limit, 0 if all servers are out of service or cold.
+ */
+int64_t
+Fw_Place_AvailableUs(struct fw_relay *r, const struct fw_rl_call *c, int n,
+                     int64_t now_us);
 /*
  * Whether @c would miss its objective in the queue of @s. Near the limit the
  * result is random, with a probability that grows with the load.
--- a/src/relay/service_stats.c
+++ b/src/relay/service_stats.c
@@ -89,7 +89,7 @@
             continue;
         }
         s = find_server_to_report(r, stats->service, now_us);
-        if (s) {
+        if (s && Fw_Admission_MaySend(r, s, 1, now_us)) {
             stats->report_requested_us = now_us;
             Fw_Call_Upstream(r, NULL, s, &up,
                              now_us + FW_RL_RELEASE_TIMEOUT_US, now_us, out)
--- a/src/relay/stage_order.c
+++ b/src/relay/stage_order.c
@@ -35,6 +35,8 @@
  * crashed engine is usually back sooner, and a change takes longer.
  */
 #define FW_IMBALANCE_MIN_US (3 * FW_SEC)
+/* A report and the order that follows it. */
+#define FW_REQUESTS_PER_CHANGE 2
 /* Delay of the first check, for servers and instances to become known. */
 #define FW_FIRST_CHECK_DELAY_US (700 * FW_MSEC)
 
@@ -181,6 +183,7 @@
             strcmp(s->entry.service, service) == 0 && s->entry.stage != *to &&
             !Fw_Servers_IsChangingStage(s, now_us) &&
             Fw_Servers_IsUsable(s, now_us) &&
+            Fw_Admission_MaySend(r, s, FW_REQUESTS_PER_CHANGE, now_us) &&
             (!best || s->hash > best->hash)) {
             best = s;
         }
@@ -217,6 +220,9 @@
                                      .reuse_us = FW_RL_REUSE_US,
                                      .connect_us = FW_RL_CONNECT_TIMEOUT_US};
 
+    if (!Fw_Admission_MaySend(r, s, 1, now_us)) {
+        return;
+    }
     Fw_Call_Upstream(r, NULL, s, &up, now_us + FW_ORDER_TIMEOUT_US, now_us,
                      out);
 }
@@ -234,7 +240,7 @@
                                      .fence = r->order_lease.fence,
                                      .expected_orders = orders};
 
-    if (!holds_role(r, now_us)) {
+    if (!holds_role(r, now_us) || !Fw_Admission_MayFollow(r, s, now_us)) {
         return;
     }
     Fw_RelayActions_Log(
--- a/src/relay/stream.c
+++ b/src/relay/stream.c
@@ -42,6 +42,22 @@
     Fw_Call_Reject(r, c, 503, Fw_Stream_RetryAfter(r, c), reason, now_us, out);
 }
 
+/*
+ * Rejects @c if the limits of all engines keep it out for longer than it may
+ * wait. Return: nonzero if it was rejected and freed.
+ */
+static int
+reject_if_limited(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us,
+                  struct fw_rl_actions *out)
+{
+    if (Fw_Place_AvailableUs(r, c, FW_RL_REQUESTS_PER_RESERVATION, now_us) <=
+        c->queue_until_us) {
+        return 0;
+    }
+    reject_overloaded(r, c, "engines_limited", now_us, out);
+    return 1;
+}
+
 void
 Fw_Stream_Open(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us,
                struct fw_rl_actions *out)
@@ -65,6 +81,9 @@
         Fw_Call_Reject(r, c, 503, 0, "larger_than_an_engine", now_us, out);
         return;
     }
+    if (reject_if_limited(r, c, now_us, out)) {
+        return;
+    }
     g_strlcpy(c->item.team_name, c->team, sizeof(c->item.team_name));
     c->item.latest_start_us = c->queue_until_us;
     c->item.tokens = c->kv_tokens;
@@ -99,7 +118,7 @@
 
     assign_server(c, s);
     Fw_Delta_NotePlacement(r, s);
-    Fw_Cold_NoteReserving(c);
+    Fw_Admission_NoteReserving(c);
     c->state = FW_RL_RESERVING;
     r->relay_metrics.reservations.value++;
     Fw_Call_Upstream(r, c, s, &up, now_us + FW_RESERVE_TIMEOUT_US, now_us,
@@ -136,6 +155,9 @@
         reject_overloaded(r, c, "no_room", now_us, out);
         return;
     }
+    if (reject_if_limited(r, c, now_us, out)) {
+        return;
+    }
     Fw_Queue_PutBack(&r->queue, &c->item);
     Fw_Stream_PlaceQueued(r, now_us, out);
 }
@@ -207,7 +229,12 @@
         restart(r, c, "engine_evacuated", 0, now_us, out);
         return;
     }
-    Fw_Cold_EndReservation(c);
+    if (!Fw_Admission_MayFollow(r, c->server, now_us)) {
+        restart(r, c, "engine_limited", c->prefill_server ? 1 : 0, now_us,
+                out);
+        return;
+    }
+    Fw_Admission_EndReservation(c);
     g_strlcpy(up.team, c->team, sizeof(up.team));
     g_strlcpy(up.reservation, c->reservation, sizeof(up.reservation));
     g_strlcpy(up.kv_handle, c->kv_handle, sizeof(up.kv_handle));
--- a/src/relayd/upstream.c
+++ b/src/relayd/upstream.c
@@ -87,7 +87,8 @@
     struct fw_rl_actions acts;
 
     Fw_RelayActions_Init(&acts);
-    Fw_Relay_ResponseHead(d->relay, call->xid, &call->answer, &acts);
+    Fw_Relay_ResponseHead(d->relay, call->xid, &call->answer, Fw_Conn_NowUs(),
+                          &acts);
     Fw_Relayd_ExecuteActions(d, &acts);
 }
 
--- a/tests/platform/test_platform.c
+++ b/tests/platform/test_platform.c
@@ -469,7 +469,7 @@
 };
 
 static const struct limit_case limit_cases[] = {
-    {"", FW_RL_NO_LIMIT, 0},
+    {"", FW_NO_LIMIT, 0},
     {"Server-Limit: 3.1\r\n", 3100, 0},
     {"server-limit: 12\r\n", 12000, 0},
     {"Server-Limit: 0\r\n", 0, 0},
@@ -477,16 +477,15 @@
     {"Server-Limit: 99999999999999999999\r\n", FW_RL_LIMIT_MILLI_MAX, 0},
     {"Server-Limit: 8\r\nServer-Limit: 2\r\n", 2000, 0},
     {"Server-Limit: 8\r\nServer-Limit: x\r\n", 8000, 1},
-    {"Server-Limit: -1\r\n", FW_RL_NO_LIMIT, 1},
-    {"Server-Limit: 1e3\r\n", FW_RL_NO_LIMIT, 1},
-    {"Server-Limit: nan\r\n", FW_RL_NO_LIMIT, 1},
-    {"Server-Limit: inf\r\n", FW_RL_NO_LIMIT, 1},
-    {"Server-Limit: 1.2.3\r\n", FW_RL_NO_LIMIT, 1},
-    {"Server-Limit: 3, 4\r\n", FW_RL_NO_LIMIT, 1},
-    {"Server-Limit: .\r\n", FW_RL_NO_LIMIT, 1},
-    {"Server-Limit:\r\n", FW_RL_NO_LIMIT, 1},
-    {"Server-Limit: 000000000000000000000000000000000001\r\n", FW_RL_NO_LIMIT,
-     1},
+    {"Server-Limit: -1\r\n", FW_NO_LIMIT, 1},
+    {"Server-Limit: 1e3\r\n", FW_NO_LIMIT, 1},
+    {"Server-Limit: nan\r\n", FW_NO_LIMIT, 1},
+    {"Server-Limit: inf\r\n", FW_NO_LIMIT, 1},
+    {"Server-Limit: 1.2.3\r\n", FW_NO_LIMIT, 1},
+    {"Server-Limit: 3, 4\r\n", FW_NO_LIMIT, 1},
+    {"Server-Limit: .\r\n", FW_NO_LIMIT, 1},
+    {"Server-Limit:\r\n", FW_NO_LIMIT, 1},
+    {"Server-Limit: 000000000000000000000000000000000001\r\n", FW_NO_LIMIT, 1},
 };
 
 /* Guards against a malformed limit that is taken for one, or for none. */
--- a/tests/relay/script.c
+++ b/tests/relay/script.c
@@ -31,13 +31,12 @@
  *   member NAME                 a digest from the instance NAME
  *   spent NAME TEAM N [level=N] a digest from NAME: it has spent N tokens of
  *                               TEAM's allowance in all; its bucket's level
- *   tick                        runs the periodic work
- *   drain                       SIGTERM
- *   ready                       prints whether the instance is ready
- *   load ID                     prints a server's running requests, reserved
- *                               tokens and prefill tokens
- *   logs                        prints log lines from here on: severity, event
- *                               and members
+ *   limit NAME ID VERSION N     a message from NAME: the limit that it
+ * believes of a server, thousandths a second, -1 for none tick runs the
+ * periodic work drain                       SIGTERM ready prints whether the
+ * instance is ready load ID                     prints a server's running
+ * requests, reserved tokens and prefill tokens logs prints log lines from here
+ * on: severity, event and members
  */
 #include "tests/relay/script.h"
 
@@ -164,7 +163,7 @@
     struct fw_rl_upstream_response ans = {
         .status = (int)Fw_RelayScript_GetArg(run, 2),
         .limit_milli =
-            Fw_RelayScript_GetNumber(run, "limit_milli", FW_RL_NO_LIMIT),
+            Fw_RelayScript_GetNumber(run, "limit_milli", FW_NO_LIMIT),
         .invalid_limit = Fw_RelayScript_HasWord(run, "bad-limit"),
         .orders = Fw_RelayScript_GetNumber(run, "orders", -1)};
     const char *name = Fw_RelayScript_GetString(run, "name");
@@ -272,7 +271,7 @@
     struct fw_rl_upstream_response ans = answer_of(run);
 
     Fw_Relay_ResponseHead(run->r, Fw_RelayScript_GetArg(run, 1), &ans,
-                          &run->acts);
+                          run->now_us, &run->acts);
     Fw_Relay_ResponseBegan(run->r, Fw_RelayScript_GetArg(run, 1), &ans,
                            run->now_us, &run->acts);
 }
@@ -283,7 +282,7 @@
     struct fw_rl_upstream_response ans = answer_of(run);
 
     Fw_Relay_ResponseHead(run->r, Fw_RelayScript_GetArg(run, 1), &ans,
-                          &run->acts);
+                          run->now_us, &run->acts);
     Fw_Relay_ResponseEnded(run->r, Fw_RelayScript_GetArg(run, 1), &ans,
                            run->now_us, &run->acts);
 }
@@ -339,6 +338,7 @@
     {"store-back", do_store_back},
     {"list", do_list},
     {"member", Fw_RelayScript_DoMember},
+    {"limit", Fw_RelayScript_DoLimit},
     {"spent", Fw_RelayScript_DoSpent},
     {"lead", Fw_RelayScript_DoLead},
     {"open", do_open},
--- a/tests/relay/script_internal.h
+++ b/tests/relay/script_internal.h
@@ -53,6 +53,8 @@
 void
 Fw_RelayScript_DoMember(struct relay_script_run *run);
 void
+Fw_RelayScript_DoLimit(struct relay_script_run *run);
+void
 Fw_RelayScript_DoSpent(struct relay_script_run *run);
 void
 Fw_RelayScript_DoLead(struct relay_script_run *run);
--- a/tests/relay/script_world.c
+++ b/tests/relay/script_world.c
@@ -159,6 +159,33 @@
     g_byte_array_unref(msg);
 }
 
+void
+Fw_RelayScript_DoLimit(struct relay_script_run *run)
+{
+    GByteArray *msg = g_byte_array_new();
+    struct fw_rl_outbox outbox;
+    msgpack_packer pk;
+
+    Fw_Pack_Begin(&pk, msg);
+    msgpack_pack_array(&pk, 3);
+    msgpack_pack_int(&pk, 11);
+    Fw_Pack_Str(&pk, run->word[1]);
+    msgpack_pack_array(&pk, 1);
+    msgpack_pack_array(&pk, 5);
+    msgpack_pack_uint64(&pk, Fw_Hash_Str(run->word[2]));
+    msgpack_pack_int64(&pk, 1);
+    msgpack_pack_int64(&pk, (int64_t)Fw_RelayScript_GetArg(run, 3));
+    msgpack_pack_int64(&pk, g_ascii_strtoll(run->word[4], NULL, 10));
+    msgpack_pack_int64(&pk, -1);
+    Fw_Outbox_Init(&outbox);
+    ck_assert_int_eq(Fw_Relay_ReadMessage(run->r, "127.0.0.9:1", msg->data,
+                                          msg->len, run->now_us, &outbox),
+                     0);
+    Fw_Outbox_Clear(&outbox);
+    g_ptr_array_unref(outbox.all);
+    g_byte_array_unref(msg);
+}
+
 void
 Fw_RelayScript_DoRules(struct relay_script_run *run)
 {
--- a/tests/relay/test_digest.c
+++ b/tests/relay/test_digest.c
@@ -41,6 +41,9 @@
     {"a list of hubs with a short row", "\x95\x0a\xa1n\x01\x01\x91\x91\xa1m",
      9},
     {"a list of hubs without a sender", "\x95\x0a\xa0\x01\x01\x90", 6},
+    {"limits without a sender", "\x93\x0b\x01\x90", 4},
+    {"limits whose rows are too short",
+     "\x93\x0b\xa1n\x91\x94\x01\x01\x01\x01", 10},
     {"a query without its nonce", "\x92\x02\x01", 3},
     {"an answer with a string in it", "\x95\x03\x01\x01\xa1n\x00", 7},
 };
--- /dev/null
+++ b/tests/relay/test_limits.c
@@ -0,0 +1,236 @@
+/*
+ * Scripted tests of the relay's core: servers that name the rate that they
+ * take from all instances together.
+ */
+#include <check.h>
+#include <glib.h>
+
+#include "tests/base/suite.h"
+#include "tests/relay/script.h"
+
+static const struct fw_relay_script scripts[] = {
+    /* Guards against a server in need that gets its usual share. */
+    {.name = "a server gets what its limit allows in four seconds",
+     .text = "rules 1\n"
+             "registered\n"
+             "fresh 0\n"
+             "server s1 plain none\n"
+             "list\n"
+             "open 1 /read/x key=ka\n"
+             "  ask 1 run s1 for 1 team=a left=10000\n"
+             "at 150\n"
+             "answer 1 200 limit_milli=500\n"
+             "  pass 1 from 1\n"
+             "  finish 1\n"
+             "  stop 1\n"
+             "at 1000\n"
+             "open 2 /read/x key=ka\n"
+             "  ask 2 run s1 for 2 team=a left=10000\n"
+             "at 2000\n"
+             "open 3 /order/x key=ka\n"
+             "  ask 3 run s1 for 3 team=a left=10000\n"
+             "open 4 /read/x key=ka\n"
+             "  refuse 4 503 servers_limited ran=no later\n"
+             "at 3900\n"
+             "fresh 3900\n"
+             "open 5 /order/x key=ka\n"
+             "  refuse 5 503 servers_limited ran=no later\n"
+             "at 5100\n"
+             "fresh 5100\n"
+             "open 6 /read/x key=ka\n"
+             "  ask 4 run s1 for 6 team=a left=10000\n"
+             "open 7 /read/x key=ka\n"
+             "  refuse 7 503 servers_limited ran=no later\n"},
+    /* Guards against second tries that go past the limit. */
+    {.name = "a retry keeps the limit of the other server",
+     .text = "rules 1\n"
+             "registered\n"
+             "fresh 0\n"
+             "server s1 plain none\n"
+             "list\n"
+             "open 1 /read/x key=ka\n"
+             "  ask 1 run s1 for 1 team=a left=10000\n"
+             "at 150\n"
+             "answer 1 200 limit_milli=250\n"
+             "  pass 1 from 1\n"
+             "  finish 1\n"
+             "  stop 1\n"
+             "at 1000\n"
+             "open 2 /read/x key=ka\n"
+             "  ask 2 run s1 for 2 team=a left=10000\n"
+             "server s2 plain none\n"
+             "open 3 /read/x key=ka\n"
+             "  ask 3 run s2 for 3 team=a left=10000\n"
+             "open 4 /order/x key=ka\n"
+             "  ask 4 run s2 for 4 team=a left=10000\n"
+             "answer 3 500\n"
+             "  stop 3\n"
+             "  ask 5 run s2 for 3 team=a left=10000\n"
+             "answer 4 503 not-run\n"
+             "  ask 6 run s2 for 4 team=a left=10000\n"},
+    /* Guards against a limit that is given up, or kept for good. */
+    {.name = "a limit ends after four seconds of answers without it",
+     .text = "rules 1\n"
+             "registered\n"
+             "fresh 0\n"
+             "server s1 plain none\n"
+             "list\n"
+             "open 1 /read/x key=ka\n"
+             "  ask 1 run s1 for 1 team=a left=10000\n"
+             "at 150\n"
+             "answer 1 200 limit_milli=0\n"
+             "  pass 1 from 1\n"
+             "  finish 1\n"
+             "  stop 1\n"
+             "at 1000\n"
+             "open 2 /read/x key=ka\n"
+             "  ask 2 run s1 for 2 team=a left=10000\n"
+             "answer 2 200\n"
+             "  pass 2 from 2\n"
+             "  finish 2\n"
+             "  stop 2\n"
+             "open 3 /read/x key=ka\n"
+             "  refuse 3 503 servers_limited ran=no later\n"
+             "at 5200\n"
+             "fresh 5200\n"
+             "open 4 /order/x key=ka\n"
+             "  ask 3 run s1 for 4 team=a left=10000\n"
+             "answer 3 503 not-run\n"
+             "  refuse 4 503 servers_full ran=no later\n"
+             "open 5 /read/x key=ka\n"
+             "  refuse 5 503 servers_limited ran=no later\n"
+             "at 9400\n"
+             "fresh 9400\n"
+             "open 6 /read/x key=ka\n"
+             "  ask 4 run s1 for 6 team=a left=10000\n"
+             "answer 4 200\n"
+             "  pass 6 from 4\n"
+             "  finish 6\n"
+             "  stop 4\n"
+             "open 7 /read/x key=ka\n"
+             "  ask 5 run s1 for 7 team=a left=10000\n"
+             "open 8 /read/x key=ka\n"
+             "  ask 6 run s1 for 8 team=a left=10000\n"},
+    {.name = "a server that was started anew has no limit",
+     .text = "rules 1\n"
+             "registered\n"
+             "fresh 0\n"
+             "server s1 plain none\n"
+             "list\n"
+             "open 1 /read/x key=ka\n"
+             "  ask 1 run s1 for 1 team=a left=10000\n"
+             "at 150\n"
+             "answer 1 200 limit_milli=0\n"
+             "  pass 1 from 1\n"
+             "  finish 1\n"
+             "  stop 1\n"
+             "open 2 /read/x key=ka\n"
+             "  ask 2 run s1 for 2 team=a left=10000\n"
+             "open 3 /read/x key=ka\n"
+             "  refuse 3 503 servers_limited ran=no later\n"
+             "server s1 plain none born=2\n"
+             "  forget s1:1\n"
+             "limit n2 s1 1 0\n"
+             "open 4 /read/x key=ka\n"
+             "  ask 3 run s1 for 4 team=a left=10000\n"
+             "open 5 /read/x key=ka\n"
+             "  ask 4 run s1 for 5 team=a left=10000\n"},
+    {.name = "another server at the address names no limit for this one",
+     .text = "rules 1\n"
+             "registered\n"
+             "fresh 0\n"
+             "server s1 plain none\n"
+             "list\n"
+             "open 1 /order/x key=ka\n"
+             "  ask 1 run s1 for 1 team=a left=10000\n"
+             "answer 1 421 moved limit_milli=0\n"
+             "  ask 2 run s1 for 1 team=a left=10000\n"},
+    /* Guards against instances that only keep a limit that they were named. */
+    {.name = "a limit is learned from other instances, and its end",
+     .text = "rules 1\n"
+             "registered\n"
+             "fresh 0\n"
+             "server s1 plain none\n"
+             "list\n"
+             "member n2\n"
+             "member n3\n"
+             "limit n2 s1 1 500\n"
+             "open 1 /read/x key=ka\n"
+             "  ask 1 run s1 for 1 team=a left=10000\n"
+             "open 2 /read/x key=ka\n"
+             "  refuse 2 503 servers_limited ran=no later\n"
+             "limit n2 s1 2 -1\n"
+             "open 3 /read/x key=ka\n"
+             "  ask 2 run s1 for 3 team=a left=10000\n"
+             "limit n3 s1 1 500\n"
+             "open 4 /read/x key=ka\n"
+             "  ask 3 run s1 for 4 team=a left=10000\n"},
+    /* Guards against reservations whose runs exceed the limit. */
+    {.name = "a reservation takes the limit's room for its run",
+     .text = "rules 1\n"
+             "registered\n"
+             "fresh 0\n"
+             "server d1 llm decode\n"
+             "list\n"
+             "open 1 /gen/x key=ka in=500 out=70\n"
+             "  ask 1 hold d1 for 1 tokens=570\n"
+             "open 2 /gen/x key=ka in=500 out=70\n"
+             "  ask 2 hold d1 for 2 tokens=570\n"
+             "open 3 /gen/x key=ka in=500 out=70\n"
+             "  ask 3 hold d1 for 3 tokens=570\n"
+             "at 150\n"
+             "answer 1 200 name=h1 limit_milli=500\n"
+             "  ask 4 run d1 for 1 hold=h1 team=a left=9850\n"
+             "answer 2 200 name=h2 limit_milli=500\n"
+             "  ask 5 run d1 for 2 hold=h2 team=a left=9850\n"
+             "answer 3 200 name=h3 limit_milli=500\n"
+             "  refuse 3 503 engines_limited ran=no later\n"
+             "open 4 /gen/x key=ka in=500 out=70\n"
+             "  refuse 4 503 engines_limited ran=no later\n"
+             "at 4350\n"
+             "fresh 4350\n"
+             "open 5 /gen/x key=ka in=500 out=70\n"
+             "  ask 6 hold d1 for 5 tokens=570\n"
+             "open 6 /gen/x key=ka in=500 out=70\n"
+             "  refuse 6 503 engines_limited ran=no later\n"},
+    {.name = "a prefill engine at its limit is left out",
+     .text = "rules 1\n"
+             "registered\n"
+             "fresh 0\n"
+             "server p1 llm prefill\n"
+             "server d1 llm decode\n"
+             "list\n"
+             "open 1 /gen/x key=ka in=5000 out=70\n"
+             "  ask 1 hold d1 for 1 tokens=5070\n"
+             "answer 1 200 name=h1\n"
+             "  ask 2 prefill p1 for 1 team=a\n"
+             "at 150\n"
+             "answer 2 200 name=k1 limit_milli=0\n"
+             "  ask 3 run d1 for 1 hold=h1 kv=k1 team=a left=9850\n"
+             "open 2 /gen/x key=ka in=5000 out=70\n"
+             "  ask 4 hold d1 for 2 tokens=5070\n"
+             "answer 4 200 name=h2\n"
+             "  ask 5 prefill p1 for 2 team=a\n"
+             "gone 2\n"
+             "  stop 5\n"
+             "  ask 6 drop-hold d1 hold=h2\n"
+             "open 3 /gen/x key=ka in=5000 out=70\n"
+             "  ask 7 hold d1 for 3 tokens=5070\n"
+             "answer 7 200 name=h3\n"
+             "  ask 8 run d1 for 3 hold=h3 team=a left=10000\n"},
+};
+
+START_TEST(script_output_matches)
+{
+    Fw_RelayScript_Check(&scripts[_i]);
+}
+END_TEST
+
+int
+main(void)
+{
+    TCase *tc = Fw_Suite_New("relay limits");
+
+    tcase_add_loop_test(tc, script_output_matches, 0, G_N_ELEMENTS(scripts));
+    return Fw_Suite_Run(tc);
+}
