Log servers that ask for rest or say that they are leaving

Noting what a response says about its server moves to admission.c. Requests are still placed as before.

--- a/src/relay/admission.c
+++ b/src/relay/admission.c
@@ -1,6 +1,7 @@
 /*
  * Whether requests may be sent to a server. Every kind of call asks here: runs
- * and their retries, prefills, reservations, reports and orders.
+ * and their retries, prefills, reservations, reports and orders. The answer
+ * depends on what the servers say about themselves in their responses.
  */
 #include "relay/relay_internal.h"
 
@@ -46,3 +47,66 @@
         c->server->sends.committed--;
     }
 }
+
+static void
+log_invalid(struct fw_relay *r, const struct fw_rl_server *s, int invalid,
+            const char *event, struct fw_rl_actions *out)
+{
+    if (invalid) {
+        Fw_RelayActions_Log(out, r, LOG_WARNING, event, "\"server\":\"%s\"",
+                            s->entry.id);
+    }
+}
+
+static void
+note_limit(struct fw_relay *r, struct fw_rl_server *s,
+           const struct fw_rl_upstream_response *ans, int64_t now_us,
+           struct fw_rl_actions *out)
+{
+    log_invalid(r, s, ans->invalid_limit, "server_limit_invalid", out);
+    /* A rejection without a limit does not say that there is none. */
+    if (ans->limit_milli != FW_NO_LIMIT ||
+        (!ans->invalid_limit && !ans->not_run)) {
+        Fw_ServerLimits_Note(r, s, ans->limit_milli, now_us);
+    }
+}
+
+static void
+note_rest(struct fw_relay *r, const struct fw_rl_server *s,
+          const struct fw_rl_upstream_response *ans, struct fw_rl_actions *out)
+{
+    log_invalid(r, s, ans->invalid_rest, "server_rest_invalid", out);
+    if (ans->rest_us > 0) {
+        Fw_RelayActions_Log(out, r, LOG_NOTICE, "server_rest",
+                            "\"server\":\"%s\",\"ms\":%" G_GINT64_FORMAT,
+                            s->entry.id, Fw_Relay_UsToMs(ans->rest_us));
+    }
+}
+
+static void
+note_leaving(struct fw_relay *r, struct fw_rl_server *s,
+             const struct fw_rl_upstream_response *ans,
+             struct fw_rl_actions *out)
+{
+    log_invalid(r, s, ans->invalid_leaving, "server_leaving_invalid", out);
+    if (ans->leaving && !s->is_leaving) {
+        s->is_leaving = 1;
+        Fw_RelayActions_Log(out, r, LOG_NOTICE, "server_leaving",
+                            "\"server\":\"%s\"", s->entry.id);
+    }
+}
+
+/* A response from another server says nothing about the one called. */
+void
+Fw_Relay_ResponseHead(struct fw_relay *r, uint64_t xid,
+                      const struct fw_rl_upstream_response *ans,
+                      int64_t now_us, struct fw_rl_actions *out)
+{
+    struct fw_rl_op *op = Fw_Relay_FindOp(r, xid);
+
+    if (op && !ans->wrong_server) {
+        note_limit(r, op->server, ans, now_us, out);
+        note_rest(r, op->server, ans, out);
+        note_leaving(r, op->server, ans, out);
+    }
+}
--- a/src/relay/calls.h
+++ b/src/relay/calls.h
@@ -128,6 +128,9 @@
 Fw_Call_Upstream(struct fw_relay *r, struct fw_rl_call *c,
                  struct fw_rl_server *s, struct fw_rl_upstream_call *up,
                  int64_t until_us, int64_t now_us, struct fw_rl_actions *out);
+/* The pending call, NULL if there is none. */
+struct fw_rl_op *
+Fw_Relay_FindOp(const struct fw_relay *r, uint64_t xid);
 /* Frees @op; a response that arrives later is ignored. */
 void
 Fw_Op_End(struct fw_relay *r, struct fw_rl_op *op);
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -153,8 +153,8 @@
                : -1;
 }
 
-static struct fw_rl_op *
-find_op(const struct fw_relay *r, uint64_t xid)
+struct fw_rl_op *
+Fw_Relay_FindOp(const struct fw_relay *r, uint64_t xid)
 {
     return g_hash_table_lookup(r->ops, &xid);
 }
@@ -165,34 +165,12 @@
     return op->call->kv_tokens > 0;
 }
 
-/* A response from another server says nothing about the one called. */
-void
-Fw_Relay_ResponseHead(struct fw_relay *r, uint64_t xid,
-                      const struct fw_rl_upstream_response *ans,
-                      int64_t now_us, struct fw_rl_actions *out)
-{
-    struct fw_rl_op *op = find_op(r, xid);
-
-    if (!op || ans->wrong_server) {
-        return;
-    }
-    if (ans->invalid_limit) {
-        Fw_RelayActions_Log(out, r, LOG_WARNING, "server_limit_invalid",
-                            "\"server\":\"%s\"", op->server->entry.id);
-    }
-    /* A rejection without a limit does not say that there is none. */
-    if (ans->limit_milli != FW_NO_LIMIT ||
-        (!ans->invalid_limit && !ans->not_run)) {
-        Fw_ServerLimits_Note(r, op->server, ans->limit_milli, now_us);
-    }
-}
-
 void
 Fw_Relay_ResponseBegan(struct fw_relay *r, uint64_t xid,
                        const struct fw_rl_upstream_response *ans,
                        int64_t now_us, struct fw_rl_actions *out)
 {
-    struct fw_rl_op *op = find_op(r, xid);
+    struct fw_rl_op *op = Fw_Relay_FindOp(r, xid);
 
     if (!op || !op->call || op->kind != FW_RL_UP_RUN || ans->not_run) {
         return;
@@ -216,7 +194,7 @@
                        const struct fw_rl_upstream_response *ans,
                        int64_t now_us, struct fw_rl_actions *out)
 {
-    struct fw_rl_op *op = find_op(r, xid);
+    struct fw_rl_op *op = Fw_Relay_FindOp(r, xid);
 
     if (!op) {
         return;
@@ -237,7 +215,7 @@
 Fw_Relay_UpstreamFailed(struct fw_relay *r, uint64_t xid, int err, int sent,
                         int64_t now_us, struct fw_rl_actions *out)
 {
-    struct fw_rl_op *op = find_op(r, xid);
+    struct fw_rl_op *op = Fw_Relay_FindOp(r, xid);
     struct fw_rl_server *s;
 
     if (!op) {
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -88,6 +88,8 @@
 
 /* Higher limits of upstreams are taken for this one, milli per second. */
 #define FW_RL_LIMIT_MILLI_MAX (1000 * 1000 * 1000)
+/* Longer times of rest are taken for this one. */
+#define FW_RL_REST_MAX_US (3600 * FW_SEC)
 
 /**
  * struct fw_rl_upstream_response - response of an upstream.
@@ -95,6 +97,11 @@
  * @limit_milli: rate that the upstream takes from all instances together,
  *     thousandths of a request a second; FW_NO_LIMIT if it names none
  * @invalid_limit: it names a limit that could not be parsed
+ * @rest_us: the upstream rejects this request and wants none from this
+ *     instance for this long; 0 for none
+ * @invalid_rest: it names a time of rest that could not be parsed
+ * @leaving: it is about to shut down
+ * @invalid_leaving: it says so in a form that could not be parsed
  * @not_run: the upstream states that it did not run the request
  * @wrong_server: another server now uses the address
  * @handle: reservation or KV cache created, empty for none
@@ -109,6 +116,10 @@
     int status;
     int64_t limit_milli;
     int invalid_limit;
+    int64_t rest_us;
+    int invalid_rest;
+    int leaving;
+    int invalid_leaving;
     int not_run;
     int wrong_server;
     char handle[FW_RL_KEY_MAX];
--- a/src/relay/servers.h
+++ b/src/relay/servers.h
@@ -48,6 +48,7 @@
  * @is_evacuated: its failure domain is evacuated
  * @cold_until_us: it is, or may be, cold before this time
  * @sends: requests that this instance has sent there
+ * @is_leaving: one of its responses said that it is about to shut down
  * @limit: rate that it takes from all instances together
  * @limit_since_us: since when it has named a limit
  * @limit_changed_us: when @limit last changed, or another instance had an
@@ -87,6 +88,7 @@
     int is_evacuated;
     int64_t cold_until_us;
     struct fw_send_window sends;
+    int is_leaving;
     struct fw_server_limit limit;
     int64_t limit_since_us;
     int64_t limit_changed_us;
--- a/tests/relay/script.c
+++ b/tests/relay/script.c
@@ -23,7 +23,8 @@
  *   gone N                      the caller disconnected
  *   begun X STATUS              the response to call X began
  *   answer X STATUS [name=S] [not-run] [moved] [busy] [orders=N] [stage=S]
- *     [limit_milli=N] [bad-limit]
+ *     [limit_milli=N] [bad-limit] [rest_ms=N] [bad-rest] [leaving]
+ *     [bad-leaving]
  *                               the response to call X is complete
  *   fail X ERRNO sent|unsent    call X failed
  *   lead made|taken|unknown OFFSET
@@ -165,6 +166,10 @@
         .limit_milli =
             Fw_RelayScript_GetNumber(run, "limit_milli", FW_NO_LIMIT),
         .invalid_limit = Fw_RelayScript_HasWord(run, "bad-limit"),
+        .rest_us = Fw_RelayScript_GetNumber(run, "rest_ms", 0) * FW_MSEC,
+        .invalid_rest = Fw_RelayScript_HasWord(run, "bad-rest"),
+        .leaving = Fw_RelayScript_HasWord(run, "leaving"),
+        .invalid_leaving = Fw_RelayScript_HasWord(run, "bad-leaving"),
         .orders = Fw_RelayScript_GetNumber(run, "orders", -1)};
     const char *name = Fw_RelayScript_GetString(run, "name");
     const char *stage = Fw_RelayScript_GetString(run, "stage");
