Show that servers get no rest, and requests although they leave

One relay under 50 calls a second before three plain servers; one rejects all with 503 and asks for 3 s of rest. It got 64 requests between 0.5 s and 3 s after a rejection, where the rule allows 2. Three relays under 150 calls a second: a server that says in all its responses that it leaves got 146 requests later than 2 s after, where none are allowed.

--- a/stand/wire/internal.h
+++ b/stand/wire/internal.h
@@ -45,6 +45,8 @@
  * @role_switch_until_us: requests are rejected before this time
  * @register_sequence: sequence number of its entry in the store
  * @limit: limit that its responses name, empty for none
+ * @rest: seconds of rest that its rejections ask for, empty to accept requests
+ * @is_leaving: its responses say that it is leaving
  * @arrivals: when requests arrived, of int64_t
  */
 struct fw_wire_server {
@@ -71,6 +73,8 @@
     int draining;
     int register_sequence;
     char limit[32];
+    char rest[32];
+    int is_leaving;
     GArray *arrivals;
     unsigned next_lease_id;
 };
--- a/stand/wire/server.c
+++ b/stand/wire/server.c
@@ -84,13 +84,22 @@
     if (s->limit[0]) {
         g_string_append_printf(fields, "Server-Limit: %s\r\n", s->limit);
     }
+    if (s->rest[0]) {
+        g_string_append_printf(fields, "Retry-After: %s\r\n", s->rest);
+    }
+    if (s->is_leaving) {
+        g_string_append(fields, "Server-Leaving: 1\r\n");
+    }
 }
 
 static void
 handle_request(struct fw_wire_server *s, struct fw_http_caller *c,
                const struct fw_http_head *h, GBytes *body)
 {
-    if (!Fw_Wire_HandleControl(s, c, h, body)) {
+    if (s->rest[0]) {
+        Fw_Wire_RejectNotExecuted(s, c, 503);
+    }
+    else if (!Fw_Wire_HandleControl(s, c, h, body)) {
         Fw_Wire_StartRun(s, c, h);
     }
 }
@@ -203,6 +212,36 @@
     g_strlcpy(s->limit, limit ? limit : "", sizeof(s->limit));
 }
 
+void
+Fw_WireServer_SetRest(struct fw_wire_server *s, const char *rest)
+{
+    g_strlcpy(s->rest, rest ? rest : "", sizeof(s->rest));
+}
+
+void
+Fw_WireServer_SetLeaving(struct fw_wire_server *s)
+{
+    s->is_leaving = 1;
+}
+
+int
+Fw_WireServer_MostArrivedAfter(const struct fw_wire_server *s,
+                               int64_t since_us, int64_t from_us,
+                               int64_t to_us)
+{
+    int most = 0;
+
+    for (guint i = 0; i < s->arrivals->len; i++) {
+        int64_t at = g_array_index(s->arrivals, int64_t, i);
+
+        if (at >= since_us) {
+            most = MAX(
+                most, Fw_WireServer_ArrivedCount(s, at + from_us, at + to_us));
+        }
+    }
+    return most;
+}
+
 int
 Fw_WireServer_ArrivedCount(const struct fw_wire_server *s, int64_t from_us,
                            int64_t to_us)
@@ -221,17 +260,7 @@
 Fw_WireServer_MostArrived(const struct fw_wire_server *s, int64_t from_us,
                           int64_t window_us)
 {
-    int most = 0;
-
-    for (guint i = 0; i < s->arrivals->len; i++) {
-        int64_t at = g_array_index(s->arrivals, int64_t, i);
-
-        if (at >= from_us) {
-            most =
-                MAX(most, Fw_WireServer_ArrivedCount(s, at, at + window_us));
-        }
-    }
-    return most;
+    return Fw_WireServer_MostArrivedAfter(s, from_us, 0, window_us);
 }
 
 int
--- a/stand/wire/wire.h
+++ b/stand/wire/wire.h
@@ -97,6 +97,15 @@
 /* All responses of the server name @limit; NULL for none. */
 void
 Fw_WireServer_SetLimit(struct fw_wire_server *s, const char *limit);
+/*
+ * Rejects all requests with 503 and asks for @rest seconds of rest; NULL to
+ * accept them again.
+ */
+void
+Fw_WireServer_SetRest(struct fw_wire_server *s, const char *rest);
+/* All responses of the server say that it is leaving. */
+void
+Fw_WireServer_SetLeaving(struct fw_wire_server *s);
 /* Nonzero once a fault has been injected. */
 int
 Fw_WireServer_FaultTriggered(const struct fw_wire_server *s);
@@ -114,6 +123,14 @@
 int
 Fw_WireServer_MostArrived(const struct fw_wire_server *s, int64_t from_us,
                           int64_t window_us);
+/*
+ * The most that arrived in [t + @from_us, t + @to_us), t an arrival at
+ * @since_us or later.
+ */
+int
+Fw_WireServer_MostArrivedAfter(const struct fw_wire_server *s,
+                               int64_t since_us, int64_t from_us,
+                               int64_t to_us);
 /* Requests in progress. */
 int
 Fw_WireServer_ActiveCount(const struct fw_wire_server *s);
