Send nothing new to servers that say they are leaving

What callers saw: nothing yet.

Cause: as of rest, the field of the response was read nowhere; that a server leaves was known from the store's entries only.

The fix: an instance that receives such a response takes the server out of service for the server's lifetime, as an entry that says draining does, and closes its idle connections. Requests that run there end undisturbed.

Why it works: all ways to a server ask whether it is in service, and an entry that still says ready does not undo it.

--- a/src/relay/admission.c
+++ b/src/relay/admission.c
@@ -106,10 +106,8 @@
              struct fw_rl_actions *out)
 {
     log_if_invalid(r, s, ans->invalid_leaving, "leaving", out);
-    if (ans->leaving && !s->is_leaving) {
-        s->is_leaving = 1;
-        Fw_RelayActions_Log(out, r, LOG_NOTICE, "server_leaving",
-                            "\"server\":\"%s\"", s->entry.id);
+    if (ans->leaving) {
+        Fw_Servers_NoteLeaving(r, s, out);
     }
 }
 
--- a/src/relay/servers.c
+++ b/src/relay/servers.c
@@ -107,7 +107,8 @@
 int
 Fw_Servers_IsInService(const struct fw_rl_server *s)
 {
-    return !s->gone && !s->entry.draining && !s->is_evacuated;
+    return !s->gone && !s->entry.draining && !s->is_leaving &&
+           !s->is_evacuated;
 }
 
 int
@@ -201,6 +202,19 @@
               s->entry.addr, FW_URL_MAX);
 }
 
+void
+Fw_Servers_NoteLeaving(struct fw_relay *r, struct fw_rl_server *s,
+                       struct fw_rl_actions *out)
+{
+    if (s->is_leaving) {
+        return;
+    }
+    s->is_leaving = 1;
+    Fw_RelayActions_Log(out, r, LOG_NOTICE, "server_leaving",
+                        "\"server\":\"%s\"", s->entry.id);
+    close_idle_connections(s, out);
+}
+
 static void
 remove_server(struct fw_relay *r, struct fw_rl_server *s, const char *why,
               int64_t now_us, struct fw_rl_actions *out)
--- a/src/relay/servers.h
+++ b/src/relay/servers.h
@@ -124,7 +124,7 @@
 Fw_Servers_Ref(struct fw_rl_server *s);
 void
 Fw_Servers_Unref(struct fw_rl_server *s);
-/* Whether the server is listed, does not drain and is not evacuated. */
+/* Whether the server is listed, does not leave and is not evacuated. */
 int
 Fw_Servers_IsInService(const struct fw_rl_server *s);
 /* Whether new requests may be sent to the server. */
@@ -133,6 +133,10 @@
 /* Whether the server is changing its stage. */
 int
 Fw_Servers_IsChangingStage(const struct fw_rl_server *s, int64_t now_us);
+/* The server has said that it is about to shut down: for its lifetime. */
+void
+Fw_Servers_NoteLeaving(struct fw_relay *r, struct fw_rl_server *s,
+                       struct fw_rl_actions *out);
 /* Starts a backoff, longer each time until the server responds. */
 void
 Fw_Servers_NoteUnreachable(struct fw_rl_server *s, int64_t now_us);
--- a/tests/relay/test_events.c
+++ b/tests/relay/test_events.c
@@ -31,6 +31,7 @@
          "  4 server_field_invalid "
          "\"server\":\"s1\",\"field\":\"leaving\"\n"
          "  5 server_leaving \"server\":\"s1\"\n"
+         "  forget s1:1\n"
          "  pass 1 from 1\n"
          "  6 answered "
          "\"id\":\"q1\",\"route\":\"plain\",\"server\":\"s1\",\"tries\":1,"
