Count a rejection as a failure of the server that rejects

Cause: the class of fault is that a quick failure looks like health. A rejection as not run takes a millisecond, leaves no load behind and was noted as a good response, so the score of the server that rejects is the best one.

Why it works: the error rate is a factor of the score, a moving mean of the last responses; servers that all reject alike keep their order.

--- a/src/relay/plain.c
+++ b/src/relay/plain.c
@@ -204,7 +204,7 @@
         return;
     }
     if (ans->not_run) {
-        Fw_Servers_NoteResponse(op->server, ans->wrong_server, -1);
+        Fw_Servers_NoteResponse(op->server, 1, -1);
         if (ans->wrong_server) {
             Fw_Servers_NoteUnreachable(op->server, now_us);
         }
--- a/tests/relay/plain_servers.c
+++ b/tests/relay/plain_servers.c
@@ -12,6 +12,7 @@
 /**
  * struct plain_world - state of the simulation.
  * @asked_ms: when a request was sent, by request id
+ * @sheds: the first server rejects all requests
  * @free_ms: when each slot has finished its queued requests
  */
 struct plain_world {
@@ -22,6 +23,7 @@
     GArray *works;
     int64_t now_ms;
     int64_t *asked_ms;
+    int sheds;
     int64_t free_ms[FW_PLAIN_SERVERS][FW_PLAIN_SLOTS];
 };
 
@@ -51,6 +53,11 @@
     struct fw_rl_upstream_response full = {.status = 503, .not_run = 1};
     struct work w = {.xid = u->xid, .server = server};
 
+    if (f->sheds && server == 0) {
+        f->res->shed++;
+        Fw_Relay_ResponseEnded(f->r, u->xid, &full, now_us(f), &f->acts);
+        return;
+    }
     if (queue_length(f, server) >= FW_PLAIN_QUEUE) {
         Fw_Relay_ResponseEnded(f->r, u->xid, &full, now_us(f), &f->acts);
         return;
@@ -156,16 +163,16 @@
     g_array_set_size(f->acts.all, 0);
 }
 
-void
-Fw_PlainLoad_Play(double per_s, int64_t ms, uint32_t seed,
-                  struct fw_plain_load *out)
+static void
+play(double per_s, int64_t ms, uint32_t seed, int sheds,
+     struct fw_plain_load *out)
 {
     struct fw_relay_opts opts = {.name = "n1",
                                  .seed = seed,
                                  .retry_window_us = 10 * FW_SEC,
                                  .retry_extra = 100,
                                  .key_stale_us = 4 * FW_SEC};
-    struct plain_world f = {.res = out};
+    struct plain_world f = {.res = out, .sheds = sheds};
 
     *out = (struct fw_plain_load){0};
     f.rand = g_rand_new_with_seed(seed);
@@ -186,3 +193,17 @@
     g_free(f.asked_ms);
     g_rand_free(f.rand);
 }
+
+void
+Fw_PlainLoad_Play(double per_s, int64_t ms, uint32_t seed,
+                  struct fw_plain_load *out)
+{
+    play(per_s, ms, seed, 0, out);
+}
+
+void
+Fw_PlainLoad_PlayShedding(double per_s, int64_t ms, uint32_t seed,
+                          struct fw_plain_load *out)
+{
+    play(per_s, ms, seed, 1, out);
+}
--- a/tests/relay/plain_servers.h
+++ b/tests/relay/plain_servers.h
@@ -13,8 +13,12 @@
 #define FW_PLAIN_WORK_MS 66
 #define FW_PLAIN_OBJECTIVE_MS 300
 
-/** struct fw_plain_load - number of requests by outcome. */
+/**
+ * struct fw_plain_load - number of requests by outcome.
+ * @shed: calls that the first server rejected although it had room
+ */
 struct fw_plain_load {
+    int shed;
     int requests;
     int on_time;
     int late;
@@ -25,5 +29,9 @@
 void
 Fw_PlainLoad_Play(double per_s, int64_t ms, uint32_t seed,
                   struct fw_plain_load *out);
+/* The same, while the first server rejects all that it gets. */
+void
+Fw_PlainLoad_PlayShedding(double per_s, int64_t ms, uint32_t seed,
+                          struct fw_plain_load *out);
 
 #endif
--- a/tests/relay/test_load.c
+++ b/tests/relay/test_load.c
@@ -13,6 +13,7 @@
 /* Requests per second; three servers have a capacity of 272. */
 #define FW_OVERLOAD_PER_S 408
 #define FW_LIGHT_LOAD_PER_S 200
+#define FW_SHED_LOAD_PER_S 100
 #define FW_PLAIN_LOAD_MS 5000
 #define FW_MIN_ON_TIME_PERMILLE 930
 #define FW_MAX_PREEMPTED_PERMILLE 2
@@ -114,6 +115,19 @@
 }
 END_TEST
 
+/* Guards against a server that is preferred because it rejects quickly. */
+START_TEST(a_server_that_rejects_all_is_avoided)
+{
+    struct fw_plain_load got;
+
+    Fw_PlainLoad_PlayShedding(FW_SHED_LOAD_PER_S, FW_PLAIN_LOAD_MS,
+                              (uint32_t)_i + 1, &got);
+    ck_assert_msg(got.shed * 10 <= got.requests, "%d of %d sent there",
+                  got.shed, got.requests);
+    ck_assert_int_eq(got.rejected, 0);
+}
+END_TEST
+
 #define FW_SHAPES 8
 #define FW_SHAPE_SEEDS 1
 /* Time before the burst, in durations of a mean stream. */
@@ -291,5 +305,6 @@
     tcase_add_test(tc, all_engines_of_a_large_fleet_are_used);
     tcase_add_loop_test(tc, overloaded_servers_answer_in_time, 0, 5);
     tcase_add_loop_test(tc, servers_below_capacity_reject_nothing, 0, 5);
+    tcase_add_loop_test(tc, a_server_that_rejects_all_is_avoided, 0, 5);
     return Fw_Suite_Run(tc);
 }
