Release KV caches of servers that leave, and count limited servers

The release of a KV cache had come to ask whether new requests may go to the server, so that caches of draining and evacuated servers were left to expire, as they were not before the limits. It now asks as the release of a reservation does: whether the server's limit and rest allow it. The gauge fw_servers_limited tells how many servers name a limit or are at rest.

--- a/src/relay/admission.c
+++ b/src/relay/admission.c
@@ -34,6 +34,13 @@
                Fw_ServerLimits_AvailableUs(r, s, n, now_us));
 }
 
+int
+Fw_Admission_IsLimited(const struct fw_rl_server *s, int64_t now_us)
+{
+    return s->limit.milli != FW_NO_LIMIT ||
+           !Fw_ServerRest_IsOver(&s->rest, now_us);
+}
+
 void
 Fw_Admission_NoteSent(struct fw_rl_server *s, int64_t now_us)
 {
--- a/src/relay/call.c
+++ b/src/relay/call.c
@@ -62,9 +62,7 @@
                                      .reuse_us = FW_RL_REUSE_US,
                                      .connect_us = FW_RL_CONNECT_TIMEOUT_US};
 
-    if (s->gone ||
-        !(kind == FW_RL_UP_RELEASE ? Fw_Admission_MayFollow(r, s, now_us)
-                                   : Fw_Admission_MaySend(r, s, 1, now_us))) {
+    if (s->gone || !Fw_Admission_MayFollow(r, s, now_us)) {
         return;
     }
     g_strlcpy(kind == FW_RL_UP_RELEASE ? up.reservation : up.kv_handle, name,
--- a/src/relay/metrics.c
+++ b/src/relay/metrics.c
@@ -44,6 +44,8 @@
          "Since when the configuration in force is surely the newest", 1},
         {&r->relay_metrics.servers_usable, "fw_servers_usable",
          "Servers that new requests may go to", 1},
+        {&r->relay_metrics.servers_limited, "fw_servers_limited",
+         "Servers that name a limit or are at rest", 1},
         {&r->relay_metrics.tokens_reserved, "fw_engine_tokens_reserved",
          "Tokens of engine memory that this instance has reserved or in use",
          1},
@@ -110,6 +112,7 @@
 {
     struct fw_list *pos;
     int64_t usable = 0;
+    int64_t limited = 0;
     int64_t reserved = 0;
 
     FW_LIST_EACH (pos, &r->servers) {
@@ -117,6 +120,7 @@
             FW_LIST_ENTRY(pos, struct fw_rl_server, link);
 
         usable += Fw_Servers_IsUsable(s, now_us);
+        limited += Fw_Admission_IsLimited(s, now_us);
         reserved += s->kv_tokens;
     }
     r->relay_metrics.open.value = g_hash_table_size(r->calls);
@@ -124,6 +128,7 @@
     r->relay_metrics.rules_age_ms.value =
         Fw_Relay_UsToMs(now_us - r->rules_fresh_us);
     r->relay_metrics.servers_usable.value = usable;
+    r->relay_metrics.servers_limited.value = limited;
     r->relay_metrics.tokens_reserved.value = reserved;
     r->relay_metrics.role_held.value =
         r->order_lease.fence && now_us < r->order_lease.expires_us;
--- a/src/relay/servers.h
+++ b/src/relay/servers.h
@@ -222,7 +222,10 @@
 int
 Fw_Admission_MaySend(struct fw_relay *r, struct fw_rl_server *s, int n,
                      int64_t now_us);
-/* Whether the run or the release that follows a reservation may be sent. */
+/*
+ * Whether the run that follows a reservation may be sent, or the release of
+ * what was reserved or prefilled there.
+ */
 int
 Fw_Admission_MayFollow(struct fw_relay *r, struct fw_rl_server *s,
                        int64_t now_us);
@@ -233,6 +236,9 @@
 int64_t
 Fw_Admission_AvailableUs(struct fw_relay *r, struct fw_rl_server *s, int n,
                          int64_t now_us);
+/* Whether the server names a limit, or is at rest. */
+int
+Fw_Admission_IsLimited(const struct fw_rl_server *s, int64_t now_us);
 /* A request is being sent to the server. */
 void
 Fw_Admission_NoteSent(struct fw_rl_server *s, int64_t now_us);
