--- a/src/decide/length.c
+++ b/src/decide/length.c
@@ -3,7 +3,10 @@
 #include <glib.h>
 #include <math.h>
 
-/* Limit of the model's weight: older answers fade over this many. */
+/*
+ * Limit of the model's weight: older answers fade over this many, after which
+ * a change of the load shows.
+ */
 #define FW_LENGTH_WEIGHT_MAX 60.0
 /* Weight of the prior estimate, in answers. */
 #define FW_LENGTH_PRIOR_WEIGHT 8.0
--- a/src/decide/mean.c
+++ b/src/decide/mean.c
@@ -5,7 +5,10 @@
 
 /* Weight of the prior, in observations. */
 #define FW_MEAN_PRIOR_WEIGHT 3
-/* Limit of the total weight: older observations fade over this many. */
+/*
+ * Limit of the total weight: older observations fade over this many, after
+ * which a change of the load shows.
+ */
 #define FW_MEAN_WEIGHT_MAX 30
 
 void
--- a/src/decide/prefill_pool.c
+++ b/src/decide/prefill_pool.c
@@ -10,11 +10,14 @@
  * service for seconds, so short bursts must not cause a change.
  */
 #define FW_LOAD_DECAY_US (60.0 * FW_SEC)
-/* Shortest time to average over: a few prompts give no usable rate. */
+/* Shortest time to average over: in less, one more prompt doubles the rate. */
 #define FW_LOAD_MIN_US (5.0 * FW_SEC)
 /* Observed load weighs as much as the prior after this time. */
 #define FW_PRIOR_WEIGHT_US (15.0 * FW_SEC)
-/* Engines beyond the mean load, per square root of the mean load. */
+/*
+ * Engines beyond the mean load, per square root of the mean load (square-root
+ * staffing): a few engines need more beside the mean than many do.
+ */
 #define FW_STAFFING_FACTOR 1.8
 /* Hysteresis: the size stays while its target is closer than this. */
 #define FW_POOL_HYSTERESIS 1.0
--- a/src/decide/service_stats.c
+++ b/src/decide/service_stats.c
@@ -13,7 +13,10 @@
 #define FW_PREFILL_DELAY_DEV_PRIOR_US (150.0 * FW_MSEC)
 #define FW_FIRST_EVENT_PRIOR_US (150.0 * FW_MSEC)
 #define FW_FIRST_EVENT_DEV_PRIOR_US (50.0 * FW_MSEC)
-/* A prefill is given up after this many deviations beyond its mean delay. */
+/*
+ * A prefill is given up after this many deviations beyond its mean delay:
+ * another engine's time is worth more than the last one in a hundred.
+ */
 #define FW_PREFILL_SLACK_DEVIATIONS 4.0
 #define FW_PREFILL_SLACK_MIN_US (120 * FW_MSEC)
 #define FW_PREFILL_SLACK_MAX_US (2 * FW_SEC)
--- a/src/http/client.c
+++ b/src/http/client.c
@@ -15,7 +15,8 @@
 #define FW_KEEP_ALIVE_DEFAULT_US (4 * FW_SEC)
 /*
  * Subtracted from the Keep-Alive timeout of an upstream: a request that is in
- * flight when the upstream closes the connection is lost.
+ * flight when the upstream closes the connection is lost. Covers the time on
+ * the network and a busy main loop on either side.
  */
 #define FW_KEEP_ALIVE_MARGIN_US (600 * FW_MSEC)
 
--- a/src/http/conn.c
+++ b/src/http/conn.c
@@ -15,7 +15,9 @@
 #define FW_INPUT_MAX_BYTES (256 * 1024)
 /*
  * TCP_USER_TIMEOUT: fails a connection whose sent data is not acknowledged.
- * With the default, a network partition is detected only after minutes.
+ * With the default, a network partition is detected only after minutes. Five
+ * times the longest round trip between failure domains with one
+ * retransmission after the kernel's minimum timeout of 200 ms.
  */
 #define FW_USER_TIMEOUT_MS 2000
 
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -13,7 +13,8 @@
 /*
  * How long input is read and discarded after the last response of a
  * connection. Closing a socket with unread input resets the connection, and
- * the caller could lose the response.
+ * the caller could lose the response. A round trip across a region is 40 ms;
+ * the rest is for a caller that is slow to notice.
  */
 #define FW_LINGER_US (500 * FW_MSEC)
 
--- a/src/relay/allowance.c
+++ b/src/relay/allowance.c
@@ -21,7 +21,10 @@
 #define FW_ADOPTION_PERIOD_US (3 * FW_SEC)
 /* Below this fraction of the capacity, spending is sent soon. */
 #define FW_SEND_SOON_LEVEL_FRACTION 0.5
-/* Then, unsent spending above this fraction of it is sent at once. */
+/*
+ * Then, unsent spending above this fraction of it is sent at once; smaller
+ * amounts, of plain requests, wait and are sent together.
+ */
 #define FW_SEND_AT_ONCE_SPENT_FRACTION 0.02
 /* Below this fraction of the capacity, leaves get the level at once. */
 #define FW_PUSH_TO_LEAVES_LEVEL_FRACTION 0.1
--- a/src/relay/open.c
+++ b/src/relay/open.c
@@ -19,7 +19,8 @@
 #define FW_REJECT_STRIKES 3
 /*
  * Remaining grace period below which a draining instance rejects a request,
- * since it might not be able to complete it.
+ * since it might not be able to complete it. 99 in 100 streams take no longer;
+ * a plain request has its time limit.
  */
 #define FW_DRAIN_MIN_STREAM_US (5500 * FW_MSEC)
 #define FW_DRAIN_MIN_PLAIN_US (1800 * FW_MSEC)
@@ -30,7 +31,8 @@
 /*
  * Age of the configuration above which callers' connections are closed after a
  * response, so that they reconnect to another instance before their keys are
- * rejected as stale. Longer than any age in normal operation.
+ * rejected as stale. Half as long again as the usual age: a read of 0.75 s,
+ * which other instances ask about every 0.7 s.
  */
 #define FW_CONFIG_AGE_SHED_US (2200 * FW_MSEC)
 /* Retry-After of a request that is rejected for crashing its servers. */
--- a/src/relay/place.c
+++ b/src/relay/place.c
@@ -12,7 +12,10 @@
  * so that a new server is tried early.
  */
 #define FW_DEFAULT_RESPONSE_US (30.0 * FW_MSEC)
-/* Weight of a server's error rate in its score. */
+/*
+ * Weight of a server's error rate in its score: a failure costs a caller about
+ * this many times the wait for a good response.
+ */
 #define FW_ERROR_RATE_WEIGHT 8.0
 /* Relative random spread of scores: spreads load over similar servers. */
 #define FW_SCORE_JITTER_FRACTION 0.3
@@ -28,7 +31,7 @@
 #define FW_MIN_REQUESTS_PER_SLOT 1.5
 /*
  * Above the limit requests are rejected with a probability that reaches 1 at
- * this fraction over it. Peers' loads are known only after a delay, so a hard
+ * this fraction over it. Peers' loads are known 75 to 150 ms late, so a hard
  * limit would oscillate between admitting all requests and none.
  */
 #define FW_OVERLOAD_RAMP_FRACTION 0.5
--- a/src/relay/plain.c
+++ b/src/relay/plain.c
@@ -10,7 +10,10 @@
 #include "base/fault.h"
 #include "relay/relay_internal.h"
 
-/* Timeout of an attempt that can be retried. */
+/*
+ * Timeout of an attempt that can be retried: three times the slowest usual
+ * response, and before an objective of 300 ms has passed twice.
+ */
 #define FW_ATTEMPT_TIMEOUT_US (350 * FW_MSEC)
 /* Retry-After when no server is available. */
 #define FW_RETRY_NO_SERVER_US (1 * FW_SEC)
--- a/src/relay/store_sync.c
+++ b/src/relay/store_sync.c
@@ -34,8 +34,8 @@
 /*
  * Age of its data at which a leaf, or an instance that polls the store, sends
  * queries as well: the store may reject some instances while it serves others,
- * and an instance must have newer data before callers' keys expire. A poll
- * without errors is faster than this.
+ * and an instance must have newer data before callers' keys expire after
+ * 4.8 s. A poll without errors takes 1.5 s.
  */
 #define FW_QUERY_WHEN_STALE_US (2 * FW_SEC)
 /* Time after the start to wait for the list of members, and for a hub. */
--- a/src/relay/stream.c
+++ b/src/relay/stream.c
@@ -12,11 +12,13 @@
 
 /*
  * Timeout of a reservation request, after which the request is queued again.
+ * An engine answers within a few milliseconds, and the wait is taken off the
+ * objective.
  */
 #define FW_RESERVE_TIMEOUT_US (120 * FW_MSEC)
 /*
- * Age above which a reservation is not used for another prefill: it could
- * expire before the prefill completes.
+ * Age above which a reservation is not used for another prefill: it lives for
+ * two seconds, and could expire before the prefill completes.
  */
 #define FW_RESERVATION_AGE_MAX_US (1 * FW_SEC)
 /* Retries of one request at other engines, of its prefill or as a whole. */
@@ -298,7 +300,8 @@
 
 /*
  * Retries a failed prefill at another engine and keeps the reservation, which
- * might not be granted again in a full fleet.
+ * might not be granted again in a full fleet, least of all when many engines
+ * have crashed at once.
  * @wasted_calls: charged to the retry budget: 1 if the prefill's call reached
  *     an engine, else 0
  */
