Take a store's recovery as of when it was seen, not when it was reported

The server was usually still up; one that is not loses the request.

Cause: after a store outage unlisted servers are kept for 2.2 s, as live ones may renew their entries. Outages that only others noticed count too, from when a peer's state changed from lost to reachable.

Scripted: the server was still used after a peer returned with an outage that had ended 2.5 s before.

The fix: messages carry how long ago the store answered their sender again, and the grace counts from then. If it can't be told, from now, as before.

Why it works: the grace is for entries that are renewed within two seconds of the store's return, and no longer depends on when a message arrives.

--- a/src/relay/message.c
+++ b/src/relay/message.c
@@ -6,6 +6,9 @@
 #include "core/pack.h"
 #include "relay/relay_internal.h"
 
+/* Time since the store's recovery if it was never lost. */
+#define FW_NEVER_RECOVERED (-1)
+
 void
 Fw_Message_PackSender(const struct fw_relay *r, msgpack_packer *pk)
 {
@@ -278,6 +281,21 @@
     msgpack_pack_uint64(pk, r->store_sync.list_offset);
     msgpack_pack_uint64(pk, Fw_StoreSync_ServerListHash(r));
     msgpack_pack_int64(pk, MAX(now_us - r->rules_fresh_us, 0));
+    msgpack_pack_int64(pk, r->store_sync.recovered_us
+                               ? MAX(now_us - r->store_sync.recovered_us, 0)
+                               : FW_NEVER_RECOVERED);
+}
+
+/*
+ * Expired entries may return soon after the store's recovery. A peer that was
+ * unreachable may report an outage that ended some time ago.
+ */
+static void
+note_recovery(struct fw_relay *r, int64_t age_us, int64_t now_us)
+{
+    int64_t at_us = age_us >= 0 ? now_us - age_us : now_us;
+
+    r->store_recovered_us = MAX(r->store_recovered_us, at_us);
 }
 
 void
@@ -287,7 +305,7 @@
     int unreachable = Fw_Rows_Cell(rows, 0, 1) != 0;
 
     if (m->store_unreachable && !unreachable) {
-        r->store_recovered_us = now_us; /* expired entries may return soon */
+        note_recovery(r, Fw_Rows_Cell(rows, 0, 6), now_us);
     }
     m->store_unreachable = unreachable;
     m->reads_store = (int)Fw_Rows_Cell(rows, 0, 0);
--- a/src/relay/peers.h
+++ b/src/relay/peers.h
@@ -440,7 +440,7 @@
 Fw_Message_PackStoreState(struct fw_relay *r, msgpack_packer *pk,
                           int64_t now_us);
 /* Columns of the row that Fw_Message_PackStoreState packs. */
-#define FW_RL_STORE_STATE_COLUMNS 6
+#define FW_RL_STORE_STATE_COLUMNS 7
 /* Updates how far @m has read the store. */
 void
 Fw_Message_ApplyStoreState(struct fw_relay *r, struct fw_rl_member *m,
--- a/src/relay/relay_internal.h
+++ b/src/relay/relay_internal.h
@@ -28,6 +28,7 @@
  * @rules_source: address of an instance with a newer configuration, or empty
  * @list_source: address of an instance with newer servers, or empty
  * @store_lost: the store does not answer this instance
+ * @recovered_us: when it last answered this instance again, 0 for never
  * @members_known: the registered instances were read from the store
  */
 struct fw_rl_store_sync {
@@ -39,6 +40,7 @@
     char rules_source[FW_URL_MAX];
     char list_source[FW_URL_MAX];
     int store_lost;
+    int64_t recovered_us;
     int members_known;
 };
 
@@ -55,7 +57,8 @@
  * @rules: current configuration, NULL for none
  * @rules_offset: its log offset
  * @rules_fresh_us: latest time at which @rules was known to be the newest
- * @store_recovered_us: when the store last answered again, 0 for never
+ * @store_recovered_us: when the store last answered this instance or another
+ *     one again, 0 for never
  * @has_server_list: a complete listing of the servers was received
  * @servers_by_hash: hash of a server's id to struct fw_rl_server
  * @active_servers: servers with is_active set
--- a/src/relay/servers.c
+++ b/src/relay/servers.c
@@ -385,6 +385,7 @@
 Fw_Relay_StoreRecovered(struct fw_relay *r, int64_t now_us)
 {
     r->store_sync.store_lost = 0;
+    r->store_sync.recovered_us = now_us;
     r->store_recovered_us = now_us;
 }
 
--- a/tests/relay/script.c
+++ b/tests/relay/script.c
@@ -29,7 +29,9 @@
  *   fail X ERRNO sent|unsent    call X failed
  *   lead made|taken|unknown OFFSET
  *                               outcome of the last claim of the order role
- *   member NAME                 a digest from the instance NAME
+ *   member NAME [store-lost] [store_back_ms=N]
+ *                               a digest from the instance NAME: it gets no
+ *                               answer from the store; it did again N ms ago
  *   spent NAME TEAM N [level=N] a digest from NAME: it has spent N tokens of
  *                               TEAM's allowance in all; its bucket's level
  *   limit NAME ID VERSION N     a message from NAME: the limit that it
--- a/tests/relay/script_world.c
+++ b/tests/relay/script_world.c
@@ -7,6 +7,9 @@
 #include "core/pack.h"
 #include "tests/relay/script_internal.h"
 
+/* Column of a digest's store state with the time since the store's return. */
+#define FW_STORE_BACK_COLUMN 6
+
 static void
 set_regions(const struct relay_script_run *run, const char *argument,
             struct fw_rl_regions *out)
@@ -113,13 +116,25 @@
     Fw_Relay_UpdateServer(run->r, e.id, &e, run->now_us, &run->acts);
 }
 
-/*
- * Delivers a digest from the instance @name. Unless @team is NULL it reports
- * that team's allowance: @spent tokens in all, @level left.
+/**
+ * struct digest_part - what a digest says.
+ * @team: team whose allowance it reports, NULL for none: @spent tokens in all,
+ *     @level left
+ * @store_lost: its sender gets no answer from the store
+ * @store_back_us: how long ago the store answered it again, -1 for never
  */
+struct digest_part {
+    const char *team;
+    int64_t spent;
+    int64_t level;
+    int store_lost;
+    int64_t store_back_us;
+};
+
+/* Delivers a digest from the instance @name. */
 static void
-send_digest(struct relay_script_run *run, const char *name, const char *team,
-            int64_t spent, int64_t level)
+send_digest(struct relay_script_run *run, const char *name,
+            const struct digest_part *part)
 {
     GByteArray *msg = g_byte_array_new();
     struct fw_rl_outbox outbox;
@@ -134,21 +149,25 @@
     msgpack_pack_uint64(&pk, 1);
     msgpack_pack_uint64(&pk, ++run->digest_seq);
     msgpack_pack_array(&pk, 0);
-    msgpack_pack_array(&pk, team ? 1 : 0);
-    if (team) {
+    msgpack_pack_array(&pk, part->team ? 1 : 0);
+    if (part->team) {
         msgpack_pack_array(&pk, 3);
-        msgpack_pack_uint64(&pk, Fw_Hash_Str(team));
-        msgpack_pack_int64(&pk, spent);
-        msgpack_pack_int64(&pk, level);
+        msgpack_pack_uint64(&pk, Fw_Hash_Str(part->team));
+        msgpack_pack_int64(&pk, part->spent);
+        msgpack_pack_int64(&pk, part->level);
     }
     msgpack_pack_array(&pk, 0);
     msgpack_pack_array(&pk, 0);
     msgpack_pack_array(&pk, 1);
     msgpack_pack_array(&pk, FW_RL_STORE_STATE_COLUMNS);
     msgpack_pack_int(&pk, 1);
-    for (int i = 1; i < FW_RL_STORE_STATE_COLUMNS; i++) {
+    msgpack_pack_int(&pk, part->store_lost);
+    for (int i = 2; i < FW_STORE_BACK_COLUMN; i++) {
         msgpack_pack_uint64(&pk, 0);
     }
+    if (FW_RL_STORE_STATE_COLUMNS > FW_STORE_BACK_COLUMN) {
+        msgpack_pack_int64(&pk, part->store_back_us);
+    }
     msgpack_pack_array(&pk, 0);
     Fw_Outbox_Init(&outbox);
     ck_assert_int_ge(Fw_Relay_ReadMessage(run->r, "127.0.0.9:1", msg->data,
@@ -231,13 +250,25 @@
 void
 Fw_RelayScript_DoMember(struct relay_script_run *run)
 {
-    send_digest(run, run->word[1], NULL, 0, 0);
+    struct digest_part part = {.store_lost =
+                                   Fw_RelayScript_HasWord(run, "store-lost"),
+                               .store_back_us = -1};
+    int64_t back_ms = Fw_RelayScript_GetNumber(run, "store_back_ms", -1);
+
+    if (back_ms >= 0) {
+        part.store_back_us = back_ms * FW_MSEC;
+    }
+    send_digest(run, run->word[1], &part);
 }
 
 void
 Fw_RelayScript_DoSpent(struct relay_script_run *run)
 {
-    send_digest(run, run->word[1], run->word[2],
-                (int64_t)Fw_RelayScript_GetArg(run, 3),
-                Fw_RelayScript_GetNumber(run, "level", 0));
+    struct digest_part part = {.team = run->word[2],
+                               .spent = (int64_t)Fw_RelayScript_GetArg(run, 3),
+                               .level =
+                                   Fw_RelayScript_GetNumber(run, "level", 0),
+                               .store_back_us = -1};
+
+    send_digest(run, run->word[1], &part);
 }
--- a/tests/relay/test_world.c
+++ b/tests/relay/test_world.c
@@ -17,6 +17,36 @@
              "  forget s1:1\n"
              "open 2 /read/x key=ka\n"
              "  refuse 2 503 no_server ran=no later\n"},
+    /* Guards against servers that left being used because a peer returns. */
+    {.name = "an outage that ended before a peer's return gives no grace",
+     .text = "rules 1\n"
+             "fresh 0\n"
+             "server s1 plain none\n"
+             "server s2 plain none\n"
+             "member n2 store-lost\n"
+             "at 3000\n"
+             "fresh 3000\n"
+             "member n2 store_back_ms=2500\n"
+             "unlisted s1\n"
+             "  forget s1:1\n"
+             "open 1 /read/x key=ka\n"
+             "  ask 1 run s2 for 1 team=a left=10000\n"},
+    {.name = "an outage that a peer has just seen end gives grace",
+     .text = "rules 1\n"
+             "fresh 0\n"
+             "server s1 plain none\n"
+             "member n2 store-lost\n"
+             "at 3000\n"
+             "fresh 3000\n"
+             "member n2 store_back_ms=200\n"
+             "unlisted s1\n"
+             "open 1 /order/x key=ka\n"
+             "  ask 1 run s1 for 1 team=a left=10000\n"
+             "at 4900\n"
+             "tick\n"
+             "at 5000\n"
+             "tick\n"
+             "  forget s1:1\n"},
     /*
      * Guards against dropping all servers at once after a store outage, in
      * which healthy servers could not renew their entries.
