Give no grace for an outage that a restarted peer can't date

A peer whose last message said that the store does not answer it was killed; its new process reports that it does and has seen no outage. That was taken for the store's recovery at this moment: front-suva-a-1 started at 26.6 s, servers that left at 26.7 s were kept until 28.9 s, while the store had answered others since 24.6 s.

The scripted case failed before.

The fix: a peer that can't tell when the outage ended is not believed where this instance, or another live one, reaches the store. A leaf that knows nothing but its hub's state keeps the grace.

--- a/src/relay/message.c
+++ b/src/relay/message.c
@@ -286,16 +286,43 @@
                                : FW_NEVER_RECOVERED);
 }
 
+/* Whether this instance or a live member other than @m reaches the store. */
+static int
+others_reach_store(const struct fw_relay *r, const struct fw_rl_member *m,
+                   int64_t now_us)
+{
+    struct fw_list *pos;
+
+    if (!r->store_sync.store_lost && Fw_Relay_ReadsStore(r, now_us)) {
+        return 1;
+    }
+    FW_LIST_EACH (pos, &r->members) {
+        const struct fw_rl_member *other =
+            FW_LIST_ENTRY(pos, struct fw_rl_member, link);
+
+        if (other != m && !other->store_unreachable &&
+            other->last_message_us &&
+            now_us - other->last_message_us < Fw_Members_TimeoutUs(r)) {
+            return 1;
+        }
+    }
+    return 0;
+}
+
 /*
  * Expired entries may return soon after the store's recovery. A peer that was
- * unreachable may report an outage that ended some time ago.
+ * unreachable may report an outage that ended some time ago, and one that has
+ * restarted meanwhile can't tell when: others know better.
  */
 static void
-note_recovery(struct fw_relay *r, int64_t age_us, int64_t now_us)
+note_recovery(struct fw_relay *r, const struct fw_rl_member *m, int64_t age_us,
+              int64_t now_us)
 {
-    int64_t at_us = age_us >= 0 ? now_us - age_us : now_us;
-
-    r->store_recovered_us = MAX(r->store_recovered_us, at_us);
+    if (age_us < 0 && others_reach_store(r, m, now_us)) {
+        return;
+    }
+    r->store_recovered_us =
+        MAX(r->store_recovered_us, now_us - MAX(age_us, 0));
 }
 
 void
@@ -305,7 +332,7 @@
     int unreachable = Fw_Rows_Cell(rows, 0, 1) != 0;
 
     if (m->store_unreachable && !unreachable) {
-        note_recovery(r, Fw_Rows_Cell(rows, 0, 6), now_us);
+        note_recovery(r, m, Fw_Rows_Cell(rows, 0, 6), now_us);
     }
     m->store_unreachable = unreachable;
     m->reads_store = (int)Fw_Rows_Cell(rows, 0, 0);
--- a/tests/relay/test_world.c
+++ b/tests/relay/test_world.c
@@ -31,6 +31,20 @@
              "  forget s1:1\n"
              "open 1 /read/x key=ka\n"
              "  ask 1 run s2 for 1 team=a left=10000\n"},
+    {.name = "a peer that has restarted since an outage gives no grace",
+     .text = "rules 1\n"
+             "fresh 0\n"
+             "server s1 plain none\n"
+             "server s2 plain none\n"
+             "member n2 store-lost\n"
+             "at 3000\n"
+             "fresh 3000\n"
+             "member n3\n"
+             "member n2\n"
+             "unlisted s1\n"
+             "  forget s1:1\n"
+             "open 1 /read/x key=ka\n"
+             "  ask 1 run s2 for 1 team=a left=10000\n"},
     {.name = "an outage that a peer has just seen end gives grace",
      .text = "rules 1\n"
              "fresh 0\n"
