Add a fault soak of real processes

The stand-in servers tell an observer what arrives, starts and is rejected, and can be registered under a proxy's address.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-# Builds four programs, the tests and the seeded runs; see README.md.
+# Builds the programs, the tests and the seeded runs; see README.md.
 #   build/obj   release objects
 #   build/san   tests, under ASan and UBSan, with planted faults compiled in
 #   build/tst   optimised, with planted faults compiled in (explore)
@@ -29,13 +29,14 @@
 WIRE := $(sort $(wildcard stand/wire/*.c))
 LOAD := $(sort $(wildcard bench/load/*.c))
 BENCH := $(sort $(wildcard bench/bench_*.c))
+SOAK := $(sort $(wildcard soak/*.c))
 EXPLORE := $(sort $(wildcard explore/*.c))
 TESTS := $(sort $(wildcard tests/*/test_*.c))
 TEST_LIB := $(sort $(filter-out $(TESTS),$(wildcard tests/*/*.c)))
 SOURCES := $(CORE) $(IO) $(DAEMON) $(CTL) $(STAND) $(WIRE) $(LOAD) $(BENCH) \
-           $(EXPLORE) $(TESTS) $(TEST_LIB)
+           $(EXPLORE) $(SOAK) $(TESTS) $(TEST_LIB)
 HEADERS := $(sort $(wildcard src/*/*.h platform/*.h stand/*.h stand/*/*.h bench/*.h bench/*/*.h \
-           explore/*.h tests/*/*.h))
+           explore/*.h soak/*.h tests/*/*.h))
 
 # A main file is linked into its own program only, never into the libraries.
 NOMAIN = $(filter-out %/main.c,$(1))
@@ -54,6 +55,9 @@
 ifneq ($(EXPLORE),)
 PROGRAMS += $(OUT)/explore
 endif
+ifneq ($(SOAK),)
+PROGRAMS += $(OUT)/fwsoak
+endif
 BENCHES := $(patsubst bench/%.c,$(OUT)/%,$(BENCH))
 TEST_BINS := $(patsubst tests/%.c,$(OUT)/san/bin/%,$(TESTS))
 
@@ -65,11 +69,19 @@
 $(OUT)/fwwire: $(call OBJ,obj,$(CORE) $(IO) $(WIRE))
 $(OUT)/fwload: $(call OBJ,obj,$(CORE) $(IO) $(LOAD))
 $(OUT)/explore: $(call OBJ,tst,$(CORE) $(EXPLORE))
+$(OUT)/fwsoak: $(call OBJ,obj,$(CORE) $(call NOMAIN,$(IO)) \
+               $(call NOMAIN,$(WIRE)) $(SOAK))
 $(PROGRAMS):
 	@mkdir -p $(@D)
 	@echo "LD $@"
 	@$(CC) -o $@ $^ $(PKG_LIBS)
 
+# The daemon with planted faults, for fwsoak --fault.
+$(OUT)/tst/fuchsiawardd: $(call OBJ,tst,$(CORE) $(IO) $(DAEMON))
+	@mkdir -p $(@D)
+	@echo "LD $@"
+	@$(CC) -o $@ $^ $(PKG_LIBS)
+
 $(BENCHES): $(OUT)/%: $(OUT)/obj/bench/%.o \
                     $(call OBJ,obj,$(CORE) $(IO) $(call NOMAIN,$(EXPLORE)))
 	@echo "LD $@"
@@ -114,6 +126,11 @@
 	tools/demo $(DOC)
 	tools/demo-relay
 
+SEED = 1
+MINUTES = 1
+soak: all
+	build/fwsoak --seed $(SEED) --seconds $$(( $(MINUTES) * 60 ))
+
 bench: $(BENCHES) all
 	@for b in $(BENCHES); do echo "== $$b"; $$b || exit 1; done
 
@@ -135,6 +152,6 @@
 clean:
 	rm -rf $(OUT)
 
-.PHONY: all check check-run demo bench format format-check lint clean
+.PHONY: all check check-run demo soak bench format format-check lint clean
 .SECONDARY:
 -include $(shell find $(OUT) -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/soak/plan.c
@@ -0,0 +1,398 @@
+/* The faults of a run, drawn from its seed. */
+#include <signal.h>
+
+#include "soak/soak.h"
+
+/* Time before the first fault, and after the last one. */
+#define FW_FIRST_MS 4000
+#define FW_QUIET_MS 12000
+#define FW_GAP_MIN_MS 100
+#define FW_GAP_MAX_MS 1500
+#define FW_SHORTEST_MS 200
+#define FW_LONGEST_MS 5000
+/* Time that a server serves on after it has said that it leaves. */
+#define FW_LEAVING_MS 4500
+#define FW_FAULTED_REQUESTS 20
+/* Instances that a series stops one after the other. */
+#define FW_SERIES 3
+#define FW_SERIES_GAP_MS 700
+
+enum fault {
+    FW_RELAY_TERM,
+    FW_RELAY_SERIES,
+    FW_RELAY_KILL,
+    FW_RELAY_PAUSE,
+    FW_RELAY_RELOAD,
+    FW_RELAY_STORE_SILENT,
+    FW_RELAY_STORE_ONE_WAY,
+    FW_RELAY_STORE_DELAY,
+    FW_RELAY_STORE_RESET,
+    FW_STORE_DOWN,
+    FW_STORE_MUTE,
+    FW_STORE_LOSES,
+    FW_STORE_FORGETS,
+    FW_SERVER_KILL,
+    FW_SERVER_DRAIN,
+    FW_SERVER_SILENT,
+    FW_SERVER_ONE_WAY,
+    FW_SERVER_DELAY,
+    FW_SERVER_RESET,
+    FW_SERVER_FULL,
+    FW_SERVER_ERROR,
+    FW_SERVER_STALL,
+    FW_SERVER_LIMIT,
+    FW_SERVER_REST,
+    FW_SERVER_LEAVES,
+    FW_KEY_WITHDRAWN,
+    FW_FAULTS,
+};
+
+static const char *const names[FW_FAULTS] = {
+    "stop",          "series of stops", "kill",
+    "pause",         "reload",          "store silent",
+    "store one way", "store delayed",   "store reset",
+    "store down",    "store mute",      "store loses answers",
+    "store forgets", "server killed",   "server drains",
+    "server silent", "server one way",  "server delayed",
+    "server resets", "server full",     "server errors",
+    "server stalls", "server limit",    "server rest",
+    "server leaves", "key withdrawn"};
+
+/** struct entry - a fault; @target: of the instances, or of the servers. */
+struct entry {
+    struct soak *soak;
+    enum fault fault;
+    int target;
+    guint for_ms;
+};
+
+static int busy_servers[FW_SOAK_SERVERS];
+static int store_busy;
+
+static enum fw_wire_fault
+wire_fault(enum fault f)
+{
+    return f == FW_SERVER_FULL    ? FW_WIRE_FAULT_FULL
+           : f == FW_SERVER_ERROR ? FW_WIRE_FAULT_ERROR
+                                  : FW_WIRE_FAULT_STALL;
+}
+
+static enum fw_proxy_mode
+proxy_mode(enum fault f)
+{
+    return f == FW_RELAY_STORE_SILENT || f == FW_SERVER_SILENT
+               ? FW_PROXY_SILENT
+           : f == FW_RELAY_STORE_DELAY || f == FW_SERVER_DELAY
+               ? FW_PROXY_DELAY
+               : FW_PROXY_ONE_WAY;
+}
+
+static gboolean
+stop_once(gpointer data)
+{
+    Fw_SoakRelay_Signal(data, SIGTERM);
+    return G_SOURCE_REMOVE;
+}
+
+static void
+begin_relay_fault(struct entry *e)
+{
+    struct soak *s = e->soak;
+    struct soak_relay *r = &s->relays[e->target % s->n_relays];
+
+    switch (e->fault) {
+    case FW_RELAY_TERM:
+        Fw_SoakRelay_Signal(r, SIGTERM);
+        break;
+    case FW_RELAY_SERIES:
+        for (int i = 0; i < FW_SERIES; i++) {
+            g_timeout_add((guint)i * FW_SERIES_GAP_MS, stop_once,
+                          &s->relays[(e->target + i) % s->n_relays]);
+        }
+        break;
+    case FW_RELAY_KILL:
+        Fw_SoakRelay_Signal(r, SIGKILL);
+        break;
+    case FW_RELAY_PAUSE:
+        r->disturbed_us = FW_SOAK_ONGOING;
+        Fw_SoakRelay_Signal(r, SIGSTOP);
+        break;
+    case FW_RELAY_RELOAD:
+        Fw_SoakRelay_WriteSettings(r, e->for_ms % 2 ? "debug" : "info");
+        Fw_SoakRelay_Signal(r, SIGHUP);
+        break;
+    case FW_RELAY_STORE_RESET:
+        r->disturbed_us = Fw_Soak_NowUs();
+        Fw_Proxy_ResetAll(r->store_proxy);
+        break;
+    default:
+        r->disturbed_us = FW_SOAK_ONGOING;
+        Fw_Proxy_SetMode(r->store_proxy, proxy_mode(e->fault));
+        break;
+    }
+}
+
+static void
+end_relay_fault(struct entry *e)
+{
+    struct soak_relay *r = &e->soak->relays[e->target % e->soak->n_relays];
+
+    if (e->fault == FW_RELAY_PAUSE) {
+        Fw_SoakRelay_Signal(r, SIGCONT);
+    }
+    else if (e->fault >= FW_RELAY_STORE_SILENT &&
+             e->fault <= FW_RELAY_STORE_DELAY) {
+        Fw_Proxy_SetMode(r->store_proxy, FW_PROXY_PASS);
+    }
+    if (r->disturbed_us == FW_SOAK_ONGOING) {
+        r->disturbed_us = Fw_Soak_NowUs();
+    }
+}
+
+static void
+begin_store_fault(struct entry *e)
+{
+    struct soak *s = e->soak;
+
+    s->store_disturbed_us = FW_SOAK_ONGOING;
+    switch (e->fault) {
+    case FW_STORE_DOWN:
+        Fw_WireStore_SetMode(s->store, FW_WIRE_STORE_UNAVAILABLE);
+        break;
+    case FW_STORE_MUTE:
+        Fw_WireStore_SetMode(s->store, FW_WIRE_STORE_UNRESPONSIVE);
+        break;
+    case FW_STORE_LOSES:
+        Fw_WireStore_SetMode(s->store, FW_WIRE_STORE_LOST_REPLIES);
+        break;
+    default:
+        Fw_WireStore_Truncate(s->store, "keyed.op");
+        Fw_WireStore_Truncate(s->store, "keyed.servers");
+        break;
+    }
+}
+
+static void
+begin_server_fault(struct entry *e)
+{
+    struct soak_server *v = &e->soak->servers[e->target % FW_SOAK_SERVERS];
+    int64_t now = Fw_Soak_NowUs();
+
+    switch (e->fault) {
+    case FW_SERVER_DRAIN:
+        v->draining_us = now;
+        Fw_WireServer_SetDraining(v->stand);
+        break;
+    case FW_SERVER_LIMIT:
+        v->limit_us = now;
+        v->limit = 0.5 + (double)(e->for_ms % 60) / 10;
+        g_array_set_size(v->arrivals, 0);
+        break;
+    case FW_SERVER_REST:
+        v->rests = 1;
+        Fw_WireServer_SetRest(v->stand, "3");
+        break;
+    case FW_SERVER_LEAVES:
+        Fw_WireServer_SetLeaving(v->stand);
+        break;
+    case FW_SERVER_FULL:
+    case FW_SERVER_ERROR:
+    case FW_SERVER_STALL:
+        v->disturbed_us = FW_SOAK_ONGOING;
+        Fw_WireServer_SetFault(v->stand, wire_fault(e->fault),
+                               FW_FAULTED_REQUESTS);
+        break;
+    case FW_SERVER_KILL:
+        v->disturbed_us = now;
+        Fw_SoakWorld_RestartServer(v);
+        break;
+    case FW_SERVER_RESET:
+        v->disturbed_us = now;
+        Fw_Proxy_ResetAll(v->proxy);
+        break;
+    default:
+        v->disturbed_us = FW_SOAK_ONGOING;
+        Fw_Proxy_SetMode(v->proxy, proxy_mode(e->fault));
+        break;
+    }
+    if (v->limit_us == now) {
+        char text[16];
+
+        g_snprintf(text, sizeof(text), "%.1f", v->limit);
+        Fw_WireServer_SetLimit(v->stand, text);
+    }
+}
+
+static void
+end_server_fault(struct entry *e)
+{
+    struct soak_server *v = &e->soak->servers[e->target % FW_SOAK_SERVERS];
+
+    switch (e->fault) {
+    case FW_SERVER_DRAIN:
+    case FW_SERVER_LEAVES:
+        v->disturbed_us = Fw_Soak_NowUs();
+        Fw_SoakWorld_RestartServer(v);
+        break;
+    case FW_SERVER_LIMIT:
+        v->limit_us = 0;
+        Fw_WireServer_SetLimit(v->stand, NULL);
+        break;
+    case FW_SERVER_REST:
+        v->rests = 0;
+        Fw_WireServer_SetRest(v->stand, NULL);
+        break;
+    default:
+        Fw_WireServer_SetFault(v->stand, FW_WIRE_FAULT_NONE, 0);
+        Fw_Proxy_SetMode(v->proxy, FW_PROXY_PASS);
+        v->disturbed_us = Fw_Soak_NowUs();
+        break;
+    }
+    busy_servers[e->target % FW_SOAK_SERVERS] = 0;
+}
+
+static int
+is_store_fault(enum fault f)
+{
+    return f >= FW_STORE_DOWN && f <= FW_STORE_FORGETS;
+}
+
+static int
+is_server_fault(enum fault f)
+{
+    return f >= FW_SERVER_KILL && f <= FW_SERVER_LEAVES;
+}
+
+static gboolean
+end_fault(gpointer data)
+{
+    struct entry *e = data;
+    struct soak *s = e->soak;
+
+    Fw_Soak_Log(s, "%s %d ends", names[e->fault], e->target);
+    if (is_store_fault(e->fault)) {
+        Fw_WireStore_SetMode(s->store, FW_WIRE_STORE_NORMAL);
+        s->store_disturbed_us = Fw_Soak_NowUs();
+        store_busy = 0;
+    }
+    else if (is_server_fault(e->fault)) {
+        end_server_fault(e);
+    }
+    else if (e->fault == FW_KEY_WITHDRAWN) {
+        Fw_SoakWorld_PutConfig(s, 1);
+        s->revoked_us = 0;
+        s->restored_us = Fw_Soak_NowUs();
+    }
+    else {
+        end_relay_fault(e);
+    }
+    g_free(e);
+    return G_SOURCE_REMOVE;
+}
+
+/* One fault at a time of a server, and of the store and its records. */
+static int
+reserve_target(const struct entry *e)
+{
+    int *busy = &store_busy;
+
+    if (is_server_fault(e->fault)) {
+        busy = &busy_servers[e->target % FW_SOAK_SERVERS];
+    }
+    else if (!is_store_fault(e->fault) && e->fault != FW_KEY_WITHDRAWN) {
+        return 1;
+    }
+    if (*busy) {
+        return 0;
+    }
+    *busy = e->fault != FW_KEY_WITHDRAWN;
+    return 1;
+}
+
+static gboolean
+begin_fault(gpointer data)
+{
+    struct entry *e = data;
+    struct soak *s = e->soak;
+
+    if (!reserve_target(e) ||
+        (e->fault == FW_KEY_WITHDRAWN && s->revoked_us)) {
+        g_free(e);
+        return G_SOURCE_REMOVE;
+    }
+    Fw_Soak_Log(s, "%s %d for %u ms", names[e->fault], e->target, e->for_ms);
+    if (is_store_fault(e->fault)) {
+        begin_store_fault(e);
+    }
+    else if (is_server_fault(e->fault)) {
+        begin_server_fault(e);
+    }
+    else if (e->fault == FW_KEY_WITHDRAWN) {
+        Fw_SoakWorld_PutConfig(s, 0);
+        s->revoked_us = Fw_Soak_NowUs();
+    }
+    else {
+        begin_relay_fault(e);
+    }
+    g_timeout_add(e->for_ms, end_fault, e);
+    return G_SOURCE_REMOVE;
+}
+
+static guint
+draw_duration(struct soak *s, enum fault f)
+{
+    switch (f) {
+    case FW_SERVER_LIMIT:
+    case FW_SERVER_REST:
+    case FW_KEY_WITHDRAWN:
+        return (guint)g_rand_int_range(s->rand, 6000, 9000);
+    case FW_SERVER_DRAIN:
+    case FW_SERVER_LEAVES:
+        return FW_LEAVING_MS;
+    default:
+        return (guint)g_rand_int_range(s->rand, FW_SHORTEST_MS, FW_LONGEST_MS);
+    }
+}
+
+/* Faults are drawn by groups, so that each promise meets its own ones. */
+static enum fault
+draw_fault(struct soak *s)
+{
+    static const struct {
+        enum fault first;
+        enum fault last;
+        int weight;
+    } groups[] = {{FW_RELAY_TERM, FW_RELAY_RELOAD, 24},
+                  {FW_RELAY_STORE_SILENT, FW_RELAY_STORE_RESET, 12},
+                  {FW_STORE_DOWN, FW_STORE_FORGETS, 10},
+                  {FW_SERVER_KILL, FW_SERVER_STALL, 24},
+                  {FW_SERVER_LIMIT, FW_SERVER_LEAVES, 24},
+                  {FW_KEY_WITHDRAWN, FW_KEY_WITHDRAWN, 6}};
+    int at = g_rand_int_range(s->rand, 0, 100);
+    size_t i = 0;
+
+    while (at >= groups[i].weight) {
+        at -= groups[i++].weight;
+    }
+    return (enum fault)g_rand_int_range(s->rand, (int)groups[i].first,
+                                        (int)groups[i].last + 1);
+}
+
+void
+Fw_SoakPlan_Start(struct soak *s, int64_t ms)
+{
+    int64_t at = FW_FIRST_MS;
+
+    while (at < ms - FW_QUIET_MS) {
+        struct entry *e = g_new0(struct entry, 1);
+
+        e->soak = s;
+        e->fault = draw_fault(s);
+        e->target = g_rand_int_range(
+            s->rand, 0,
+            is_server_fault(e->fault) ? FW_SOAK_SERVERS : s->n_relays);
+        e->for_ms = draw_duration(s, e->fault);
+        g_timeout_add((guint)at, begin_fault, e);
+        at += g_rand_int_range(s->rand, FW_GAP_MIN_MS, FW_GAP_MAX_MS);
+    }
+}
--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -5,6 +5,7 @@
 #include <sysexits.h>
 #include <unistd.h>
 
+#include "base/fault.h"
 #include "daemon/ini.h"
 #include "daemon/settings.h"
 #include "io/logger.h"
@@ -181,6 +182,9 @@
     int rc = 0;
 
     argp_err_exit_status = EX_USAGE;
+#ifdef FW_TEST_BUILD
+    Fw_Fault_Active = g_getenv("FUCHSIAWARD_FAULT");
+#endif
     argp_parse(&parser, argc, argv, 0, NULL, &args);
     if (Fw_Ini_HasGroup(args.file, "relay")) {
         return run_relay(args.file, args.check);
--- a/src/relay/admission.c
+++ b/src/relay/admission.c
@@ -3,6 +3,7 @@
  * and their retries, prefills, reservations, reports and orders. The answer
  * depends on what the servers say about themselves in their responses.
  */
+#include "base/fault.h"
 #include "relay/relay_internal.h"
 
 int
@@ -10,7 +11,8 @@
                      int64_t now_us)
 {
     return Fw_Servers_IsInService(s) &&
-           Fw_ServerRest_AvailableUs(&s->rest, now_us) <= now_us &&
+           (Fw_ServerRest_AvailableUs(&s->rest, now_us) <= now_us ||
+            FW_FAULT("rest-ignored")) &&
            Fw_Cold_MaySend(r, s, n, now_us) &&
            Fw_ServerLimits_MaySend(r, s, n, now_us);
 }
--- a/src/relay/plain.c
+++ b/src/relay/plain.c
@@ -265,7 +265,7 @@
         Fw_Call_Finish(r, c, 0, now_us, out);
         return;
     }
-    if (sent) {
+    if (sent && !FW_FAULT("verdict-lost")) {
         c->ran = MAX(c->ran, FW_RAN_MAYBE);
     }
     else {
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -2,6 +2,7 @@
 #include <errno.h>
 #include <string.h>
 
+#include "base/fault.h"
 #include "base/hash.h"
 #include "relay/relay_internal.h"
 
@@ -119,7 +120,8 @@
     }
     /* Never go back to an older configuration. */
     if (r->rules &&
-        (offset <= r->rules_offset || rules->version <= r->rules->version)) {
+        (offset <= r->rules_offset || rules->version <= r->rules->version ||
+         FW_FAULT("configuration-kept"))) {
         return;
     }
     if (!r->rules) {
@@ -267,7 +269,8 @@
 static int
 is_overdue(const struct fw_rl_call *c, int64_t now_us)
 {
-    return now_us >= c->deadline_us + FW_DEADLINE_SLACK_US;
+    return now_us >= c->deadline_us + FW_DEADLINE_SLACK_US &&
+           !FW_FAULT("deadline-ignored");
 }
 
 static void
--- a/src/relay/servers.c
+++ b/src/relay/servers.c
@@ -9,6 +9,7 @@
 #include <errno.h>
 #include <string.h>
 
+#include "base/fault.h"
 #include "base/hash.h"
 #include "relay/relay_internal.h"
 
@@ -107,8 +108,8 @@
 int
 Fw_Servers_IsInService(const struct fw_rl_server *s)
 {
-    return !s->gone && !s->entry.draining && !s->is_leaving &&
-           !s->is_evacuated;
+    return !s->gone && (!s->entry.draining || FW_FAULT("draining-ignored")) &&
+           !s->is_leaving && !s->is_evacuated;
 }
 
 int
@@ -206,7 +207,7 @@
 Fw_Servers_NoteLeaving(struct fw_relay *r, struct fw_rl_server *s,
                        struct fw_rl_actions *out)
 {
-    if (s->is_leaving) {
+    if (s->is_leaving || FW_FAULT("leaving-ignored")) {
         return;
     }
     s->is_leaving = 1;
--- a/src/relayd/actions.c
+++ b/src/relayd/actions.c
@@ -1,6 +1,7 @@
 /* Executes the core's actions. */
 #include <errno.h>
 
+#include "base/fault.h"
 #include "http/conn.h"
 #include "io/logger.h"
 #include "relayd/relayd_internal.h"
@@ -90,7 +91,9 @@
         Fw_UpstreamCall_Start(d, &a->u.upstream_call);
         break;
     case FW_RL_DO_CANCEL_CALL:
-        Fw_UpstreamCall_Remove(d, a->u.xid);
+        if (!FW_FAULT("calls-not-cancelled")) {
+            Fw_UpstreamCall_Remove(d, a->u.xid);
+        }
         break;
     case FW_RL_DO_CLAIM_ROLE:
         Fw_StoreClient_ClaimLeadership(d->store, a->u.claim_offset);
--- a/src/relayd/relayd.c
+++ b/src/relayd/relayd.c
@@ -1,4 +1,5 @@
 #include "relayd/relayd.h"
+#include "base/fault.h"
 
 #include <errno.h>
 #include <glib-unix.h>
@@ -212,6 +213,9 @@
 {
     int64_t past = now - d->drain_start_us;
 
+    if (d->drain_start_us && FW_FAULT("stop-at-once")) {
+        d->stopped = 1;
+    }
     if (!d->drain_start_us || past < FW_DRAIN_MIN_US) {
         return;
     }
--- a/stand/wire/control.c
+++ b/stand/wire/control.c
@@ -19,7 +19,7 @@
 
 static void
 handle_reserve(struct fw_wire_server *s, struct fw_http_caller *c,
-               GBytes *body)
+               const struct fw_http_head *h, GBytes *body)
 {
     gsize len;
     const char *data = g_bytes_get_data(body, &len);
@@ -37,7 +37,7 @@
     }
     if (tokens <= 0 ||
         Fw_WireServer_UsedKvTokens(s) + tokens > s->opts.kv_tokens) {
-        Fw_Wire_RejectNotExecuted(s, c, 503);
+        Fw_Wire_RejectNotExecuted(s, c, h, 503);
         return;
     }
     name = Fw_Wire_AddLease(s, s->reservations, tokens, (int)ttl);
@@ -130,7 +130,7 @@
                       const struct fw_http_head *h, GBytes *body)
 {
     if (is_request(h, "POST", "/-/hold-take")) {
-        handle_reserve(s, c, body);
+        handle_reserve(s, c, h, body);
     }
     else if (is_request(h, "DELETE", "/-/hold-drop/")) {
         handle_delete(s, h, "/-/hold-drop/", s->reservations, c);
--- a/stand/wire/internal.h
+++ b/stand/wire/internal.h
@@ -47,6 +47,8 @@
  * @limit: limit that its responses name, empty for none
  * @rest: seconds of rest that its rejections ask for, empty to accept requests
  * @is_leaving: its responses say that it is leaving
+ * @listen_addr: the address that it listens on
+ * @born: number of its start in this process
  * @arrivals: when requests arrived, of int64_t
  */
 struct fw_wire_server {
@@ -76,6 +78,10 @@
     char rest[32];
     int is_leaving;
     GArray *arrivals;
+    char listen_addr[FW_URL_MAX];
+    int born;
+    fw_wire_observer *observer;
+    void *observer_ctx;
     unsigned next_lease_id;
 };
 
@@ -86,6 +92,10 @@
 /* Writes the server's entry to the store. */
 void
 Fw_Wire_Register(struct fw_wire_server *s);
+/* Tells the observer of an event of the request with the head @h. */
+void
+Fw_Wire_Notify(const struct fw_wire_server *s, enum fw_wire_event event,
+               const struct fw_http_head *h);
 /* Appends the fields that all responses of the server have. */
 void
 Fw_Wire_AppendOwnFields(const struct fw_wire_server *s, GString *fields);
@@ -111,7 +121,8 @@
 /* Answers @status and that the request was not executed. */
 void
 Fw_Wire_RejectNotExecuted(const struct fw_wire_server *s,
-                          struct fw_http_caller *c, int status);
+                          struct fw_http_caller *c,
+                          const struct fw_http_head *h, int status);
 
 /* control.c */
 /* Handles control requests. Return: 0 if the request is not one. */
--- a/stand/wire/run.c
+++ b/stand/wire/run.c
@@ -18,10 +18,13 @@
 
 void
 Fw_Wire_RejectNotExecuted(const struct fw_wire_server *s,
-                          struct fw_http_caller *c, int status)
+                          struct fw_http_caller *c,
+                          const struct fw_http_head *h, int status)
 {
     GString *fields = g_string_new("Not-Executed: 1\r\n");
 
+    Fw_Wire_Notify(s, FW_WIRE_REJECTED, h);
+
     Fw_Wire_AppendOwnFields(s, fields);
     Fw_Caller_Respond(c, status, fields->str, "");
     g_string_free(fields, TRUE);
@@ -204,12 +207,12 @@
 
     if (fault == FW_WIRE_FAULT_MOVED ||
         (s->stage[0] && prefill != (strcmp(s->stage, "prefill") == 0))) {
-        Fw_Wire_RejectNotExecuted(s, c, 421);
+        Fw_Wire_RejectNotExecuted(s, c, h, 421);
     }
     else if (fault == FW_WIRE_FAULT_FULL ||
              Fw_Conn_NowUs() < s->role_switch_until_us ||
              (tokens = admit(s, h, in_tokens, out_tokens, prefill)) < 0) {
-        Fw_Wire_RejectNotExecuted(s, c, 503);
+        Fw_Wire_RejectNotExecuted(s, c, h, 503);
     }
     else {
         int prefill_ms =
@@ -230,6 +233,9 @@
         g_strlcpy(r->id, id, sizeof(r->id));
         s->active_tokens += tokens;
         s->started_count++;
+        if (!prefill) {
+            Fw_Wire_Notify(s, FW_WIRE_STARTED, h);
+        }
         s->runs = g_list_prepend(s->runs, r);
         g_string_truncate(s->last_head, 0);
         g_string_append(s->last_head, h->raw);
--- a/stand/wire/server.c
+++ b/stand/wire/server.c
@@ -7,16 +7,18 @@
 
 GHashTable *Fw_Wire_ServersByAddr;
 
+static int starts;
+
 void
 Fw_Wire_Register(struct fw_wire_server *s)
 {
     char *entry = g_strdup_printf(
         "{\"Service\":\"%s\",\"Address\":\"%s\",\"Zone\":\"%s\","
         "\"Version\":\"v1\",\"Slots\":%d,\"State\":\"%s\","
-        "\"ColdRemainingMs\":0,%s%s%s\"Sequence\":%d,\"born\":1}",
+        "\"ColdRemainingMs\":0,%s%s%s\"Sequence\":%d,\"born\":%d}",
         s->service, s->addr, s->zone, s->opts.slots,
         s->draining ? "draining" : "ready", s->stage[0] ? "\"Stage\":\"" : "",
-        s->stage, s->stage[0] ? "\"," : "", ++s->register_sequence);
+        s->stage, s->stage[0] ? "\"," : "", ++s->register_sequence, s->born);
 
     Fw_WireStore_Put(s->store, "keyed.servers", s->id, entry);
     g_free(entry);
@@ -97,7 +99,7 @@
                const struct fw_http_head *h, GBytes *body)
 {
     if (s->rest[0]) {
-        Fw_Wire_RejectNotExecuted(s, c, 503);
+        Fw_Wire_RejectNotExecuted(s, c, h, 503);
     }
     else if (!Fw_Wire_HandleControl(s, c, h, body)) {
         Fw_Wire_StartRun(s, c, h);
@@ -120,6 +122,7 @@
         int64_t now = Fw_Conn_NowUs();
 
         g_array_append_val(s->arrivals, now);
+        Fw_Wire_Notify(s, FW_WIRE_ARRIVED, h);
         handle_request(s, c, h, body);
     }
 }
@@ -164,6 +167,7 @@
     }
     s->store = store;
     s->opts = *opts;
+    s->born = ++starts;
     g_strlcpy(s->id, opts->id, sizeof(s->id));
     g_strlcpy(s->service, opts->service, sizeof(s->service));
     g_strlcpy(s->zone, opts->zone, sizeof(s->zone));
@@ -178,6 +182,7 @@
     g_assert(s->http);
     g_snprintf(s->addr, sizeof(s->addr), "127.0.0.1:%d",
                Fw_Server_Port(s->http));
+    g_strlcpy(s->listen_addr, s->addr, sizeof(s->listen_addr));
     g_hash_table_insert(Fw_Wire_ServersByAddr, s->addr, s);
     Fw_Wire_Register(s);
     return s;
@@ -198,6 +203,43 @@
     g_free(s);
 }
 
+void
+Fw_WireServer_SetObserver(struct fw_wire_server *s, fw_wire_observer *fn,
+                          void *ctx)
+{
+    s->observer = fn;
+    s->observer_ctx = ctx;
+}
+
+void
+Fw_Wire_Notify(const struct fw_wire_server *s, enum fw_wire_event event,
+               const struct fw_http_head *h)
+{
+    char *id;
+
+    if (!s->observer) {
+        return;
+    }
+    id = Fw_Wire_CopyField(h, "Request-Id");
+    s->observer(s->observer_ctx, s->id, event, id);
+    g_free(id);
+}
+
+void
+Fw_WireServer_Advertise(struct fw_wire_server *s, const char *addr)
+{
+    g_hash_table_remove(Fw_Wire_ServersByAddr, s->addr);
+    g_strlcpy(s->addr, addr, sizeof(s->addr));
+    g_hash_table_insert(Fw_Wire_ServersByAddr, s->addr, s);
+    Fw_Wire_Register(s);
+}
+
+const char *
+Fw_WireServer_Addr(const struct fw_wire_server *s)
+{
+    return s->listen_addr;
+}
+
 void
 Fw_WireServer_SetFault(struct fw_wire_server *s, enum fw_wire_fault fault,
                        int n)
@@ -288,6 +330,19 @@
     return (int)g_list_length(s->runs);
 }
 
+int
+Fw_WireServer_IsRunning(const struct fw_wire_server *s, const char *id)
+{
+    for (GList *l = s->runs; l; l = l->next) {
+        const struct run *r = l->data;
+
+        if (!r->prefill && strcmp(r->id, id) == 0) {
+            return 1;
+        }
+    }
+    return 0;
+}
+
 const char *
 Fw_WireServer_Stage(const struct fw_wire_server *s)
 {
--- a/stand/wire/wire.h
+++ b/stand/wire/wire.h
@@ -84,12 +84,34 @@
 
 struct fw_wire_server;
 
+/** enum fw_wire_event - what happened to a request at a server. */
+enum fw_wire_event {
+    FW_WIRE_ARRIVED,  /* received, of any kind */
+    FW_WIRE_STARTED,  /* run, other than a prefill */
+    FW_WIRE_REJECTED, /* answered 503 or 421 and not run */
+};
+
+/* @id: the request's id, empty for a control request */
+typedef void
+fw_wire_observer(void *ctx, const char *server, enum fw_wire_event event,
+                 const char *id);
+
 /* Registers the server in @store. Aborts if it cannot listen on @addr. */
 struct fw_wire_server *
 Fw_WireServer_New(struct fw_wire_store *store, const char *addr,
                   const struct fw_wire_opts *opts);
 void
 Fw_WireServer_Free(struct fw_wire_server *s);
+/* Calls @fn for each event of the server. */
+void
+Fw_WireServer_SetObserver(struct fw_wire_server *s, fw_wire_observer *fn,
+                          void *ctx);
+/* Registers the server under another address, that of a proxy before it. */
+void
+Fw_WireServer_Advertise(struct fw_wire_server *s, const char *addr);
+/* The address that it listens on; owned by @s. */
+const char *
+Fw_WireServer_Addr(const struct fw_wire_server *s);
 /* Injects @fault into the next @n requests other than prefills. */
 void
 Fw_WireServer_SetFault(struct fw_wire_server *s, enum fw_wire_fault fault,
@@ -134,6 +156,9 @@
 /* Requests in progress. */
 int
 Fw_WireServer_ActiveCount(const struct fw_wire_server *s);
+/* Whether the request with this id is in progress, other than a prefill. */
+int
+Fw_WireServer_IsRunning(const struct fw_wire_server *s, const char *id);
 /* KV tokens of requests in progress and of reservations. */
 int64_t
 Fw_WireServer_UsedKvTokens(const struct fw_wire_server *s);
