--- a/src/relay/message.c
+++ b/src/relay/message.c
@@ -311,8 +311,9 @@
 
 /*
  * Expired entries may return soon after the store's recovery. A peer that was
- * unreachable may report an outage that ended some time ago, and one that has
- * restarted meanwhile can't tell when: others know better.
+ * unreachable may report an outage that ended some time ago. One that has
+ * restarted meanwhile has no time of its end, and counts only where no other
+ * instance reaches the store.
  */
 static void
 note_recovery(struct fw_relay *r, const struct fw_rl_member *m, int64_t age_us,
--- a/src/relay/server_limits.c
+++ b/src/relay/server_limits.c
@@ -2,9 +2,9 @@
  * Limits that servers name in their responses: which one is believed here, and
  * this instance's share of it.
  *
- * Instances tell each other, so that those without a share learn of a limit,
- * and of its end. A hub knows all instances and computes its own share and
- * those of its leaves; see limit_message.c.
+ * Instances exchange what they believe, so that those without a share learn of
+ * a limit and of its end. A hub knows all instances and computes its own share
+ * and those of its leaves; see limit_message.c.
  */
 #include "base/fault.h"
 #include "relay/relay_internal.h"
