--- a/tests/relayd/test_log_events.c
+++ b/tests/relayd/test_log_events.c
@@ -129,8 +129,8 @@
 {
     static const char digest[] =
         "\x9c\x07\xa2"
-        "n2\x05\x00\x01\x01\x90\x90\x90\x90\x91\x96\x01\x00"
-        "\x00\x00\x00\x00\x90";
+        "n2\x05\x00\x01\x01\x90\x90\x90\x90\x91\x97\x01\x00"
+        "\x00\x00\x00\x00\xff\x90";
     struct rig_conn *c;
 
     Fw_WireStore_Put(env->store, "keyed.servers", "i-bad", "{}");
