Log what retries of generations are charged, and those the budget denies

Both now bear "charged"; retry_denied names what was spent and allowed and the instances that this one counts; fw_repeats_denied_total counts them.

--- a/src/relay/limits.h
+++ b/src/relay/limits.h
@@ -4,6 +4,8 @@
 
 #include "relay/relay.h"
 
+struct fw_rl_call;
+
 /**
  * struct fw_rl_allowance - this instance's view of a team's token bucket.
  * @hash: hash of the team's name
@@ -120,9 +122,12 @@
 void
 Fw_RetryBudget_NoteRequest(struct fw_relay *r, const char *service,
                            int64_t now_us);
-/* Takes @relay_metrics retries. Return: nonzero if the budget allowed them. */
+/*
+ * Charges the service of @c for @n calls that reach its servers beyond the
+ * first of a request. Return: nonzero if the budget allows them.
+ */
 int
-Fw_RetryBudget_Take(struct fw_relay *r, const char *service, int n,
-                    int64_t now_us);
+Fw_RetryBudget_Take(struct fw_relay *r, const struct fw_rl_call *c, int n,
+                    int64_t now_us, struct fw_rl_actions *out);
 
 #endif
--- a/src/relay/metrics.c
+++ b/src/relay/metrics.c
@@ -25,6 +25,8 @@
          "Answers that broke off after they had begun", 0},
         {&r->relay_metrics.retries, "fw_repeats_total",
          "Requests sent to a further server", 0},
+        {&r->relay_metrics.retries_denied, "fw_repeats_denied_total",
+         "Retries that the budget did not allow", 0},
         {&r->relay_metrics.reservations, "fw_reservations_total",
          "Reservations asked of engines", 0},
         {&r->relay_metrics.reservations_rejected,
--- a/src/relay/metrics.h
+++ b/src/relay/metrics.h
@@ -25,6 +25,7 @@
     struct fw_metric abandoned;
     struct fw_metric aborted;
     struct fw_metric retries;
+    struct fw_metric retries_denied;
     struct fw_metric reservations;
     struct fw_metric reservations_rejected;
     struct fw_metric prefills;
--- a/src/relay/plain.c
+++ b/src/relay/plain.c
@@ -158,7 +158,7 @@
  */
 static struct fw_rl_server *
 take_retry_server(struct fw_relay *r, const struct fw_rl_call *c,
-                  int64_t now_us)
+                  int64_t now_us, struct fw_rl_actions *out)
 {
     struct fw_rl_server *s;
 
@@ -168,7 +168,7 @@
     }
     s = Fw_Place_Plain(r, c, now_us);
     if (!s || Fw_Place_IsOverloaded(r, c, s, now_us) ||
-        !Fw_RetryBudget_Take(r, c->service, 1, now_us)) {
+        !Fw_RetryBudget_Take(r, c, 1, now_us, out)) {
         return NULL;
     }
     return s;
@@ -213,7 +213,7 @@
         }
         c->attempts--; /* not an attempt: it did not run */
         Fw_Op_End(r, op);
-        next = take_retry_server(r, c, now_us);
+        next = take_retry_server(r, c, now_us, out);
         if (next) {
             retry(r, c, next, "not run", now_us, out);
         }
@@ -227,8 +227,9 @@
     if (op->had_free_slot) {
         Fw_Servers_NoteServiceTime(op->server, took_us);
     }
-    next = ans->status >= 500 && may_retry(c) ? take_retry_server(r, c, now_us)
-                                              : NULL;
+    next = ans->status >= 500 && may_retry(c)
+               ? take_retry_server(r, c, now_us, out)
+               : NULL;
     if (next) {
         Fw_RelayActions_Add(out, FW_RL_DO_CANCEL_CALL)->u.xid = op->xid;
         Fw_Op_End(r, op);
@@ -271,7 +272,7 @@
     else {
         c->attempts--;
     }
-    next = !sent || may_retry(c) ? take_retry_server(r, c, now_us) : NULL;
+    next = !sent || may_retry(c) ? take_retry_server(r, c, now_us, out) : NULL;
     if (next) {
         retry(r, c, next, err == -ETIMEDOUT ? "timeout" : "connection lost",
               now_us, out);
--- a/src/relay/retry_budget.c
+++ b/src/relay/retry_budget.c
@@ -50,10 +50,10 @@
 }
 
 int
-Fw_RetryBudget_Take(struct fw_relay *r, const char *service, int n,
-                    int64_t now_us)
+Fw_RetryBudget_Take(struct fw_relay *r, const struct fw_rl_call *c, int n,
+                    int64_t now_us, struct fw_rl_actions *out)
 {
-    struct fw_rl_retry_budget *b = find_or_add_budget(r, service, now_us);
+    struct fw_rl_retry_budget *b = find_or_add_budget(r, c->service, now_us);
     int instances = Fw_Members_Count(r, now_us, NULL);
     int64_t requests = 0;
     int64_t retries = 0;
@@ -70,6 +70,13 @@
               r->opts.retry_extra * FW_RETRY_EXTRA_USABLE_PERMILLE / 1000 /
                   instances;
     if (retries + n > allowed) {
+        r->relay_metrics.retries_denied.value++;
+        Fw_RelayActions_Log(
+            out, r, LOG_NOTICE, "retry_denied",
+            "\"id\":\"%s\",\"service\":\"%s\",\"calls\":%d,"
+            "\"spent\":%" G_GINT64_FORMAT ",\"allowed\":%" G_GINT64_FORMAT
+            ",\"instances\":%d",
+            c->info.id, c->service, n, retries, allowed, instances);
         return 0;
     }
     b->retries[b->slot % FW_RL_RETRY_BUDGET_SLOTS] += n;
--- a/src/relay/stream.c
+++ b/src/relay/stream.c
@@ -178,12 +178,14 @@
         c->state == FW_RL_PREFILLING ? c->prefill_server : c->server;
     uint64_t failed = s ? s->hash : 0;
     int retry = c->n_tried < FW_RETRIES_MAX && now_us < c->deadline_us &&
-                Fw_RetryBudget_Take(r, c->service, wasted_calls, now_us);
+                Fw_RetryBudget_Take(r, c, wasted_calls, now_us, out);
 
     Fw_RelayActions_Log(
         out, r, LOG_NOTICE, "start_over",
-        "\"id\":\"%s\",\"why\":\"%s\",\"server\":\"%s\",\"again\":%d",
-        c->info.id, reason, s ? s->entry.id : "", retry);
+        "\"id\":\"%s\",\"why\":\"%s\",\"server\":\"%s\",\"again\":%d,"
+        "\"charged\":%d",
+        c->info.id, reason, s ? s->entry.id : "", retry,
+        retry ? wasted_calls : 0);
     c->tried[c->n_tried++] = failed;
     Fw_Call_Release(r, c, now_us, out);
     if (!retry) {
@@ -313,13 +315,13 @@
 
     if (held_us > FW_RESERVATION_AGE_MAX_US || c->n_tried >= FW_RETRIES_MAX ||
         (wasted_calls &&
-         !Fw_RetryBudget_Take(r, c->service, wasted_calls, now_us))) {
+         !Fw_RetryBudget_Take(r, c, wasted_calls, now_us, out))) {
         restart(r, c, "prompt_not_read", 0, now_us, out);
         return;
     }
     Fw_RelayActions_Log(out, r, LOG_NOTICE, "read_elsewhere",
-                        "\"id\":\"%s\",\"server\":\"%s\"", c->info.id,
-                        c->prefill_server->entry.id);
+                        "\"id\":\"%s\",\"server\":\"%s\",\"charged\":%d",
+                        c->info.id, c->prefill_server->entry.id, wasted_calls);
     c->tried[c->n_tried++] = c->prefill_server->hash;
     Fw_Servers_Unref(c->prefill_server);
     c->prefill_server = NULL;
