--- a/explore/relay_fleet.c
+++ b/explore/relay_fleet.c
@@ -70,7 +70,7 @@
     struct fw_relay_opts o = {.boot = inst->boot,
                               .seed = g_rand_int(fleet->run->rand),
                               .retry_ratio_ppm = 200000,
-                              .retry_extra = 100,
+                              .retry_extra = fleet->retry_extra,
                               .retry_window_us = 10 * FW_SEC,
                               .key_stale_us = 4800 * FW_MSEC,
                               .queue_limit_us = 650 * FW_MSEC,
@@ -112,7 +112,8 @@
                             .now_us = 1000 * FW_SEC,
                             .loss_pct = 3,
                             .delay_pct = 3,
-                            .delay_max_us = 5 * FW_SEC};
+                            .delay_max_us = 5 * FW_SEC,
+                            .retry_extra = 100};
     fleet->in_flight = g_ptr_array_new_with_free_func(msg_free);
     fleet->published = g_ptr_array_new_with_free_func(presence_record_free);
     Fw_Outbox_Init(&fleet->outbox);
--- a/explore/relay_fleet.h
+++ b/explore/relay_fleet.h
@@ -44,6 +44,7 @@
  *     in the store, which all of them reach, which ones they see
  * @published: records of the store, of struct presence_record
  * @n_cross_domain: messages received from another failure domain
+ * @retry_extra: fixed part of the retry budget, for instances that start
  */
 struct fleet {
     struct fw_run *run;
@@ -59,6 +60,7 @@
     int expires_members;
     GPtrArray *published;
     int n_cross_domain;
+    int64_t retry_extra;
 };
 
 void
--- a/tests/relay/script.c
+++ b/tests/relay/script.c
@@ -1,6 +1,8 @@
 /*
  * Commands:
  *   at MS                       sets the clock
+ *   started                     the process was started just now, and not a
+ *                               while ago
  *   options KEY=N ...           queue_ms, stale_ms, reserve, prefill, extra,
  *                               here_ms, lease_ms
  *   rules VERSION [KEY=N ...]   loads a configuration (see make_rules); rate,
@@ -35,11 +37,15 @@
  *   spent NAME TEAM N [level=N] a digest from NAME: it has spent N tokens of
  *                               TEAM's allowance in all; its bucket's level
  *   limit NAME ID VERSION N     a message from NAME: the limit that it
- * believes of a server, thousandths a second, -1 for none tick runs the
- * periodic work drain                       SIGTERM ready prints whether the
- * instance is ready load ID                     prints a server's running
- * requests, reserved tokens and prefill tokens logs prints log lines from here
- * on: severity, event and members
+ *                               believes of a server, thousandths a second,
+ *                               -1 for none
+ *   tick                        runs the periodic work
+ *   drain                       SIGTERM
+ *   ready                       prints whether the instance is ready
+ *   load ID                     prints a server's running requests, reserved
+ *                               tokens and prefill tokens
+ *   logs                        prints log lines from here on: severity, event
+ *                               and members
  */
 #include "tests/relay/script.h"
 
@@ -247,6 +253,14 @@
                                run->now_us, &run->acts);
 }
 
+/* Replaces the relay by one that starts now. */
+static void
+do_started(struct relay_script_run *run)
+{
+    Fw_Relay_Free(run->r);
+    run->r = Fw_Relay_New(&run->opts, run->now_us);
+}
+
 static void
 do_registered(struct relay_script_run *run)
 {
@@ -341,6 +355,7 @@
     {"evacuate", do_evacuate},
     {"evacuation-ended", do_evacuation_ended},
     {"evacuations", do_evacuations},
+    {"started", do_started},
     {"registered", do_registered},
     {"store-back", do_store_back},
     {"list", do_list},
