Charge each call that a generation makes again

Cause: each way to a retry named its own cost, and two named none. A prefill that the budget did not allow to be retried, or whose reservation was older than a second, started over at the cost of 0, and so did a generation whose decode engine was evacuated after the prefill.

Now one function charges for the calls that engines have received and that were not charged yet, whatever the way, before anything is sent again.

--- a/src/relay/calls.h
+++ b/src/relay/calls.h
@@ -56,6 +56,8 @@
  * @response_us: when its response began, 0 if not yet
  * @op: pending call to an upstream, NULL for none
  * @attempts: servers that may have run it
+ * @calls_received: its prefills and runs that an engine may have received
+ * @calls_charged: those of them that the retry budget was charged for
  * @is_forwarded: its response has begun
  * @ran: whether it was run
  * @tried: hashes of the servers to avoid
@@ -92,6 +94,8 @@
     int64_t response_us;
     struct fw_rl_op *op;
     int attempts;
+    int calls_received;
+    int calls_charged;
     int is_forwarded;
     enum fw_ran ran;
     uint64_t tried[FW_RL_TRIED_MAX];
--- a/src/relay/stream.c
+++ b/src/relay/stream.c
@@ -8,6 +8,7 @@
 #include <errno.h>
 #include <string.h>
 
+#include "base/fault.h"
 #include "relay/relay_internal.h"
 
 /*
@@ -165,30 +166,47 @@
 }
 
 /*
- * Releases what @c holds at engines and queues it again, or rejects it if it
- * may not be retried.
- * @wasted_calls: charged to the retry budget: calls that reached an engine in
- *     vain, one for a run and one for the prefill before it
+ * Charges the retry budget for the calls of @c that engines have received in
+ * vain, as many of which will be made again. Return: the number of calls
+ * charged, or -EDQUOT if the budget does not allow them.
+ */
+static int
+charge_retry(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us,
+             struct fw_rl_actions *out)
+{
+    int n = c->calls_received - c->calls_charged;
+
+    if (n == 0 || FW_FAULT("retries-uncharged")) {
+        return 0;
+    }
+    if (!Fw_RetryBudget_Take(r, c, n, now_us, out)) {
+        return -EDQUOT;
+    }
+    c->calls_charged += n;
+    return n;
+}
+
+/*
+ * Releases what @c holds at engines and queues it again, or rejects it.
+ * @charged: as returned by charge_retry(); negative to reject it
  */
 static void
-restart(struct fw_relay *r, struct fw_rl_call *c, const char *reason,
-        int wasted_calls, int64_t now_us, struct fw_rl_actions *out)
+start_over(struct fw_relay *r, struct fw_rl_call *c, const char *reason,
+           int charged, int64_t now_us, struct fw_rl_actions *out)
 {
     struct fw_rl_server *s =
         c->state == FW_RL_PREFILLING ? c->prefill_server : c->server;
     uint64_t failed = s ? s->hash : 0;
-    int retry = c->n_tried < FW_RETRIES_MAX && now_us < c->deadline_us &&
-                Fw_RetryBudget_Take(r, c, wasted_calls, now_us, out);
 
     Fw_RelayActions_Log(
         out, r, LOG_NOTICE, "start_over",
         "\"id\":\"%s\",\"why\":\"%s\",\"server\":\"%s\",\"again\":%d,"
         "\"charged\":%d",
-        c->info.id, reason, s ? s->entry.id : "", retry,
-        retry ? wasted_calls : 0);
+        c->info.id, reason, s ? s->entry.id : "", charged >= 0,
+        MAX(charged, 0));
     c->tried[c->n_tried++] = failed;
     Fw_Call_Release(r, c, now_us, out);
-    if (!retry) {
+    if (charged < 0) {
         reject_overloaded(r, c, reason, now_us, out);
         return;
     }
@@ -198,6 +216,19 @@
     requeue(r, c, now_us, out);
 }
 
+/* Starts over if that is allowed, and rejects @c otherwise. */
+static void
+restart(struct fw_relay *r, struct fw_rl_call *c, const char *reason,
+        int64_t now_us, struct fw_rl_actions *out)
+{
+    int charged = -ETIMEDOUT;
+
+    if (c->n_tried < FW_RETRIES_MAX && now_us < c->deadline_us) {
+        charged = charge_retry(r, c, now_us, out);
+    }
+    start_over(r, c, reason, charged, now_us, out);
+}
+
 /*
  * Rejects @c if the configuration has become too old to trust its key.
  * Return: nonzero if @c was rejected and freed.
@@ -230,12 +261,11 @@
         return;
     }
     if (c->server->is_evacuated) {
-        restart(r, c, "engine_evacuated", 0, now_us, out);
+        restart(r, c, "engine_evacuated", now_us, out);
         return;
     }
     if (!Fw_Admission_MayFollow(r, c->server, now_us)) {
-        restart(r, c, "engine_limited", c->prefill_server ? 1 : 0, now_us,
-                out);
+        restart(r, c, "engine_limited", now_us, out);
         return;
     }
     Fw_Admission_EndReservation(c);
@@ -304,24 +334,26 @@
  * Retries a failed prefill at another engine and keeps the reservation, which
  * might not be granted again in a full fleet, least of all when many engines
  * have crashed at once.
- * @wasted_calls: charged to the retry budget: 1 if the prefill's call reached
- *     an engine, else 0
  */
 static void
-retry_prefill(struct fw_relay *r, struct fw_rl_call *c, int wasted_calls,
-              int64_t now_us, struct fw_rl_actions *out)
+retry_prefill(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us,
+              struct fw_rl_actions *out)
 {
     int64_t held_us = now_us - c->reserved_us;
+    int charged;
 
-    if (held_us > FW_RESERVATION_AGE_MAX_US || c->n_tried >= FW_RETRIES_MAX ||
-        (wasted_calls &&
-         !Fw_RetryBudget_Take(r, c, wasted_calls, now_us, out))) {
-        restart(r, c, "prompt_not_read", 0, now_us, out);
+    if (held_us > FW_RESERVATION_AGE_MAX_US || c->n_tried >= FW_RETRIES_MAX) {
+        restart(r, c, "prompt_not_read", now_us, out);
+        return;
+    }
+    charged = charge_retry(r, c, now_us, out);
+    if (charged < 0) {
+        start_over(r, c, "prompt_not_read", charged, now_us, out);
         return;
     }
     Fw_RelayActions_Log(out, r, LOG_NOTICE, "read_elsewhere",
                         "\"id\":\"%s\",\"server\":\"%s\",\"charged\":%d",
-                        c->info.id, c->prefill_server->entry.id, wasted_calls);
+                        c->info.id, c->prefill_server->entry.id, charged);
     c->tried[c->n_tried++] = c->prefill_server->hash;
     Fw_Servers_Unref(c->prefill_server);
     c->prefill_server = NULL;
@@ -374,7 +406,7 @@
     if (ans->wrong_server) {
         Fw_Servers_NoteUnreachable(s, now_us);
     }
-    retry_prefill(r, c, 1, now_us, out);
+    retry_prefill(r, c, now_us, out);
 }
 
 static void
@@ -394,7 +426,7 @@
         Fw_Servers_NoteRejectedRun(c->server, now_us);
     }
     c->attempts--;
-    restart(r, c, "engine_full", c->prefill_server ? 2 : 1, now_us, out);
+    restart(r, c, "engine_full", now_us, out);
 }
 
 void
@@ -408,6 +440,7 @@
     int64_t took_us = now_us - op->sent_us;
 
     Fw_Op_End(r, op);
+    c->calls_received += kind != FW_RL_UP_RESERVE;
     if (kind == FW_RL_UP_RESERVE) {
         reservation_answered(r, c, s, ans, now_us, out);
     }
@@ -430,8 +463,7 @@
     }
     if (!sent) {
         c->attempts--;
-        restart(r, c, "engine_unreachable", c->prefill_server ? 1 : 0, now_us,
-                out);
+        restart(r, c, "engine_unreachable", now_us, out);
         return;
     }
     c->ran = FW_RAN_MAYBE;
@@ -441,7 +473,7 @@
         Fw_Call_Reject(r, c, 504, 0, "timeout", now_us, out);
     }
     else if (c->route.resumable && c->attempts < c->route.attempts) {
-        restart(r, c, "engine_lost", c->prefill_server ? 2 : 1, now_us, out);
+        restart(r, c, "engine_lost", now_us, out);
     }
     else {
         Fw_Call_Reject(r, c, 502, 0, "engine_lost", now_us, out);
@@ -457,6 +489,7 @@
     enum fw_rl_upstream_kind kind = op->kind;
 
     Fw_Op_End(r, op);
+    c->calls_received += sent && kind != FW_RL_UP_RESERVE;
     if (sent && kind != FW_RL_UP_RUN && err == -ETIMEDOUT) {
         Fw_Servers_NoteTimeout(s, now_us);
     }
@@ -477,7 +510,7 @@
     }
     else if (kind == FW_RL_UP_PREFILL) {
         Fw_Call_EndPrefill(c);
-        retry_prefill(r, c, sent ? 1 : 0, now_us, out);
+        retry_prefill(r, c, now_us, out);
     }
     else {
         run_failed(r, c, sent, now_us, out);
