Give an instance that has started no fixed part of the retry budget for a window

An instance that does not know the others yet even took the whole of the fixed part.

An instance now has its share a window after its start. By then what its former process spent has left the window, others have counted it, and what they spent at the fleet's former size has left the window as well. Until then it may retry the ratio of its own requests, which needs no knowledge.

The ratio is now rounded once and not twice, so that few requests a second keep more of it.

--- a/src/relay/retry_budget.c
+++ b/src/relay/retry_budget.c
@@ -3,10 +3,13 @@
  *
  * The budget holds for all instances together without communication: each may
  * retry a fixed ratio of its own requests within the window, plus an equal
- * share of a fixed number.
+ * share of a fixed number. What a former process of the instance has retried
+ * is not known to the next one, which has no share of the fixed number until
+ * that was a window ago.
  */
 #include <string.h>
 
+#include "base/fault.h"
 #include "relay/relay_internal.h"
 
 /* Usable part of retry_extra; the rest is for instances not known here. */
@@ -40,6 +43,20 @@
     return b;
 }
 
+/* This instance's share of the fixed number. */
+static int64_t
+fixed_share(const struct fw_relay *r, int instances, int64_t now_us)
+{
+    int64_t usable =
+        r->opts.retry_extra * FW_RETRY_EXTRA_USABLE_PERMILLE / 1000;
+
+    if (now_us - r->start_us < r->opts.retry_window_us &&
+        !FW_FAULT("retry-share-from-start")) {
+        return 0;
+    }
+    return usable / instances;
+}
+
 void
 Fw_RetryBudget_NoteRequest(struct fw_relay *r, const char *service,
                            int64_t now_us)
@@ -64,11 +81,10 @@
         retries += b->retries[i];
     }
     /* The ring is two slots longer than the window: scale the requests. */
-    requests =
-        requests * (FW_RL_RETRY_BUDGET_SLOTS - 2) / FW_RL_RETRY_BUDGET_SLOTS;
-    allowed = requests * r->opts.retry_ratio_ppm / 1000000 +
-              r->opts.retry_extra * FW_RETRY_EXTRA_USABLE_PERMILLE / 1000 /
-                  instances;
+    allowed = requests * r->opts.retry_ratio_ppm *
+              (FW_RL_RETRY_BUDGET_SLOTS - 2) / FW_RL_RETRY_BUDGET_SLOTS /
+              1000000;
+    allowed += fixed_share(r, instances, now_us);
     if (retries + n > allowed) {
         r->relay_metrics.retries_denied.value++;
         Fw_RelayActions_Log(
