Show that instances without links to the servers serve nobody

Connections hang, are reset, or live on while new ones are refused; up to seven in ten instances are cut off, in fleets of 3 to 300.

--- a/explore/p_relay.h
+++ b/explore/p_relay.h
@@ -23,6 +23,9 @@
 /* relay_evacuation.c */
 void
 Fw_Explore_RelayEvacuation(struct fw_run *run);
+/* relay_partition.c */
+void
+Fw_Explore_RelayPartition(struct fw_run *run);
 /* relay_retries.c */
 void
 Fw_Explore_RelayRetries(struct fw_run *run);
--- /dev/null
+++ b/explore/relay_partition.c
@@ -0,0 +1,489 @@
+/*
+ * cut-off-instances-serve: while some instances have no links to any server,
+ * though callers, the store and other instances reach them, their callers are
+ * served nearly as often as others', from the stable window on. Servers that
+ * all fall silent for a moment, and instances that freeze or restart, come
+ * beside it.
+ */
+#include <errno.h>
+#include <string.h>
+
+#include "explore/p_relay.h"
+#include "explore/relay_fleet.h"
+
+#define FW_STABLE_US (3 * FW_SEC)
+#define FW_SERVERS 8
+#define FW_PLAIN_SERVERS 4
+/* First attempts that may fail at instances that are cut off: fixed part. */
+#define FW_TOLERATED 10
+/* And of all first attempts, one in this many. */
+#define FW_TOLERATED_ONE_IN 50
+/* Maximum time for which a sound server is silent. */
+#define FW_SILENCE_MAX_US (1200 * FW_MSEC)
+
+/** enum cut - what happens to the links of an instance that is cut off. */
+enum cut {
+    FW_CUT_NONE,
+    FW_CUT_HANGS,   /* nothing arrives, no connection is established */
+    FW_CUT_RESETS,  /* connections are reset, new ones are refused */
+    FW_CUT_LIVES_ON /* open connections work, new ones are refused */
+};
+
+/** struct pending - a call on its way to a server or to another instance. */
+struct pending {
+    struct fw_rl_upstream_call call;
+    int instance;
+    uint64_t boot;
+    int64_t due_us;
+    int opens_conn;
+    int has_begun;
+};
+
+/**
+ * struct request - a caller's first attempt.
+ * @counts: it was sent while a partition had lasted for the stable window
+ * @at_cut: to an instance that is cut off
+ */
+struct request {
+    int counts;
+    int at_cut;
+};
+
+/**
+ * struct partition_env - the fleet and its callers.
+ * @cut: how each instance is cut off
+ * @cut_at_us: when the partition began, 0 while there is none
+ * @silent_until_us: no server answers until then
+ * @sent, @served: requests that count, by struct request.at_cut
+ */
+struct partition_env {
+    struct fleet fleet;
+    GArray *pending;
+    GArray *requests;
+    enum cut cut[FW_FLEET_MAX];
+    int64_t cut_at_us;
+    int64_t silent_until_us;
+    int sent[2];
+    int served[2];
+    int open_permille;
+};
+
+static void
+add_route(struct fw_rl_rules *rules, const char *prefix, const char *service,
+          enum fw_rl_route_kind kind)
+{
+    struct fw_rl_route_rule *r = Fw_Rules_AddRoute(rules);
+
+    g_strlcpy(r->name, prefix, sizeof(r->name));
+    g_strlcpy(r->host, "h", sizeof(r->host));
+    g_strlcpy(r->prefix, prefix, sizeof(r->prefix));
+    r->kind = kind;
+    r->timeout_us = 3 * FW_SEC;
+    r->objective_us = 900 * FW_MSEC;
+    r->attempts = 2;
+    r->anonymous = 1;
+    r->generates = kind == FW_RL_STREAM;
+    r->n_targets = 1;
+    r->targets[0].weight = 1;
+    g_strlcpy(r->targets[0].service, service, FW_NAME_MAX);
+}
+
+static struct fw_rl_rules *
+make_rules(void)
+{
+    struct fw_rl_rules *rules = Fw_Rules_New();
+    struct fw_rl_service_rule *s;
+
+    rules->version = 1;
+    add_route(rules, "/read/", "plain", FW_RL_IDEMPOTENT);
+    add_route(rules, "/order/", "plain", FW_RL_NON_IDEMPOTENT);
+    add_route(rules, "/gen/", "llm", FW_RL_STREAM);
+    g_strlcpy(Fw_Rules_AddService(rules)->name, "plain", FW_NAME_MAX);
+    s = Fw_Rules_AddService(rules);
+    g_strlcpy(s->name, "llm", FW_NAME_MAX);
+    s->has_engines = 1;
+    s->engine = (struct fw_rl_engine_spec){.slots = 1000,
+                                           .kv_tokens = 10 * 1000 * 1000,
+                                           .reservation_ttl_us = 2 * FW_SEC};
+    Fw_Rules_Index(rules);
+    return rules;
+}
+
+static void
+add_servers(struct partition_env *env, int i)
+{
+    struct fleet_instance *inst = &env->fleet.instances[i];
+
+    for (int k = 0; k < FW_SERVERS; k++) {
+        struct fw_rl_server_entry e = {.slots = 1000, .born_ms = 1};
+
+        g_snprintf(e.id, sizeof(e.id), "s%d", k);
+        g_strlcpy(e.addr, e.id, sizeof(e.addr));
+        g_strlcpy(e.service, k < FW_PLAIN_SERVERS ? "plain" : "llm",
+                  sizeof(e.service));
+        if (k >= FW_PLAIN_SERVERS) {
+            e.stage = k % 2 ? FW_RL_STAGE_DECODE : FW_RL_STAGE_PREFILL;
+        }
+        Fw_Relay_UpdateServer(inst->relay, e.id, &e,
+                              Fw_RelayFleet_Now(&env->fleet, i), &inst->acts);
+    }
+    g_array_set_size(inst->acts.all, 0);
+}
+
+static void
+end_request(struct partition_env *env, uint64_t call, int served)
+{
+    const struct request *q =
+        &g_array_index(env->requests, struct request, call);
+
+    if (q->counts) {
+        env->sent[q->at_cut]++;
+        env->served[q->at_cut] += served;
+    }
+}
+
+static void
+start_call(struct partition_env *env, int i,
+           const struct fw_rl_upstream_call *c)
+{
+    struct fleet *fleet = &env->fleet;
+    struct pending p = {.call = *c,
+                        .instance = i,
+                        .boot = fleet->instances[i].boot,
+                        .opens_conn = Fw_RelayFleet_RandBelow(fleet, 4) == 0};
+
+    p.due_us =
+        fleet->now_us + (5 + Fw_RelayFleet_RandBelow(fleet, 60)) * FW_MSEC;
+    if (env->cut[i] == FW_CUT_HANGS && p.opens_conn) {
+        p.due_us = fleet->now_us + c->connect_us;
+    }
+    g_array_append_val(env->pending, p);
+}
+
+static void
+cancel_call(struct partition_env *env, int i, uint64_t xid)
+{
+    for (guint k = 0; k < env->pending->len; k++) {
+        const struct pending *p =
+            &g_array_index(env->pending, struct pending, k);
+
+        if (p->instance == i && p->call.xid == xid &&
+            p->boot == env->fleet.instances[i].boot) {
+            g_array_remove_index_fast(env->pending, k);
+            return;
+        }
+    }
+}
+
+static void
+apply_actions(struct partition_env *env, int i)
+{
+    struct fleet_instance *inst = &env->fleet.instances[i];
+
+    for (guint k = 0; k < inst->acts.all->len; k++) {
+        const struct fw_rl_action *a =
+            &g_array_index(inst->acts.all, struct fw_rl_action, k);
+
+        switch (a->kind) {
+        case FW_RL_DO_CALL:
+            start_call(env, i, &a->u.upstream_call);
+            break;
+        case FW_RL_DO_CANCEL_CALL:
+            cancel_call(env, i, a->u.xid);
+            break;
+        case FW_RL_DO_REJECT:
+            end_request(env, a->u.rejection.call, 0);
+            break;
+        case FW_RL_DO_FINISH:
+            end_request(env, a->u.call, 1);
+            break;
+        case FW_RL_DO_ABORT:
+            end_request(env, a->u.call, 0);
+            break;
+        default:
+            break;
+        }
+    }
+    g_array_set_size(inst->acts.all, 0);
+}
+
+static void
+fail_call(struct partition_env *env, const struct pending *p, int err,
+          int sent)
+{
+    struct fleet_instance *inst = &env->fleet.instances[p->instance];
+
+    Fw_Relay_UpstreamFailed(inst->relay, p->call.xid, err, sent,
+                            Fw_RelayFleet_Now(&env->fleet, p->instance),
+                            &inst->acts);
+}
+
+static void
+respond(struct partition_env *env, const struct pending *p, int begins)
+{
+    struct fleet_instance *inst = &env->fleet.instances[p->instance];
+    int64_t now = Fw_RelayFleet_Now(&env->fleet, p->instance);
+    struct fw_rl_upstream_response ans = {
+        .status = 200, .limit_milli = FW_NO_LIMIT, .orders = -1};
+
+    g_strlcpy(ans.handle, "h", sizeof(ans.handle));
+    if (!p->has_begun) {
+        Fw_Relay_ResponseHead(inst->relay, p->call.xid, &ans, now,
+                              &inst->acts);
+    }
+    if (begins) {
+        Fw_Relay_ResponseBegan(inst->relay, p->call.xid, &ans, now,
+                               &inst->acts);
+    }
+    else {
+        Fw_Relay_ResponseEnded(inst->relay, p->call.xid, &ans, now,
+                               &inst->acts);
+    }
+}
+
+/* Return: nonzero if the call has ended. */
+static int
+serve(struct partition_env *env, struct pending *p)
+{
+    int streams = p->call.kind == FW_RL_UP_RUN && !p->call.buffer_response;
+
+    if (env->fleet.now_us < env->silent_until_us) {
+        p->due_us = env->silent_until_us;
+        return 0;
+    }
+    if (streams && !p->has_begun) {
+        p->due_us += 300 * FW_MSEC;
+        respond(env, p, 1);
+        p->has_begun = 1;
+        return 0;
+    }
+    respond(env, p, 0);
+    return 1;
+}
+
+/* Return: nonzero if the call has ended. */
+static int
+advance_call(struct partition_env *env, struct pending *p)
+{
+    switch (env->cut[p->instance]) {
+    case FW_CUT_HANGS:
+        if (p->opens_conn) {
+            fail_call(env, p, -ETIMEDOUT, 0);
+            return 1;
+        }
+        p->due_us += 100 * FW_MSEC;
+        return 0;
+    case FW_CUT_RESETS:
+        fail_call(env, p, p->opens_conn ? -ECONNREFUSED : -ECONNRESET,
+                  !p->opens_conn);
+        return 1;
+    case FW_CUT_LIVES_ON:
+        if (p->opens_conn) {
+            fail_call(env, p, -ECONNREFUSED, 0);
+            return 1;
+        }
+        break;
+    case FW_CUT_NONE:
+        break;
+    }
+    return serve(env, p);
+}
+
+/* A callback of one call may add or cancel others. */
+static void
+advance_calls(struct partition_env *env)
+{
+    struct fleet *fleet = &env->fleet;
+
+    for (guint k = 0; k < env->pending->len; k++) {
+        struct pending p = g_array_index(env->pending, struct pending, k);
+        int i = p.instance;
+        int ended = p.boot != fleet->instances[i].boot;
+
+        if (!ended) {
+            if (fleet->now_us < p.due_us ||
+                !Fw_RelayFleet_IsRunning(fleet, i)) {
+                continue;
+            }
+            ended = advance_call(env, &p);
+        }
+        if (ended) {
+            g_array_remove_index_fast(env->pending, k--);
+        }
+        else {
+            g_array_index(env->pending, struct pending, k) = p;
+        }
+        apply_actions(env, i);
+    }
+}
+
+static void
+open_request(struct partition_env *env, int i)
+{
+    static const char *const paths[] = {"/read/x", "/order/x", "/gen/x"};
+    struct fleet *fleet = &env->fleet;
+    struct fleet_instance *inst = &fleet->instances[i];
+    int kind = Fw_RelayFleet_RandBelow(fleet, 3);
+    struct request q = {.counts =
+                            env->cut_at_us &&
+                            fleet->now_us - env->cut_at_us >= FW_STABLE_US,
+                        .at_cut = env->cut[i] != FW_CUT_NONE};
+    struct fw_rl_request_info info = {.tokens_in = kind == 2 ? 1000 : -1,
+                                      .tokens_out_max = kind == 2 ? 500 : -1,
+                                      .tokens_out_hint = -1,
+                                      .last_event_id = -1};
+    uint64_t call = env->requests->len;
+
+    info.fingerprint = call + 1;
+    g_array_append_val(env->requests, q);
+    g_strlcpy(info.host, "h", sizeof(info.host));
+    g_strlcpy(info.path, paths[kind], sizeof(info.path));
+    g_snprintf(info.id, sizeof(info.id), "%d", (int)call);
+    Fw_Relay_Open(inst->relay, call, &info, Fw_RelayFleet_Now(fleet, i),
+                  &inst->acts);
+    apply_actions(env, i);
+}
+
+static void
+run_instances(struct partition_env *env)
+{
+    for (int i = 0; i < env->fleet.n; i++) {
+        struct fleet_instance *inst = &env->fleet.instances[i];
+
+        if (!Fw_RelayFleet_IsRunning(&env->fleet, i)) {
+            continue;
+        }
+        Fw_Relay_Tick(inst->relay, Fw_RelayFleet_Now(&env->fleet, i),
+                      &inst->acts);
+        apply_actions(env, i);
+        if (Fw_RelayFleet_RandBelow(&env->fleet, 1000) < env->open_permille) {
+            open_request(env, i);
+        }
+    }
+}
+
+static void
+check_served(struct partition_env *env)
+{
+    int tolerated =
+        FW_TOLERATED + (env->sent[0] + env->sent[1]) / FW_TOLERATED_ONE_IN;
+
+    if (env->sent[1] - env->served[1] > tolerated &&
+        (int64_t)env->served[1] * env->sent[0] * 3 <
+            (int64_t)env->served[0] * env->sent[1] * 2) {
+        Fw_Run_Fail(env->fleet.run,
+                    "cut off: %d of %d served, others: %d of %d; %d instances",
+                    env->served[1], env->sent[1], env->served[0], env->sent[0],
+                    env->fleet.n);
+    }
+}
+
+static void
+heal(struct partition_env *env)
+{
+    check_served(env);
+    memset(env->cut, 0, sizeof(env->cut));
+    memset(env->sent, 0, sizeof(env->sent));
+    memset(env->served, 0, sizeof(env->served));
+    for (guint k = 0; k < env->requests->len; k++) {
+        g_array_index(env->requests, struct request, k).counts = 0;
+    }
+    env->cut_at_us = 0;
+    Fw_Run_Trace(env->fleet.run, "healed");
+}
+
+/* Cuts off some instances, but not all. */
+static void
+cut_off(struct partition_env *env)
+{
+    struct fleet *fleet = &env->fleet;
+    int share = 1 + Fw_RelayFleet_RandBelow(fleet, 7);
+    int spared = Fw_RelayFleet_RandBelow(fleet, fleet->n);
+    enum cut how = (enum cut)(1 + Fw_RelayFleet_RandBelow(fleet, 3));
+
+    env->cut_at_us = fleet->now_us;
+    for (int i = 0; i < fleet->n; i++) {
+        if (i != spared && Fw_RelayFleet_RandBelow(fleet, 10) < share) {
+            env->cut[i] = how;
+        }
+    }
+    Fw_Run_Trace(fleet->run, "cut off, kind %d, %d in 10", (int)how, share);
+}
+
+static void
+disturb(struct partition_env *env)
+{
+    struct fleet *fleet = &env->fleet;
+    int i = Fw_RelayFleet_RandBelow(fleet, fleet->n);
+    int64_t lasted_us = fleet->now_us - env->cut_at_us;
+
+    if (env->cut_at_us && lasted_us >= 12 * FW_SEC) {
+        heal(env);
+    }
+    switch (Fw_RelayFleet_RandBelow(fleet, 400)) {
+    case 0:
+    case 1:
+    case 2:
+        if (!env->cut_at_us) {
+            cut_off(env);
+        }
+        break;
+    case 3:
+        if (env->cut[i] == FW_CUT_NONE) {
+            fleet->instances[i].frozen_until_us =
+                fleet->now_us + Fw_RelayFleet_RandBelow(fleet, 3 * FW_SEC);
+        }
+        break;
+    case 4:
+        Fw_RelayFleet_Restart(fleet, i);
+        add_servers(env, i);
+        break;
+    case 5:
+        env->silent_until_us =
+            fleet->now_us + Fw_RelayFleet_RandBelow(fleet, FW_SILENCE_MAX_US);
+        break;
+    default:
+        break;
+    }
+}
+
+/* Large fleets take long, and are drawn rarely. */
+static int
+fleet_size(struct fw_run *run)
+{
+    int n = g_rand_int_range(run->rand, 0, 256);
+
+    if (n == 0) {
+        return FW_FLEET_MAX;
+    }
+    return n < 16 ? g_rand_int_range(run->rand, 13, 60)
+                  : g_rand_int_range(run->rand, 3, 13);
+}
+
+void
+Fw_Explore_RelayPartition(struct fw_run *run)
+{
+    struct partition_env *env = g_new0(struct partition_env, 1);
+    struct fw_rl_rules *rules = make_rules();
+    int n = fleet_size(run);
+
+    env->pending = g_array_new(FALSE, FALSE, sizeof(struct pending));
+    env->requests = g_array_new(FALSE, TRUE, sizeof(struct request));
+    env->open_permille = MAX(1200 / n, 40);
+    Fw_RelayFleet_Init(&env->fleet, run, n, rules);
+    env->fleet.expires_members = 1;
+    for (int i = 0; i < n; i++) {
+        add_servers(env, i);
+    }
+    for (int s = 0; s < run->steps && !run->failure[0]; s++) {
+        disturb(env);
+        Fw_RelayFleet_Advance(&env->fleet, 20 * FW_MSEC);
+        advance_calls(env);
+        run_instances(env);
+    }
+    Fw_RelayFleet_Clear(&env->fleet);
+    Fw_Rules_Unref(rules);
+    g_array_unref(env->requests);
+    g_array_unref(env->pending);
+    g_free(env);
+}
