Hand requests over to another instance while no server can be reached

Cause: nothing told an instance that its own links were lost and not some servers, and a request had no other way than its own links. Leaving the rotation is not enough: callers keep open connections, and where most of a failure domain is cut off the balancer uses all of its instances.

Links are lost when no server has responded for 300 ms since a call failed and three servers (or all) have failed one after the other; any response ends it, and probes of servers' health paths, 150 ms apart, look for one.

An instance whose links are lost as well says so, and another one is asked; if none takes it the servers are tried after all.

Scripts with failures and no response for 100 ms now show a probe.

--- a/explore/relay_partition.c
+++ b/explore/relay_partition.c
@@ -40,13 +40,19 @@
 };
 
 /**
- * struct request - a caller's first attempt.
+ * struct request - a caller's first attempt, or one that was handed over.
  * @counts: it was sent while a partition had lasted for the stable window
  * @at_cut: to an instance that is cut off
+ * @is_handed_over: by the call @xid of the instance @from
+ * @from_boot: lifetime of that instance
  */
 struct request {
     int counts;
     int at_cut;
+    int is_handed_over;
+    int from;
+    uint64_t from_boot;
+    uint64_t xid;
 };
 
 /**
@@ -131,14 +137,39 @@
 }
 
 static void
-end_request(struct partition_env *env, uint64_t call, int served)
+open_request(struct partition_env *env, int i, const struct request *q,
+             const char *path);
+
+/* The response of a request that was handed over reaches its instance. */
+static void
+pass_back(struct partition_env *env, const struct request *q, int served,
+          int refused)
+{
+    struct fleet_instance *from = &env->fleet.instances[q->from];
+    struct fw_rl_upstream_response ans = {.status = served ? 200 : 503,
+                                          .limit_milli = FW_NO_LIMIT,
+                                          .handover_refused = refused,
+                                          .orders = -1};
+
+    if (from->boot == q->from_boot) {
+        Fw_Relay_ResponseEnded(from->relay, q->xid, &ans,
+                               Fw_RelayFleet_Now(&env->fleet, q->from),
+                               &from->acts);
+    }
+}
+
+static void
+end_request(struct partition_env *env, uint64_t call, int served, int refused)
 {
-    const struct request *q =
-        &g_array_index(env->requests, struct request, call);
+    const struct request q =
+        g_array_index(env->requests, struct request, call);
 
-    if (q->counts) {
-        env->sent[q->at_cut]++;
-        env->served[q->at_cut] += served;
+    if (q.is_handed_over) {
+        pass_back(env, &q, served, refused);
+    }
+    else if (q.counts) {
+        env->sent[q.at_cut]++;
+        env->served[q.at_cut] += served;
     }
 }
 
@@ -192,13 +223,14 @@
             cancel_call(env, i, a->u.xid);
             break;
         case FW_RL_DO_REJECT:
-            end_request(env, a->u.rejection.call, 0);
+            end_request(env, a->u.rejection.call, 0,
+                        a->u.rejection.refuses_handover);
             break;
         case FW_RL_DO_FINISH:
-            end_request(env, a->u.call, 1);
+            end_request(env, a->u.call, 1, 0);
             break;
         case FW_RL_DO_ABORT:
-            end_request(env, a->u.call, 0);
+            end_request(env, a->u.call, 0, 0);
             break;
         default:
             break;
@@ -261,10 +293,41 @@
     return 1;
 }
 
-/* Return: nonzero if the call has ended. */
+static int
+find_instance(const struct partition_env *env, const char *addr)
+{
+    for (int i = 0; i < env->fleet.n; i++) {
+        if (strcmp(env->fleet.instances[i].addr, addr) == 0) {
+            return i;
+        }
+    }
+    g_assert_not_reached();
+}
+
+/* Return: nonzero if the call has arrived, zero if it has to wait. */
+static int
+hand_over(struct partition_env *env, const struct pending *p)
+{
+    int to = find_instance(env, p->call.addr);
+    struct request q = {.is_handed_over = 1,
+                        .from = p->instance,
+                        .from_boot = p->boot,
+                        .xid = p->call.xid};
+
+    if (!Fw_RelayFleet_IsRunning(&env->fleet, to)) {
+        return 0;
+    }
+    open_request(env, to, &q, p->call.buffer_response ? "/read/x" : "/gen/x");
+    return 1;
+}
+
+/* Return: nonzero if the call has ended, or needs no more attention. */
 static int
 advance_call(struct partition_env *env, struct pending *p)
 {
+    if (p->call.kind == FW_RL_UP_HANDOVER) {
+        return hand_over(env, p);
+    }
     switch (env->cut[p->instance]) {
     case FW_CUT_HANGS:
         if (p->opens_conn) {
@@ -318,32 +381,40 @@
 }
 
 static void
-open_request(struct partition_env *env, int i)
+open_request(struct partition_env *env, int i, const struct request *q,
+             const char *path)
 {
-    static const char *const paths[] = {"/read/x", "/order/x", "/gen/x"};
-    struct fleet *fleet = &env->fleet;
-    struct fleet_instance *inst = &fleet->instances[i];
-    int kind = Fw_RelayFleet_RandBelow(fleet, 3);
-    struct request q = {.counts =
-                            env->cut_at_us &&
-                            fleet->now_us - env->cut_at_us >= FW_STABLE_US,
-                        .at_cut = env->cut[i] != FW_CUT_NONE};
-    struct fw_rl_request_info info = {.tokens_in = kind == 2 ? 1000 : -1,
-                                      .tokens_out_max = kind == 2 ? 500 : -1,
+    struct fleet_instance *inst = &env->fleet.instances[i];
+    int generates = strcmp(path, "/gen/x") == 0;
+    struct fw_rl_request_info info = {.tokens_in = generates ? 1000 : -1,
+                                      .tokens_out_max = generates ? 500 : -1,
                                       .tokens_out_hint = -1,
-                                      .last_event_id = -1};
+                                      .last_event_id = -1,
+                                      .is_handed_over = q->is_handed_over};
     uint64_t call = env->requests->len;
 
     info.fingerprint = call + 1;
-    g_array_append_val(env->requests, q);
+    g_array_append_val(env->requests, *q);
     g_strlcpy(info.host, "h", sizeof(info.host));
-    g_strlcpy(info.path, paths[kind], sizeof(info.path));
+    g_strlcpy(info.path, path, sizeof(info.path));
     g_snprintf(info.id, sizeof(info.id), "%d", (int)call);
-    Fw_Relay_Open(inst->relay, call, &info, Fw_RelayFleet_Now(fleet, i),
+    Fw_Relay_Open(inst->relay, call, &info, Fw_RelayFleet_Now(&env->fleet, i),
                   &inst->acts);
     apply_actions(env, i);
 }
 
+/* A caller sends a request to the instance. */
+static void
+send_request(struct partition_env *env, int i)
+{
+    static const char *const paths[] = {"/read/x", "/order/x", "/gen/x"};
+    int64_t lasted_us = env->fleet.now_us - env->cut_at_us;
+    struct request q = {.counts = env->cut_at_us && lasted_us >= FW_STABLE_US,
+                        .at_cut = env->cut[i] != FW_CUT_NONE};
+
+    open_request(env, i, &q, paths[Fw_RelayFleet_RandBelow(&env->fleet, 3)]);
+}
+
 static void
 run_instances(struct partition_env *env)
 {
@@ -357,7 +428,7 @@
                       &inst->acts);
         apply_actions(env, i);
         if (Fw_RelayFleet_RandBelow(&env->fleet, 1000) < env->open_permille) {
-            open_request(env, i);
+            send_request(env, i);
         }
     }
 }
@@ -481,6 +552,7 @@
         advance_calls(env);
         run_instances(env);
     }
+    check_served(env);
     Fw_RelayFleet_Clear(&env->fleet);
     Fw_Rules_Unref(rules);
     g_array_unref(env->requests);
--- a/explore/relay_requests.c
+++ b/explore/relay_requests.c
@@ -246,6 +246,8 @@
         break;
     case FW_RL_UP_REPORT:
     case FW_RL_UP_SET_STAGE:
+    case FW_RL_UP_PROBE:
+    case FW_RL_UP_HANDOVER: /* not by a single instance */
         break;
     }
     g_ptr_array_remove(env->pending, p);
--- a/explore/relay_retries.c
+++ b/explore/relay_retries.c
@@ -15,6 +15,8 @@
 /* A connection whose data is not acknowledged fails after this time. */
 #define FW_HELD_UP_MAX_US (2 * FW_SEC)
 #define FW_SERVERS 10
+/* Server of a call to another instance, which accepts no connections here. */
+#define FW_NO_SERVER FW_SERVERS
 
 /** enum trouble - how a server treats calls. */
 enum trouble {
@@ -85,7 +87,7 @@
     GArray *requests;
     GArray *opened_us[FW_SERVICES];
     GArray *extra_us[FW_SERVICES];
-    enum trouble trouble[FW_SERVERS];
+    enum trouble trouble[FW_SERVERS + 1];
     int quiet;
     int64_t extra;
     int64_t evacuation_offset;
@@ -236,14 +238,14 @@
 start_call(struct retry_env *env, int i, const struct fw_rl_upstream_call *c)
 {
     struct fleet *fleet = &env->fleet;
-    struct pending p = {.call = *c,
-                        .instance = i,
-                        .boot = fleet->instances[i].boot,
-                        .server = find_server(c->server)};
+    struct pending p = {
+        .call = *c, .instance = i, .boot = fleet->instances[i].boot};
     int64_t delay = Fw_RelayFleet_RandBelow(fleet, 50) == 0
                         ? Fw_RelayFleet_RandBelow(fleet, FW_HELD_UP_MAX_US)
                         : FW_MSEC;
 
+    p.server =
+        c->kind == FW_RL_UP_HANDOVER ? FW_NO_SERVER : find_server(c->server);
     p.arrive_us = fleet->now_us + delay;
     p.answer_us = p.arrive_us + Fw_RelayFleet_RandBelow(fleet, 150) * FW_MSEC;
     g_array_append_val(env->pending, p);
@@ -560,6 +562,7 @@
     env->extra = (int64_t)n * g_rand_int_range(run->rand, 2, 10);
     env->open_permille = MAX(1200 / n, 10);
     env->quiet = g_rand_int_range(run->rand, 0, 2);
+    env->trouble[FW_NO_SERVER] = FW_UNREACHABLE;
     Fw_RelayFleet_Init(&env->fleet, run, n, rules);
     env->fleet.retry_extra = env->extra;
     env->fleet.expires_members = 1;
--- a/src/relay/admission.c
+++ b/src/relay/admission.c
@@ -128,7 +128,11 @@
 {
     struct fw_rl_op *op = Fw_Relay_FindOp(r, xid);
 
-    if (op && !ans->wrong_server) {
+    if (!op || !op->server) {
+        return;
+    }
+    Fw_Links_NoteResponse(r, now_us);
+    if (!ans->wrong_server) {
         note_limit(r, op->server, ans, now_us, out);
         note_rest(r, op->server, ans, now_us, out);
         note_leaving(r, op->server, ans, out);
--- a/src/relay/call.c
+++ b/src/relay/call.c
@@ -7,27 +7,22 @@
 #include "base/hash.h"
 #include "relay/relay_internal.h"
 
-struct fw_rl_op *
-Fw_Call_Upstream(struct fw_relay *r, struct fw_rl_call *c,
-                 struct fw_rl_server *s, struct fw_rl_upstream_call *up,
-                 int64_t until_us, int64_t now_us, struct fw_rl_actions *out)
+static struct fw_rl_op *
+start_op(struct fw_relay *r, struct fw_rl_call *c,
+         struct fw_rl_upstream_call *up, int64_t until_us, int64_t now_us,
+         struct fw_rl_actions *out)
 {
     struct fw_rl_op *op = g_new0(struct fw_rl_op, 1);
 
     op->xid = ++r->last_xid;
     op->kind = up->kind;
     op->call = c;
-    op->server = Fw_Servers_Ref(s);
     op->sent_us = now_us;
     op->deadline_us = until_us;
     Fw_List_Append(&r->op_list, &op->link);
     g_hash_table_insert(r->ops, &op->xid, op);
     up->xid = op->xid;
     up->call = c ? c->id : 0;
-    g_strlcpy(up->addr, s->entry.addr, sizeof(up->addr));
-    g_strlcpy(up->server, s->entry.id, sizeof(up->server));
-    Fw_Admission_NoteSent(s, now_us);
-    Fw_Servers_Activate(r, s);
     Fw_RelayActions_Add(out, FW_RL_DO_CALL)->u.upstream_call = *up;
     if (c) {
         c->op = op;
@@ -35,6 +30,31 @@
     return op;
 }
 
+struct fw_rl_op *
+Fw_Call_Upstream(struct fw_relay *r, struct fw_rl_call *c,
+                 struct fw_rl_server *s, struct fw_rl_upstream_call *up,
+                 int64_t until_us, int64_t now_us, struct fw_rl_actions *out)
+{
+    struct fw_rl_op *op;
+
+    g_strlcpy(up->addr, s->entry.addr, sizeof(up->addr));
+    g_strlcpy(up->server, s->entry.id, sizeof(up->server));
+    op = start_op(r, c, up, until_us, now_us, out);
+    op->server = Fw_Servers_Ref(s);
+    Fw_Admission_NoteSent(s, now_us);
+    Fw_Servers_Activate(r, s);
+    return op;
+}
+
+void
+Fw_Call_Handover(struct fw_relay *r, struct fw_rl_call *c,
+                 const struct fw_rl_member *m, struct fw_rl_upstream_call *up,
+                 int64_t now_us, struct fw_rl_actions *out)
+{
+    g_strlcpy(up->addr, m->addr, sizeof(up->addr));
+    start_op(r, c, up, c->deadline_us, now_us, out)->instance = m->hash;
+}
+
 void
 Fw_Op_End(struct fw_relay *r, struct fw_rl_op *op)
 {
@@ -43,7 +63,9 @@
     }
     g_hash_table_remove(r->ops, &op->xid);
     Fw_List_Remove(&op->link);
-    Fw_Servers_Unref(op->server);
+    if (op->server) {
+        Fw_Servers_Unref(op->server);
+    }
     g_free(op);
 }
 
@@ -180,6 +202,9 @@
                                               .retry_us = retry_us,
                                               .reason = reason,
                                               .ran = c->ran};
+    a->u.rejection.refuses_handover = c->info.is_handed_over &&
+                                      c->ran == FW_RAN_NO &&
+                                      Fw_Links_AreLost(r, now_us);
     Fw_Call_End(r, c, now_us, out);
 }
 
--- a/src/relay/calls.h
+++ b/src/relay/calls.h
@@ -6,6 +6,8 @@
 #include "relay/servers.h"
 #include "route/queue.h"
 
+struct fw_rl_member;
+
 /* Maximum number of servers that one request may try. */
 #define FW_RL_TRIED_MAX 6
 /*
@@ -58,6 +60,7 @@
  * @attempts: servers that may have run it
  * @calls_received: its prefills and runs that an engine may have received
  * @calls_charged: those of them that the retry budget was charged for
+ * @handovers: instances that it was handed over to
  * @is_forwarded: its response has begun
  * @ran: whether it was run
  * @tried: hashes of the servers to avoid
@@ -96,6 +99,7 @@
     int attempts;
     int calls_received;
     int calls_charged;
+    int handovers;
     int is_forwarded;
     enum fw_ran ran;
     uint64_t tried[FW_RL_TRIED_MAX];
@@ -106,6 +110,8 @@
 /**
  * struct fw_rl_op - a pending call to an upstream.
  * @call: the caller's request, NULL if it serves none
+ * @server: the server called, NULL if another instance is
+ * @instance: hash of the name of the instance called
  * @deadline_us: when it times out
  * @had_free_slot: the server had a free slot when the call was sent
  * @is_calibration: a report requested only to learn the tokens per event
@@ -116,6 +122,7 @@
     enum fw_rl_upstream_kind kind;
     struct fw_rl_call *call;
     struct fw_rl_server *server;
+    uint64_t instance;
     int64_t sent_us;
     int64_t deadline_us;
     int had_free_slot;
@@ -132,6 +139,12 @@
 Fw_Call_Upstream(struct fw_relay *r, struct fw_rl_call *c,
                  struct fw_rl_server *s, struct fw_rl_upstream_call *up,
                  int64_t until_us, int64_t now_us, struct fw_rl_actions *out);
+/* Hands @c over to the instance @m. @up: the call; ids and address are filled
+ * in. */
+void
+Fw_Call_Handover(struct fw_relay *r, struct fw_rl_call *c,
+                 const struct fw_rl_member *m, struct fw_rl_upstream_call *up,
+                 int64_t now_us, struct fw_rl_actions *out);
 /* The pending call, NULL if there is none. */
 struct fw_rl_op *
 Fw_Relay_FindOp(const struct fw_relay *r, uint64_t xid);
@@ -173,6 +186,10 @@
                int64_t now_us, struct fw_rl_actions *out);
 
 /* open.c */
+/* Checks the key and the allowance of @c, and sends it to a server. */
+void
+Fw_Relay_Admit(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us,
+               struct fw_rl_actions *out);
 /* Whether callers' keys may be accepted; see open.c. */
 int
 Fw_Relay_AreKeysFresh(const struct fw_relay *r, int64_t now_us);
@@ -215,6 +232,34 @@
 int64_t
 Fw_Stream_RetryAfter(struct fw_relay *r, const struct fw_rl_call *c);
 
+/* links.c */
+/* A server has responded. */
+void
+Fw_Links_NoteResponse(struct fw_relay *r, int64_t now_us);
+/* The call @op to a server has failed. */
+void
+Fw_Links_NoteFailure(struct fw_relay *r, const struct fw_rl_op *op,
+                     int64_t now_us);
+/* Whether this instance has lost its links to all servers. */
+int
+Fw_Links_AreLost(const struct fw_relay *r, int64_t now_us);
+/* Probes a server while calls fail and none responds. */
+void
+Fw_Links_Tick(struct fw_relay *r, int64_t now_us, struct fw_rl_actions *out);
+
+/* handover.c */
+/* Return: nonzero if @c was handed over to another instance. */
+int
+Fw_Handover_Start(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us,
+                  struct fw_rl_actions *out);
+void
+Fw_Handover_HandleResponse(struct fw_relay *r, struct fw_rl_op *op,
+                           const struct fw_rl_upstream_response *ans,
+                           int64_t now_us, struct fw_rl_actions *out);
+void
+Fw_Handover_HandleFailure(struct fw_relay *r, struct fw_rl_op *op, int sent,
+                          int64_t now_us, struct fw_rl_actions *out);
+
 /* kv_demand.c */
 /* Updates the expected KV cache use of @c, also in its server's total. */
 void
--- /dev/null
+++ b/src/relay/handover.c
@@ -0,0 +1,178 @@
+/*
+ * Requests that this instance hands over to another one, as its own links to
+ * the servers are lost. The other instance serves them like a request of a
+ * caller of its own: it checks key, allowance, budgets and limits, and counts
+ * them; here nothing is charged. It does not hand them over again.
+ */
+#include <string.h>
+
+#include "base/fault.h"
+#include "relay/relay_internal.h"
+
+/* Instances that one request is handed to, one after the other. */
+#define FW_HANDOVERS_MAX 4
+/* Time for which an instance is not used that has refused a request, and one
+ * that could not be reached. */
+#define FW_REFUSED_PAUSE_US (500 * FW_MSEC)
+#define FW_UNREACHABLE_PAUSE_US (3 * FW_SEC)
+
+static uint64_t
+region_of(const struct fw_relay *r, uint64_t domain)
+{
+    for (int i = 0; i < r->opts.regions.n; i++) {
+        if (r->opts.regions.domain[i] == domain) {
+            return r->opts.regions.region[i];
+        }
+    }
+    return 0;
+}
+
+/* A request may have to stay in the region that its caller has sent it to. */
+static int
+is_in_own_region(const struct fw_relay *r, const struct fw_rl_member *m)
+{
+    return region_of(r, m->domain) ==
+           Fw_Regions_OfDomain(&r->opts.regions, r->opts.domain);
+}
+
+static struct fw_rl_member *
+choose_instance(struct fw_relay *r, int64_t now_us)
+{
+    struct fw_rl_member *chosen = NULL;
+    struct fw_list *pos;
+    int n = 0;
+
+    FW_LIST_EACH (pos, &r->members) {
+        struct fw_rl_member *m = FW_LIST_ENTRY(pos, struct fw_rl_member, link);
+
+        if (m->addr[0] && !m->unreachable_since_us &&
+            now_us >= m->no_handover_until_us && is_in_own_region(r, m) &&
+            g_rand_int_range(r->rand, 0, ++n) == 0) {
+            chosen = m;
+        }
+    }
+    return chosen;
+}
+
+static struct fw_rl_member *
+find_instance(const struct fw_relay *r, uint64_t hash)
+{
+    struct fw_list *pos;
+
+    FW_LIST_EACH (pos, &r->members) {
+        struct fw_rl_member *m = FW_LIST_ENTRY(pos, struct fw_rl_member, link);
+
+        if (m->hash == hash) {
+            return m;
+        }
+    }
+    return NULL;
+}
+
+static void
+pause_instance(struct fw_relay *r, uint64_t hash, int64_t until_us)
+{
+    struct fw_rl_member *m = find_instance(r, hash);
+
+    if (m) {
+        m->no_handover_until_us = until_us;
+    }
+}
+
+static void
+send_to(struct fw_relay *r, struct fw_rl_call *c, const struct fw_rl_member *m,
+        int64_t now_us, struct fw_rl_actions *out)
+{
+    struct fw_rl_upstream_call up = {
+        .kind = FW_RL_UP_HANDOVER,
+        .timeout_us = c->deadline_us - now_us,
+        .priority = -1,
+        .buffer_response = c->route.kind != FW_RL_STREAM,
+        .connect_us = FW_RL_CONNECT_TIMEOUT_US,
+        .reuse_us = c->route.kind == FW_RL_IDEMPOTENT
+                        ? FW_RL_REUSE_US
+                        : FW_RL_REUSE_NON_IDEMPOTENT_US,
+    };
+
+    c->state = FW_RL_RUNNING;
+    c->sent_us = now_us;
+    c->handovers++;
+    r->relay_metrics.handed_over.value++;
+    Fw_Call_Handover(r, c, m, &up, now_us, out);
+    Fw_RelayActions_Log(out, r, Fw_Call_LogSeverity(r, c), "handed_over",
+                        "\"id\":\"%s\",\"route\":\"%s\",\"to\":\"%s\","
+                        "\"try\":%d,\"left_ms\":%" G_GINT64_FORMAT,
+                        c->info.id, c->route.name, m->name, c->handovers,
+                        Fw_Relay_UsToMs(up.timeout_us));
+}
+
+int
+Fw_Handover_Start(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us,
+                  struct fw_rl_actions *out)
+{
+    struct fw_rl_member *m;
+
+    if (c->info.is_handed_over || c->handovers >= FW_HANDOVERS_MAX ||
+        now_us >= c->deadline_us || FW_FAULT("not-handed-over")) {
+        return 0;
+    }
+    m = choose_instance(r, now_us);
+    if (!m) {
+        return 0;
+    }
+    send_to(r, c, m, now_us, out);
+    return 1;
+}
+
+static void
+try_next(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us,
+         struct fw_rl_actions *out)
+{
+    if (!Fw_Handover_Start(r, c, now_us, out)) {
+        Fw_Relay_Admit(r, c, now_us, out);
+    }
+}
+
+void
+Fw_Handover_HandleResponse(struct fw_relay *r, struct fw_rl_op *op,
+                           const struct fw_rl_upstream_response *ans,
+                           int64_t now_us, struct fw_rl_actions *out)
+{
+    struct fw_rl_call *c = op->call;
+
+    if (ans->handover_refused) {
+        pause_instance(r, op->instance, now_us + FW_REFUSED_PAUSE_US);
+        Fw_Op_End(r, op);
+        try_next(r, c, now_us, out);
+        return;
+    }
+    if (!c->is_forwarded) {
+        Fw_Call_Forward(r, c, now_us, out);
+    }
+    Fw_Call_Finish(r, c, 1, now_us, out);
+}
+
+void
+Fw_Handover_HandleFailure(struct fw_relay *r, struct fw_rl_op *op, int sent,
+                          int64_t now_us, struct fw_rl_actions *out)
+{
+    struct fw_rl_call *c = op->call;
+
+    pause_instance(r, op->instance, now_us + FW_UNREACHABLE_PAUSE_US);
+    Fw_Op_End(r, op);
+    if (c->is_forwarded) {
+        Fw_Call_Finish(r, c, 0, now_us, out);
+        return;
+    }
+    if (!sent) {
+        try_next(r, c, now_us, out);
+        return;
+    }
+    c->ran = FW_RAN_MAYBE;
+    if (c->route.kind == FW_RL_IDEMPOTENT &&
+        Fw_RetryBudget_Take(r, c, 1, now_us, out) &&
+        Fw_Handover_Start(r, c, now_us, out)) {
+        return;
+    }
+    Fw_Call_Reject(r, c, 502, 0, "instance_lost", now_us, out);
+}
--- a/src/relay/metrics.c
+++ b/src/relay/metrics.c
@@ -51,6 +51,10 @@
         {&r->relay_metrics.tokens_reserved, "fw_engine_tokens_reserved",
          "Tokens of engine memory that this instance has reserved or in use",
          1},
+        {&r->relay_metrics.handed_over, "fw_requests_handed_over_total",
+         "Requests handed over to another instance", 0},
+        {&r->relay_metrics.links_lost, "fw_server_links_lost",
+         "1 while this instance has no links to the servers", 1},
         {&r->relay_metrics.role_held, "fw_order_role_held",
          "1 while this instance may order engines", 1},
     };
--- a/src/relay/open.c
+++ b/src/relay/open.c
@@ -238,6 +238,24 @@
     }
 }
 
+void
+Fw_Relay_Admit(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us,
+               struct fw_rl_actions *out)
+{
+    if (c->route.anonymous) {
+        memset(c->info.key, 0, sizeof(c->info.key));
+    }
+    else if (!admit_team(r, c, now_us, out)) {
+        return;
+    }
+    if (Fw_Poison_CountStrikes(r, c->info.fingerprint, now_us) >=
+        FW_REJECT_STRIKES) {
+        Fw_Call_Reject(r, c, 503, FW_RETRY_POISON_US, "poison", now_us, out);
+        return;
+    }
+    dispatch(r, c, now_us, out);
+}
+
 void
 Fw_Relay_Open(struct fw_relay *r, uint64_t call,
               const struct fw_rl_request_info *info, int64_t now_us,
@@ -265,18 +283,16 @@
                        out);
         return;
     }
-    if (route->anonymous) {
-        memset(c->info.key, 0, sizeof(c->info.key));
+    if (!Fw_Links_AreLost(r, now_us)) {
+        Fw_Relay_Admit(r, c, now_us, out);
     }
-    else if (!admit_team(r, c, now_us, out)) {
-        return;
+    else if (info->is_handed_over) {
+        Fw_Call_Reject(r, c, 503, FW_RETRY_ELSEWHERE_US, "links_lost", now_us,
+                       out);
     }
-    if (Fw_Poison_CountStrikes(r, info->fingerprint, now_us) >=
-        FW_REJECT_STRIKES) {
-        Fw_Call_Reject(r, c, 503, FW_RETRY_POISON_US, "poison", now_us, out);
-        return;
+    else if (!Fw_Handover_Start(r, c, now_us, out)) {
+        Fw_Relay_Admit(r, c, now_us, out);
     }
-    dispatch(r, c, now_us, out);
 }
 
 void
--- a/src/relay/peers.h
+++ b/src/relay/peers.h
@@ -75,6 +75,7 @@
  *     none
  * @unreachable_since_us: when it was found unreachable, 0 while reachable
  * @last_retry_us: when a message was last sent to it while unreachable
+ * @no_handover_until_us: it is handed no requests until then
  * @is_ranked_hub: is a hub by rank among reachable instances
  * @is_nominal_hub: is a hub by rank among all known instances
  * @report_session, @report_seq: of its last report
@@ -108,6 +109,7 @@
     int64_t awaiting_since_us;
     int64_t unreachable_since_us;
     int64_t last_retry_us;
+    int64_t no_handover_until_us;
     int is_ranked_hub;
     int is_nominal_hub;
     uint64_t report_session;
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -174,6 +174,10 @@
 {
     struct fw_rl_op *op = Fw_Relay_FindOp(r, xid);
 
+    if (op && op->kind == FW_RL_UP_HANDOVER) {
+        Fw_Call_Forward(r, op->call, now_us, out);
+        return;
+    }
     if (!op || !op->call || op->kind != FW_RL_UP_RUN || ans->not_run) {
         return;
     }
@@ -201,6 +205,10 @@
     if (!op) {
         return;
     }
+    if (op->kind == FW_RL_UP_HANDOVER) {
+        Fw_Handover_HandleResponse(r, op, ans, now_us, out);
+        return;
+    }
     Fw_Servers_Activate(r, op->server);
     if (!op->call) {
         Fw_StageOrder_HandleResponse(r, op, ans, now_us, out);
@@ -223,14 +231,20 @@
     if (!op) {
         return;
     }
-    s = Fw_Servers_Ref(op->server);
-    Fw_Servers_Activate(r, s);
     Fw_RelayActions_Log(
         out, r, LOG_NOTICE, "upstream_failed",
         "\"id\":\"%s\",\"server\":\"%s\",\"kind\":%d,\"error\":%d,"
         "\"sent\":%d,\"after_ms\":%" G_GINT64_FORMAT,
-        op->call ? op->call->info.id : "", op->server->entry.id, (int)op->kind,
-        err, sent, Fw_Relay_UsToMs(now_us - op->sent_us));
+        op->call ? op->call->info.id : "",
+        op->server ? op->server->entry.id : "", (int)op->kind, err, sent,
+        Fw_Relay_UsToMs(now_us - op->sent_us));
+    if (op->kind == FW_RL_UP_HANDOVER) {
+        Fw_Handover_HandleFailure(r, op, sent, now_us, out);
+        return;
+    }
+    s = Fw_Servers_Ref(op->server);
+    Fw_Servers_Activate(r, s);
+    Fw_Links_NoteFailure(r, op, now_us);
     if (!op->call) {
         Fw_StageOrder_HandleFailure(r, op, out);
     }
@@ -278,7 +292,8 @@
           struct fw_rl_actions *out)
 {
     if (is_overdue(c, now_us)) {
-        int sent = c->op && c->op->kind == FW_RL_UP_RUN;
+        int sent = c->op && (c->op->kind == FW_RL_UP_RUN ||
+                             c->op->kind == FW_RL_UP_HANDOVER);
 
         if (c->is_forwarded) {
             Fw_Call_Finish(r, c, 0, now_us, out);
@@ -312,6 +327,7 @@
     }
     Fw_Members_Tick(r, now_us, out);
     Fw_ServerLimits_Tick(r, out);
+    Fw_Links_Tick(r, now_us, out);
     Fw_StageOrder_Tick(r, now_us, out);
     Fw_ServiceStats_Tick(r, now_us, out);
     Fw_Stream_PlaceQueued(r, now_us, out);
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -23,6 +23,8 @@
     FW_RL_UP_FREE_KV,   /* free the KV cache of a prefill */
     FW_RL_UP_REPORT,    /* report the engine's state and streams */
     FW_RL_UP_SET_STAGE, /* change the engine's stage */
+    FW_RL_UP_PROBE,     /* any response shows that the link works */
+    FW_RL_UP_HANDOVER,  /* have another instance serve the caller's request */
 };
 
 /**
@@ -30,7 +32,7 @@
  * @xid: id under which the shell reports the outcome
  * @call: id of the caller's request, 0 if the call serves none
  * @addr: address to connect to
- * @server: server id that must answer there
+ * @server: server id that must answer there, empty for any
  * @timeout_us: time limit to send to the upstream
  * @team: team to send to the upstream, empty for none
  * @priority: 0 most urgent, 9 least; -1 for the upstream's default
@@ -48,6 +50,7 @@
  * @fence: fencing token (SET_STAGE)
  * @expected_orders: number of orders that the engine must have accepted so
  *     far for this one to be valid (SET_STAGE)
+ * @path: target (PROBE)
  */
 struct fw_rl_upstream_call {
     enum fw_rl_upstream_kind kind;
@@ -69,6 +72,7 @@
     enum fw_rl_stage stage;
     uint64_t fence;
     int64_t expected_orders;
+    char path[FW_URL_MAX];
 };
 
 /* Maximum number of streams read from an engine's report. */
@@ -104,6 +108,8 @@
  * @invalid_leaving: it says so in a form that could not be parsed
  * @not_run: the upstream states that it did not run the request
  * @wrong_server: another server now uses the address
+ * @handover_refused: the instance has no links to the servers either, and has
+ *     not sent the request to any (HANDOVER)
  * @handle: reservation or KV cache created, empty for none
  * @events: events of the stream so far
  * @stage: stage of the engine (REPORT)
@@ -122,6 +128,7 @@
     int invalid_leaving;
     int not_run;
     int wrong_server;
+    int handover_refused;
     char handle[FW_RL_KEY_MAX];
     int64_t events;
     enum fw_rl_stage stage;
@@ -149,6 +156,8 @@
  * @retry_us: Retry-After, 0 for none
  * @reason: string literal; also the value of the metric's label
  * @ran: whether the request was run
+ * @refuses_handover: another instance handed it over, and may hand it to a
+ *     third one
  */
 struct fw_rl_rejection {
     uint64_t call;
@@ -156,6 +165,7 @@
     int64_t retry_us;
     const char *reason;
     enum fw_ran ran;
+    int refuses_handover;
 };
 
 /* Fits a request id, a route, a team and two servers; longer text is cut. */
@@ -294,7 +304,10 @@
 Fw_Relay_ResponseHead(struct fw_relay *r, uint64_t xid,
                       const struct fw_rl_upstream_response *ans,
                       int64_t now_us, struct fw_rl_actions *out);
-/* The headers of an unbuffered response were received (FW_RL_UP_RUN only). */
+/*
+ * The headers of an unbuffered response were received (FW_RL_UP_RUN and
+ * FW_RL_UP_HANDOVER only).
+ */
 void
 Fw_Relay_ResponseBegan(struct fw_relay *r, uint64_t xid,
                        const struct fw_rl_upstream_response *ans,
--- a/src/relay/relay_internal.h
+++ b/src/relay/relay_internal.h
@@ -6,6 +6,7 @@
 #include <syslog.h>
 
 #include "decide/service_stats.h"
+#include "decide/upstream_links.h"
 #include "relay/calls.h"
 #include "relay/limits.h"
 #include "relay/metrics.h"
@@ -83,6 +84,9 @@
  * @stages_settled: the pools had their target sizes at least once
  * @imbalance_since_us: since when a pool differs from its target size, 0 if
  *     none does
+ * @links: the links to all servers
+ * @links_logged_lost: the log says that they are lost
+ * @next_probe_us: when a server may be probed next
  * @drain_start_us: when draining began
  */
 struct fw_relay {
@@ -132,6 +136,9 @@
     int64_t stage_check_us;
     int stages_settled;
     int64_t imbalance_since_us;
+    struct fw_upstream_links links;
+    int links_logged_lost;
+    int64_t next_probe_us;
     int draining;
     int64_t drain_start_us;
 };
--- a/src/relay/types.h
+++ b/src/relay/types.h
@@ -238,6 +238,7 @@
  *     generated, -1 if not specified
  * @last_event_id: continue an interrupted stream after this event; -1 for none
  * @fingerprint: hash of method, target and body, to recognize poison requests
+ * @is_handed_over: another instance has handed it over
  */
 struct fw_rl_request_info {
     char id[FW_ID_MAX];
@@ -250,6 +251,7 @@
     int64_t tokens_out_hint;
     int64_t last_event_id;
     uint64_t fingerprint;
+    int is_handed_over;
 };
 
 #endif
--- a/src/relayd/peer_snapshot.c
+++ b/src/relayd/peer_snapshot.c
@@ -397,8 +397,10 @@
     struct fw_relayd *d = ctx;
     uint64_t since;
 
-    (void)body;
-    if (parse_target(head, FW_TOPIC_CONFIG, &since)) {
+    if (Fw_Platform_IsHandedOver(head)) {
+        Fw_Relayd_OpenRequest(d, c, head, body, 1);
+    }
+    else if (parse_target(head, FW_TOPIC_CONFIG, &since)) {
         send_snapshot(c, &d->store->config, since);
     }
     else if (parse_target(head, FW_TOPIC_SERVERS, &since)) {
@@ -410,13 +412,15 @@
 }
 
 static const struct fw_http_ops ops = {.request = on_request,
-                                       .rejected = Fw_Relayd_LogMalformed};
+                                       .disconnected = Fw_Relayd_CloseRequest,
+                                       .rejected = Fw_Relayd_LogMalformed,
+                                       .flushed = Fw_Relayd_ResumeResponse};
 
 int
 Fw_PeerSnapshot_Listen(struct fw_relayd *d)
 {
     int err = 0;
 
-    d->snapshot_server = Fw_Server_New(d->opts.peers_addr, &ops, d, &err);
-    return d->snapshot_server ? 0 : err;
+    d->peer_server = Fw_Server_New(d->opts.peers_addr, &ops, d, &err);
+    return d->peer_server ? 0 : err;
 }
--- a/src/relayd/relayd.c
+++ b/src/relayd/relayd.c
@@ -21,12 +21,14 @@
 #define FW_LOOP_STALL_US (500 * FW_MSEC)
 /* Interval of checks for a changed settings file. */
 #define FW_SETTINGS_CHECK_US (1 * FW_SEC)
+/* Idle timeout of connections to this instance. */
+#define FW_IDLE_DEFAULT_US (15 * FW_SEC)
 
-static void
-on_request(void *ctx, struct fw_http_caller *caller,
-           const struct fw_http_head *head, GBytes *body)
+void
+Fw_Relayd_OpenRequest(struct fw_relayd *d, struct fw_http_caller *caller,
+                      const struct fw_http_head *head, GBytes *body,
+                      int is_handed_over)
 {
-    struct fw_relayd *d = ctx;
     int64_t now = Fw_Conn_NowUs();
     struct fw_caller_request *c;
     struct fw_rl_actions acts;
@@ -38,6 +40,7 @@
                           "a field of the request can't be read\n");
         return;
     }
+    info.is_handed_over = is_handed_over;
     c = g_new0(struct fw_caller_request, 1);
     c->id = ++d->last_request_id;
     c->caller = caller;
@@ -59,7 +62,14 @@
 }
 
 static void
-on_disconnect(void *ctx, struct fw_http_caller *caller)
+on_request(void *ctx, struct fw_http_caller *caller,
+           const struct fw_http_head *head, GBytes *body)
+{
+    Fw_Relayd_OpenRequest(ctx, caller, head, body, 0);
+}
+
+void
+Fw_Relayd_CloseRequest(void *ctx, struct fw_http_caller *caller)
 {
     struct fw_relayd *d = ctx;
     struct fw_caller_request *c =
@@ -90,8 +100,8 @@
 }
 
 /* The data queued for a slow caller was written: resumes its upstream. */
-static void
-on_write_drained(void *ctx, struct fw_http_caller *caller)
+void
+Fw_Relayd_ResumeResponse(void *ctx, struct fw_http_caller *caller)
 {
     struct fw_relayd *d = ctx;
     struct fw_caller_request *c =
@@ -106,9 +116,9 @@
 
 static const struct fw_http_ops caller_ops = {
     .request = on_request,
-    .disconnected = on_disconnect,
+    .disconnected = Fw_Relayd_CloseRequest,
     .rejected = Fw_Relayd_LogMalformed,
-    .flushed = on_write_drained,
+    .flushed = Fw_Relayd_ResumeResponse,
 };
 
 static void
@@ -121,7 +131,7 @@
         .buffered_bytes = 24 << 20,
         .head_timeout_us = 3 * FW_SEC,
         .body_idle_timeout_us = 15 * FW_SEC,
-        .keep_alive_timeout_us = 15 * FW_SEC,
+        .keep_alive_timeout_us = FW_IDLE_DEFAULT_US,
         .write_stall_timeout_us = 15 * FW_SEC,
     };
 
@@ -137,6 +147,9 @@
     l.keep_alive_timeout_us =
         r->idle_us > 0 ? r->idle_us : l.keep_alive_timeout_us;
     Fw_Server_SetLimits(d->caller_server, &l);
+    /* The operator bounds how long callers may be idle, not instances. */
+    l.keep_alive_timeout_us = FW_IDLE_DEFAULT_US;
+    Fw_Server_SetLimits(d->peer_server, &l);
 }
 
 static int64_t
@@ -203,6 +216,7 @@
     }
     d->drain_start_us = Fw_Conn_NowUs();
     Fw_Server_Drain(d->caller_server);
+    Fw_Server_Drain(d->peer_server);
     Fw_RelayActions_Init(&acts);
     Fw_Relay_Drain(d->relay, d->drain_start_us, &acts);
     Fw_Relayd_ExecuteActions(d, &acts);
@@ -220,7 +234,8 @@
         return;
     }
     Fw_Server_CloseIdle(d->caller_server);
-    if (!Fw_Server_CountBusy(d->caller_server) ||
+    if ((!Fw_Server_CountBusy(d->caller_server) &&
+         !Fw_Server_CountBusy(d->peer_server)) ||
         past >= d->opts.relay.grace_us - FW_GRACE_MARGIN_US) {
         d->stopped = 1;
         g_main_context_wakeup(NULL);
@@ -274,7 +289,7 @@
     Fw_Server_Tick(d->caller_server, now);
     Fw_Server_Tick(d->ready_server, now);
     Fw_Server_Tick(d->metrics_server, now);
-    Fw_Server_Tick(d->snapshot_server, now);
+    Fw_Server_Tick(d->peer_server, now);
     Fw_StoreClient_Tick(d->store, now);
     apply_limits(d);
     check_settings(d, now);
@@ -412,7 +427,7 @@
     Fw_Server_Free(d->caller_server);
     Fw_Server_Free(d->ready_server);
     Fw_Server_Free(d->metrics_server);
-    Fw_Server_Free(d->snapshot_server);
+    Fw_Server_Free(d->peer_server);
     g_hash_table_destroy(d->requests_by_caller);
     g_hash_table_destroy(d->requests_by_id);
     Fw_ConnPool_Free(d->pool);
--- a/src/relayd/relayd_internal.h
+++ b/src/relayd/relayd_internal.h
@@ -72,7 +72,7 @@
     struct fw_http_server *caller_server;
     struct fw_http_server *ready_server;
     struct fw_http_server *metrics_server;
-    struct fw_http_server *snapshot_server; /* serves other instances */
+    struct fw_http_server *peer_server; /* serves other instances */
     GSocket *peer_socket;
     GSource *peer_source;
     struct fw_rl_outbox outbox;
@@ -96,6 +96,19 @@
 };
 
 /* relayd.c */
+/*
+ * Has the core serve a request. @is_handed_over: it comes from another
+ * instance, not from a caller
+ */
+void
+Fw_Relayd_OpenRequest(struct fw_relayd *d, struct fw_http_caller *caller,
+                      const struct fw_http_head *head, GBytes *body,
+                      int is_handed_over);
+/* Callbacks of struct fw_http_ops. */
+void
+Fw_Relayd_CloseRequest(void *ctx, struct fw_http_caller *caller);
+void
+Fw_Relayd_ResumeResponse(void *ctx, struct fw_http_caller *caller);
 /*
  * Logs a request that violated a limit or the protocol. A callback of struct
  * fw_http_ops.
--- a/src/relayd/upstream.c
+++ b/src/relayd/upstream.c
@@ -33,6 +33,13 @@
     call->last_chunk_us = now;
 }
 
+/* Whether the caller is sent the response. */
+static int
+answers_caller(const struct fw_upstream_call *call)
+{
+    return call->kind == FW_RL_UP_RUN || call->kind == FW_RL_UP_HANDOVER;
+}
+
 void
 Fw_UpstreamCall_Free(gpointer data)
 {
@@ -122,7 +129,8 @@
     if (h->framing == FW_HTTP_NO_BODY) {
         call->content_length = 0;
     }
-    if (call->kind == FW_RL_UP_RUN && !call->answer.not_run &&
+    if (answers_caller(call) && !call->answer.not_run &&
+        !call->answer.handover_refused &&
         (!call->buffered ||
          call->content_length > FW_BUFFERED_RESPONSE_BYTES)) {
         notify_begun(call);
@@ -151,8 +159,7 @@
         return; /* no caller to forward to */
     }
     g_byte_array_append(call->body, (const guint8 *)data, (guint)len);
-    if (call->body->len > FW_BUFFERED_RESPONSE_BYTES &&
-        call->kind == FW_RL_UP_RUN) {
+    if (call->body->len > FW_BUFFERED_RESPONSE_BYTES && answers_caller(call)) {
         notify_begun(call);
     }
 }
@@ -227,7 +234,7 @@
     if (from) {
         g_strlcpy(call->request_id, from->request_id, FW_ID_MAX);
         opts.no_body =
-            c->kind == FW_RL_UP_RUN && Fw_Http_MethodIs(from->head, "HEAD");
+            answers_caller(call) && Fw_Http_MethodIs(from->head, "HEAD");
     }
     Fw_Platform_WriteUpstreamRequest(c, from ? from->head : NULL,
                                      from ? from->body : NULL,
--- a/tests/platform/test_platform.c
+++ b/tests/platform/test_platform.c
@@ -118,6 +118,38 @@
 }
 END_TEST
 
+/* Guards against another instance that gets less than the caller sent. */
+START_TEST(a_request_that_is_handed_over_keeps_the_callers_fields)
+{
+    struct fw_rl_upstream_call c = {.kind = FW_RL_UP_HANDOVER,
+                                    .addr = "10.0.0.1:80",
+                                    .timeout_us = 1234567,
+                                    .priority = -1};
+    GString *out = g_string_new(NULL);
+    struct fw_http_head h;
+    GBytes *body;
+    GBytes *sent = g_bytes_new_static("hi", 2);
+
+    parse_head(FW_HEAD "Content-Length: 2\r\nAuthorization: Bearer k\r\n"
+                       "Fw-Handover: 0\r\nDeadline-Ms: 9999\r\n"
+                       "Connection: X\r\nX: y\r\nAccept: z\r\n\r\n",
+               &h);
+    Fw_Platform_WriteUpstreamRequest(&c, &h, sent, "me", out, &body);
+    ck_assert_str_eq(out->str, "POST /a/b?c=d HTTP/1.1\r\n"
+                               "Host: H.Example:80\r\n"
+                               "Authorization: Bearer k\r\n"
+                               "Accept: z\r\n"
+                               "Deadline-Ms: 1234\r\n"
+                               "Fw-Handover: 1\r\n"
+                               "Content-Length: 2\r\n\r\n");
+    ck_assert_uint_eq(g_bytes_get_size(body), 2);
+    g_bytes_unref(body);
+    g_bytes_unref(sent);
+    g_string_free(out, TRUE);
+    Fw_Http_ClearHead(&h);
+}
+END_TEST
+
 /* Requests that the router sends on its own behalf. */
 static const struct {
     struct fw_rl_upstream_call call;
@@ -150,6 +182,9 @@
     {{.kind = FW_RL_UP_REPORT, .addr = "a:1", .server = "i"},
      "GET /-/report HTTP/1.1\r\nHost: a:1\r\nExpect-Instance: i\r\n\r\n",
      NULL},
+    {{.kind = FW_RL_UP_PROBE, .addr = "a:1", .server = "i", .path = "/up"},
+     "GET /up HTTP/1.1\r\nHost: a:1\r\nExpect-Instance: i\r\n\r\n",
+     NULL},
     {{.kind = FW_RL_UP_SET_STAGE,
       .addr = "a:1",
       .server = "i",
@@ -471,6 +506,7 @@
                         G_N_ELEMENTS(bad_fields));
     tcase_add_loop_test(tc, overlong_keys_and_other_schemes_are_no_key, 0, 3);
     tcase_add_test(tc, forwarded_requests_carry_the_routers_fields);
+    tcase_add_test(tc, a_request_that_is_handed_over_keeps_the_callers_fields);
     tcase_add_loop_test(tc, requests_of_the_routers_own_are_written, 0,
                         G_N_ELEMENTS(calls));
     tcase_add_test(tc, runs_of_a_report_are_parsed);
--- a/tests/relay/engines.c
+++ b/tests/relay/engines.c
@@ -221,6 +221,8 @@
     case FW_RL_UP_RELEASE:
     case FW_RL_UP_FREE_KV:
     case FW_RL_UP_SET_STAGE:
+    case FW_RL_UP_PROBE:
+    case FW_RL_UP_HANDOVER:
         break;
     }
 }
--- a/tests/relay/script.c
+++ b/tests/relay/script.c
@@ -21,12 +21,13 @@
  *   store-back                  the store is reachable again
  *   list                        the server list was read completely
  *   open N PATH [key=K] [in=N] [out=N] [digest=N] [left_ms=N] [id=S]
- *                               a caller's request
+ *     [handed-over]
+ *                               a request of a caller, or of another instance
  *   gone N                      the caller disconnected
  *   begun X STATUS              the response to call X began
  *   answer X STATUS [name=S] [not-run] [moved] [busy] [orders=N] [stage=S]
  *     [limit_milli=N] [bad-limit] [rest_ms=N] [bad-rest] [leaving]
- *     [bad-leaving]
+ *     [bad-leaving] [handover-refused]
  *                               the response to call X is complete
  *   fail X ERRNO sent|unsent    call X failed
  *   lead made|taken|unknown OFFSET
@@ -59,13 +60,15 @@
 #define FW_PROCESS_AGE_US (60 * FW_SEC)
 
 static const char *const call_kind_names[] = {
-    "run", "prefill", "hold", "drop-hold", "drop-kv", "report", "stage"};
+    "run",    "prefill", "hold",  "drop-hold", "drop-kv",
+    "report", "stage",   "probe", "hand-over"};
 
 static void
 print_upstream_call(GString *out, const struct fw_rl_upstream_call *c)
 {
     g_string_append_printf(out, "  ask %d %s %s", (int)c->xid,
-                           call_kind_names[c->kind], c->server);
+                           call_kind_names[c->kind],
+                           c->kind == FW_RL_UP_HANDOVER ? c->addr : c->server);
     if (c->call) {
         g_string_append_printf(out, " for %d", (int)c->call);
     }
@@ -81,7 +84,7 @@
     if (c->team[0]) {
         g_string_append_printf(out, " team=%s", c->team);
     }
-    if (c->kind == FW_RL_UP_RUN) {
+    if (c->kind == FW_RL_UP_RUN || c->kind == FW_RL_UP_HANDOVER) {
         g_string_append_printf(out, " left=%d",
                                (int)(c->timeout_us / FW_MSEC));
     }
@@ -110,11 +113,12 @@
 
     switch (a->kind) {
     case FW_RL_DO_REJECT:
-        g_string_append_printf(out, "  refuse %d %d %s ran=%s%s\n",
-                               (int)a->u.rejection.call, a->u.rejection.status,
-                               a->u.rejection.reason,
-                               Fw_Ran_Name(a->u.rejection.ran),
-                               retry_delay(a->u.rejection.retry_us));
+        g_string_append_printf(
+            out, "  refuse %d %d %s ran=%s%s%s\n", (int)a->u.rejection.call,
+            a->u.rejection.status, a->u.rejection.reason,
+            Fw_Ran_Name(a->u.rejection.ran),
+            retry_delay(a->u.rejection.retry_us),
+            a->u.rejection.refuses_handover ? " elsewhere" : "");
         break;
     case FW_RL_DO_FORWARD:
         g_string_append_printf(out, "  pass %d from %d\n",
@@ -165,6 +169,7 @@
     g_strlcpy(info.id, id ? id : run->word[1], sizeof(info.id));
     info.timeout_us = Fw_RelayScript_GetNumber(run, "left_ms", 0) * FW_MSEC;
     info.fingerprint = (uint64_t)Fw_RelayScript_GetNumber(run, "digest", 0);
+    info.is_handed_over = Fw_RelayScript_HasWord(run, "handed-over");
     Fw_Relay_Open(run->r, Fw_RelayScript_GetArg(run, 1), &info, run->now_us,
                   &run->acts);
 }
@@ -187,6 +192,7 @@
 
     g_strlcpy(ans.handle, name ? name : "", sizeof(ans.handle));
     ans.wrong_server = Fw_RelayScript_HasWord(run, "moved");
+    ans.handover_refused = Fw_RelayScript_HasWord(run, "handover-refused");
     ans.not_run = ans.wrong_server || Fw_RelayScript_HasWord(run, "not-run");
     ans.changing_stage = Fw_RelayScript_HasWord(run, "busy");
     ans.stage = g_strcmp0(stage, "prefill") == 0 ? FW_RL_STAGE_PREFILL
--- a/tests/relay/test_events.c
+++ b/tests/relay/test_events.c
@@ -267,8 +267,14 @@
          "\"reason\":\"no_room\",\"ran\":\"maybe\",\"cost\":9000,\"tries\":1,"
          "\"after_ms\":600,\"retry_ms\":0\n"
          "  refuse 3 502 no_room ran=maybe\n"
+         "  ask 11 probe p1\n"
          "at 4300\n"
-         "tick\n"},
+         "tick\n"
+         "  stop 11\n"
+         "  5 upstream_failed "
+         "\"id\":\"\",\"server\":\"p1\",\"kind\":7,\"error\":-110,\"sent\":"
+         "1,\"after_ms\":600\n"
+         "  ask 12 probe p1\n"},
     {.name = "events of servers and instances",
      .text =
          "logs\n"
--- a/tests/relay/test_requests.c
+++ b/tests/relay/test_requests.c
@@ -240,6 +240,7 @@
              "at 325\n"
              "tick\n"
              "  stop 2\n"
+             "  ask 3 probe d1\n"
              "at 400\n"
              "tick\n"},
     {.name = "a full engine is asked again only after a delay",
--- a/tests/relayd/test_peer_snapshot.c
+++ b/tests/relayd/test_peer_snapshot.c
@@ -203,7 +203,7 @@
     struct rig_conn *c;
 
     g_snprintf(addr, sizeof(addr), "127.0.0.1:%d",
-               Fw_Server_Port(env->router->snapshot_server));
+               Fw_Server_Port(env->router->peer_server));
     c = Fw_RigConn_Open(addr);
     Fw_RigConn_Send(c, text, -1);
     Fw_RigConn_Expect(c, wanted);
