--- a/src/relay/open.c
+++ b/src/relay/open.c
@@ -283,16 +283,17 @@
                        out);
         return;
     }
-    if (!Fw_Links_AreLost(r, now_us)) {
-        Fw_Relay_Admit(r, c, now_us, out);
-    }
-    else if (info->is_handed_over) {
-        Fw_Call_Reject(r, c, 503, FW_RETRY_ELSEWHERE_US, "links_lost", now_us,
-                       out);
-    }
-    else if (!Fw_Handover_Start(r, c, now_us, out)) {
-        Fw_Relay_Admit(r, c, now_us, out);
+    if (Fw_Links_AreLost(r, now_us)) {
+        if (info->is_handed_over) {
+            Fw_Call_Reject(r, c, 503, FW_RETRY_ELSEWHERE_US, "links_lost",
+                           now_us, out);
+            return;
+        }
+        if (Fw_Handover_Start(r, c, now_us, out)) {
+            return;
+        }
     }
+    Fw_Relay_Admit(r, c, now_us, out);
 }
 
 void
