--- a/explore/relay_fleet.h
+++ b/explore/relay_fleet.h
@@ -68,6 +68,15 @@
                    struct fw_rl_rules *rules);
 void
 Fw_RelayFleet_Clear(struct fleet *fleet);
+/* A size from 3 to FW_FLEET_MAX; large fleets take long, and are rare. */
+int
+Fw_RelayFleet_DrawSize(struct fw_run *run);
+/*
+ * Routes to the service "plain", /read/ (idempotent) and /order/ (runs at most
+ * once), and /gen/ to the engines of "llm". No key is needed.
+ */
+struct fw_rl_rules *
+Fw_RelayFleet_NewRules(int resumable);
 /* A random number from 0 to @n - 1, from the run's generator. */
 int
 Fw_RelayFleet_RandBelow(struct fleet *fleet, int n);
