--- a/src/relay/calls.h
+++ b/src/relay/calls.h
@@ -139,8 +139,10 @@
 Fw_Call_Upstream(struct fw_relay *r, struct fw_rl_call *c,
                  struct fw_rl_server *s, struct fw_rl_upstream_call *up,
                  int64_t until_us, int64_t now_us, struct fw_rl_actions *out);
-/* Hands @c over to the instance @m. @up: the call; ids and address are filled
- * in. */
+/*
+ * Calls the instance @m to serve @c.
+ * @up: the call; ids and address are filled in
+ */
 void
 Fw_Call_Handover(struct fw_relay *r, struct fw_rl_call *c,
                  const struct fw_rl_member *m, struct fw_rl_upstream_call *up,
--- a/src/relay/handover.c
+++ b/src/relay/handover.c
@@ -11,9 +11,9 @@
 
 /* Instances that one request is handed to, one after the other. */
 #define FW_HANDOVERS_MAX 4
-/* Time for which an instance is not used that has refused a request, and one
- * that could not be reached. */
+/* Time for which an instance that has refused a request is not asked again. */
 #define FW_REFUSED_PAUSE_US (500 * FW_MSEC)
+/* The same for one that could not be reached, or was lost with a request. */
 #define FW_UNREACHABLE_PAUSE_US (3 * FW_SEC)
 
 static uint64_t
--- a/src/relay/links.c
+++ b/src/relay/links.c
@@ -37,6 +37,7 @@
                                  now_us);
 }
 
+/* Asked for each request: the servers are counted only when calls fail. */
 int
 Fw_Links_AreLost(const struct fw_relay *r, int64_t now_us)
 {
