Refuse a handover when the instance can't serve requests for any reason

An instance that is stopping or whose configuration is stale refused a request that was handed to it like one of its own callers, and the first instance passed that on, though a third one could have served it. Found by reading. The script fails without the change (no "elsewhere").

--- a/src/relay/call.c
+++ b/src/relay/call.c
@@ -167,6 +167,14 @@
     }
 }
 
+/* Whether a rejection is about the request and not about this instance. */
+static int
+can_serve(const struct fw_relay *r, int64_t now_us)
+{
+    return !r->draining && Fw_Relay_AreKeysFresh(r, now_us) &&
+           !Fw_Links_AreLost(r, now_us);
+}
+
 void
 Fw_Call_Reject(struct fw_relay *r, struct fw_rl_call *c, int status,
                int64_t retry_us, const char *reason, int64_t now_us,
@@ -202,9 +210,8 @@
                                               .retry_us = retry_us,
                                               .reason = reason,
                                               .ran = c->ran};
-    a->u.rejection.refuses_handover = c->info.is_handed_over &&
-                                      c->ran == FW_RAN_NO &&
-                                      Fw_Links_AreLost(r, now_us);
+    a->u.rejection.refuses_handover =
+        c->info.is_handed_over && c->ran == FW_RAN_NO && !can_serve(r, now_us);
     Fw_Call_End(r, c, now_us, out);
 }
 
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -108,8 +108,8 @@
  * @invalid_leaving: it says so in a form that could not be parsed
  * @not_run: the upstream states that it did not run the request
  * @wrong_server: another server now uses the address
- * @handover_refused: the instance has no links to the servers either, and has
- *     not sent the request to any (HANDOVER)
+ * @handover_refused: the instance can't serve requests, and has sent this one
+ *     to no server (HANDOVER)
  * @handle: reservation or KV cache created, empty for none
  * @events: events of the stream so far
  * @stage: stage of the engine (REPORT)
@@ -157,7 +157,7 @@
  * @reason: string literal; also the value of the metric's label
  * @ran: whether the request was run
  * @refuses_handover: another instance handed it over, and may hand it to a
- *     third one
+ *     third one, as this one can't serve requests
  */
 struct fw_rl_rejection {
     uint64_t call;
--- a/tests/relay/test_handover.c
+++ b/tests/relay/test_handover.c
@@ -67,6 +67,22 @@
      .text =
          FW_LINKS_LOST "open 2 /order/x key=ka handed-over\n"
                        "  refuse 2 503 links_lost ran=no at-once elsewhere\n"},
+    /* Guards against callers who are failed as one other can't serve them. */
+    {.name = "an instance that can't serve requests refuses the handover",
+     .text = "rules 1\n"
+             "fresh 0\n"
+             "list\n"
+             "server s1 plain none\n"
+             "at 5000\n"
+             "open 1 /order/x key=ka handed-over\n"
+             "  refuse 1 503 configuration_stale ran=no later elsewhere\n"
+             "open 2 /order/x key=ka\n"
+             "  refuse 2 503 configuration_stale ran=no later\n"
+             "drain\n"
+             "at 12000\n"
+             "fresh 12000\n"
+             "open 3 /order/x key=ka handed-over\n"
+             "  refuse 3 503 stopping ran=no at-once elsewhere\n"},
     /* Guards against giving up while a third instance or a server might do. */
     {.name = "a request that no instance takes is sent to a server",
      .text = FW_LINKS_LOST "open 2 /order/x key=ka\n"
