--- a/src/relay/call.c
+++ b/src/relay/call.c
@@ -169,9 +169,9 @@
 
 /* Whether a rejection is about the request and not about this instance. */
 static int
-can_serve(const struct fw_relay *r, int64_t now_us)
+can_serve(const struct fw_relay *r, const struct fw_rl_call *c, int64_t now_us)
 {
-    return !r->draining && Fw_Relay_AreKeysFresh(r, now_us) &&
+    return r->rules && !r->draining && Fw_Relay_MayServe(r, c, now_us) &&
            !Fw_Links_AreLost(r, now_us);
 }
 
@@ -210,8 +210,9 @@
                                               .retry_us = retry_us,
                                               .reason = reason,
                                               .ran = c->ran};
-    a->u.rejection.refuses_handover =
-        c->info.is_handed_over && c->ran == FW_RAN_NO && !can_serve(r, now_us);
+    a->u.rejection.refuses_handover = c->info.is_handed_over &&
+                                      c->ran == FW_RAN_NO &&
+                                      !can_serve(r, c, now_us);
     Fw_Call_End(r, c, now_us, out);
 }
 
