Give callers who read late as long as a write may stall

A caller that read nothing for a few seconds, while more of its answer was under way than the kernels buffer, got a part of it and a reset.

Cause: one user timeout of 2 s for all connections. It is meant to find out partitions by unacknowledged data, but Linux also counts the time in which the peer has no room, although its host answers. The stall of 15 s that the HTTP server grants was thus never reached.

Connections that are accepted now have 15 s; those to upstreams, the store and other instances keep 2 s. What is open, an upstream that reads a long body late, is on docs/design/connections.md.

--- a/src/http/conn.c
+++ b/src/http/conn.c
@@ -14,12 +14,15 @@
 /* Reading pauses while this much received data is unconsumed. */
 #define FW_INPUT_MAX_BYTES (256 * 1024)
 /*
- * TCP_USER_TIMEOUT: fails a connection whose sent data is not acknowledged.
- * With the default, a network partition is detected only after minutes. Five
- * times the longest round trip between failure domains with one
- * retransmission after the kernel's minimum timeout of 200 ms.
+ * TCP_USER_TIMEOUT: fails a connection whose sent data is not acknowledged, or
+ * whose peer has no room for more. With the default, a network partition is
+ * detected only after minutes. To upstreams: five times the longest round trip
+ * between failure domains with one retransmission after the kernel's minimum
+ * timeout of 200 ms.
  */
 #define FW_USER_TIMEOUT_MS 2000
+/* From callers, who may read an answer late: as long as a write may stall. */
+#define FW_CALLER_USER_TIMEOUT_MS 15000
 
 /**
  * struct fw_conn - a connection, which is also a GSource.
@@ -213,7 +216,8 @@
 static GSourceFuncs funcs = {.dispatch = dispatch, .finalize = finalize};
 
 static struct fw_conn *
-conn_new(GSocket *sock, const struct fw_conn_ops *ops, void *ctx)
+conn_new(GSocket *sock, int user_timeout_ms, const struct fw_conn_ops *ops,
+         void *ctx)
 {
     GSource *source = g_source_new(&funcs, sizeof(struct fw_conn));
     struct fw_conn *c = (struct fw_conn *)source;
@@ -226,8 +230,8 @@
     c->reading = 1;
     g_socket_set_blocking(sock, FALSE);
     g_socket_set_option(sock, IPPROTO_TCP, TCP_NODELAY, 1, NULL);
-    g_socket_set_option(sock, IPPROTO_TCP, TCP_USER_TIMEOUT,
-                        FW_USER_TIMEOUT_MS, NULL);
+    g_socket_set_option(sock, IPPROTO_TCP, TCP_USER_TIMEOUT, user_timeout_ms,
+                        NULL);
     c->fd_tag = g_source_add_unix_fd(source, g_socket_get_fd(sock), 0);
     g_source_attach(source, g_main_context_get_thread_default());
     return c;
@@ -236,7 +240,7 @@
 struct fw_conn *
 Fw_Conn_Accept(GSocket *sock, const struct fw_conn_ops *ops, void *ctx)
 {
-    struct fw_conn *c = conn_new(sock, ops, ctx);
+    struct fw_conn *c = conn_new(sock, FW_CALLER_USER_TIMEOUT_MS, ops, ctx);
 
     c->connected = 1;
     update_events(c);
@@ -264,7 +268,7 @@
         g_object_unref(to);
         return NULL;
     }
-    c = conn_new(sock, ops, ctx);
+    c = conn_new(sock, FW_USER_TIMEOUT_MS, ops, ctx);
     ok = g_socket_connect(sock, to, NULL, &error);
     g_object_unref(to);
     if (!ok && error->code != G_IO_ERROR_PENDING) {
