Split the outcomes of calls off the steps of a generation

src/relay/stream.c had grown to 519 lines and two jobs: what is done next, and what a response or a failure means. Moved to stream_outcome.c, with the five steps that it takes in stream.h; no logic changes. The scripts of requests, retry charges, events and limits pass.

--- a/src/relay/stream.c
+++ b/src/relay/stream.c
@@ -10,6 +10,7 @@
 
 #include "base/fault.h"
 #include "relay/relay_internal.h"
+#include "relay/stream.h"
 
 /*
  * Timeout of a reservation request, after which the request is queued again.
@@ -149,9 +150,9 @@
     }
 }
 
-static void
-requeue(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us,
-        struct fw_rl_actions *out)
+void
+Fw_Stream_Requeue(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us,
+                  struct fw_rl_actions *out)
 {
     c->state = FW_RL_QUEUED;
     if (now_us >= c->queue_until_us) {
@@ -213,13 +214,13 @@
     c->queue_until_us =
         MAX(c->queue_until_us,
             MIN(now_us + c->queue_limit_us / 2, c->deadline_us));
-    requeue(r, c, now_us, out);
+    Fw_Stream_Requeue(r, c, now_us, out);
 }
 
 /* Starts over if that is allowed, and rejects @c otherwise. */
-static void
-restart(struct fw_relay *r, struct fw_rl_call *c, const char *reason,
-        int64_t now_us, struct fw_rl_actions *out)
+void
+Fw_Stream_Restart(struct fw_relay *r, struct fw_rl_call *c, const char *reason,
+                  int64_t now_us, struct fw_rl_actions *out)
 {
     int charged = -ETIMEDOUT;
 
@@ -245,9 +246,9 @@
     return 1;
 }
 
-static void
-send_run(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us,
-         struct fw_rl_actions *out)
+void
+Fw_Stream_SendRun(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us,
+                  struct fw_rl_actions *out)
 {
     struct fw_rl_upstream_call up = {
         .kind = FW_RL_UP_RUN,
@@ -261,11 +262,11 @@
         return;
     }
     if (c->server->is_evacuated) {
-        restart(r, c, "engine_evacuated", now_us, out);
+        Fw_Stream_Restart(r, c, "engine_evacuated", now_us, out);
         return;
     }
     if (!Fw_Admission_MayFollow(r, c->server, now_us)) {
-        restart(r, c, "engine_limited", now_us, out);
+        Fw_Stream_Restart(r, c, "engine_limited", now_us, out);
         return;
     }
     Fw_Admission_EndReservation(c);
@@ -290,9 +291,9 @@
         c->kv_tokens, Fw_Relay_UsToMs(now_us - c->opened_us));
 }
 
-static void
-start_prefill(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us,
-              struct fw_rl_actions *out)
+void
+Fw_Stream_StartPrefill(struct fw_relay *r, struct fw_rl_call *c,
+                       int64_t now_us, struct fw_rl_actions *out)
 {
     const struct fw_service_stats *stats = Fw_ServiceStats_Get(r, c->service);
     int64_t wait_us;
@@ -308,7 +309,8 @@
     };
 
     if (!s || wait_us > r->opts.local_prefill_us) {
-        send_run(r, c, now_us, out); /* prefill at the decode engine */
+        Fw_Stream_SendRun(r, c, now_us,
+                          out); /* prefill at the decode engine */
         return;
     }
     if (reject_if_stale(r, c, now_us, out)) {
@@ -335,15 +337,15 @@
  * might not be granted again in a full fleet, least of all when many engines
  * have crashed at once.
  */
-static void
-retry_prefill(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us,
-              struct fw_rl_actions *out)
+void
+Fw_Stream_RetryPrefill(struct fw_relay *r, struct fw_rl_call *c,
+                       int64_t now_us, struct fw_rl_actions *out)
 {
     int64_t held_us = now_us - c->reserved_us;
     int charged;
 
     if (held_us > FW_RESERVATION_AGE_MAX_US || c->n_tried >= FW_RETRIES_MAX) {
-        restart(r, c, "prompt_not_read", now_us, out);
+        Fw_Stream_Restart(r, c, "prompt_not_read", now_us, out);
         return;
     }
     charged = charge_retry(r, c, now_us, out);
@@ -357,163 +359,5 @@
     c->tried[c->n_tried++] = c->prefill_server->hash;
     Fw_Servers_Unref(c->prefill_server);
     c->prefill_server = NULL;
-    start_prefill(r, c, now_us, out);
-}
-
-static void
-reservation_answered(struct fw_relay *r, struct fw_rl_call *c,
-                     struct fw_rl_server *s,
-                     const struct fw_rl_upstream_response *ans, int64_t now_us,
-                     struct fw_rl_actions *out)
-{
-    if (ans->status == 200 && ans->handle[0]) {
-        g_strlcpy(c->reservation, ans->handle, sizeof(c->reservation));
-        c->reserved_us = now_us;
-        Fw_Histogram_Add(&r->relay_metrics.queued_s, now_us - c->opened_us);
-        Fw_Servers_NoteResponse(s, 0, -1);
-        start_prefill(r, c, now_us, out);
-        return;
-    }
-    r->relay_metrics.reservations_rejected.value++;
-    if (ans->wrong_server) {
-        Fw_Servers_NoteUnreachable(s, now_us);
-    }
-    s->full_us = now_us;
-    s->full_tokens = c->kv_tokens;
-    Fw_Call_DetachServer(c);
-    requeue(r, c, now_us, out);
-}
-
-static void
-prefill_answered(struct fw_relay *r, struct fw_rl_call *c,
-                 struct fw_rl_server *s,
-                 const struct fw_rl_upstream_response *ans, int64_t took_us,
-                 int64_t now_us, struct fw_rl_actions *out)
-{
-    Fw_Call_EndPrefill(c);
-    if (ans->status == 200 && ans->handle[0]) {
-        Fw_ServiceStats_NotePrefill(Fw_ServiceStats_Get(r, c->service),
-                                    c->prefill_queue_tokens, took_us);
-        Fw_Servers_NoteResponse(s, 0, -1);
-        Fw_Histogram_Add(&r->relay_metrics.prefill_s, now_us - c->reserved_us);
-        g_strlcpy(c->kv_handle, ans->handle, sizeof(c->kv_handle));
-        g_strlcpy(c->kv_addr, s->entry.addr, sizeof(c->kv_addr));
-        send_run(r, c, now_us, out);
-        return;
-    }
-    s->full_us = now_us;
-    s->full_tokens = 0;
-    if (ans->wrong_server) {
-        Fw_Servers_NoteUnreachable(s, now_us);
-    }
-    retry_prefill(r, c, now_us, out);
-}
-
-static void
-run_answered(struct fw_relay *r, struct fw_rl_call *c,
-             const struct fw_rl_upstream_response *ans, int64_t now_us,
-             struct fw_rl_actions *out)
-{
-    if (c->is_forwarded) {
-        Fw_KvDemand_NoteStreamEnd(r, c, ans->events, now_us);
-        Fw_Call_Finish(r, c, 1, now_us, out);
-        return;
-    }
-    if (ans->wrong_server) {
-        Fw_Servers_NoteUnreachable(c->server, now_us);
-    }
-    else {
-        Fw_Servers_NoteRejectedRun(c->server, now_us);
-    }
-    c->attempts--;
-    restart(r, c, "engine_full", now_us, out);
-}
-
-void
-Fw_Stream_HandleResponse(struct fw_relay *r, struct fw_rl_op *op,
-                         const struct fw_rl_upstream_response *ans,
-                         int64_t now_us, struct fw_rl_actions *out)
-{
-    struct fw_rl_call *c = op->call;
-    struct fw_rl_server *s = Fw_Servers_Ref(op->server);
-    enum fw_rl_upstream_kind kind = op->kind;
-    int64_t took_us = now_us - op->sent_us;
-
-    Fw_Op_End(r, op);
-    c->calls_received += kind != FW_RL_UP_RESERVE;
-    if (kind == FW_RL_UP_RESERVE) {
-        reservation_answered(r, c, s, ans, now_us, out);
-    }
-    else if (kind == FW_RL_UP_PREFILL) {
-        prefill_answered(r, c, s, ans, took_us, now_us, out);
-    }
-    else {
-        run_answered(r, c, ans, now_us, out);
-    }
-    Fw_Servers_Unref(s);
-}
-
-static void
-run_failed(struct fw_relay *r, struct fw_rl_call *c, int sent, int64_t now_us,
-           struct fw_rl_actions *out)
-{
-    if (c->is_forwarded) {
-        Fw_Call_Finish(r, c, 0, now_us, out);
-        return;
-    }
-    if (!sent) {
-        c->attempts--;
-        restart(r, c, "engine_unreachable", now_us, out);
-        return;
-    }
-    c->ran = FW_RAN_MAYBE;
-    c->reservation[0] = 0;
-    c->kv_handle[0] = 0;
-    if (now_us >= c->deadline_us) {
-        Fw_Call_Reject(r, c, 504, 0, "timeout", now_us, out);
-    }
-    else if (c->route.resumable && c->attempts < c->route.attempts) {
-        restart(r, c, "engine_lost", now_us, out);
-    }
-    else {
-        Fw_Call_Reject(r, c, 502, 0, "engine_lost", now_us, out);
-    }
-}
-
-void
-Fw_Stream_HandleFailure(struct fw_relay *r, struct fw_rl_op *op, int err,
-                        int sent, int64_t now_us, struct fw_rl_actions *out)
-{
-    struct fw_rl_call *c = op->call;
-    struct fw_rl_server *s = Fw_Servers_Ref(op->server);
-    enum fw_rl_upstream_kind kind = op->kind;
-
-    Fw_Op_End(r, op);
-    c->calls_received += sent && kind != FW_RL_UP_RESERVE;
-    if (sent && kind != FW_RL_UP_RUN && err == -ETIMEDOUT) {
-        Fw_Servers_NoteTimeout(s, now_us);
-    }
-    else if (!sent || kind != FW_RL_UP_RUN) {
-        Fw_Servers_NoteUnreachable(s, now_us);
-    }
-    if (err == -ECONNREFUSED) {
-        Fw_Poison_ServerLost(r, s, now_us, out);
-    }
-    else if (sent && kind != FW_RL_UP_RESERVE && err != -ETIMEDOUT) {
-        Fw_Poison_NoteDisconnect(r, c->info.fingerprint, s, now_us);
-    }
-    if (kind == FW_RL_UP_RESERVE) {
-        s->full_us = now_us;
-        s->full_tokens = 0;
-        Fw_Call_DetachServer(c);
-        requeue(r, c, now_us, out);
-    }
-    else if (kind == FW_RL_UP_PREFILL) {
-        Fw_Call_EndPrefill(c);
-        retry_prefill(r, c, now_us, out);
-    }
-    else {
-        run_failed(r, c, sent, now_us, out);
-    }
-    Fw_Servers_Unref(s);
+    Fw_Stream_StartPrefill(r, c, now_us, out);
 }
