--- a/explore/relay_partition.c
+++ b/explore/relay_partition.c
@@ -9,7 +9,7 @@
 #include <string.h>
 
 #include "explore/p_relay.h"
-#include "explore/relay_fleet.h"
+#include "explore/relay_call.h"
 
 #define FW_STABLE_US (3 * FW_SEC)
 #define FW_SERVERS 8
@@ -29,16 +29,6 @@
     FW_CUT_LIVES_ON /* open connections work, new ones are refused */
 };
 
-/** struct pending - a call on its way to a server or to another instance. */
-struct pending {
-    struct fw_rl_upstream_call call;
-    int instance;
-    uint64_t boot;
-    int64_t due_us;
-    int opens_conn;
-    int has_begun;
-};
-
 /**
  * struct request - a caller's first attempt, or one that was handed over.
  * @counts: it was sent while a partition had lasted for the stable window
@@ -137,10 +127,11 @@
            const struct fw_rl_upstream_call *c)
 {
     struct fleet *fleet = &env->fleet;
-    struct pending p = {.call = *c,
-                        .instance = i,
-                        .boot = fleet->instances[i].boot,
-                        .opens_conn = Fw_RelayFleet_RandBelow(fleet, 4) == 0};
+    struct relay_call p = {.call = *c,
+                           .instance = i,
+                           .boot = fleet->instances[i].boot,
+                           .opens_conn =
+                               Fw_RelayFleet_RandBelow(fleet, 4) == 0};
 
     p.due_us =
         fleet->now_us + (5 + Fw_RelayFleet_RandBelow(fleet, 60)) * FW_MSEC;
@@ -150,21 +141,6 @@
     g_array_append_val(env->pending, p);
 }
 
-static void
-cancel_call(struct partition_env *env, int i, uint64_t xid)
-{
-    for (guint k = 0; k < env->pending->len; k++) {
-        const struct pending *p =
-            &g_array_index(env->pending, struct pending, k);
-
-        if (p->instance == i && p->call.xid == xid &&
-            p->boot == env->fleet.instances[i].boot) {
-            g_array_remove_index_fast(env->pending, k);
-            return;
-        }
-    }
-}
-
 static void
 apply_actions(struct partition_env *env, int i)
 {
@@ -179,7 +155,7 @@
             start_call(env, i, &a->u.upstream_call);
             break;
         case FW_RL_DO_CANCEL_CALL:
-            cancel_call(env, i, a->u.xid);
+            Fw_RelayCall_Cancel(env->pending, &env->fleet, i, a->u.xid);
             break;
         case FW_RL_DO_REJECT:
             end_request(env, a->u.rejection.call, 0,
@@ -198,58 +174,15 @@
     g_array_set_size(inst->acts.all, 0);
 }
 
-static void
-fail_call(struct partition_env *env, const struct pending *p, int err,
-          int sent)
-{
-    struct fleet_instance *inst = &env->fleet.instances[p->instance];
-
-    Fw_Relay_UpstreamFailed(inst->relay, p->call.xid, err, sent,
-                            Fw_RelayFleet_Now(&env->fleet, p->instance),
-                            &inst->acts);
-}
-
-static void
-respond(struct partition_env *env, const struct pending *p, int begins)
-{
-    struct fleet_instance *inst = &env->fleet.instances[p->instance];
-    int64_t now = Fw_RelayFleet_Now(&env->fleet, p->instance);
-    struct fw_rl_upstream_response ans = {
-        .status = 200, .limit_milli = FW_NO_LIMIT, .orders = -1};
-
-    g_strlcpy(ans.handle, "h", sizeof(ans.handle));
-    if (!p->has_begun) {
-        Fw_Relay_ResponseHead(inst->relay, p->call.xid, &ans, now,
-                              &inst->acts);
-    }
-    if (begins) {
-        Fw_Relay_ResponseBegan(inst->relay, p->call.xid, &ans, now,
-                               &inst->acts);
-    }
-    else {
-        Fw_Relay_ResponseEnded(inst->relay, p->call.xid, &ans, now,
-                               &inst->acts);
-    }
-}
-
 /* Return: nonzero if the call has ended. */
 static int
-serve(struct partition_env *env, struct pending *p)
+serve(struct partition_env *env, struct relay_call *p)
 {
-    int streams = p->call.kind == FW_RL_UP_RUN && !p->call.buffer_response;
-
     if (env->fleet.now_us < env->silent_until_us) {
         p->due_us = env->silent_until_us;
         return 0;
     }
-    if (streams && !p->has_begun) {
-        p->due_us += 300 * FW_MSEC;
-        respond(env, p, 1);
-        p->has_begun = 1;
-        return 0;
-    }
-    respond(env, p, 0);
-    return 1;
+    return Fw_RelayCall_Answer(&env->fleet, p, 0);
 }
 
 static int
@@ -265,7 +198,7 @@
 
 /* Return: nonzero if the call has arrived, zero if it has to wait. */
 static int
-hand_over(struct partition_env *env, const struct pending *p)
+hand_over(struct partition_env *env, const struct relay_call *p)
 {
     int to = find_instance(env, p->call.addr);
     struct request q = {.is_handed_over = 1,
@@ -282,7 +215,7 @@
 
 /* Return: nonzero if the call has ended, or needs no more attention. */
 static int
-advance_call(struct partition_env *env, struct pending *p)
+advance_call(struct partition_env *env, struct relay_call *p)
 {
     if (p->call.kind == FW_RL_UP_HANDOVER) {
         return hand_over(env, p);
@@ -290,18 +223,19 @@
     switch (env->cut[p->instance]) {
     case FW_CUT_HANGS:
         if (p->opens_conn) {
-            fail_call(env, p, -ETIMEDOUT, 0);
+            Fw_RelayCall_Fail(&env->fleet, p, -ETIMEDOUT, 0);
             return 1;
         }
         p->due_us += 100 * FW_MSEC;
         return 0;
     case FW_CUT_RESETS:
-        fail_call(env, p, p->opens_conn ? -ECONNREFUSED : -ECONNRESET,
-                  !p->opens_conn);
+        Fw_RelayCall_Fail(&env->fleet, p,
+                          p->opens_conn ? -ECONNREFUSED : -ECONNRESET,
+                          !p->opens_conn);
         return 1;
     case FW_CUT_LIVES_ON:
         if (p->opens_conn) {
-            fail_call(env, p, -ECONNREFUSED, 0);
+            Fw_RelayCall_Fail(&env->fleet, p, -ECONNREFUSED, 0);
             return 1;
         }
         break;
@@ -318,7 +252,8 @@
     struct fleet *fleet = &env->fleet;
 
     for (guint k = 0; k < env->pending->len; k++) {
-        struct pending p = g_array_index(env->pending, struct pending, k);
+        struct relay_call p =
+            g_array_index(env->pending, struct relay_call, k);
         int i = p.instance;
         int ended = p.boot != fleet->instances[i].boot;
 
@@ -333,7 +268,7 @@
             g_array_remove_index_fast(env->pending, k--);
         }
         else {
-            g_array_index(env->pending, struct pending, k) = p;
+            g_array_index(env->pending, struct relay_call, k) = p;
         }
         apply_actions(env, i);
     }
@@ -484,7 +419,7 @@
     struct fw_rl_rules *rules = Fw_RelayFleet_NewRules(0);
     int n = Fw_RelayFleet_DrawSize(run);
 
-    env->pending = g_array_new(FALSE, FALSE, sizeof(struct pending));
+    env->pending = g_array_new(FALSE, FALSE, sizeof(struct relay_call));
     env->requests = g_array_new(FALSE, TRUE, sizeof(struct request));
     env->open_permille = MAX(1200 / n, 40);
     Fw_RelayFleet_Init(&env->fleet, run, n, rules);
--- a/explore/relay_retries.c
+++ b/explore/relay_retries.c
@@ -8,7 +8,7 @@
 #include <string.h>
 
 #include "explore/p_relay.h"
-#include "explore/relay_fleet.h"
+#include "explore/relay_call.h"
 
 #define FW_WINDOW_US (10 * FW_SEC)
 #define FW_RATIO_PERMILLE 200
@@ -61,21 +61,9 @@
     int is_prefilled;
 };
 
-/** struct pending - a call on its way to a server, or being served. */
-struct pending {
-    struct fw_rl_upstream_call call;
-    int instance;
-    uint64_t boot;
-    int server;
-    int64_t arrive_us;
-    int64_t answer_us;
-    int has_arrived;
-    int has_begun;
-};
-
 /**
  * struct retry_env - the fleet, its servers and what reached them.
- * @pending: of struct pending
+ * @pending: of struct relay_call
  * @requests: of struct request, by number
  * @opened_us: when callers sent requests for each service, of int64_t
  * @extra_us: when calls beyond the first of a request arrived, of int64_t
@@ -160,7 +148,7 @@
 
 /* A prefill or a run reaches its server. */
 static void
-arrive(struct retry_env *env, struct pending *p)
+arrive(struct retry_env *env, struct relay_call *p)
 {
     struct request *q =
         &g_array_index(env->requests, struct request, p->call.call);
@@ -197,7 +185,7 @@
 start_call(struct retry_env *env, int i, const struct fw_rl_upstream_call *c)
 {
     struct fleet *fleet = &env->fleet;
-    struct pending p = {
+    struct relay_call p = {
         .call = *c, .instance = i, .boot = fleet->instances[i].boot};
     int64_t delay = Fw_RelayFleet_RandBelow(fleet, 50) == 0
                         ? Fw_RelayFleet_RandBelow(fleet, FW_HELD_UP_MAX_US)
@@ -206,25 +194,10 @@
     p.server =
         c->kind == FW_RL_UP_HANDOVER ? FW_NO_SERVER : find_server(c->server);
     p.arrive_us = fleet->now_us + delay;
-    p.answer_us = p.arrive_us + Fw_RelayFleet_RandBelow(fleet, 150) * FW_MSEC;
+    p.due_us = p.arrive_us + Fw_RelayFleet_RandBelow(fleet, 150) * FW_MSEC;
     g_array_append_val(env->pending, p);
 }
 
-static void
-cancel_call(struct retry_env *env, int i, uint64_t xid)
-{
-    for (guint k = 0; k < env->pending->len; k++) {
-        const struct pending *p =
-            &g_array_index(env->pending, struct pending, k);
-
-        if (p->instance == i && p->call.xid == xid &&
-            p->boot == env->fleet.instances[i].boot) {
-            g_array_remove_index_fast(env->pending, k);
-            return;
-        }
-    }
-}
-
 static void
 apply_actions(struct retry_env *env, int i)
 {
@@ -238,81 +211,35 @@
             start_call(env, i, &a->u.upstream_call);
         }
         else if (a->kind == FW_RL_DO_CANCEL_CALL) {
-            cancel_call(env, i, a->u.xid);
+            Fw_RelayCall_Cancel(env->pending, &env->fleet, i, a->u.xid);
         }
     }
     g_array_set_size(inst->acts.all, 0);
 }
 
-static void
-fail_call(struct retry_env *env, const struct pending *p, int err, int sent)
-{
-    struct fleet_instance *inst = &env->fleet.instances[p->instance];
-
-    Fw_Relay_UpstreamFailed(inst->relay, p->call.xid, err, sent,
-                            Fw_RelayFleet_Now(&env->fleet, p->instance),
-                            &inst->acts);
-}
-
-static void
-respond(struct retry_env *env, const struct pending *p, int begins)
-{
-    struct fleet_instance *inst = &env->fleet.instances[p->instance];
-    int64_t now = Fw_RelayFleet_Now(&env->fleet, p->instance);
-    int rejected = env->trouble[p->server] == FW_REJECTS && !p->has_begun;
-    struct fw_rl_upstream_response ans = {.status = rejected ? 503 : 200,
-                                          .limit_milli = FW_NO_LIMIT,
-                                          .not_run = rejected,
-                                          .orders = -1};
-
-    if (!rejected) {
-        g_strlcpy(ans.handle, "h", sizeof(ans.handle));
-    }
-    if (!p->has_begun) {
-        Fw_Relay_ResponseHead(inst->relay, p->call.xid, &ans, now,
-                              &inst->acts);
-    }
-    if (begins) {
-        Fw_Relay_ResponseBegan(inst->relay, p->call.xid, &ans, now,
-                               &inst->acts);
-    }
-    else {
-        Fw_Relay_ResponseEnded(inst->relay, p->call.xid, &ans, now,
-                               &inst->acts);
-    }
-}
-
 /* Return: nonzero if the call has ended. */
 static int
-answer(struct retry_env *env, struct pending *p)
+answer(struct retry_env *env, struct relay_call *p)
 {
-    int streams = p->call.kind == FW_RL_UP_RUN && !p->call.buffer_response;
-
     switch (env->trouble[p->server]) {
     case FW_SILENT:
-        p->answer_us += 500 * FW_MSEC;
+        p->due_us += 500 * FW_MSEC;
         return 0;
     case FW_BREAKS:
-        fail_call(env, p, -ECONNRESET, 1);
+        Fw_RelayCall_Fail(&env->fleet, p, -ECONNRESET, 1);
         return 1;
     case FW_REJECTS:
     case FW_UNREACHABLE: /* not for connections that are open */
     default:
         break;
     }
-    if (streams && !p->has_begun && env->trouble[p->server] != FW_REJECTS) {
-        p->answer_us += 300 * FW_MSEC;
-        respond(env, p, 1);
-        p->has_begun = 1;
-        return 0;
-    }
-    respond(env, p, 0);
-    return 1;
+    return Fw_RelayCall_Answer(&env->fleet, p,
+                               env->trouble[p->server] == FW_REJECTS);
 }
 
 /* Return: nonzero if the call has ended. */
 static int
-advance_call(struct retry_env *env, struct pending *p)
+advance_call(struct retry_env *env, struct relay_call *p)
 {
     struct fleet *fleet = &env->fleet;
     int is_orphan = p->boot != fleet->instances[p->instance].boot;
@@ -320,7 +247,7 @@
     if (!p->has_arrived && fleet->now_us >= p->arrive_us) {
         if (env->trouble[p->server] == FW_UNREACHABLE) {
             if (!is_orphan) {
-                fail_call(env, p, -ECONNREFUSED, 0);
+                Fw_RelayCall_Fail(&env->fleet, p, -ECONNREFUSED, 0);
             }
             return 1;
         }
@@ -332,7 +259,7 @@
     if (is_orphan) {
         return p->has_arrived;
     }
-    return fleet->now_us >= p->answer_us &&
+    return fleet->now_us >= p->due_us &&
            Fw_RelayFleet_IsRunning(fleet, p->instance) && answer(env, p);
 }
 
@@ -341,10 +268,11 @@
 advance_calls(struct retry_env *env)
 {
     for (guint k = 0; k < env->pending->len; k++) {
-        struct pending p = g_array_index(env->pending, struct pending, k);
+        struct relay_call p =
+            g_array_index(env->pending, struct relay_call, k);
         int i = p.instance;
 
-        if (env->fleet.now_us < MIN(p.arrive_us, p.answer_us) ||
+        if (env->fleet.now_us < MIN(p.arrive_us, p.due_us) ||
             (!Fw_RelayFleet_IsRunning(&env->fleet, i) && p.has_arrived)) {
             continue;
         }
@@ -352,7 +280,7 @@
             g_array_remove_index_fast(env->pending, k--);
         }
         else {
-            g_array_index(env->pending, struct pending, k) = p;
+            g_array_index(env->pending, struct relay_call, k) = p;
         }
         apply_actions(env, i);
     }
@@ -499,7 +427,7 @@
 {
     int n = Fw_RelayFleet_DrawSize(run);
 
-    env->pending = g_array_new(FALSE, FALSE, sizeof(struct pending));
+    env->pending = g_array_new(FALSE, FALSE, sizeof(struct relay_call));
     env->requests = g_array_new(FALSE, TRUE, sizeof(struct request));
     for (int s = 0; s < FW_SERVICES; s++) {
         env->opened_us[s] = g_array_new(FALSE, FALSE, sizeof(int64_t));
