--- a/tests/relayd/router_env.c
+++ b/tests/relayd/router_env.c
@@ -1,6 +1,7 @@
 #include "tests/relayd/router_env.h"
 
 #include <fcntl.h>
+#include <string.h>
 #include <unistd.h>
 
 static const struct fw_wire_opts servers[] = {
@@ -121,3 +122,17 @@
     g_free(text);
     return c;
 }
+
+int
+Fw_RouterEnv_IsRejected(void *ctx)
+{
+    struct router_env *env = ctx;
+    struct rig_conn *c = Fw_RouterEnv_SendRequest(env, "GET /read/x", "");
+    int refused;
+
+    Fw_RigConn_Expect(c, "HTTP/1.1 ");
+    refused =
+        strstr(c->received->str, " 401 ") || strstr(c->received->str, " 503 ");
+    Fw_RigConn_Close(c);
+    return refused;
+}
--- a/tests/relayd/router_env.h
+++ b/tests/relayd/router_env.h
@@ -48,4 +48,11 @@
 Fw_RouterEnv_SendRequest(struct router_env *env, const char *line,
                          const char *fields);
 
+/*
+ * Whether a request with key k1 is answered 401 or 503. @ctx: a struct
+ * router_env
+ */
+int
+Fw_RouterEnv_IsRejected(void *ctx);
+
 #endif
