--- a/tests/relay/test_retry_share.c
+++ b/tests/relay/test_retry_share.c
@@ -36,8 +36,7 @@
              "answer 3 500\n"
              "  stop 3\n"
              "  ask 4 run s2 for 3 team=a left=10000\n"},
-    /* Guards against an instance that retries nothing at all after its start.
-     */
+    /* Guards against an instance that retries nothing after its start. */
     {.name = "an instance that has started may retry part of its requests",
      .text = "started\n"
              "options extra=0\n"
