--- a/src/relay/handover.c
+++ b/src/relay/handover.c
@@ -2,7 +2,7 @@
  * Requests that this instance hands over to another one, as its own links to
  * the servers are lost. The other instance serves them like a request of a
  * caller of its own: it checks key, allowance, budgets and limits, and counts
- * them; here nothing is charged. It does not hand them over again.
+ * them; this one charges no allowance. It does not hand them over again.
  */
 #include <string.h>
 
