Log which shared parts of its prompt a request had when its server broke off

On-call engineers saw 57 strikes, each of another request, and could not tell what these had in common: nothing read the parts of a prompt. The adapter now reads them, without the last one, which belongs to the request or its session, as hashes of model and part; run_broke logs them with how long the response had lasted. No decision depends on them yet.

Tests: shared_parts_of_a_prompt_are_read, parts_beyond_the_most_are_left_out.

--- a/src/relay/plain.c
+++ b/src/relay/plain.c
@@ -258,7 +258,7 @@
         Fw_Servers_NoteResponse(
             s, 1, err == -ETIMEDOUT ? FW_ATTEMPT_TIMEOUT_US : -1);
         if (err != -ETIMEDOUT) {
-            Fw_Poison_NoteDisconnect(r, c->info.fingerprint, s, now_us);
+            Fw_Poison_NoteDisconnect(r, c, s, now_us, out);
         }
     }
     Fw_Op_End(r, op);
--- a/src/relay/poison.c
+++ b/src/relay/poison.c
@@ -16,17 +16,43 @@
 /* Strikes expire, since the server may have been fixed meanwhile. */
 #define FW_STRIKE_TTL_US (120 * FW_SEC)
 
+/* Parts of a prompt that a log line names. */
+#define FW_LOGGED_PARTS_MAX 16
+
+static void
+log_broken_run(struct fw_relay *r, const struct fw_rl_call *c,
+               const struct fw_rl_server *s, int64_t now_us,
+               struct fw_rl_actions *out)
+{
+    GString *parts = g_string_new(NULL);
+
+    for (int i = 0; i < MIN(c->info.n_parts, FW_LOGGED_PARTS_MAX); i++) {
+        g_string_append_printf(parts, "%s\"%016" G_GINT64_MODIFIER "x\"",
+                               i ? "," : "", c->info.parts[i]);
+    }
+    Fw_RelayActions_Log(
+        out, r, LOG_NOTICE, "run_broke",
+        "\"id\":\"%s\",\"server\":\"%s\",\"began_ms\":%" G_GINT64_FORMAT
+        ",\"parts\":[%s]",
+        c->info.id, s->entry.id,
+        c->is_forwarded ? Fw_Relay_UsToMs(now_us - c->response_us) : -1,
+        parts->str);
+    g_string_free(parts, TRUE);
+}
+
 void
-Fw_Poison_NoteDisconnect(struct fw_relay *r, uint64_t fingerprint,
-                         const struct fw_rl_server *s, int64_t now_us)
+Fw_Poison_NoteDisconnect(struct fw_relay *r, const struct fw_rl_call *c,
+                         const struct fw_rl_server *s, int64_t now_us,
+                         struct fw_rl_actions *out)
 {
     struct fw_rl_crash_suspect *q =
         &r->crash_suspects[r->n_crash_suspects++ % FW_RL_CRASH_SUSPECTS_MAX];
 
-    *q = (struct fw_rl_crash_suspect){.fingerprint = fingerprint,
+    *q = (struct fw_rl_crash_suspect){.fingerprint = c->info.fingerprint,
                                       .server =
                                           s->hash ^ (uint64_t)s->entry.born_ms,
                                       .at_us = now_us};
+    log_broken_run(r, c, s, now_us, out);
 }
 
 static struct fw_rl_strike *
--- a/src/relay/poison.h
+++ b/src/relay/poison.h
@@ -36,10 +36,11 @@
 #define FW_RL_STRIKES_MAX 64
 
 /* poison.c */
-/* The connection to @s broke while it ran the request with @fingerprint. */
+/* The connection to @s broke while it ran or prefilled @c. */
 void
-Fw_Poison_NoteDisconnect(struct fw_relay *r, uint64_t fingerprint,
-                         const struct fw_rl_server *s, int64_t now_us);
+Fw_Poison_NoteDisconnect(struct fw_relay *r, const struct fw_rl_call *c,
+                         const struct fw_rl_server *s, int64_t now_us,
+                         struct fw_rl_actions *out);
 /*
  * @s has ended. Adds a strike to each request whose connection to it broke
  * shortly before.
--- a/src/relay/stream_outcome.c
+++ b/src/relay/stream_outcome.c
@@ -144,7 +144,7 @@
         Fw_Poison_ServerLost(r, s, now_us, out);
     }
     else if (sent && kind != FW_RL_UP_RESERVE && err != -ETIMEDOUT) {
-        Fw_Poison_NoteDisconnect(r, c->info.fingerprint, s, now_us);
+        Fw_Poison_NoteDisconnect(r, c, s, now_us, out);
     }
     if (kind == FW_RL_UP_RESERVE) {
         s->full_us = now_us;
--- a/src/relay/types.h
+++ b/src/relay/types.h
@@ -32,6 +32,9 @@
     uint64_t hash[FW_RL_REGIONS_MAX];
 };
 
+/* Parts of one prompt that are taken into account. */
+#define FW_RL_PARTS_MAX 64
+
 /** struct fw_rl_domain_regions - hashes of domains and of their regions. */
 struct fw_rl_domain_regions {
     int n;
@@ -238,6 +241,9 @@
  *     generated, -1 if not specified
  * @last_event_id: continue an interrupted stream after this event; -1 for none
  * @fingerprint: hash of method, target and body, to recognize poison requests
+ * @n_parts: number of @parts
+ * @parts: hashes of the model and each part of the prompt that other requests
+ *     may share, in their order
  * @is_handed_over: another instance has handed it over
  */
 struct fw_rl_request_info {
@@ -251,6 +257,8 @@
     int64_t tokens_out_hint;
     int64_t last_event_id;
     uint64_t fingerprint;
+    int n_parts;
+    uint64_t parts[FW_RL_PARTS_MAX];
     int is_handed_over;
 };
 
--- a/tests/platform/test_platform.c
+++ b/tests/platform/test_platform.c
@@ -30,6 +30,59 @@
 }
 END_TEST
 
+/* Parses a request with the fields of a model and a prompt's parts. */
+static void
+parse_parts(const char *fields, struct fw_rl_request_info *out)
+{
+    char *text = g_strdup_printf(FW_HEAD "%s\r\n", fields);
+    struct fw_http_head h;
+
+    Fw_Heads_Parse(text, &h);
+    ck_assert_int_eq(Fw_Platform_ParseRequest(&h, NULL, out), 0);
+    Fw_Http_ClearHead(&h);
+    g_free(text);
+}
+
+/* Guards against shared parts that are missed, and a session taken for one. */
+START_TEST(shared_parts_of_a_prompt_are_read)
+{
+    struct fw_rl_request_info a;
+    struct fw_rl_request_info b;
+
+    parse_parts("Model: m\r\nPrompt-Prefix: 5c1e:800,91bd:410,e440:250\r\n",
+                &a);
+    ck_assert_int_eq(a.n_parts, 2);
+    ck_assert_uint_ne(a.parts[0], a.parts[1]);
+    parse_parts("Model: m\r\nPrompt-Prefix: 77:1, 91bd:9 , 0:1\r\n", &b);
+    ck_assert_int_eq(b.n_parts, 2);
+    ck_assert_uint_ne(a.parts[0], b.parts[0]);
+    ck_assert_uint_eq(a.parts[1], b.parts[1]);
+    parse_parts("Model: n\r\nPrompt-Prefix: 5c1e:800,91bd:410,e440:250\r\n",
+                &b);
+    ck_assert_uint_ne(a.parts[1], b.parts[1]);
+    parse_parts("Prompt-Prefix: 5c1e:800\r\n", &b);
+    ck_assert_int_eq(b.n_parts, 0);
+    parse_parts("", &b);
+    ck_assert_int_eq(b.n_parts, 0);
+}
+END_TEST
+
+/* Guards against a prompt with more parts than are kept. */
+START_TEST(parts_beyond_the_most_are_left_out)
+{
+    GString *fields = g_string_new("Prompt-Prefix: ");
+    struct fw_rl_request_info a;
+
+    for (int i = 0; i < FW_RL_PARTS_MAX + 5; i++) {
+        g_string_append_printf(fields, "%x:1,", i);
+    }
+    g_string_append(fields, "ff:1\r\n");
+    parse_parts(fields->str, &a);
+    ck_assert_int_eq(a.n_parts, FW_RL_PARTS_MAX);
+    g_string_free(fields, TRUE);
+}
+END_TEST
+
 /* Guards against malformed fields that are ignored or misread. */
 static const char *const bad_fields[] = {
     "Deadline-Ms: soon\r\n",          "Deadline-Ms: -1\r\n",
@@ -351,6 +404,8 @@
     TCase *tc = Fw_Suite_New("platform");
 
     tcase_add_test(tc, a_request_is_parsed);
+    tcase_add_test(tc, shared_parts_of_a_prompt_are_read);
+    tcase_add_test(tc, parts_beyond_the_most_are_left_out);
     tcase_add_loop_test(tc, malformed_fields_are_rejected, 0,
                         G_N_ELEMENTS(bad_fields));
     tcase_add_loop_test(tc, overlong_keys_and_other_schemes_are_no_key, 0, 3);
