Show that requests which share a crashing part reach engine after engine

Callers of one kind of request saw engines end one after the other while requests came that had one part of their prompts in common. The property crashing-parts-are-kept-away plays that on fleets of 3 to 300 instances before ten decode engines: requests whose first or middle part, or whose whole, crashes each engine that begins to answer, 1.2 to 8 a second, one or two such culprits, beside sound requests with the same other parts; engines also crash and reset connections of their own, instances restart and freeze, most requests reach one instance for a while, messages are lost.

--- a/explore/p_relay.h
+++ b/explore/p_relay.h
@@ -32,6 +32,11 @@
 /* relay_limits.c */
 void
 Fw_Explore_RelayLimits(struct fw_run *run);
+/* relay_crashing_parts.c */
+void
+Fw_Explore_RelayCrashingParts(struct fw_run *run);
+void
+Fw_Explore_RelayCrashes(struct fw_run *run);
 /* relay_freshness.c */
 void
 Fw_Explore_RelayFreshness(struct fw_run *run);
--- a/explore/relay_call.c
+++ b/explore/relay_call.c
@@ -64,7 +64,7 @@
     int streams = c->call.kind == FW_RL_UP_RUN && !c->call.buffer_response;
 
     if (streams && !c->has_begun && !rejects) {
-        c->due_us += FW_STREAM_US;
+        c->due_us += c->stream_us ? c->stream_us : FW_STREAM_US;
         respond(fleet, c, 0, 1);
         c->has_begun = 1;
         return 0;
--- a/explore/relay_call.h
+++ b/explore/relay_call.h
@@ -12,6 +12,7 @@
  * @due_us: when it is to be answered
  * @opens_conn: it needs a new connection
  * @has_begun: its response has begun
+ * @stream_us: duration of a stream, 0 for the usual one
  */
 struct relay_call {
     struct fw_rl_upstream_call call;
@@ -23,6 +24,7 @@
     int has_arrived;
     int opens_conn;
     int has_begun;
+    int64_t stream_us;
 };
 
 /* Removes the call @xid of instance @i, if any, from @calls. */
