Let crashes begin earlier in short runs of the property of crashing parts

The check that each property finds its planted fault runs 400 steps, 8 s, in which the bound, 3 s after the fifth crash, was never reached from an onset at 6 s: test_promises failed.

--- a/explore/relay_crashing_parts.c
+++ b/explore/relay_crashing_parts.c
@@ -21,10 +21,13 @@
 #define FW_SOUND_PER_S 40
 #define FW_STEP_US (20 * FW_MSEC)
 #define FW_STEPS_PER_S 50
-/* Time from which on requests crash engines. */
-#define FW_ONSET_US (6 * FW_SEC)
-/* Time before that from which on sound requests are counted. */
-#define FW_WARMUP_US (2 * FW_SEC)
+/* Time from which on engines crash: part of the run, and maximum. */
+#define FW_ONSET_PART 5
+#define FW_ONSET_MAX_US (6 * FW_SEC)
+/* Part of that time after which sound requests are counted. */
+#define FW_WARMUP_PART 3
+/* Sound requests are counted from this time after the first crashes on. */
+#define FW_SETTLE_US (1 * FW_SEC)
 /* Requests that were sent so late may not have begun when the run ends. */
 #define FW_UNFINISHED_US (2 * FW_SEC)
 #define FW_DOCUMENTS 8
@@ -88,6 +91,7 @@
 /**
  * struct crash_env - the fleet, its engines and its callers.
  * @start_us: time of the run at its begin
+ * @onset_us: time after that from which on engines crash
  * @disturbed_us: when each instance last started or thawed
  * @favoured: instance that most requests reach until @favoured_until_us
  * @crash_per_s: crashes for other reasons
@@ -97,6 +101,7 @@
     struct crash_engines engines;
     GArray *requests;
     int64_t start_us;
+    int64_t onset_us;
     int64_t disturbed_us[FW_FLEET_MAX];
     int n_culprits;
     struct culprit culprits[FW_CULPRITS_MAX];
@@ -123,7 +128,7 @@
 static int
 is_under_attack(const struct crash_env *env)
 {
-    return env->fleet.now_us - env->start_us >= FW_ONSET_US;
+    return env->fleet.now_us - env->start_us >= env->onset_us;
 }
 
 static struct request *
@@ -311,10 +316,11 @@
 current_phase(const struct crash_env *env, int i)
 {
     int64_t elapsed_us = env->fleet.now_us - env->start_us;
-    int64_t after_us = FW_ONSET_US + 2 * FW_STABLE_US;
+    int64_t after_us = env->onset_us + FW_SETTLE_US;
 
-    if (elapsed_us < FW_ONSET_US) {
-        return elapsed_us >= FW_WARMUP_US ? FW_PHASE_BEFORE : FW_PHASE_NONE;
+    if (elapsed_us < env->onset_us) {
+        return elapsed_us >= env->onset_us / FW_WARMUP_PART ? FW_PHASE_BEFORE
+                                                            : FW_PHASE_NONE;
     }
     for (int b = 0; b < env->n_culprits; b++) {
         if (!env->culprits[b].bound_us) {
@@ -489,6 +495,8 @@
     Fw_RelayFleet_Init(&env->fleet, run, Fw_RelayFleet_DrawSize(run), rules);
     env->fleet.expires_members = 1;
     env->start_us = env->fleet.now_us;
+    env->onset_us =
+        MIN(FW_ONSET_MAX_US, run->steps * FW_STEP_US / FW_ONSET_PART);
     Fw_CrashEngines_Init(&env->engines, &env->fleet);
     for (int s = 0; s < run->steps && !run->failure[0]; s++) {
         step(env, s >= last);
