Quarantine parts of prompts that crash the servers that run them

Cause: what crashes servers was judged by the whole request. A strike counted a digest of method, target, body and key, so that each of 57 strikes counted one; it took the end of the server's entry or a refused connection, 1.0 s at the median and up to 4.3 s; and counts travelled with the digests.

Now each crash names the parts of the prompts that the server was answering, and the requests as a whole. Instances merge crashes by the server's lifetime, send them on at once, and judge them alike: the part that explains most crashes is put in quarantine, and what it explains counts no longer against the parts that came with it. A part is cleared of a crash by a request with it that began later and ran well; one that has run well lately needs five crashes instead of three; servers that end together count once; a crash of a server that has responded since counts for nothing. A broken run has its server probed, so that a crash is known within a tick. Requests that wait, are prefilled or have not been answered yet are rejected as their part becomes known.

test_events expects the new events instead of strike, and the probe of the server of a broken run. The rows of strikes in digests, reports and replies stay empty, so that instances of the version before can read them.

--- a/src/relay/call.c
+++ b/src/relay/call.c
@@ -252,6 +252,7 @@
                int64_t now_us, struct fw_rl_actions *out)
 {
     if (whole) {
+        Fw_Crashes_NoteSound(r, c, now_us);
         Fw_Histogram_Add(&r->relay_metrics.total_s, now_us - c->opened_us);
     }
     else {
--- a/src/relay/calls.h
+++ b/src/relay/calls.h
@@ -62,6 +62,8 @@
  * @calls_charged: those of them that the retry budget was charged for
  * @handovers: instances that it was handed over to
  * @is_forwarded: its response has begun
+ * @is_response_good: the status of its response says that it was served
+ * @is_noted_sound: it counts as having run well
  * @ran: whether it was run
  * @tried: hashes of the servers to avoid
  */
@@ -101,6 +103,8 @@
     int calls_charged;
     int handovers;
     int is_forwarded;
+    int is_response_good;
+    int is_noted_sound;
     enum fw_ran ran;
     uint64_t tried[FW_RL_TRIED_MAX];
     int n_tried;
@@ -245,6 +249,10 @@
 /* Whether this instance has lost its links to all servers. */
 int
 Fw_Links_AreLost(const struct fw_relay *r, int64_t now_us);
+/* Asks the server for its health. */
+void
+Fw_Links_Probe(struct fw_relay *r, struct fw_rl_server *s, int64_t now_us,
+               struct fw_rl_actions *out);
 /* Probes a server while calls fail and none responds. */
 void
 Fw_Links_Tick(struct fw_relay *r, int64_t now_us, struct fw_rl_actions *out);
--- a/src/relay/digest.c
+++ b/src/relay/digest.c
@@ -54,7 +54,7 @@
     Fw_Message_PackPrefillRates(r, &pk, now_us);
     Fw_Delta_PackSpent(r, &pk, 0);
     Fw_Message_PackLoad(r, &pk, NULL, 0, now_us);
-    Fw_Message_PackStrikes(r, &pk, NULL);
+    msgpack_pack_array(&pk, 0); /* reserved */
     Fw_Message_PackStoreState(r, &pk, now_us);
     pack_leaves(r, now_us, &pk);
 }
@@ -111,7 +111,6 @@
     Fw_Rows_ReplaceTable(&m->prefill_rates, d->common.prefill_rates);
     Fw_Delta_ApplySpent(r, m, is_first, d->common.spent, now_us);
     Fw_Load_Replace(r, m, d->common.load, FW_RL_SCOPE_OTHER, now_us);
-    Fw_Rows_ReplaceTable(&m->strikes, d->common.strikes);
     apply_leaves(r, d->leaves, now_us);
 }
 
--- a/src/relay/links.c
+++ b/src/relay/links.c
@@ -63,28 +63,35 @@
     return chosen;
 }
 
-static void
-probe(struct fw_relay *r, int64_t now_us, struct fw_rl_actions *out)
+void
+Fw_Links_Probe(struct fw_relay *r, struct fw_rl_server *s, int64_t now_us,
+               struct fw_rl_actions *out)
 {
-    struct fw_rl_server *s = choose_probed_server(r, now_us);
     const struct fw_rl_service_rule *rule =
-        s ? Fw_Rules_Service(r->rules, s->entry.service) : NULL;
+        Fw_Rules_Service(r->rules, s->entry.service);
     struct fw_rl_upstream_call up = {.kind = FW_RL_UP_PROBE,
                                      .priority = -1,
                                      .buffer_response = 1,
                                      .connect_us = FW_RL_CONNECT_TIMEOUT_US};
 
-    if (!s) {
-        return;
-    }
     g_strlcpy(up.path,
               rule && rule->health[0] ? rule->health : FW_PROBE_DEFAULT_PATH,
               sizeof(up.path));
-    r->next_probe_us = now_us + FW_PROBE_INTERVAL_US;
     Fw_Call_Upstream(r, NULL, s, &up, now_us + FW_PROBE_TIMEOUT_US, now_us,
                      out);
 }
 
+static void
+probe_any(struct fw_relay *r, int64_t now_us, struct fw_rl_actions *out)
+{
+    struct fw_rl_server *s = choose_probed_server(r, now_us);
+
+    if (s) {
+        r->next_probe_us = now_us + FW_PROBE_INTERVAL_US;
+        Fw_Links_Probe(r, s, now_us, out);
+    }
+}
+
 static void
 log_change(struct fw_relay *r, int lost, int64_t now_us,
            struct fw_rl_actions *out)
@@ -108,6 +115,6 @@
     r->relay_metrics.links_lost.value = lost;
     if (r->rules && now_us >= r->next_probe_us &&
         Fw_UpstreamLinks_AreSuspect(&r->links, now_us)) {
-        probe(r, now_us, out);
+        probe_any(r, now_us, out);
     }
 }
--- a/src/relay/members.c
+++ b/src/relay/members.c
@@ -98,7 +98,6 @@
     m->last_report_us = 0;
     m->last_digest_us = 0;
     Fw_Load_Drop(r, m);
-    g_clear_pointer(&m->strikes, g_hash_table_destroy);
     g_clear_pointer(&m->prefill_rates, g_hash_table_destroy);
 }
 
@@ -165,7 +164,6 @@
     Fw_Load_Drop(r, m);
     Fw_List_Remove(&m->link);
     g_clear_pointer(&m->spent, g_hash_table_destroy);
-    g_clear_pointer(&m->strikes, g_hash_table_destroy);
     g_clear_pointer(&m->prefill_rates, g_hash_table_destroy);
     g_free(m);
 }
--- a/src/relay/message.c
+++ b/src/relay/message.c
@@ -61,9 +61,9 @@
     out->prefill_rates = Fw_Rows_Unpack(o, i, 2);
     out->spent = Fw_Rows_Unpack(o, i + 1, 3);
     out->load = Fw_Rows_Unpack(o, i + 2, 6);
-    out->strikes = Fw_Rows_Unpack(o, i + 3, 2);
+    out->reserved = Fw_Rows_Unpack(o, i + 3, 2);
     out->store_state = Fw_Rows_Unpack(o, i + 4, FW_RL_STORE_STATE_COLUMNS);
-    return out->prefill_rates && out->spent && out->load && out->strikes &&
+    return out->prefill_rates && out->spent && out->load && out->reserved &&
                    out->store_state && out->store_state->size == 1
                ? 0
                : -EBADMSG;
@@ -222,28 +222,6 @@
     g_hash_table_destroy(counts);
 }
 
-void
-Fw_Message_PackStrikes(struct fw_relay *r, msgpack_packer *pk,
-                       const struct fw_rl_member *to)
-{
-    GHashTable *counts = Fw_Rows_NewTable();
-    struct fw_list *pos;
-
-    FW_LIST_EACH (pos, &r->members) {
-        const struct fw_rl_member *m =
-            FW_LIST_ENTRY(pos, struct fw_rl_member, link);
-
-        if (r->exchange.is_hub && (to ? m != to : m->last_report_us != 0)) {
-            add_counts(counts, m->strikes);
-        }
-    }
-    for (int i = 0; i < r->n_strikes; i++) {
-        *Fw_Rows_LookupOrAdd(counts, r->strikes[i].fingerprint, 0) +=
-            r->strikes[i].count;
-    }
-    pack_counts(pk, counts);
-}
-
 void
 Fw_Message_PackPrefillRates(struct fw_relay *r, msgpack_packer *pk,
                             int64_t now_us)
--- a/src/relay/open.c
+++ b/src/relay/open.c
@@ -12,11 +12,6 @@
  */
 #define FW_RETRY_STARTING_US (150 * FW_MSEC)
 #define FW_STARTING_US (1 * FW_SEC)
-/*
- * A request with this many strikes, counted by all instances, is rejected. One
- * or two can be coincidence.
- */
-#define FW_REJECT_STRIKES 3
 /*
  * Remaining grace period below which a draining instance rejects a request,
  * since it might not be able to complete it. 99 in 100 streams take no longer;
@@ -35,8 +30,6 @@
  * which other instances ask about every 0.7 s.
  */
 #define FW_CONFIG_AGE_SHED_US (2200 * FW_MSEC)
-/* Retry-After of a request that is rejected for crashing its servers. */
-#define FW_RETRY_POISON_US (60 * FW_SEC)
 
 /* Weighted choice by a hash of the request's id: retries get the same one. */
 static const char *
@@ -242,15 +235,16 @@
 Fw_Relay_Admit(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us,
                struct fw_rl_actions *out)
 {
+    int64_t retry_us;
+
     if (c->route.anonymous) {
         memset(c->info.key, 0, sizeof(c->info.key));
     }
     else if (!admit_team(r, c, now_us, out)) {
         return;
     }
-    if (Fw_Poison_CountStrikes(r, c->info.fingerprint, now_us) >=
-        FW_REJECT_STRIKES) {
-        Fw_Call_Reject(r, c, 503, FW_RETRY_POISON_US, "poison", now_us, out);
+    if (Fw_Crashes_IsQuarantined(r, c, now_us, &retry_us)) {
+        Fw_Call_Reject(r, c, 503, retry_us, "poison", now_us, out);
         return;
     }
     dispatch(r, c, now_us, out);
@@ -261,9 +255,11 @@
               const struct fw_rl_request_info *info, int64_t now_us,
               struct fw_rl_actions *out)
 {
-    struct fw_rl_call *c = call_new(r, call, info, now_us);
+    struct fw_rl_call *c;
     const struct fw_rl_route_rule *route;
 
+    Fw_Crashes_Update(r, now_us, out);
+    c = call_new(r, call, info, now_us);
     if (!r->rules) {
         Fw_Call_Reject(r, c, 503, Fw_Relay_StaleRetryUs(r, now_us),
                        "no_configuration", now_us, out);
@@ -277,6 +273,7 @@
     c->route = *route;
     c->priority = route->priority;
     g_strlcpy(c->service, choose_service(route, info->id), sizeof(c->service));
+    Fw_Crashes_BindParts(c);
     set_deadline(c, now_us);
     if (must_reject_draining(r, c, now_us)) {
         Fw_Call_Reject(r, c, 503, FW_RETRY_ELSEWHERE_US, "stopping", now_us,
--- a/src/relay/peers.h
+++ b/src/relay/peers.h
@@ -84,8 +84,6 @@
  * @load_rows: load of servers in its last message, of struct fw_rl_load_row;
  *     NULL for none
  * @load_us: when @load_rows was last updated
- * @strikes: fingerprint of a request to the number of its strikes counted by
- *     this member, see struct fw_rl_strike; NULL for none
  * @prefill_rates: hash of a service to prompt tokens a second; NULL for none
  * @reads_store: reads the platform's store itself
  * @store_unreachable: it gets no answer from the store
@@ -118,7 +116,6 @@
     GArray *load_rows;
     enum fw_rl_scope load_scope;
     int64_t load_us;
-    GHashTable *strikes;
     GHashTable *prefill_rates;
     int reads_store;
     int store_unreachable;
@@ -381,14 +378,14 @@
  * @spent: team, tokens spent, and in a digest the level of its allowance or in
  *     a report the tokens that hubs have counted
  * @load: server and its load
- * @strikes: fingerprint of a request and its strikes, see struct fw_rl_strike
+ * @reserved: instances of earlier versions count crashes here; not used
  * @store_state: one row of how far the sender has read the store
  */
 struct fw_rl_common_rows {
     const msgpack_object_array *prefill_rates;
     const msgpack_object_array *spent;
     const msgpack_object_array *load;
-    const msgpack_object_array *strikes;
+    const msgpack_object_array *reserved;
     const msgpack_object_array *store_state;
 };
 
@@ -423,13 +420,6 @@
 Fw_Message_PackLoad(struct fw_relay *r, msgpack_packer *pk,
                     const struct fw_rl_member *to, int only_changed,
                     int64_t now_us);
-/*
- * Packs a row for each request during which servers failed, with their number,
- * counted over the same instances as in Fw_Message_PackLoad.
- */
-void
-Fw_Message_PackStrikes(struct fw_relay *r, msgpack_packer *pk,
-                       const struct fw_rl_member *to);
 /*
  * Packs a row for each service with the prompt tokens a second of this
  * instance and, if it is a hub, of its leaves.
--- a/src/relay/plain.c
+++ b/src/relay/plain.c
@@ -223,6 +223,7 @@
         return;
     }
     c->ran = FW_RAN_YES;
+    c->is_response_good = ans->status / 100 == 2;
     Fw_Servers_NoteResponse(op->server, ans->status >= 500, took_us);
     if (op->had_free_slot) {
         Fw_Servers_NoteServiceTime(op->server, took_us);
@@ -250,15 +251,12 @@
 
     if (!sent) {
         Fw_Servers_NoteUnreachable(s, now_us);
-        if (err == -ECONNREFUSED) {
-            Fw_Poison_ServerLost(r, s, now_us, out);
-        }
     }
     else {
         Fw_Servers_NoteResponse(
             s, 1, err == -ETIMEDOUT ? FW_ATTEMPT_TIMEOUT_US : -1);
         if (err != -ETIMEDOUT) {
-            Fw_Poison_NoteDisconnect(r, c, s, now_us, out);
+            Fw_Crashes_NoteDisconnect(r, c, s, now_us, out);
         }
     }
     Fw_Op_End(r, op);
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -48,6 +48,7 @@
     Fw_List_Init(&r->active_servers);
     Fw_List_Init(&r->limited_servers);
     r->presence.record_ends = Fw_Rows_NewTable();
+    Fw_Crashes_Init(r);
     Fw_List_Init(&r->call_list);
     Fw_List_Init(&r->op_list);
     Fw_List_Init(&r->members);
@@ -80,6 +81,7 @@
     Fw_Servers_Clear(r);
     Fw_Members_Clear(r);
     Fw_Queue_Clear(&r->queue);
+    Fw_Crashes_Clear(r);
     g_hash_table_destroy(r->calls);
     g_hash_table_destroy(r->ops);
     g_hash_table_destroy(r->allowances);
@@ -181,6 +183,7 @@
     if (!op || !op->call || op->kind != FW_RL_UP_RUN || ans->not_run) {
         return;
     }
+    op->call->is_response_good = ans->status / 100 == 2;
     /* The server has consumed the reservation and the KV cache. */
     op->call->reservation[0] = 0;
     op->call->kv_handle[0] = 0;
@@ -226,11 +229,13 @@
                         int64_t now_us, struct fw_rl_actions *out)
 {
     struct fw_rl_op *op = Fw_Relay_FindOp(r, xid);
+    enum fw_rl_upstream_kind kind;
     struct fw_rl_server *s;
 
     if (!op) {
         return;
     }
+    kind = op->kind;
     Fw_RelayActions_Log(
         out, r, LOG_NOTICE, "upstream_failed",
         "\"id\":\"%s\",\"server\":\"%s\",\"kind\":%d,\"error\":%d,"
@@ -238,7 +243,7 @@
         op->call ? op->call->info.id : "",
         op->server ? op->server->entry.id : "", (int)op->kind, err, sent,
         Fw_Relay_UsToMs(now_us - op->sent_us));
-    if (op->kind == FW_RL_UP_HANDOVER) {
+    if (kind == FW_RL_UP_HANDOVER) {
         Fw_Handover_HandleFailure(r, op, sent, now_us, out);
         return;
     }
@@ -254,10 +259,15 @@
     else {
         Fw_Plain_HandleFailure(r, op, err, sent, now_us, out);
     }
+    if (err == -ECONNREFUSED && Fw_Crashes_ServerLost(r, s, now_us, out) &&
+        kind == FW_RL_UP_PROBE) {
+        Fw_Servers_NoteUnreachable(s, now_us);
+    }
     if (now_us < s->backoff_until_us) {
         Fw_Cold_Assume(r, s, now_us); /* it may have been restarted */
     }
     Fw_Servers_Unref(s);
+    Fw_Crashes_Update(r, now_us, out);
 }
 
 static void
@@ -304,6 +314,7 @@
                        "timeout", now_us, out);
         return;
     }
+    Fw_Crashes_NoteLasting(r, c, now_us);
     if (c->kv_tokens) {
         Fw_KvDemand_Update(r, c, now_us);
     }
@@ -328,6 +339,7 @@
     Fw_Members_Tick(r, now_us, out);
     Fw_ServerLimits_Tick(r, out);
     Fw_Links_Tick(r, now_us, out);
+    Fw_Crashes_Tick(r, now_us, out);
     Fw_StageOrder_Tick(r, now_us, out);
     Fw_ServiceStats_Tick(r, now_us, out);
     Fw_Stream_PlaceQueued(r, now_us, out);
--- a/src/relay/relay_internal.h
+++ b/src/relay/relay_internal.h
@@ -8,10 +8,10 @@
 #include "decide/service_stats.h"
 #include "decide/upstream_links.h"
 #include "relay/calls.h"
+#include "relay/crashes.h"
 #include "relay/limits.h"
 #include "relay/metrics.h"
 #include "relay/peers.h"
-#include "relay/poison.h"
 #include "relay/relay.h"
 #include "relay/servers.h"
 #include "relay/stage_order.h"
@@ -78,7 +78,6 @@
  * @loads: hash of a server's id to the load of other instances there
  * @allowances: hash of a team's name to struct fw_rl_allowance
  * @retry_budgets: struct fw_rl_retry_budget
- * @n_crash_suspects: number added to the ring @crash_suspects so far
  * @service_stats: struct fw_service_stats
  * @stage_check_us: next check of the engines' stages
  * @stages_settled: the pools had their target sizes at least once
@@ -125,10 +124,7 @@
     GHashTable *loads;
     GHashTable *allowances;
     GPtrArray *retry_budgets;
-    struct fw_rl_crash_suspect crash_suspects[FW_RL_CRASH_SUSPECTS_MAX];
-    int n_crash_suspects;
-    struct fw_rl_strike strikes[FW_RL_STRIKES_MAX];
-    int n_strikes;
+    struct fw_rl_crashes crashes;
     struct fw_rl_order_lease order_lease;
     struct fw_rl_store_sync store_sync;
     GPtrArray *service_stats;
--- a/src/relay/reply.c
+++ b/src/relay/reply.c
@@ -63,12 +63,11 @@
     pack_levels(r, m, now_us, &pk);
     if (report_seq) {
         Fw_Message_PackLoad(r, &pk, m, 0, now_us);
-        Fw_Message_PackStrikes(r, &pk, m);
     }
     else {
         msgpack_pack_array(&pk, 0);
-        msgpack_pack_array(&pk, 0);
     }
+    msgpack_pack_array(&pk, 0); /* reserved */
     Fw_Message_PackStoreState(r, &pk, now_us);
 }
 
@@ -88,7 +87,7 @@
     const msgpack_object_array *counts;
     const msgpack_object_array *levels;
     const msgpack_object_array *load;
-    const msgpack_object_array *strikes;
+    const msgpack_object_array *reserved;
     const msgpack_object_array *store_state;
 };
 
@@ -109,10 +108,11 @@
     p->counts = Fw_Rows_Unpack(o, 6, 2);
     p->levels = Fw_Rows_Unpack(o, 7, 3);
     p->load = Fw_Rows_Unpack(o, 8, 6);
-    p->strikes = Fw_Rows_Unpack(o, 9, 2);
+    p->reserved = Fw_Rows_Unpack(o, 9, 2);
     p->store_state = Fw_Rows_Unpack(o, 10, FW_RL_STORE_STATE_COLUMNS);
-    return p->counts && p->levels && p->load && p->strikes && p->store_state &&
-                   p->counts->size == 1 && p->store_state->size == 1
+    return p->counts && p->levels && p->load && p->reserved &&
+                   p->store_state && p->counts->size == 1 &&
+                   p->store_state->size == 1
                ? 0
                : -EBADMSG;
 }
@@ -150,12 +150,10 @@
 
         if (m != hub) {
             Fw_Load_Drop(r, m);
-            g_clear_pointer(&m->strikes, g_hash_table_destroy);
         }
     }
     r->exchange.load_as_of_us = r->exchange.report_sent_us;
     Fw_Load_Replace(r, hub, p->load, FW_RL_SCOPE_OTHER, now_us);
-    Fw_Rows_ReplaceTable(&hub->strikes, p->strikes);
 }
 
 /*
--- a/src/relay/report.c
+++ b/src/relay/report.c
@@ -58,7 +58,7 @@
     Fw_Message_PackPrefillRates(r, &pk, now_us);
     pack_spent(r, &pk);
     Fw_Message_PackLoad(r, &pk, NULL, 0, now_us);
-    Fw_Message_PackStrikes(r, &pk, NULL);
+    msgpack_pack_array(&pk, 0); /* reserved */
     Fw_Message_PackStoreState(r, &pk, now_us);
 }
 
@@ -137,7 +137,6 @@
     Fw_Rows_ReplaceTable(&m->prefill_rates, p->common.prefill_rates);
     apply_spent(r, m, p->common.spent, now_us);
     Fw_Load_Replace(r, m, p->common.load, FW_RL_SCOPE_LEAF, now_us);
-    Fw_Rows_ReplaceTable(&m->strikes, p->common.strikes);
     Fw_Message_ApplyStoreState(r, m, p->common.store_state, now_us);
     return is_new;
 }
--- a/src/relay/servers.c
+++ b/src/relay/servers.c
@@ -223,7 +223,7 @@
     Fw_RelayActions_Log(out, r, LOG_NOTICE, "server_gone",
                         "\"server\":\"%s\",\"addr\":\"%s\",\"why\":\"%s\"",
                         s->entry.id, s->entry.addr, why);
-    Fw_Poison_ServerLost(r, s, now_us, out);
+    Fw_Crashes_ServerLost(r, s, now_us, out);
     close_idle_connections(s, out);
     set_removal(r, s, 0);
     r->list_hash -= s->list_hash;
--- a/src/relay/stream_outcome.c
+++ b/src/relay/stream_outcome.c
@@ -140,11 +140,8 @@
     else if (!sent || kind != FW_RL_UP_RUN) {
         Fw_Servers_NoteUnreachable(s, now_us);
     }
-    if (err == -ECONNREFUSED) {
-        Fw_Poison_ServerLost(r, s, now_us, out);
-    }
-    else if (sent && kind != FW_RL_UP_RESERVE && err != -ETIMEDOUT) {
-        Fw_Poison_NoteDisconnect(r, c, s, now_us, out);
+    if (sent && kind != FW_RL_UP_RESERVE && err != -ETIMEDOUT) {
+        Fw_Crashes_NoteDisconnect(r, c, s, now_us, out);
     }
     if (kind == FW_RL_UP_RESERVE) {
         s->full_us = now_us;
--- a/tests/relay/script.c
+++ b/tests/relay/script.c
@@ -152,6 +152,19 @@
     }
 }
 
+/* Sets the parts of the prompt, numbers from "parts=1,2". */
+static void
+set_parts(struct relay_script_run *run, struct fw_rl_request_info *info)
+{
+    const char *text = Fw_RelayScript_GetString(run, "parts");
+    char **parts = g_strsplit(text ? text : "", ",", -1);
+
+    for (char **p = parts; *p; p++) {
+        info->parts[info->n_parts++] = g_ascii_strtoull(*p, NULL, 10);
+    }
+    g_strfreev(parts);
+}
+
 static void
 do_open(struct relay_script_run *run)
 {
@@ -170,6 +183,7 @@
     info.timeout_us = Fw_RelayScript_GetNumber(run, "left_ms", 0) * FW_MSEC;
     info.fingerprint = (uint64_t)Fw_RelayScript_GetNumber(run, "digest", 0);
     info.is_handed_over = Fw_RelayScript_HasWord(run, "handed-over");
+    set_parts(run, &info);
     Fw_Relay_Open(run->r, Fw_RelayScript_GetArg(run, 1), &info, run->now_us,
                   &run->acts);
 }
--- /dev/null
+++ b/tests/relay/test_crashes.c
@@ -0,0 +1,142 @@
+/*
+ * Scripted tests of the relay's core: requests that crash the servers that run
+ * them, and those that share something with these.
+ */
+#include <check.h>
+#include <glib.h>
+
+#include "tests/base/suite.h"
+#include "tests/relay/script.h"
+
+/* Three servers have ended, each while it ran a request with part 7. */
+#define THREE_CRASHES                                                         \
+    "rules 1\n"                                                               \
+    "registered\n"                                                            \
+    "fresh 0\n"                                                               \
+    "server s1 plain none\n"                                                  \
+    "list\n"                                                                  \
+    "open 1 /order/x key=ka digest=1 parts=5,7\n"                             \
+    "  ask 1 run s1 for 1 team=a left=10000\n"                                \
+    "fail 1 104 sent\n"                                                       \
+    "  refuse 1 502 upstream_lost ran=maybe\n"                                \
+    "unlisted s1\n"                                                           \
+    "  forget s1:1\n"                                                         \
+    "at 400\n"                                                                \
+    "server s2 plain none\n"                                                  \
+    "open 2 /order/x key=ka digest=2 parts=5,7\n"                             \
+    "  ask 2 run s2 for 2 team=a left=10000\n"                                \
+    "fail 2 104 sent\n"                                                       \
+    "  refuse 2 502 upstream_lost ran=maybe\n"                                \
+    "unlisted s2\n"                                                           \
+    "  forget s2:1\n"                                                         \
+    "at 800\n"                                                                \
+    "server s3 plain none\n"                                                  \
+    "open 3 /order/x key=ka digest=3 parts=5,7\n"                             \
+    "  ask 3 run s3 for 3 team=a left=10000\n"                                \
+    "fail 3 104 sent\n"                                                       \
+    "  refuse 3 502 upstream_lost ran=maybe\n"
+
+static const struct fw_relay_script scripts[] = {
+    /* Guards against server after server being lost to one part. */
+    {.name = "requests with a part that crashes servers are refused, sound "
+             "ones of the same caller are served",
+     .text = THREE_CRASHES "unlisted s3\n"
+                           "  forget s3:1\n"
+                           "at 900\n"
+                           "server s4 plain none\n"
+                           "open 4 /read/x key=ka digest=4 parts=5,7\n"
+                           "  refuse 4 503 poison ran=no later\n"
+                           "open 5 /read/x key=ka digest=5 parts=5,8\n"
+                           "  ask 4 run s4 for 5 team=a left=10000\n"
+                           "open 6 /order/x key=ka digest=6\n"
+                           "  ask 5 run s4 for 6 team=a left=10000\n"},
+    /* Guards against requests that were accepted before going on to servers.
+     */
+    {.name = "requests under way are refused as the part becomes known",
+     .text = THREE_CRASHES "server s4 plain none\n"
+                           "open 4 /read/x key=ka digest=4 parts=5,7\n"
+                           "  ask 4 run s4 for 4 team=a left=10000\n"
+                           "open 5 /read/x key=ka digest=5 parts=5,9\n"
+                           "  ask 5 run s4 for 5 team=a left=10000\n"
+                           "unlisted s3\n"
+                           "  forget s3:1\n"
+                           "tick\n"
+                           "  ask 6 probe s4\n"
+                           "  refuse 4 502 poison ran=maybe\n"
+                           "  stop 4\n"},
+    /* Guards against seconds in which nobody knows that a server has ended. */
+    {.name = "the server of a broken run is probed and left out if it ended",
+     .text = "rules 1\n"
+             "registered\n"
+             "fresh 0\n"
+             "server s1 plain none\n"
+             "list\n"
+             "open 1 /order/x key=ka digest=1 parts=5,7\n"
+             "  ask 1 run s1 for 1 team=a left=10000\n"
+             "fail 1 104 sent\n"
+             "  refuse 1 502 upstream_lost ran=maybe\n"
+             "tick\n"
+             "  ask 2 probe s1\n"
+             "server s2 plain none\n"
+             "fail 2 111\n"
+             "open 2 /order/x key=ka digest=2\n"
+             "  ask 3 run s2 for 2 team=a left=10000\n"
+             "open 3 /order/x key=ka digest=3\n"
+             "  ask 4 run s2 for 3 team=a left=10000\n"
+             "open 4 /order/x key=ka digest=4\n"
+             "  ask 5 run s2 for 4 team=a left=10000\n"},
+    /* Guards against blaming requests for the end of a planned stop. */
+    {.name = "what a leaving server breaks off is blamed for nothing",
+     .text = "rules 1\n"
+             "registered\n"
+             "fresh 0\n"
+             "list\n"
+             "server s1 plain none\n"
+             "open 1 /order/x key=ka digest=1 parts=5,7\n"
+             "  ask 1 run s1 for 1 team=a left=10000\n"
+             "server s1 plain none draining\n"
+             "  forget s1:1\n"
+             "at 400\n"
+             "fail 1 104 sent\n"
+             "  refuse 1 502 upstream_lost ran=maybe\n"
+             "unlisted s1\n"
+             "  forget s1:1\n"
+             "server s2 plain none\n"
+             "open 2 /order/x key=ka digest=2 parts=5,7\n"
+             "  ask 2 run s2 for 2 team=a left=10000\n"
+             "server s2 plain none draining\n"
+             "  forget s2:1\n"
+             "at 800\n"
+             "fail 2 104 sent\n"
+             "  refuse 2 502 upstream_lost ran=maybe\n"
+             "unlisted s2\n"
+             "  forget s2:1\n"
+             "server s3 plain none\n"
+             "open 3 /order/x key=ka digest=3 parts=5,7\n"
+             "  ask 3 run s3 for 3 team=a left=10000\n"
+             "server s3 plain none draining\n"
+             "  forget s3:1\n"
+             "at 1200\n"
+             "fail 3 104 sent\n"
+             "  refuse 3 502 upstream_lost ran=maybe\n"
+             "unlisted s3\n"
+             "  forget s3:1\n"
+             "server s4 plain none\n"
+             "open 4 /order/x key=ka digest=4 parts=5,7\n"
+             "  ask 4 run s4 for 4 team=a left=10000\n"},
+};
+
+START_TEST(script_output_matches)
+{
+    Fw_RelayScript_Check(&scripts[_i]);
+}
+END_TEST
+
+int
+main(void)
+{
+    TCase *tc = Fw_Suite_New("relay crashes");
+
+    tcase_add_loop_test(tc, script_output_matches, 0, G_N_ELEMENTS(scripts));
+    return Fw_Suite_Run(tc);
+}
--- a/tests/relay/test_events.c
+++ b/tests/relay/test_events.c
@@ -144,6 +144,8 @@
          "  5 upstream_failed "
          "\"id\":\"q2\",\"server\":\"s2\",\"kind\":0,\"error\":-104,\"sent\":"
          "1,\"after_ms\":5\n"
+         "  5 run_broke "
+         "\"id\":\"q2\",\"server\":\"s2\",\"began_ms\":-1,\"parts\":[]\n"
          "  4 refused "
          "\"id\":\"q2\",\"route\":\"plain\",\"team\":\"b\",\"status\":502,"
          "\"reason\":\"upstream_lost\",\"ran\":\"maybe\",\"cost\":200,"
@@ -237,6 +239,8 @@
          "  5 upstream_failed "
          "\"id\":\"q2\",\"server\":\"d1\",\"kind\":0,\"error\":-104,\"sent\":"
          "1,\"after_ms\":100\n"
+         "  5 run_broke "
+         "\"id\":\"q2\",\"server\":\"d1\",\"began_ms\":100,\"parts\":[]\n"
          "  4 cut "
          "\"id\":\"q2\",\"route\":\"llm\",\"server\":\"d1\",\"tries\":1,"
          "\"room_ms\":0,\"sent_ms\":0,\"first_ms\":0,\"took_ms\":100\n"
@@ -256,6 +260,8 @@
          "  5 upstream_failed "
          "\"id\":\"q3\",\"server\":\"d1\",\"kind\":0,\"error\":-104,\"sent\":"
          "1,\"after_ms\":0\n"
+         "  5 run_broke "
+         "\"id\":\"q3\",\"server\":\"d1\",\"began_ms\":-1,\"parts\":[]\n"
          "  5 start_over "
          "\"id\":\"q3\",\"why\":\"engine_lost\",\"server\":\"d1\",\"again\":"
          "1,\"charged\":2\n"
@@ -268,13 +274,18 @@
          "\"after_ms\":600,\"retry_ms\":0\n"
          "  refuse 3 502 no_room ran=maybe\n"
          "  ask 11 probe p1\n"
+         "  ask 12 probe d1\n"
          "at 4300\n"
          "tick\n"
          "  stop 11\n"
          "  5 upstream_failed "
          "\"id\":\"\",\"server\":\"p1\",\"kind\":7,\"error\":-110,\"sent\":"
          "1,\"after_ms\":600\n"
-         "  ask 12 probe p1\n"},
+         "  stop 12\n"
+         "  5 upstream_failed "
+         "\"id\":\"\",\"server\":\"d1\",\"kind\":7,\"error\":-110,\"sent\":"
+         "1,\"after_ms\":600\n"
+         "  ask 13 probe p1\n"},
     {.name = "events of servers and instances",
      .text =
          "logs\n"
@@ -389,6 +400,8 @@
          "  5 upstream_failed "
          "\"id\":\"q1\",\"server\":\"s1\",\"kind\":0,\"error\":-104,\"sent\":"
          "1,\"after_ms\":20\n"
+         "  5 run_broke "
+         "\"id\":\"q1\",\"server\":\"s1\",\"began_ms\":-1,\"parts\":[]\n"
          "  4 refused "
          "\"id\":\"q1\",\"route\":\"plain\",\"team\":\"a\",\"status\":502,"
          "\"reason\":\"upstream_lost\",\"ran\":\"maybe\",\"cost\":200,"
@@ -397,8 +410,7 @@
          "unlisted s1\n"
          "  5 server_gone \"server\":\"s1\",\"addr\":\"s1:1\",\"why\":\"no "
          "longer listed\"\n"
-         "  4 strike "
-         "\"digest\":\"000000000000004d\",\"count\":1,\"server\":\"s1\"\n"
+         "  4 server_crashed \"server\":\"s1\",\"runs\":1\n"
          "  forget s1:1\n"},
     {.name = "event of a team over its allowance",
      .text =
