--- a/explore/relay_crashing_parts.c
+++ b/explore/relay_crashing_parts.c
@@ -95,6 +95,8 @@
  * @disturbed_us: when each instance last started or thawed
  * @favoured: instance that most requests reach until @favoured_until_us
  * @crash_per_s: crashes for other reasons
+ * @restarts_all: whether all instances are killed and started at once
+ * @all_restart_us: when, 0 for no more
  */
 struct crash_env {
     struct fleet fleet;
@@ -108,6 +110,8 @@
     int favoured;
     int64_t favoured_until_us;
     double crash_per_s;
+    int restarts_all;
+    int64_t all_restart_us;
     int sent[FW_PHASES];
     int served[FW_PHASES];
 };
@@ -410,16 +414,29 @@
     }
 }
 
+static void
+restart(struct crash_env *env, int i)
+{
+    Fw_RelayFleet_Restart(&env->fleet, i);
+    Fw_CrashEngines_List(&env->engines, &env->fleet, i);
+    env->disturbed_us[i] = env->fleet.now_us;
+}
+
 static void
 disturb_instances(struct crash_env *env)
 {
     struct fleet *fleet = &env->fleet;
     int i = Fw_RelayFleet_RandBelow(fleet, fleet->n);
 
-    if (happens(env, 0.15)) {
-        Fw_RelayFleet_Restart(fleet, i);
-        Fw_CrashEngines_List(&env->engines, fleet, i);
-        env->disturbed_us[i] = fleet->now_us;
+    if (env->all_restart_us && fleet->now_us >= env->all_restart_us) {
+        env->all_restart_us = 0;
+        Fw_Run_Trace(fleet->run, "all instances restart");
+        for (int k = 0; k < fleet->n; k++) {
+            restart(env, k);
+        }
+    }
+    else if (happens(env, 0.15)) {
+        restart(env, i);
     }
     else if (happens(env, 0.1)) {
         fleet->instances[i].frozen_until_us =
@@ -495,6 +512,9 @@
     Fw_RelayFleet_Init(&env->fleet, run, Fw_RelayFleet_DrawSize(run), rules);
     env->fleet.expires_members = 1;
     env->start_us = env->fleet.now_us;
+    if (env->restarts_all) {
+        env->all_restart_us = env->start_us + run->steps * FW_STEP_US / 2;
+    }
     env->onset_us =
         MIN(FW_ONSET_MAX_US, run->steps * FW_STEP_US / FW_ONSET_PART);
     Fw_CrashEngines_Init(&env->engines, &env->fleet);
@@ -520,6 +540,7 @@
             run->rand, 0, FW_CULPRIT_KINDS);
         env->culprits[b].per_s = g_rand_double_range(run->rand, 1.2, 8);
     }
+    env->restarts_all = g_rand_int_range(run->rand, 0, 4) == 0;
     run_fleet(env, run);
     g_free(env);
 }
