Treat a stream that ends inside an event as broken off

Callers of streams got a proper end although the server had closed its connection, sent the last chunk or reached the length in the middle of an event: in a rig 20 of 20 such streams looked complete. It also let the run of a request that crashed its server count as having run well.

Cause: only the framing decided whether a response is complete. The events of each stream that a caller is sent are followed now, with all three line ends; one that ends inside an event fails as a run whose connection broke does, with what follows from that. Comments are not part of events; a stream without any event is complete. Event streams go on without their length, as a caller would take one of the right length for whole.

New as well: a_broken_stream_is_handed_back_as_broken.

--- a/src/relayd/relayd_internal.h
+++ b/src/relayd/relayd_internal.h
@@ -41,6 +41,7 @@
  * @response_started: the body is no longer buffered: it is forwarded to the
  *                    caller, or dropped when there is none
  * @complete: the response has been received in full
+ * @is_event_stream: the response is one, and is followed in @events
  * @last_chunk_us: arrival of the last forwarded chunk, 0 for none
  */
 struct fw_upstream_call {
@@ -57,6 +58,7 @@
     int buffered;
     int response_started;
     int complete;
+    int is_event_stream;
     struct fw_sse_counter events;
     int64_t last_chunk_us;
 };
--- a/src/relayd/upstream.c
+++ b/src/relayd/upstream.c
@@ -87,6 +87,16 @@
     return out;
 }
 
+static int
+is_event_stream(const struct fw_http_head *h)
+{
+    static const char type[] = "text/event-stream";
+    const struct fw_http_field *f = Fw_Http_FindField(h, "Content-Type");
+
+    return f && f->value_len >= sizeof(type) - 1 &&
+           g_ascii_strncasecmp(f->value, type, sizeof(type) - 1) == 0;
+}
+
 static void
 notify_head(struct fw_upstream_call *call)
 {
@@ -124,8 +134,12 @@
     Fw_Platform_ParseResponseHead(h, &call->answer);
     notify_head(call);
     call->fields = forwarded_fields(h);
+    call->is_event_stream = answers_caller(call) && is_event_stream(h);
+    /* With its length, a stream that lacks its end would look complete. */
     call->content_length =
-        h->framing == FW_HTTP_CONTENT_LENGTH ? (int64_t)h->length : -1;
+        h->framing == FW_HTTP_CONTENT_LENGTH && !call->is_event_stream
+            ? (int64_t)h->length
+            : -1;
     if (h->framing == FW_HTTP_NO_BODY) {
         call->content_length = 0;
     }
@@ -144,7 +158,7 @@
     struct fw_upstream_call *call = ctx;
     struct fw_caller_request *to = forward_target(call);
 
-    if (call->kind == FW_RL_UP_RUN && !call->buffered) {
+    if (call->is_event_stream) {
         Fw_SseCounter_Add(&call->events, data, len);
     }
     if (to) {
@@ -177,8 +191,12 @@
     call->complete = 1;
     call->answer.events = call->events.events;
     Fw_RelayActions_Init(&acts);
-    if (Fw_Platform_ParseResponseBody(call->kind, call->body->data,
-                                      call->body->len, &call->answer)) {
+    if (call->events.in_event) {
+        /* The server has broken the stream off, however it ended it. */
+        Fw_Relay_UpstreamFailed(d->relay, xid, -EPIPE, 1, now, &acts);
+    }
+    else if (Fw_Platform_ParseResponseBody(call->kind, call->body->data,
+                                           call->body->len, &call->answer)) {
         Fw_Relay_UpstreamFailed(d->relay, xid, -EBADMSG, 1, now, &acts);
     }
     else {
--- a/stand/wire/main.c
+++ b/stand/wire/main.c
@@ -33,11 +33,10 @@
     static const struct {
         const char *name;
         enum fw_wire_fault fault;
-    } faults[] = {{"full", FW_WIRE_FAULT_FULL},
-                  {"fail", FW_WIRE_FAULT_ERROR},
-                  {"reset", FW_WIRE_FAULT_RESET},
-                  {"break", FW_WIRE_FAULT_TRUNCATE},
-                  {"stall", FW_WIRE_FAULT_STALL}};
+    } faults[] = {
+        {"full", FW_WIRE_FAULT_FULL},       {"fail", FW_WIRE_FAULT_ERROR},
+        {"reset", FW_WIRE_FAULT_RESET},     {"break", FW_WIRE_FAULT_TRUNCATE},
+        {"partial", FW_WIRE_FAULT_PARTIAL}, {"stall", FW_WIRE_FAULT_STALL}};
 
     for (size_t i = 0; i < G_N_ELEMENTS(faults); i++) {
         if (strcmp(faults[i].name, name) == 0) {
--- a/stand/wire/run.c
+++ b/stand/wire/run.c
@@ -46,6 +46,7 @@
 static gboolean
 send_event(gpointer data)
 {
+    static const char partial_event[] = "id: 3\ndata: pie";
     struct run *r = data;
     char *event;
 
@@ -55,6 +56,13 @@
         Fw_Wire_EndRun(r);
         return G_SOURCE_REMOVE;
     }
+    if (r->fault == FW_WIRE_FAULT_PARTIAL && r->next_event == 3) {
+        r->timer = 0;
+        Fw_Caller_Data(r->caller, partial_event, strlen(partial_event));
+        Fw_Caller_End(r->caller);
+        Fw_Wire_EndRun(r);
+        return G_SOURCE_REMOVE;
+    }
     event = g_strdup_printf("id: %d\ndata: piece %d\n\n", r->next_event,
                             r->next_event);
     Fw_Caller_Data(r->caller, event, strlen(event));
--- a/stand/wire/wire.h
+++ b/stand/wire/wire.h
@@ -56,6 +56,7 @@
     FW_WIRE_FAULT_TRUNCATE, /* closes the connection after three events */
     FW_WIRE_FAULT_MOVED,    /* rejects it with 421 and Not-Executed */
     FW_WIRE_FAULT_STALL,    /* starts it and never answers */
+    FW_WIRE_FAULT_PARTIAL,  /* ends the response inside the fourth event */
 };
 
 /**
--- a/tests/relayd/test_handed_over.c
+++ b/tests/relayd/test_handed_over.c
@@ -52,6 +52,24 @@
 END_TEST
 
 /* Guards against handing over as a way around the check of keys. */
+/* Guards against the instance between that ends a broken stream properly. */
+START_TEST(a_broken_stream_is_handed_back_as_broken)
+{
+    struct router_env env;
+    struct rig_conn *c;
+
+    Fw_RouterEnv_InitAndStart(&env);
+    Fw_WireServer_SetFault(env.d1, FW_WIRE_FAULT_PARTIAL, 1);
+    Fw_WireServer_SetFault(env.d2, FW_WIRE_FAULT_PARTIAL, 1);
+    c = hand_over(&env, "POST /outlook/x", FW_KEY FW_TOKENS FW_HANDED_OVER);
+    Fw_RigConn_Expect(c, "data: pie");
+    Fw_RigConn_ExpectEof(c);
+    ck_assert_ptr_null(strstr(c->received->str, "\r\n0\r\n"));
+    Fw_RigConn_Close(c);
+    Fw_RouterEnv_Free(&env);
+}
+END_TEST
+
 START_TEST(a_request_that_was_handed_over_needs_a_key)
 {
     struct router_env env;
@@ -101,6 +119,7 @@
 
     tcase_set_timeout(tc, 30);
     tcase_add_test(tc, a_request_of_another_instance_is_served);
+    tcase_add_test(tc, a_broken_stream_is_handed_back_as_broken);
     tcase_add_test(tc, a_request_that_was_handed_over_needs_a_key);
     tcase_add_test(tc, a_request_that_was_handed_over_gets_no_snapshot);
     tcase_add_test(tc, the_field_means_nothing_from_a_caller);
