--- a/explore/relay_crashing_parts.c
+++ b/explore/relay_crashing_parts.c
@@ -44,6 +44,8 @@
 #define FW_PART_DOCUMENT 100
 #define FW_PART_CULPRIT 200
 #define FW_PART_OWN 1000
+/* Hash of all requests that differ in their prompts only. */
+#define FW_SAME_BODY 300
 
 /** enum culprit_kind - what the requests that crash engines have in common. */
 enum culprit_kind {
@@ -95,6 +97,7 @@
  * @disturbed_us: when each instance last started or thawed
  * @favoured: instance that most requests reach until @favoured_until_us
  * @crash_per_s: crashes for other reasons
+ * @same_body: requests differ in nothing but the parts of their prompts
  * @restarts_all: whether all instances are killed and started at once
  * @all_restart_us: when, 0 for no more
  */
@@ -110,6 +113,7 @@
     int favoured;
     int64_t favoured_until_us;
     double crash_per_s;
+    int same_body;
     int restarts_all;
     int64_t all_restart_us;
     int sent[FW_PHASES];
@@ -349,7 +353,7 @@
     info->parts[1] = document;
     info->parts[2] = own;
     info->n_parts = 3;
-    info->fingerprint = own;
+    info->fingerprint = env->same_body ? FW_SAME_BODY : own;
     if (culprit == FW_NO_CULPRIT) {
         return;
     }
@@ -512,6 +516,7 @@
     Fw_RelayFleet_Init(&env->fleet, run, Fw_RelayFleet_DrawSize(run), rules);
     env->fleet.expires_members = 1;
     env->start_us = env->fleet.now_us;
+    env->same_body = g_rand_int_range(run->rand, 0, 3) == 0;
     if (env->restarts_all) {
         env->all_restart_us = env->start_us + run->steps * FW_STEP_US / 2;
     }
--- a/src/decide/crash_blame.c
+++ b/src/decide/crash_blame.c
@@ -7,6 +7,8 @@
 #define FW_SOUND_RESEND_US (1 * FW_SEC)
 /* Keys that ran well are forgotten after this time when there are many. */
 #define FW_SOUND_KEPT_US (60 * FW_SEC)
+/* Number of them that is left then at most. */
+#define FW_SOUND_KEYS_PRUNED (FW_SOUND_KEYS_MAX * 7 / 8)
 
 /**
  * struct fw_sound - when a request with the key that ran well began.
@@ -182,7 +184,7 @@
         }
     }
     g_hash_table_iter_init(&it, b->sound);
-    while (g_hash_table_size(b->sound) >= FW_SOUND_KEYS_MAX &&
+    while (g_hash_table_size(b->sound) >= FW_SOUND_KEYS_PRUNED &&
            g_hash_table_iter_next(&it, NULL, &v)) {
         g_hash_table_iter_remove(&it);
     }
--- a/src/relay/crashes.c
+++ b/src/relay/crashes.c
@@ -250,7 +250,7 @@
     n = list_keys(c, keys);
     for (int i = 0; i < n; i++) {
         Fw_Blame_NoteSound(&r->crashes.blame, keys[i].hash, began_us, 0,
-                           keys[i].depth < FW_DEPTH_WHOLE, now_us);
+                           c->info.n_parts > 0, now_us);
     }
     r->crashes.changed |= r->crashes.blame.changed;
 }
