Soak: streams that end inside an event, a crashing part, crowds at an instance

New faults of the plan: a server ends streams inside an event (promise MIXED), requests with one part crash the engines that run them (promise CRASHES: no more than three reach engines later than 3 s after the fifth crash), and nine of ten requests reach one instance for some seconds. Callers name the parts of their prompts. A planted fault, partial-events-pass, takes such a stream for complete.

--- a/soak/callers.c
+++ b/soak/callers.c
@@ -9,6 +9,8 @@
 #define FW_TICK_MS 10
 /* Percentage of requests with the key k2. */
 #define FW_K2_PCT 25
+/* One in this many requests does not reach the crowded instance. */
+#define FW_CROWD_ONE_IN 10
 /* When callers leave long streams. */
 #define FW_LEAVE_MIN_MS 5
 #define FW_LEAVE_MAX_MS 300
@@ -93,6 +95,16 @@
     return drawn[g_rand_int_range(s->rand, 0, G_N_ELEMENTS(drawn))];
 }
 
+/* The instance that the balancer hands a request for @relay to. */
+static int
+choose_relay(struct soak *s, int relay)
+{
+    return s->crowded_relay != FW_SOAK_NOBODY &&
+                   g_rand_int_range(s->rand, 0, FW_CROWD_ONE_IN)
+               ? s->crowded_relay
+               : relay;
+}
+
 static void
 send_request(struct soak *s, int relay)
 {
@@ -105,6 +117,10 @@
 
     q->soak = s;
     q->kind = draw_kind(s);
+    q->culprit = Fw_SoakCrashes_Draw(s, FW_LOAD_PER_S * s->n_relays);
+    if (q->culprit) {
+        q->kind = FW_SOAK_STREAM;
+    }
     q->relay = relay;
     q->life = s->relays[relay].life;
     q->key = g_rand_int_range(s->rand, 0, 100) < FW_K2_PCT ? 2 : 1;
@@ -120,9 +136,13 @@
     g_string_printf(head,
                     "%s HTTP/1.1\r\nHost: demo.example\r\n"
                     "Authorization: Bearer k%d\r\nRequest-Id: %s\r\n"
-                    "Deadline-Ms: %d\r\nContent-Length: 0\r\n%s\r\n",
+                    "Deadline-Ms: %d\r\nContent-Length: 0\r\n%s",
                     kinds[q->kind].line, q->key, q->id,
                     kinds[q->kind].deadline_ms, kinds[q->kind].fields);
+    if (q->kind >= FW_SOAK_STREAM) {
+        Fw_SoakCrashes_AppendParts(q, head);
+    }
+    g_string_append(head, "\r\n");
     g_hash_table_insert(s->requests, q->id, q);
     s->n_total++;
     s->n_sent += s->is_final;
@@ -165,7 +185,7 @@
     Fw_SoakCheck_Left(s);
     for (int i = 0; i < s->n_relays && s->load_on; i++) {
         if (g_rand_int_range(s->rand, 0, 1000) < FW_LOAD_PER_S * FW_TICK_MS) {
-            send_request(s, i);
+            send_request(s, choose_relay(s, i));
         }
     }
     Fw_ConnPool_Tick(s->pool, now);
--- a/soak/check.c
+++ b/soak/check.c
@@ -115,12 +115,13 @@
 }
 
 static void
-arrived(struct soak_server *v, const struct soak_request *q)
+arrived(struct soak_server *v, struct soak_request *q)
 {
     int64_t now = Fw_Soak_NowUs();
 
     check_draining(v, q);
     check_leaving(v, q);
+    Fw_SoakCrashes_NoteArrival(v, q);
     if (v->disturbed_us != FW_SOAK_ONGOING &&
         now - v->disturbed_us >= FW_LIMIT_SPAN_US) {
         check_rest(v, q, now);
@@ -135,6 +136,7 @@
 
     q->runs++;
     q->server = v;
+    Fw_SoakCrashes_NoteStart(v, q);
     if (q->kind == FW_SOAK_ORDER && q->runs > 1) {
         Fw_SoakCheck_Violation(s, "ONCE", "%s runs again, at %s", q->id,
                                v->opts->id);
--- a/soak/main.c
+++ b/soak/main.c
@@ -234,6 +234,7 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, request_free);
     s->open = g_ptr_array_new();
     s->left = g_ptr_array_new();
+    s->crowded_relay = FW_SOAK_NOBODY;
     s->start_us = Fw_Soak_NowUs();
     Fw_SoakWorld_Start(s);
     for (int i = 0; i < s->n_relays; i++) {
--- a/soak/plan.c
+++ b/soak/plan.c
@@ -40,23 +40,32 @@
     FW_SERVER_FULL,
     FW_SERVER_ERROR,
     FW_SERVER_STALL,
+    FW_SERVER_PARTIAL,
     FW_SERVER_LIMIT,
     FW_SERVER_REST,
     FW_SERVER_LEAVES,
     FW_KEY_WITHDRAWN,
+    FW_CRASHING_PART,
+    FW_CROWD,
     FW_FAULTS,
 };
 
 static const char *const names[FW_FAULTS] = {
-    "stop",          "series of stops", "kill",
-    "pause",         "reload",          "store silent",
-    "store one way", "store delayed",   "store reset",
-    "store down",    "store mute",      "store loses answers",
-    "store forgets", "server killed",   "server drains",
-    "server silent", "server one way",  "server delayed",
-    "server resets", "server full",     "server errors",
-    "server stalls", "server limit",    "server rest",
-    "server leaves", "key withdrawn"};
+    "stop",           "series of stops",
+    "kill",           "pause",
+    "reload",         "store silent",
+    "store one way",  "store delayed",
+    "store reset",    "store down",
+    "store mute",     "store loses answers",
+    "store forgets",  "server killed",
+    "server drains",  "server silent",
+    "server one way", "server delayed",
+    "server resets",  "server full",
+    "server errors",  "server stalls",
+    "server partial", "server limit",
+    "server rest",    "server leaves",
+    "key withdrawn",  "crashing part",
+    "crowd"};
 
 /** struct entry - a fault; @target: of the instances, or of the servers. */
 struct entry {
@@ -74,7 +83,8 @@
 {
     return f == FW_SERVER_FULL    ? FW_WIRE_FAULT_FULL
            : f == FW_SERVER_ERROR ? FW_WIRE_FAULT_ERROR
-                                  : FW_WIRE_FAULT_STALL;
+           : f == FW_SERVER_STALL ? FW_WIRE_FAULT_STALL
+                                  : FW_WIRE_FAULT_PARTIAL;
 }
 
 static enum fw_proxy_mode
@@ -198,6 +208,7 @@
     case FW_SERVER_FULL:
     case FW_SERVER_ERROR:
     case FW_SERVER_STALL:
+    case FW_SERVER_PARTIAL:
         v->disturbed_us = FW_SOAK_ONGOING;
         Fw_WireServer_SetFault(v->stand, wire_fault(e->fault),
                                FW_FAULTED_REQUESTS);
@@ -283,6 +294,12 @@
         s->revoked_us = 0;
         s->restored_us = Fw_Soak_NowUs();
     }
+    else if (e->fault == FW_CRASHING_PART) {
+        s->culprit.on = 0;
+    }
+    else if (e->fault == FW_CROWD) {
+        s->crowded_relay = FW_SOAK_NOBODY;
+    }
     else {
         end_relay_fault(e);
     }
@@ -316,7 +333,9 @@
     struct soak *s = e->soak;
 
     if (!reserve_target(e) ||
-        (e->fault == FW_KEY_WITHDRAWN && s->revoked_us)) {
+        (e->fault == FW_KEY_WITHDRAWN && s->revoked_us) ||
+        (e->fault == FW_CRASHING_PART && s->culprit.on) ||
+        (e->fault == FW_CROWD && s->crowded_relay != FW_SOAK_NOBODY)) {
         g_free(e);
         return G_SOURCE_REMOVE;
     }
@@ -331,6 +350,12 @@
         Fw_SoakWorld_PutConfig(s, 0);
         s->revoked_us = Fw_Soak_NowUs();
     }
+    else if (e->fault == FW_CRASHING_PART) {
+        Fw_SoakCrashes_Begin(s);
+    }
+    else if (e->fault == FW_CROWD) {
+        s->crowded_relay = e->target % s->n_relays;
+    }
     else {
         begin_relay_fault(e);
     }
@@ -345,6 +370,8 @@
     case FW_SERVER_LIMIT:
     case FW_SERVER_REST:
     case FW_KEY_WITHDRAWN:
+    case FW_CRASHING_PART:
+    case FW_CROWD:
         return (guint)g_rand_int_range(s->rand, 6000, 9000);
     case FW_SERVER_DRAIN:
     case FW_SERVER_LEAVES:
@@ -362,12 +389,13 @@
         enum fault first;
         enum fault last;
         int weight;
-    } groups[] = {{FW_RELAY_TERM, FW_RELAY_RELOAD, 24},
+    } groups[] = {{FW_RELAY_TERM, FW_RELAY_RELOAD, 20},
                   {FW_RELAY_STORE_SILENT, FW_RELAY_STORE_RESET, 12},
                   {FW_STORE_DOWN, FW_STORE_FORGETS, 10},
-                  {FW_SERVER_KILL, FW_SERVER_STALL, 24},
-                  {FW_SERVER_LIMIT, FW_SERVER_LEAVES, 24},
-                  {FW_KEY_WITHDRAWN, FW_KEY_WITHDRAWN, 6}};
+                  {FW_SERVER_KILL, FW_SERVER_PARTIAL, 24},
+                  {FW_SERVER_LIMIT, FW_SERVER_LEAVES, 20},
+                  {FW_KEY_WITHDRAWN, FW_KEY_WITHDRAWN, 6},
+                  {FW_CRASHING_PART, FW_CROWD, 8}};
     int at = g_rand_int_range(s->rand, 0, 100);
     size_t i = 0;
 
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -17,6 +17,8 @@
 #define FW_SOAK_ENGINES 5
 #define FW_SOAK_PLAIN 4
 #define FW_SOAK_SERVERS (FW_SOAK_ENGINES + FW_SOAK_PLAIN)
+/* Value of struct soak.crowded_relay for none. */
+#define FW_SOAK_NOBODY (-1)
 /* A fault may have effects for this long after its end. */
 #define FW_SOAK_CALM_US (3 * FW_SEC)
 /* Value of a time of disturbance that has not ended. */
@@ -56,6 +58,7 @@
  * @limit: requests a second
  * @rests: it rejects all requests and asks for rest
  * @arrivals: arrivals while it names a limit, of struct soak_arrival
+ * @crash_timer: it is about to crash, 0 if not
  * @told_us: by relay, when that first passed on a response with the limit
  * @rest_us: by relay, when it was last asked for rest, 0 for not
  * @rest_arrivals: by relay, arrivals since then
@@ -71,6 +74,7 @@
     int64_t limit_us;
     double limit;
     int rests;
+    guint crash_timer;
     GArray *arrivals;
     int64_t told_us[FW_SOAK_RELAYS_MAX];
     int64_t rest_us[FW_SOAK_RELAYS_MAX];
@@ -100,6 +104,8 @@
  * @status: of its response, 0 for none
  * @runs: times that a server began to run it, other than prefills
  * @server: the last one that did, NULL for none
+ * @culprit: number of a part in it that crashes engines, 0 for none
+ * @has_reached: it has reached an engine after that was known
  * @cancel_us: when its caller leaves, 0 for never
  * @left_us: when it has left, 0 for not
  */
@@ -119,12 +125,30 @@
     int is_whole;
     int is_ended;
     int runs;
+    int culprit;
+    int has_reached;
     struct soak_server *server;
     GString *body;
 };
 
+/**
+ * struct soak_culprit - a part of prompts that crashes engines.
+ * @part: its number
+ * @on: callers send requests with it
+ * @bound_us: from when on it may reach only a few engines, 0 if not yet
+ * @n_reached: requests that have
+ */
+struct soak_culprit {
+    int part;
+    int on;
+    int n_crashes;
+    int64_t bound_us;
+    int n_reached;
+};
+
 /**
  * struct soak - the whole run.
+ * @crowded_relay: gets most new connections, FW_SOAK_NOBODY for none
  * @left: requests whose caller has left a moment ago
  * @next_id: number of the next request
  * @load_on: callers send requests
@@ -154,6 +178,8 @@
     int config_version;
     int64_t revoked_us;
     int64_t restored_us;
+    struct soak_culprit culprit;
+    int crowded_relay;
     int is_final;
     int n_sent;
     int n_served;
@@ -226,6 +252,27 @@
 void
 Fw_SoakCheck_Final(struct soak *s);
 
+/* crashes.c */
+/* A new part crashes engines from now on. */
+void
+Fw_SoakCrashes_Begin(struct soak *s);
+/*
+ * The part that the next of @per_s requests a second has in its prompt and
+ * that crashes engines, 0 for none.
+ */
+int
+Fw_SoakCrashes_Draw(struct soak *s, int per_s);
+/* Appends the field that names the parts of the request's prompt. */
+void
+Fw_SoakCrashes_AppendParts(const struct soak_request *q, GString *head);
+/* The request has reached the server. */
+void
+Fw_SoakCrashes_NoteArrival(const struct soak_server *v,
+                           struct soak_request *q);
+/* The server has begun to run the request. */
+void
+Fw_SoakCrashes_NoteStart(struct soak_server *v, const struct soak_request *q);
+
 /* plan.c */
 /* Schedules the faults of a run of @ms. */
 void
--- a/soak/world.c
+++ b/soak/world.c
@@ -82,6 +82,9 @@
     for (int i = 0; i < FW_SOAK_SERVERS; i++) {
         Fw_Proxy_Free(s->servers[i].proxy);
         Fw_WireServer_Free(s->servers[i].stand);
+        if (s->servers[i].crash_timer) {
+            g_source_remove(s->servers[i].crash_timer);
+        }
         g_array_unref(s->servers[i].arrivals);
     }
     for (int i = 0; i < s->n_relays; i++) {
--- a/src/relayd/upstream.c
+++ b/src/relayd/upstream.c
@@ -2,6 +2,7 @@
 #include <errno.h>
 #include <string.h>
 
+#include "base/fault.h"
 #include "http/conn.h"
 #include "relayd/relayd_internal.h"
 
@@ -191,7 +192,7 @@
     call->complete = 1;
     call->answer.events = call->events.events;
     Fw_RelayActions_Init(&acts);
-    if (call->events.in_event) {
+    if (call->events.in_event && !FW_FAULT("partial-events-pass")) {
         /* The server has broken the stream off, however it ended it. */
         Fw_Relay_UpstreamFailed(d->relay, xid, -EPIPE, 1, now, &acts);
     }
