--- a/src/relay/crash_message.c
+++ b/src/relay/crash_message.c
@@ -253,9 +253,14 @@
     return (int)n;
 }
 
-/* A hub sends on what it has learned; a leaf, only what it has seen itself. */
+/*
+ * Each of these returns 0, or -EBADMSG if the row isn't valid. With @is_check
+ * nothing is applied. A hub sends on what it has learned; a leaf, only what it
+ * has seen itself.
+ */
 static int
-apply_crash(struct fw_relay *r, const msgpack_object *row, int64_t now_us)
+apply_crash(struct fw_relay *r, const msgpack_object *row, int64_t now_us,
+            int is_check)
 {
     struct fw_blame_key keys[FW_CRASH_KEYS_MAX];
     struct fw_crash *c;
@@ -271,8 +276,8 @@
         return -EBADMSG;
     }
     n = read_keys(row, at_us, keys);
-    if (n < 0) {
-        return -EBADMSG;
+    if (n < 0 || is_check) {
+        return MIN(n, 0);
     }
     c = is_refuted ? Fw_Blame_Refute(&r->crashes.blame, server, at_us, now_us)
                    : Fw_Blame_NoteCrash(&r->crashes.blame, server, at_us, keys,
@@ -285,7 +290,8 @@
 }
 
 static int
-apply_sound(struct fw_relay *r, const msgpack_object *row, int64_t now_us)
+apply_sound(struct fw_relay *r, const msgpack_object *row, int64_t now_us,
+            int is_check)
 {
     uint64_t key;
     int64_t began_us;
@@ -293,6 +299,9 @@
     if (Fw_Unpack_U64(row, 0, &key) || read_time(row, 1, now_us, &began_us)) {
         return -EBADMSG;
     }
+    if (is_check) {
+        return 0;
+    }
     Fw_Blame_NoteSound(&r->crashes.blame, key, began_us, !r->exchange.is_hub,
                        1, now_us);
     r->crashes.changed |= r->exchange.is_hub && r->crashes.blame.changed;
@@ -300,7 +309,8 @@
 }
 
 static int
-apply_quarantine(struct fw_relay *r, const msgpack_object *row, int64_t now_us)
+apply_quarantine(struct fw_relay *r, const msgpack_object *row, int64_t now_us,
+                 int is_check)
 {
     uint64_t key;
     int64_t crash_us;
@@ -310,6 +320,9 @@
         Fw_Unpack_I64(row, 2, &n)) {
         return -EBADMSG;
     }
+    if (is_check) {
+        return 0;
+    }
     if (Fw_Blame_MergeQuarantine(&r->crashes.blame, key, crash_us,
                                  (int)CLAMP(n, 0, FW_CRASHES_MAX), now_us)) {
         r->crashes.changed |= r->exchange.is_hub;
@@ -318,21 +331,30 @@
     return 0;
 }
 
-/* Applies each row of element @i of the message. Return: 0 or -EBADMSG. */
+/* Elements of the message with rows, and how these are read. */
+static const struct {
+    uint32_t element;
+    int (*apply)(struct fw_relay *r, const msgpack_object *row, int64_t now_us,
+                 int is_check);
+} row_kinds[] = {{2, apply_crash}, {3, apply_sound}, {4, apply_quarantine}};
+
+/* Checks or applies all rows of the message. Return: 0 or -EBADMSG. */
 static int
-apply_rows(struct fw_relay *r, const msgpack_object *o, uint32_t i,
-           int (*apply)(struct fw_relay *, const msgpack_object *, int64_t),
-           int64_t now_us)
+apply_rows(struct fw_relay *r, const msgpack_object *o, int64_t now_us,
+           int is_check)
 {
-    const msgpack_object *rows = Fw_Unpack_Array(o, i);
+    for (size_t i = 0; i < G_N_ELEMENTS(row_kinds); i++) {
+        const msgpack_object *rows = Fw_Unpack_Array(o, row_kinds[i].element);
 
-    if (!rows || rows->via.array.size > FW_RL_ROWS_MAX) {
-        return -EBADMSG;
-    }
-    for (uint32_t k = 0; k < rows->via.array.size; k++) {
-        if (apply(r, &rows->via.array.ptr[k], now_us)) {
+        if (!rows || rows->via.array.size > FW_RL_ROWS_MAX) {
             return -EBADMSG;
         }
+        for (uint32_t k = 0; k < rows->via.array.size; k++) {
+            if (row_kinds[i].apply(r, &rows->via.array.ptr[k], now_us,
+                                   is_check)) {
+                return -EBADMSG;
+            }
+        }
     }
     return 0;
 }
@@ -347,12 +369,9 @@
     if (o->type != MSGPACK_OBJECT_ARRAY ||
         o->via.array.size != FW_MSG_ELEMENTS || Fw_Unpack_U64(o, 0, &type) ||
         type != FW_MSG_TYPE_CRASHES ||
-        Fw_Unpack_Str(o, 1, name, sizeof(name))) {
+        Fw_Unpack_Str(o, 1, name, sizeof(name)) ||
+        apply_rows(r, o, now_us, 1)) {
         return -EBADMSG;
     }
-    return apply_rows(r, o, 2, apply_crash, now_us) ||
-                   apply_rows(r, o, 3, apply_sound, now_us) ||
-                   apply_rows(r, o, 4, apply_quarantine, now_us)
-               ? -EBADMSG
-               : 0;
+    return apply_rows(r, o, now_us, 0);
 }
