--- a/src/decide/crash_judge.c
+++ b/src/decide/crash_judge.c
@@ -4,8 +4,8 @@
  * The key that is blamed for most crashes is taken first, then the one that
  * explains most of the rest. Of a server that ends, all requests are lost,
  * sound ones too: a key that many requests share is blamed for many crashes by
- * coincidence. What tells it from the culprit is that requests with it run
- * well, elsewhere or before; such a key needs more crashes.
+ * coincidence. What distinguishes it from the culprit is that requests with
+ * it run well, elsewhere or before; such a key needs more crashes.
  */
 #include "base/fault.h"
 #include "decide/crash_blame.h"
--- a/src/relay/crash_message.c
+++ b/src/relay/crash_message.c
@@ -1,8 +1,8 @@
 /*
  * Messages about crashes: from a leaf to its hub, from a hub to other hubs and
- * its leaves. News are sent at once, and repeated for a while, as messages may
- * be lost; what is in quarantine is repeated as long as it is, for instances
- * that start.
+ * its leaves. Changes are sent at once, and repeated for a while, as messages
+ * may be lost; what is in quarantine is repeated as long as it is, for
+ * instances that start.
  */
 #include <errno.h>
 #include <string.h>
@@ -23,9 +23,9 @@
 #define FW_SOUND_COLUMNS 2
 /* Key, age of its last crash, number of crashes. */
 #define FW_QUARANTINE_COLUMNS 3
-/* Minimum interval between messages with news. */
-#define FW_NEWS_INTERVAL_US (50 * FW_MSEC)
-/* Interval between repeats, and how long news are repeated. */
+/* Minimum interval between messages with changes. */
+#define FW_CHANGED_INTERVAL_US (50 * FW_MSEC)
+/* Interval between repeats, and how long changes are repeated. */
 #define FW_REPEAT_INTERVAL_US (1 * FW_SEC)
 #define FW_REPEATED_US (3 * FW_SEC)
 /* Bounds of one message; the rest follows in the next one. */
@@ -36,11 +36,11 @@
 #define FW_AGE_MAX_MS (FW_CRASH_KEPT_US / FW_MSEC * 2)
 
 /**
- * struct news - what a message contains.
+ * struct contents - what a message contains.
  * @crashes, @quarantines: indices
  * @is_partial: there is more
  */
-struct news {
+struct contents {
     int n_crashes;
     int crashes[FW_CRASHES_MAX];
     GArray *sound;
@@ -50,14 +50,14 @@
 };
 
 static int
-is_news(const struct fw_crash *c, int repeats, int64_t now_us)
+is_due(const struct fw_crash *c, int repeats, int64_t now_us)
 {
     return c->is_unsent ||
            (repeats && now_us - c->changed_us < FW_REPEATED_US);
 }
 
 static void
-collect(struct fw_blame *b, int repeats, int64_t now_us, struct news *out)
+collect(struct fw_blame *b, int repeats, int64_t now_us, struct contents *out)
 {
     int keys = 0;
 
@@ -65,7 +65,7 @@
     for (int i = b->n_crashes - 1; i >= 0; i--) {
         struct fw_crash *c = &b->crashes[i];
 
-        if (!is_news(c, repeats, now_us)) {
+        if (!is_due(c, repeats, now_us)) {
             continue;
         }
         if (keys + c->n_keys > FW_MESSAGE_KEYS_MAX) {
@@ -83,7 +83,7 @@
 
 /* Many quarantines are sent in turn. */
 static void
-collect_quarantines(struct fw_rl_crashes *p, struct news *out)
+collect_quarantines(struct fw_rl_crashes *p, struct contents *out)
 {
     const struct fw_blame *b = &p->blame;
 
@@ -121,7 +121,7 @@
 }
 
 static void
-write_message(const struct fw_relay *r, const struct news *news,
+write_message(const struct fw_relay *r, const struct contents *contents,
               int64_t now_us, GByteArray *out)
 {
     const struct fw_blame *b = &r->crashes.blame;
@@ -131,22 +131,23 @@
     msgpack_pack_array(&pk, FW_MSG_ELEMENTS);
     msgpack_pack_int(&pk, FW_MSG_TYPE_CRASHES);
     Fw_Pack_Str(&pk, r->opts.name);
-    msgpack_pack_array(&pk, (size_t)news->n_crashes);
-    for (int i = 0; i < news->n_crashes; i++) {
-        pack_crash(&pk, &b->crashes[news->crashes[i]], now_us);
+    msgpack_pack_array(&pk, (size_t)contents->n_crashes);
+    for (int i = 0; i < contents->n_crashes; i++) {
+        pack_crash(&pk, &b->crashes[contents->crashes[i]], now_us);
     }
-    msgpack_pack_array(&pk, news->sound->len);
-    for (guint i = 0; i < news->sound->len; i++) {
+    msgpack_pack_array(&pk, contents->sound->len);
+    for (guint i = 0; i < contents->sound->len; i++) {
         const struct fw_sound_row *row =
-            &g_array_index(news->sound, struct fw_sound_row, i);
+            &g_array_index(contents->sound, struct fw_sound_row, i);
 
         msgpack_pack_array(&pk, FW_SOUND_COLUMNS);
         msgpack_pack_uint64(&pk, row->key);
         pack_age(&pk, row->began_us, now_us);
     }
-    msgpack_pack_array(&pk, (size_t)news->n_quarantines);
-    for (int i = 0; i < news->n_quarantines; i++) {
-        const struct fw_quarantine *q = &b->quarantines[news->quarantines[i]];
+    msgpack_pack_array(&pk, (size_t)contents->n_quarantines);
+    for (int i = 0; i < contents->n_quarantines; i++) {
+        const struct fw_quarantine *q =
+            &b->quarantines[contents->quarantines[i]];
 
         msgpack_pack_array(&pk, FW_QUARANTINE_COLUMNS);
         msgpack_pack_uint64(&pk, q->key);
@@ -172,16 +173,16 @@
 }
 
 static void
-send_news(struct fw_relay *r, int repeats, int64_t now_us,
-          struct fw_rl_outbox *out)
+send_contents(struct fw_relay *r, int repeats, int64_t now_us,
+              struct fw_rl_outbox *out)
 {
     GByteArray *msg = g_byte_array_new();
-    struct news news = {0};
+    struct contents contents = {0};
     GBytes *data;
 
-    collect(&r->crashes.blame, repeats, now_us, &news);
-    collect_quarantines(&r->crashes, &news);
-    write_message(r, &news, now_us, msg);
+    collect(&r->crashes.blame, repeats, now_us, &contents);
+    collect_quarantines(&r->crashes, &contents);
+    write_message(r, &contents, now_us, msg);
     data = g_byte_array_free_to_bytes(msg);
     if (r->exchange.is_hub) {
         send_as_hub(r, data, now_us, out);
@@ -189,9 +190,9 @@
     else if (r->exchange.hub) {
         Fw_Outbox_AddShared(out, r->exchange.hub->addr, data);
     }
-    r->crashes.changed = news.is_partial;
+    r->crashes.changed = contents.is_partial;
     g_bytes_unref(data);
-    g_array_unref(news.sound);
+    g_array_unref(contents.sound);
 }
 
 void
@@ -200,18 +201,19 @@
 {
     const struct fw_blame *b = &r->crashes.blame;
     int64_t elapsed_us = now_us - r->crashes.sent_us;
-    int has_news =
+    int has_changes =
         b->n_crashes &&
         now_us - b->crashes[b->n_crashes - 1].at_us < FW_REPEATED_US;
-    int repeats =
-        (has_news || b->n_quarantines) && elapsed_us >= FW_REPEAT_INTERVAL_US;
+    int repeats = (has_changes || b->n_quarantines) &&
+                  elapsed_us >= FW_REPEAT_INTERVAL_US;
 
     if ((!r->crashes.changed && !repeats) ||
-        elapsed_us < FW_NEWS_INTERVAL_US || FW_FAULT("crashes-kept-alone")) {
+        elapsed_us < FW_CHANGED_INTERVAL_US ||
+        FW_FAULT("crashes-kept-alone")) {
         return;
     }
     r->crashes.sent_us = now_us;
-    send_news(r, repeats, now_us, out);
+    send_contents(r, repeats, now_us, out);
 }
 
 /* Return: 0 and the time @column milliseconds before @base_us, or -EBADMSG. */
--- a/tests/relay/test_crashes.c
+++ b/tests/relay/test_crashes.c
@@ -124,6 +124,41 @@
              "server s4 plain none\n"
              "open 4 /order/x key=ka digest=4 parts=5,7\n"
              "  ask 4 run s4 for 4 team=a left=10000\n"},
+    {.name = "events of a request that crashes its server",
+     .text =
+         "logs\n"
+         "rules 1\n"
+         "  5 configuration "
+         "\"version\":1,\"offset\":1,\"routes\":5,\"services\":2,\"teams\":2\n"
+         "  7 team_limit \"team\":\"a\",\"rate\":0,\"burst\":0\n"
+         "  7 team_limit \"team\":\"b\",\"rate\":0,\"burst\":0\n"
+         "fresh 0\n"
+         "server s1 plain none\n"
+         "  5 server_seen "
+         "\"server\":\"s1\",\"addr\":\"s1:1\",\"service\":\"plain\","
+         "\"domain\":\"\",\"stage\":0\n"
+         "open 1 /order/x key=ka digest=77 id=q1\n"
+         "  ask 1 run s1 for 1 team=a left=10000\n"
+         "  6 sent "
+         "\"id\":\"q1\",\"route\":\"plain\",\"team\":\"a\",\"cost\":200,"
+         "\"server\":\"s1\",\"try\":1,\"running\":1,\"left_ms\":10000\n"
+         "at 20\n"
+         "fail 1 104 sent\n"
+         "  5 upstream_failed "
+         "\"id\":\"q1\",\"server\":\"s1\",\"kind\":0,\"error\":-104,\"sent\":"
+         "1,\"after_ms\":20\n"
+         "  5 run_broke "
+         "\"id\":\"q1\",\"server\":\"s1\",\"began_ms\":-1,\"parts\":[]\n"
+         "  4 refused "
+         "\"id\":\"q1\",\"route\":\"plain\",\"team\":\"a\",\"status\":502,"
+         "\"reason\":\"upstream_lost\",\"ran\":\"maybe\",\"cost\":200,"
+         "\"tries\":1,\"after_ms\":20,\"retry_ms\":0\n"
+         "  refuse 1 502 upstream_lost ran=maybe\n"
+         "unlisted s1\n"
+         "  5 server_gone \"server\":\"s1\",\"addr\":\"s1:1\",\"why\":\"no "
+         "longer listed\"\n"
+         "  4 server_crashed \"server\":\"s1\",\"runs\":1\n"
+         "  forget s1:1\n"},
 };
 
 START_TEST(script_output_matches)
