Release what all requests share when too few crashes are left against it

Sound requests were refused for as long as the quarantine lasts, 121 of 433 began: after all instances had restarted nobody knew that requests with the part that all of them share had run well, two culprits and a crash of another cause ended five engines within 0.4 s, and that part explained all of them. Requests with it that had begun in between ran well, which cleared it of some, but a key in quarantine stayed there while one crash was left that no other key explained.

It is released now if all crashes that it was blamed for are known and it was cleared of some of them, by a sound run or as the server lives; a part that crashes all servers never is.

--- a/src/decide/crash_judge.c
+++ b/src/decide/crash_judge.c
@@ -159,16 +159,22 @@
 }
 
 static int
-blames(const struct fw_blame *b, const struct fw_crash *c, uint64_t key)
+names(const struct fw_crash *c, uint64_t key)
 {
     for (int i = 0; i < c->n_keys; i++) {
         if (c->keys[i].hash == key) {
-            return is_blamed_for(b, c, key);
+            return 1;
         }
     }
     return 0;
 }
 
+static int
+blames(const struct fw_blame *b, const struct fw_crash *c, uint64_t key)
+{
+    return names(c, key) && is_blamed_for(b, c, key);
+}
+
 static void
 choose(struct judgement *j, const struct tally *t)
 {
@@ -199,28 +205,33 @@
 }
 
 /*
- * Whether the key, which was not chosen, is still blamed. It is not if other
- * keys explain all crashes that it is blamed for and these are all known here.
+ * Whether the key, which was not chosen, stays in quarantine. It does not if
+ * all crashes that it was blamed for are known here and it was cleared of some
+ * of them by sound runs, or other keys explain the rest.
  */
 static int
 is_still_blamed(const struct judgement *j, struct fw_quarantine *q)
 {
     int n_known = 0;
+    int n_cleared = 0;
     int n_unexplained = 0;
 
     for (int i = 0; i < j->b->n_crashes; i++) {
         const struct fw_crash *c = &j->b->crashes[i];
 
-        if (!blames(j->b, c, q->key)) {
+        if (!names(c, q->key)) {
             continue;
         }
         n_known++;
-        if (!j->explained[i]) {
+        if (c->is_refuted || !is_blamed_for(j->b, c, q->key)) {
+            n_cleared++;
+        }
+        else if (!j->explained[i]) {
             n_unexplained++;
             q->crash_us = MAX(q->crash_us, c->at_us);
         }
     }
-    return n_unexplained || n_known < MAX(q->n_crashes, 1);
+    return n_known < MAX(q->n_crashes, 1) || (n_unexplained && !n_cleared);
 }
 
 static void
@@ -238,8 +249,8 @@
 }
 
 /*
- * A key that another one has taken the blame from is released as if it had run
- * well, so that other instances learn of it.
+ * A key that is blamed no longer is released as if it had run well, so that
+ * other instances learn of it.
  */
 static void
 review_quarantines(struct judgement *j, GArray *changes)
--- a/tests/decide/test_crash_blame.c
+++ b/tests/decide/test_crash_blame.c
@@ -101,6 +101,18 @@
              "crash 4 1200 p:0 c:1\n"
              "at 1300\n"
              "  p\n"},
+    /* Guards against a part of all requests that stays refused for minutes. */
+    {.name = "what all requests share is released when too few crashes are "
+             "left after those that it was cleared of",
+     .text = "crash 1 0 a:0 p:1\n"
+             "crash 2 100 a:0 r:1\n"
+             "crash 3 200 a:0 p:1\n"
+             "crash 4 250 a:0 x:1\n"
+             "crash 5 280 a:0 p:1\n"
+             "at 300\n"
+             "  a\n"
+             "sound a 150\n"
+             "at 2000\n"},
     {.name = "what another instance blames stays, though its crashes are not "
              "all known here",
      .text = "reported b 800 4\n"
@@ -135,6 +147,14 @@
              "at 900\n"
              "crash 2 400 p:0 x:1\n"
              "at 1000\n"},
+    {.name = "a quarantine ends when one of its crashes was none",
+     .text = "crash 1 0 p:0\n"
+             "crash 2 400 p:0\n"
+             "crash 3 800 p:0\n"
+             "at 900\n"
+             "  p\n"
+             "refute 2 500\n"
+             "at 1000\n"},
     {.name = "a quarantine ends ten minutes after the last crash, and returns "
              "with the next one",
      .text = "crash 1 0 p:0\n"
