Log how a broken response was framed and where it ended

The record of the incident could not tell an answer that its server closed from one that was reset, nor the inside of an event from the space between two: both were error -32, and the framing was nowhere. A line response_broken now names framing, error, whole events and place of each response that had begun and is not whole. What decides that it is whole moves to src/decide, with the parser of events, so that it can be tested without a network; it decides as before.

--- a/src/http/sse.c
+++ b/src/decide/sse.c
@@ -1,4 +1,4 @@
-#include "http/sse.h"
+#include "decide/sse.h"
 
 /* An empty line ends an event; a comment is not part of one. */
 static void
--- a/src/http/sse.h
+++ b/src/decide/sse.h
@@ -1,6 +1,6 @@
 /* Follows the events of a text/event-stream body. */
-#ifndef FW_HTTP_SSE_H
-#define FW_HTTP_SSE_H
+#ifndef FW_DECIDE_SSE_H
+#define FW_DECIDE_SSE_H
 
 #include <stddef.h>
 #include <stdint.h>
--- a/src/relayd/relayd_internal.h
+++ b/src/relayd/relayd_internal.h
@@ -5,8 +5,8 @@
 #include <gio/gio.h>
 #include <syslog.h>
 
+#include "decide/response_end.h"
 #include "http/client.h"
-#include "http/sse.h"
 #include "platform/platform.h"
 #include "relayd/relayd.h"
 
@@ -41,7 +41,8 @@
  * @response_started: the body is no longer buffered: it is forwarded to the
  *                    caller, or dropped when there is none
  * @complete: the response has been received in full
- * @is_event_stream: the response is one, and is followed in @events
+ * @framing: how the server marks the end of the response
+ * @response_body: follows a response that is sent to the caller
  * @last_chunk_us: arrival of the last forwarded chunk, 0 for none
  */
 struct fw_upstream_call {
@@ -58,8 +59,8 @@
     int buffered;
     int response_started;
     int complete;
-    int is_event_stream;
-    struct fw_sse_counter events;
+    enum fw_http_framing framing;
+    struct fw_response_body response_body;
     int64_t last_chunk_us;
 };
 
--- a/src/relayd/upstream.c
+++ b/src/relayd/upstream.c
@@ -2,8 +2,8 @@
 #include <errno.h>
 #include <string.h>
 
-#include "base/fault.h"
 #include "http/conn.h"
+#include "io/logger.h"
 #include "relayd/relayd_internal.h"
 
 /*
@@ -88,14 +88,58 @@
     return out;
 }
 
-static int
-is_event_stream(const struct fw_http_head *h)
+/* Follows the body that is to be sent to a caller. */
+static void
+follow_body(struct fw_upstream_call *call, const struct fw_http_head *h)
 {
-    static const char type[] = "text/event-stream";
-    const struct fw_http_field *f = Fw_Http_FindField(h, "Content-Type");
+    const struct fw_http_field *type = Fw_Http_FindField(h, "Content-Type");
+    struct fw_response_form form = {.type = type ? type->value : NULL,
+                                    .type_len = type ? type->value_len : 0};
 
-    return f && f->value_len >= sizeof(type) - 1 &&
-           g_ascii_strncasecmp(f->value, type, sizeof(type) - 1) == 0;
+    call->framing = h->framing;
+    if (answers_caller(call)) {
+        Fw_ResponseBody_Begin(&call->response_body, &form);
+    }
+}
+
+static const char *
+framing_name(enum fw_http_framing framing)
+{
+    switch (framing) {
+    case FW_HTTP_NO_BODY:
+        return "none";
+    case FW_HTTP_CONTENT_LENGTH:
+        return "length";
+    case FW_HTTP_CHUNKED:
+        return "chunks";
+    case FW_HTTP_UNTIL_CLOSE:
+        break;
+    }
+    return "close";
+}
+
+/*
+ * Logs a response that is not whole: how the server marks the end of its body,
+ * the @err of the connection, 0 if the server ended it, and where the events
+ * of a stream end.
+ */
+static void
+log_broken_response(const struct fw_upstream_call *call, int err)
+{
+    char number[24];
+    char events[24];
+
+    if (!call->fields || !answers_caller(call)) {
+        return;
+    }
+    g_snprintf(number, sizeof(number), "%d", err);
+    g_snprintf(events, sizeof(events), "%" G_GINT64_FORMAT,
+               call->response_body.events.events);
+    Fw_Logger_Log(
+        LOG_NOTICE, "response_broken", "id", call->request_id, "framing",
+        framing_name(call->framing), "error", number, "events",
+        call->response_body.is_event_stream ? events : "", "at",
+        Fw_ResponseEnd_Name(Fw_ResponseBody_End(&call->response_body)), NULL);
 }
 
 static void
@@ -135,12 +179,12 @@
     Fw_Platform_ParseResponseHead(h, &call->answer);
     notify_head(call);
     call->fields = forwarded_fields(h);
-    call->is_event_stream = answers_caller(call) && is_event_stream(h);
+    follow_body(call, h);
     /* With its length, a stream that lacks its end would look complete. */
-    call->content_length =
-        h->framing == FW_HTTP_CONTENT_LENGTH && !call->is_event_stream
-            ? (int64_t)h->length
-            : -1;
+    call->content_length = h->framing == FW_HTTP_CONTENT_LENGTH &&
+                                   !call->response_body.is_event_stream
+                               ? (int64_t)h->length
+                               : -1;
     if (h->framing == FW_HTTP_NO_BODY) {
         call->content_length = 0;
     }
@@ -159,9 +203,7 @@
     struct fw_upstream_call *call = ctx;
     struct fw_caller_request *to = forward_target(call);
 
-    if (call->is_event_stream) {
-        Fw_SseCounter_Add(&call->events, data, len);
-    }
+    Fw_ResponseBody_Add(&call->response_body, data, len);
     if (to) {
         observe_chunk_gap(call);
         Fw_Caller_Data(to->caller, data, len);
@@ -190,10 +232,10 @@
 
     call->exchange = NULL;
     call->complete = 1;
-    call->answer.events = call->events.events;
+    call->answer.events = call->response_body.events.events;
     Fw_RelayActions_Init(&acts);
-    if (call->events.in_event && !FW_FAULT("partial-events-pass")) {
-        /* The server has broken the stream off, however it ended it. */
+    if (Fw_ResponseBody_End(&call->response_body) != FW_RESPONSE_WHOLE) {
+        log_broken_response(call, 0);
         Fw_Relay_UpstreamFailed(d->relay, xid, -EPIPE, 1, now, &acts);
     }
     else if (Fw_Platform_ParseResponseBody(call->kind, call->body->data,
@@ -216,6 +258,7 @@
     struct fw_rl_actions acts;
 
     call->exchange = NULL;
+    log_broken_response(call, err);
     Fw_RelayActions_Init(&acts);
     Fw_Relay_UpstreamFailed(d->relay, xid, err, sent == FW_SENT_SOME,
                             Fw_Conn_NowUs(), &acts);
