Follow the events of a streaming route's response that names no type

Cause: only a type text/event-stream made a response a stream, so that without one the framing alone decided that it was whole. Now a named type decides, and without one the route does, which the operator calls streaming; errors are left out, as their body may be any text, and so is another named type. The type is compared as a whole, no longer by how it begins.

--- a/src/decide/response_end.c
+++ b/src/decide/response_end.c
@@ -5,19 +5,46 @@
 #include "base/fault.h"
 
 static int
-names_event_stream(const struct fw_response_form *form)
+is_space(char c)
 {
-    static const char type[] = "text/event-stream";
+    return c == ' ' || c == '\t';
+}
+
+/* Length of the media type at the start of a Content-Type. */
+static size_t
+media_type_len(const char *type, size_t len)
+{
+    size_t n = 0;
+
+    while (n < len && type[n] != ';' && !is_space(type[n])) {
+        n++;
+    }
+    return n;
+}
 
-    return form->type && form->type_len >= sizeof(type) - 1 &&
-           g_ascii_strncasecmp(form->type, type, sizeof(type) - 1) == 0;
+/*
+ * A type that is named decides. Without one the route does, but not for
+ * errors, which may have any body.
+ */
+static int
+is_event_stream(const struct fw_response_form *form)
+{
+    static const char event_stream[] = "text/event-stream";
+    size_t len = form->type ? media_type_len(form->type, form->type_len) : 0;
+
+    if (len == 0) {
+        return form->is_route_streaming && form->status / 100 == 2 &&
+               !FW_FAULT("untyped-not-followed");
+    }
+    return len == sizeof(event_stream) - 1 &&
+           g_ascii_strncasecmp(form->type, event_stream, len) == 0;
 }
 
 void
 Fw_ResponseBody_Begin(struct fw_response_body *b,
                       const struct fw_response_form *form)
 {
-    b->is_event_stream = names_event_stream(form);
+    b->is_event_stream = is_event_stream(form);
 }
 
 void
--- a/src/decide/response_end.h
+++ b/src/decide/response_end.h
@@ -12,10 +12,14 @@
 
 /**
  * struct fw_response_form - what is known of a response from its head.
+ * @status: HTTP status
+ * @is_route_streaming: responses to requests of its route are event streams
  * @type: Content-Type, NULL if it has none; not null-terminated
  * @type_len: bytes of @type
  */
 struct fw_response_form {
+    int status;
+    int is_route_streaming;
     const char *type;
     size_t type_len;
 };
--- a/src/relay/handover.c
+++ b/src/relay/handover.c
@@ -88,6 +88,7 @@
         .timeout_us = c->deadline_us - now_us,
         .priority = -1,
         .buffer_response = c->route.kind != FW_RL_STREAM,
+        .is_streaming = c->route.kind == FW_RL_STREAM,
         .connect_us = FW_RL_CONNECT_TIMEOUT_US,
         .reuse_us = c->route.kind == FW_RL_IDEMPOTENT
                         ? FW_RL_REUSE_US
--- a/src/relay/plain.c
+++ b/src/relay/plain.c
@@ -103,6 +103,7 @@
         .timeout_us = c->deadline_us - now_us,
         .priority = -1,
         .buffer_response = c->route.kind != FW_RL_STREAM,
+        .is_streaming = c->route.kind == FW_RL_STREAM,
         .connect_us = FW_RL_CONNECT_TIMEOUT_US,
         .reuse_us =
             is_retryable(c) ? FW_RL_REUSE_US : FW_RL_REUSE_NON_IDEMPOTENT_US,
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -38,6 +38,8 @@
  * @priority: 0 most urgent, 9 least; -1 for the upstream's default
  * @buffer_response: buffer the response and report only its end; a large
  *     response is forwarded as it arrives
+ * @is_streaming: responses to requests of the route are event streams (RUN,
+ *     HANDOVER)
  * @reuse_us: maximum idle time of a connection that may be reused; 0 for a
  *     new connection
  * @connect_us: connect timeout
@@ -62,6 +64,7 @@
     char team[FW_NAME_MAX];
     int priority;
     int buffer_response;
+    int is_streaming;
     int64_t reuse_us;
     int64_t connect_us;
     char reservation[FW_RL_KEY_MAX];
--- a/src/relay/stream.c
+++ b/src/relay/stream.c
@@ -254,6 +254,7 @@
         .kind = FW_RL_UP_RUN,
         .timeout_us = c->deadline_us - now_us,
         .priority = c->priority,
+        .is_streaming = c->route.kind == FW_RL_STREAM,
         .reuse_us = FW_RL_REUSE_NON_IDEMPOTENT_US,
         .connect_us = FW_RL_CONNECT_TIMEOUT_US,
     };
--- a/src/relayd/relayd_internal.h
+++ b/src/relayd/relayd_internal.h
@@ -38,6 +38,7 @@
  * @body: part of the response that is buffered
  * @buffered: hold the response back until it is complete, unless it exceeds
  *            the buffer
+ * @is_streaming: the route's responses are event streams
  * @response_started: the body is no longer buffered: it is forwarded to the
  *                    caller, or dropped when there is none
  * @complete: the response has been received in full
@@ -57,6 +58,7 @@
     int64_t content_length;
     GByteArray *body;
     int buffered;
+    int is_streaming;
     int response_started;
     int complete;
     enum fw_http_framing framing;
--- a/src/relayd/upstream.c
+++ b/src/relayd/upstream.c
@@ -93,7 +93,9 @@
 follow_body(struct fw_upstream_call *call, const struct fw_http_head *h)
 {
     const struct fw_http_field *type = Fw_Http_FindField(h, "Content-Type");
-    struct fw_response_form form = {.type = type ? type->value : NULL,
+    struct fw_response_form form = {.status = h->status,
+                                    .is_route_streaming = call->is_streaming,
+                                    .type = type ? type->value : NULL,
                                     .type_len = type ? type->value_len : 0};
 
     call->framing = h->framing;
@@ -290,6 +292,7 @@
     call->caller_request_id = c->call;
     call->kind = c->kind;
     call->buffered = c->buffer_response;
+    call->is_streaming = c->is_streaming;
     call->content_length = -1;
     call->body = g_byte_array_new();
     g_hash_table_insert(d->upstream_calls, &call->xid, call);
