Take a stream that only its connection ends, before any event, for broken

A caller got an empty answer, framed as complete, when a server that marks no end of its body crashed after the head of a stream, or while it sent a comment.

Cause: the same as of streams that end inside an event. The end of a connection was taken for the word of the server, which a crash brings about as well. Now only a length or chunks vouch for a stream without events and for a comment that has no line end; a closed connection does not. A stream of at least one event whose last line is ended stays whole: nothing tells it from a complete one. Errors and responses to HEAD are left out.

The third test of test_empty_streams, of HEAD, is new.

--- a/src/decide/response_end.c
+++ b/src/decide/response_end.c
@@ -45,6 +45,7 @@
                       const struct fw_response_form *form)
 {
     b->is_event_stream = is_event_stream(form);
+    b->ends_at_close = form->ends_at_close && form->status / 100 == 2;
 }
 
 void
@@ -55,19 +56,37 @@
     }
 }
 
+/*
+ * A stream that ends inside an event is broken off whatever its framing says.
+ * The framing vouches for the rest, unless it is the end of the connection,
+ * which a crash of the server brings about as well.
+ */
 enum fw_response_end
 Fw_ResponseBody_End(const struct fw_response_body *b)
 {
-    return b->events.in_event && !FW_FAULT("partial-events-pass")
-               ? FW_RESPONSE_IN_EVENT
-               : FW_RESPONSE_WHOLE;
+    if (!b->is_event_stream || FW_FAULT("partial-events-pass")) {
+        return FW_RESPONSE_WHOLE;
+    }
+    if (b->events.in_event) {
+        return FW_RESPONSE_IN_EVENT;
+    }
+    if (!b->ends_at_close || FW_FAULT("close-ends-streams")) {
+        return FW_RESPONSE_WHOLE;
+    }
+    if (b->events.line == FW_SSE_LINE_COMMENT) {
+        return FW_RESPONSE_IN_COMMENT;
+    }
+    return b->events.events ? FW_RESPONSE_WHOLE : FW_RESPONSE_BEFORE_EVENTS;
 }
 
 const char *
 Fw_ResponseEnd_Name(enum fw_response_end end)
 {
     static const char *const names[] = {
-        [FW_RESPONSE_WHOLE] = "whole", [FW_RESPONSE_IN_EVENT] = "in_event"};
+        [FW_RESPONSE_WHOLE] = "whole",
+        [FW_RESPONSE_IN_EVENT] = "in_event",
+        [FW_RESPONSE_IN_COMMENT] = "in_comment",
+        [FW_RESPONSE_BEFORE_EVENTS] = "before_events"};
 
     return names[end];
 }
--- a/src/relayd/relayd_internal.h
+++ b/src/relayd/relayd_internal.h
@@ -39,6 +39,7 @@
  * @buffered: hold the response back until it is complete, unless it exceeds
  *            the buffer
  * @is_streaming: the route's responses are event streams
+ * @has_no_body: the response has no body, whatever its head says
  * @response_started: the body is no longer buffered: it is forwarded to the
  *                    caller, or dropped when there is none
  * @complete: the response has been received in full
@@ -59,6 +60,7 @@
     GByteArray *body;
     int buffered;
     int is_streaming;
+    int has_no_body;
     int response_started;
     int complete;
     enum fw_http_framing framing;
--- a/src/relayd/upstream.c
+++ b/src/relayd/upstream.c
@@ -94,6 +94,9 @@
 {
     const struct fw_http_field *type = Fw_Http_FindField(h, "Content-Type");
     struct fw_response_form form = {.status = h->status,
+                                    .ends_at_close =
+                                        h->framing == FW_HTTP_UNTIL_CLOSE &&
+                                        !call->has_no_body,
                                     .is_route_streaming = call->is_streaming,
                                     .type = type ? type->value : NULL,
                                     .type_len = type ? type->value_len : 0};
@@ -298,8 +301,9 @@
     g_hash_table_insert(d->upstream_calls, &call->xid, call);
     if (from) {
         g_strlcpy(call->request_id, from->request_id, FW_ID_MAX);
-        opts.no_body =
+        call->has_no_body =
             answers_caller(call) && Fw_Http_MethodIs(from->head, "HEAD");
+        opts.no_body = call->has_no_body;
     }
     Fw_Platform_WriteUpstreamRequest(c, from ? from->head : NULL,
                                      from ? from->body : NULL,
--- a/tests/relayd/test_cut_streams.c
+++ b/tests/relayd/test_cut_streams.c
@@ -46,6 +46,27 @@
     return !inside;
 }
 
+/* Whether a line without its end is a comment. */
+static int
+ends_in_comment(const char *text)
+{
+    char *normal = normalize(text);
+    const char *last = strrchr(normal, '\n');
+    int inside = (last ? last[1] : normal[0]) == ':';
+
+    g_free(normal);
+    return inside;
+}
+
+/* A closed connection vouches neither for a comment nor for an empty stream.
+ */
+static int
+is_whole(const char *text, enum raw_framing framing)
+{
+    return ends_outside_events(text) &&
+           (framing != FW_RAW_CLOSE || (text[0] && !ends_in_comment(text)));
+}
+
 START_TEST(a_stream_is_complete_only_after_a_whole_event)
 {
     struct router_env env;
@@ -62,11 +83,11 @@
                             "Content-Type: text/event-stream\r\n",
                             (enum raw_framing)_i, body);
         Fw_RigConn_Expect(c, "\r\n\r\n");
-        ck_assert_msg(
-            g_str_has_prefix(c->received->str, ends_outside_events(body)
-                                                   ? "HTTP/1.1 200 "
-                                                   : "HTTP/1.1 502 "),
-            "%zu bytes: %s", n, c->received->str);
+        ck_assert_msg(g_str_has_prefix(c->received->str,
+                                       is_whole(body, (enum raw_framing)_i)
+                                           ? "HTTP/1.1 200 "
+                                           : "HTTP/1.1 502 "),
+                      "%zu bytes: %s", n, c->received->str);
         Fw_RigConn_Close(c);
         g_free(body);
     }
--- a/tests/relayd/test_empty_streams.c
+++ b/tests/relayd/test_empty_streams.c
@@ -85,6 +85,26 @@
 }
 END_TEST
 
+/* Guards against responses to HEAD that are taken for broken streams. */
+START_TEST(a_response_without_a_body_is_whole)
+{
+    struct router_env env;
+    struct raw_server raw;
+    struct rig_conn *c;
+
+    Fw_RouterEnv_InitAndStart(&env);
+    Fw_RawServer_Init(&raw, &env);
+    c = Fw_RouterEnv_SendRequest(&env, "HEAD /read/x", "");
+    Fw_RawServer_Answer(Fw_RawServer_NextRequest(&raw), "200 OK", FW_TYPE,
+                        FW_RAW_CLOSE, "");
+    Fw_RigConn_Expect(c, "\r\n\r\n");
+    ck_assert(g_str_has_prefix(c->received->str, "HTTP/1.1 200 "));
+    Fw_RigConn_Close(c);
+    Fw_RawServer_Free(&raw);
+    Fw_RouterEnv_Free(&env);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -93,5 +113,6 @@
     tcase_add_test(tc,
                    a_closed_connection_ends_no_stream_before_its_first_event);
     tcase_add_test(tc, a_server_may_end_a_stream_without_events);
+    tcase_add_test(tc, a_response_without_a_body_is_whole);
     return Fw_Suite_Run(tc);
 }
