Reset a response that its process leaves if only the connection ends it

A caller who speaks HTTP/1.0 got the first part of a stream as a whole answer when the instance was killed, exited, or closed its connections at the end of a stop: the kernel closes the connections of a process that ends, and such a caller has no other mark of the end than that.

Until a response of this kind has been sent in full, the connection is now set to be reset when it is closed, which the kernel does for a process that is killed as well; the setting is taken back before the sending side is shut down. Callers of HTTP/1.1 and answers with a length are not affected.

--- a/src/http/conn.c
+++ b/src/http/conn.c
@@ -31,6 +31,7 @@
  *       bytes
  * @sent_total: bytes that the kernel has accepted on this connection
  * @shutdown_pending: shut down the sending side when @out is empty
+ * @resets_at_close: the kernel resets the connection when it is closed
  * @closed: no further callbacks are made
  */
 struct fw_conn {
@@ -46,6 +47,7 @@
     int connected;
     int reading;
     int shutdown_pending;
+    int resets_at_close;
     int closed;
 };
 
@@ -75,6 +77,21 @@
     g_source_modify_unix_fd(&c->source, c->fd_tag, events);
 }
 
+static void
+set_reset_at_close(struct fw_conn *c, int on)
+{
+    struct linger l = {.l_onoff = on, .l_linger = 0};
+
+    c->resets_at_close = on;
+    setsockopt(g_socket_get_fd(c->sock), SOL_SOCKET, SO_LINGER, &l, sizeof(l));
+}
+
+void
+Fw_Conn_ResetUnlessShutdown(struct fw_conn *c)
+{
+    set_reset_at_close(c, 1);
+}
+
 static void
 close_conn(struct fw_conn *c, int err)
 {
@@ -139,6 +156,9 @@
         c->out_sent = 0;
     }
     if (c->shutdown_pending) {
+        if (c->resets_at_close) {
+            set_reset_at_close(c, 0);
+        }
         g_socket_shutdown(c->sock, FALSE, TRUE, NULL);
         c->shutdown_pending = 0;
     }
@@ -362,12 +382,9 @@
 void
 Fw_Conn_Free(struct fw_conn *c, int reset)
 {
-    struct linger hard = {.l_onoff = 1, .l_linger = 0};
-
     c->closed = 1;
     if (reset) {
-        setsockopt(g_socket_get_fd(c->sock), SOL_SOCKET, SO_LINGER, &hard,
-                   sizeof(hard));
+        set_reset_at_close(c, 1);
     }
     g_source_destroy(&c->source);
     g_socket_close(c->sock, NULL);
--- a/src/http/conn.h
+++ b/src/http/conn.h
@@ -57,6 +57,13 @@
 /* Sends or buffers a copy of @data; without effect after @closed. */
 void
 Fw_Conn_Write(struct fw_conn *c, const void *data, size_t len);
+/*
+ * Has the kernel reset the connection if it is closed before Fw_Conn_Shutdown
+ * has sent all data, also by the end of the process: for messages that end
+ * with the connection, of which a part would look complete.
+ */
+void
+Fw_Conn_ResetUnlessShutdown(struct fw_conn *c);
 /* Bytes written that the kernel has not accepted yet. */
 size_t
 Fw_Conn_Unsent(const struct fw_conn *c);
--- a/src/http/response.c
+++ b/src/http/response.c
@@ -49,7 +49,10 @@
     c->omit_body =
         Fw_Http_MethodIs(&c->head, "HEAD") || status == 204 || status == 304;
     c->chunked = length < 0 && !c->omit_body && c->head.minor >= 1;
-    c->close_after |= length < 0 && !c->omit_body && !c->chunked;
+    if (length < 0 && !c->omit_body && !c->chunked) {
+        c->close_after = 1;
+        Fw_Conn_ResetUnlessShutdown(c->conn);
+    }
     g_string_append_printf(out, "HTTP/1.1 %d %s\r\n%s", status,
                            Fw_Http_ReasonPhrase(status), fields);
     if (c->chunked) {
