Take the configuration for the newest only when all of its records are read

A read of the store's log may return a part of the records, up to its limit of bytes, and says where the log ends. The instance applied the part and took its configuration for the newest as of that read: a key whose withdrawal was among the rest was trusted for longer than it may be, up to its bound counted from the part, if the store stopped answering there.

The condition that should have kept partial reads out compared the time of the next request, which holds in either case. Now the end that the response names decides; of newest records that come in pages, the time of the first page counts, as later ones may miss what has been written since.

--- a/src/relayd/store_internal.h
+++ b/src/relayd/store_internal.h
@@ -25,6 +25,8 @@
  * @age_us: of a snapshot of the configuration: when its source knew it to be
  *          the newest, before the response; -1 if unknown
  * @sent_us: when the latest request was sent
+ * @first_sent_us: when the request was sent whose response, with those of the
+ *                 pages that followed, was applied last
  * @deadline_us: when the request in flight times out
  * @next_request_us: earliest time of the next request
  * @next_offset: first offset not read yet
@@ -49,6 +51,7 @@
     int64_t age_us;
     GByteArray *body;
     int64_t sent_us;
+    int64_t first_sent_us;
     int64_t deadline_us;
     int64_t next_request_us;
     uint64_t next_offset;
--- a/src/relayd/store_response.c
+++ b/src/relayd/store_response.c
@@ -87,6 +87,7 @@
 
     if (!tc->paging) {
         tc->snapshot_end = response->end_offset;
+        tc->first_sent_us = tc->sent_us;
         if (tc->snapshot) {
             Fw_PeerSnapshot_Begin(tc->snapshot, tc->snapshot_end);
         }
@@ -134,6 +135,7 @@
     Fw_StoreClient_ApplyRecords(tc->store->d, tc->topic, tc->snapshot,
                                 response, acts);
     tc->next_offset = response->next_offset;
+    tc->first_sent_us = tc->sent_us;
     tc->next_request_us = tc->next_offset < response->end_offset
                               ? 0
                               : tc->sent_us + tc->interval_us;
@@ -288,12 +290,12 @@
         handle_append(tc, response);
     }
     /*
-     * All records written before the read was sent are applied. The time of
-     * the response would be too late: it may have been delayed.
+     * All records written before the first request was sent are applied. The
+     * time of the response would be too late: it may have been delayed.
      */
     if (tc->topic == FW_TOPIC_CONFIG && !tc->paging &&
-        tc->next_request_us <= tc->sent_us + tc->interval_us) {
-        Fw_Relay_SetFreshAsOf(tc->store->d->relay, tc->sent_us);
+        tc->next_offset >= response->end_offset) {
+        Fw_Relay_SetFreshAsOf(tc->store->d->relay, tc->first_sent_us);
     }
 }
 
--- a/stand/wire/store.c
+++ b/stand/wire/store.c
@@ -134,10 +134,15 @@
 {
     struct topic *t = get_topic(s, topic);
     GString *out = g_string_new(NULL);
+    guint end = t->records->len;
 
+    if (s->mode == FW_WIRE_STORE_PARTIAL_READ && from + 1 < end) {
+        end = (guint)from + 1;
+        s->mode = FW_WIRE_STORE_UNRESPONSIVE;
+    }
     append_be(out, t->records->len, 8);
     append_be(out, t->first, 8);
-    for (guint i = (guint)from; i < t->records->len; i++) {
+    for (guint i = (guint)from; i < end; i++) {
         append_record_frame(out, g_ptr_array_index(t->records, i),
                             is_keyed(topic));
     }
--- a/stand/wire/wire.h
+++ b/stand/wire/wire.h
@@ -17,6 +17,8 @@
     FW_WIRE_STORE_UNAVAILABLE,  /* status 503, no effect */
     FW_WIRE_STORE_UNRESPONSIVE, /* no response, no effect */
     FW_WIRE_STORE_LOST_REPLIES, /* appends take effect, connection closed */
+    FW_WIRE_STORE_PARTIAL_READ, /* one read gets one record, then no response
+                                 */
 };
 
 struct fw_wire_store;
--- a/tests/relayd/test_relayd_store.c
+++ b/tests/relayd/test_relayd_store.c
@@ -1,6 +1,7 @@
 /* What the router takes from the platform's store, over real sockets. */
 #include <string.h>
 
+#include "http/conn.h"
 #include "relayd/store_internal.h"
 #include "tests/relayd/router_env.h"
 
@@ -48,6 +49,50 @@
 }
 END_TEST
 
+/* Whether no read is held open by the store. */
+static int
+is_refused(void *ctx)
+{
+    const struct router_env *env = ctx;
+    const struct fw_store_client *s = env->router->store;
+
+    return s->unreachable_since_us && !s->config.exchange;
+}
+
+static int
+has_read_one_record(void *ctx)
+{
+    const struct router_env *env = ctx;
+    const struct fw_topic_client *tc = &env->router->store->config;
+
+    return tc->next_offset ==
+           (uint64_t)Fw_WireStore_RecordCount(env->store, "keyed.op") - 1;
+}
+
+/* Guards against keys that are trusted though their withdrawal is unread. */
+START_TEST(a_part_of_the_records_is_not_the_newest_configuration)
+{
+    struct router_env env;
+    int64_t put_us;
+    int64_t now;
+
+    Fw_RouterEnv_InitAndStart(&env);
+    Fw_WireStore_SetMode(env.store, FW_WIRE_STORE_UNAVAILABLE);
+    Fw_Rig_RunUntil(is_refused, &env);
+    Fw_RouterEnv_PutConfig(&env, 2, FW_KEYS);
+    Fw_RouterEnv_PutConfig(&env, 3, "\"k2\"");
+    put_us = Fw_Conn_NowUs();
+    Fw_WireStore_SetMode(env.store, FW_WIRE_STORE_PARTIAL_READ);
+    Fw_Rig_RunUntil(has_read_one_record, &env);
+    now = Fw_Conn_NowUs();
+    ck_assert_int_gt(Fw_Relay_RulesAgeUs(env.router->relay, now),
+                     now - put_us);
+    Fw_WireStore_SetMode(env.store, FW_WIRE_STORE_NORMAL);
+    Fw_Rig_RunUntil(Fw_RouterEnv_IsRejected, &env);
+    Fw_RouterEnv_Free(&env);
+}
+END_TEST
+
 /*
  * The store executes appends but their responses are lost. Guards against
  * registrations repeated without end, and against reads that wait for them.
@@ -246,6 +291,7 @@
     tcase_set_timeout(tc, 30);
     tcase_add_test(tc, a_revoked_key_Fw_RouterEnv_IsRejected);
     tcase_add_loop_test(tc, keys_expire_while_the_store_is_unreachable, 0, 3);
+    tcase_add_test(tc, a_part_of_the_records_is_not_the_newest_configuration);
     tcase_add_test(tc, lost_store_responses_block_no_request);
     tcase_add_test(tc, published_instances_are_parsed);
     tcase_add_test(tc, a_restarted_instance_is_still_registered);
