Explore responses that are broken off, in each framing and type

Property broken-responses-are-not-whole: streams with events, comments and all three line ends, framed by length, chunks or close, with a type, another or none, on streaming routes and others; whole, closed, reset or ended early at any byte; decoded by the code of src/http in segments, and handed over by a second instance that may be killed meanwhile. What is expected comes from how the stream was made, not from a parser.

--- a/Makefile
+++ b/Makefile
@@ -68,7 +68,7 @@
 $(OUT)/fwstand: $(call OBJ,obj,$(STAND))
 $(OUT)/fwwire: $(call OBJ,obj,$(CORE) $(IO) $(WIRE))
 $(OUT)/fwload: $(call OBJ,obj,$(CORE) $(IO) $(LOAD))
-$(OUT)/explore: $(call OBJ,tst,$(CORE) $(EXPLORE))
+$(OUT)/explore: $(call OBJ,tst,$(CORE) $(EXPLORE) src/http/head.c src/http/body.c)
 $(OUT)/fwsoak: $(call OBJ,obj,$(CORE) $(call NOMAIN,$(IO)) \
                $(call NOMAIN,$(WIRE)) $(SOAK))
 $(PROGRAMS):
--- a/explore/p_relay.h
+++ b/explore/p_relay.h
@@ -37,6 +37,9 @@
 Fw_Explore_RelayCrashingParts(struct fw_run *run);
 void
 Fw_Explore_RelayCrashes(struct fw_run *run);
+/* response_ends.c */
+void
+Fw_Explore_ResponseEnds(struct fw_run *run);
 /* relay_freshness.c */
 void
 Fw_Explore_RelayFreshness(struct fw_run *run);
