Play unframed and untyped streams, and callers of HTTP/1.0, in the soak

Some of them now end their responses with the connection, and some name no type; streams may end before their first event, streams and texts may be reset; half of the streams are asked for with HTTP/1.0. Streams that break come from a group of faults of their own.

--- a/soak/callers.c
+++ b/soak/callers.c
@@ -105,6 +105,14 @@
                : relay;
 }
 
+/* Half of the streams are asked for with HTTP/1.0, with no mark of their end.
+ */
+static int
+http_minor(const struct soak_request *q)
+{
+    return q->kind < FW_SOAK_STREAM || q->soak->next_id % 2;
+}
+
 static void
 send_request(struct soak *s, int relay)
 {
@@ -134,10 +142,10 @@
                       FW_MSEC;
     }
     g_string_printf(head,
-                    "%s HTTP/1.1\r\nHost: demo.example\r\n"
+                    "%s HTTP/1.%d\r\nHost: demo.example\r\n"
                     "Authorization: Bearer k%d\r\nRequest-Id: %s\r\n"
                     "Deadline-Ms: %d\r\nContent-Length: 0\r\n%s",
-                    kinds[q->kind].line, q->key, q->id,
+                    kinds[q->kind].line, http_minor(q), q->key, q->id,
                     kinds[q->kind].deadline_ms, kinds[q->kind].fields);
     if (q->kind >= FW_SOAK_STREAM) {
         Fw_SoakCrashes_AppendParts(q, head);
--- a/soak/plan.c
+++ b/soak/plan.c
@@ -41,6 +41,8 @@
     FW_SERVER_ERROR,
     FW_SERVER_STALL,
     FW_SERVER_PARTIAL,
+    FW_SERVER_EMPTY,
+    FW_SERVER_BREAKS,
     FW_SERVER_LIMIT,
     FW_SERVER_REST,
     FW_SERVER_LEAVES,
@@ -51,20 +53,16 @@
 };
 
 static const char *const names[FW_FAULTS] = {
-    "stop",           "series of stops",
-    "kill",           "pause",
-    "reload",         "store silent",
-    "store one way",  "store delayed",
-    "store reset",    "store down",
-    "store mute",     "store loses answers",
-    "store forgets",  "server killed",
-    "server drains",  "server silent",
-    "server one way", "server delayed",
-    "server resets",  "server full",
-    "server errors",  "server stalls",
-    "server partial", "server limit",
-    "server rest",    "server leaves",
-    "key withdrawn",  "crashing part",
+    "stop",          "series of stops", "kill",
+    "pause",         "reload",          "store silent",
+    "store one way", "store delayed",   "store reset",
+    "store down",    "store mute",      "store loses answers",
+    "store forgets", "server killed",   "server drains",
+    "server silent", "server one way",  "server delayed",
+    "server resets", "server full",     "server errors",
+    "server stalls", "server partial",  "server empty",
+    "server breaks", "server limit",    "server rest",
+    "server leaves", "key withdrawn",   "crashing part",
     "crowd"};
 
 /** struct entry - a fault; @target: of the instances, or of the servers. */
@@ -78,13 +76,25 @@
 static int busy_servers[FW_SOAK_SERVERS];
 static int store_busy;
 
+/* An empty stream is not a broken one if its server marks its end. */
 static enum fw_wire_fault
-wire_fault(enum fault f)
+wire_fault(const struct soak_server *v, enum fault f)
 {
-    return f == FW_SERVER_FULL    ? FW_WIRE_FAULT_FULL
-           : f == FW_SERVER_ERROR ? FW_WIRE_FAULT_ERROR
-           : f == FW_SERVER_STALL ? FW_WIRE_FAULT_STALL
-                                  : FW_WIRE_FAULT_PARTIAL;
+    switch (f) {
+    case FW_SERVER_FULL:
+        return FW_WIRE_FAULT_FULL;
+    case FW_SERVER_ERROR:
+        return FW_WIRE_FAULT_ERROR;
+    case FW_SERVER_STALL:
+        return FW_WIRE_FAULT_STALL;
+    case FW_SERVER_BREAKS:
+        return FW_WIRE_FAULT_TRUNCATE;
+    case FW_SERVER_EMPTY:
+        return Fw_SoakWorld_IsFramed(v) ? FW_WIRE_FAULT_PARTIAL
+                                        : FW_WIRE_FAULT_EMPTY;
+    default:
+        return FW_WIRE_FAULT_PARTIAL;
+    }
 }
 
 static enum fw_proxy_mode
@@ -209,8 +219,10 @@
     case FW_SERVER_ERROR:
     case FW_SERVER_STALL:
     case FW_SERVER_PARTIAL:
+    case FW_SERVER_EMPTY:
+    case FW_SERVER_BREAKS:
         v->disturbed_us = FW_SOAK_ONGOING;
-        Fw_WireServer_SetFault(v->stand, wire_fault(e->fault),
+        Fw_WireServer_SetFault(v->stand, wire_fault(v, e->fault),
                                FW_FAULTED_REQUESTS);
         break;
     case FW_SERVER_KILL:
@@ -390,10 +402,11 @@
         enum fault last;
         int weight;
     } groups[] = {{FW_RELAY_TERM, FW_RELAY_RELOAD, 20},
-                  {FW_RELAY_STORE_SILENT, FW_RELAY_STORE_RESET, 12},
-                  {FW_STORE_DOWN, FW_STORE_FORGETS, 10},
-                  {FW_SERVER_KILL, FW_SERVER_PARTIAL, 24},
-                  {FW_SERVER_LIMIT, FW_SERVER_LEAVES, 20},
+                  {FW_RELAY_STORE_SILENT, FW_RELAY_STORE_RESET, 10},
+                  {FW_STORE_DOWN, FW_STORE_FORGETS, 8},
+                  {FW_SERVER_KILL, FW_SERVER_STALL, 18},
+                  {FW_SERVER_PARTIAL, FW_SERVER_BREAKS, 14},
+                  {FW_SERVER_LIMIT, FW_SERVER_LEAVES, 16},
                   {FW_KEY_WITHDRAWN, FW_KEY_WITHDRAWN, 6},
                   {FW_CRASHING_PART, FW_CROWD, 8}};
     int at = g_rand_int_range(s->rand, 0, 100);
@@ -406,6 +419,17 @@
                                         (int)groups[i].last + 1);
 }
 
+/* Only decode engines have streams to break off. */
+static int
+draw_target(struct soak *s, enum fault f)
+{
+    if (f >= FW_SERVER_PARTIAL && f <= FW_SERVER_BREAKS) {
+        return g_rand_int_range(s->rand, FW_SOAK_PREFILL, FW_SOAK_ENGINES);
+    }
+    return g_rand_int_range(
+        s->rand, 0, is_server_fault(f) ? FW_SOAK_SERVERS : s->n_relays);
+}
+
 void
 Fw_SoakPlan_Start(struct soak *s, int64_t ms)
 {
@@ -416,9 +440,7 @@
 
         e->soak = s;
         e->fault = draw_fault(s);
-        e->target = g_rand_int_range(
-            s->rand, 0,
-            is_server_fault(e->fault) ? FW_SOAK_SERVERS : s->n_relays);
+        e->target = draw_target(s, e->fault);
         e->for_ms = draw_duration(s, e->fault);
         g_timeout_add((guint)at, begin_fault, e);
         at += g_rand_int_range(s->rand, FW_GAP_MIN_MS, FW_GAP_MAX_MS);
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -14,6 +14,8 @@
 #include "stand/wire/wire.h"
 
 #define FW_SOAK_RELAYS_MAX 64
+/* The first engines are prefill engines, the others decode. */
+#define FW_SOAK_PREFILL 2
 #define FW_SOAK_ENGINES 5
 #define FW_SOAK_PLAIN 4
 #define FW_SOAK_SERVERS (FW_SOAK_ENGINES + FW_SOAK_PLAIN)
@@ -204,6 +206,9 @@
 /* Ends the server's process and starts it anew. */
 void
 Fw_SoakWorld_RestartServer(struct soak_server *v);
+/* Whether the server marks the end of its responses by a length or chunks. */
+int
+Fw_SoakWorld_IsFramed(const struct soak_server *v);
 void
 Fw_SoakWorld_PutConfig(struct soak *s, int with_k2);
 
--- a/src/http/http_internal.h
+++ b/src/http/http_internal.h
@@ -28,6 +28,7 @@
     size_t buffered_bytes; /* size of all request bodies */
     int draining;
     int close_after_response;
+    int unframed;
 };
 
 /**
--- a/src/http/response.c
+++ b/src/http/response.c
@@ -2,6 +2,7 @@
 #include <inttypes.h>
 #include <string.h>
 
+#include "base/fault.h"
 #include "http/http_internal.h"
 
 const char *
@@ -48,10 +49,13 @@
     c->close_after |= c->server->draining || c->server->close_after_response;
     c->omit_body =
         Fw_Http_MethodIs(&c->head, "HEAD") || status == 204 || status == 304;
-    c->chunked = length < 0 && !c->omit_body && c->head.minor >= 1;
+    c->chunked = length < 0 && !c->omit_body && c->head.minor >= 1 &&
+                 !c->server->unframed;
     if (length < 0 && !c->omit_body && !c->chunked) {
         c->close_after = 1;
-        Fw_Conn_ResetUnlessShutdown(c->conn);
+        if (!FW_FAULT("ended-process-not-reset")) {
+            Fw_Conn_ResetUnlessShutdown(c->conn);
+        }
     }
     g_string_append_printf(out, "HTTP/1.1 %d %s\r\n%s", status,
                            Fw_Http_ReasonPhrase(status), fields);
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -121,6 +121,12 @@
     s->close_after_response = on;
 }
 
+void
+Fw_Server_SetUnframed(struct fw_http_server *s, int on)
+{
+    s->unframed = on;
+}
+
 void
 Fw_Server_CloseIdle(struct fw_http_server *s)
 {
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -92,6 +92,12 @@
  */
 void
 Fw_Server_SetCloseAfterResponse(struct fw_http_server *s, int on);
+/*
+ * While @on is set, the end of the connection ends each response whose length
+ * is unknown, as it does for callers who speak HTTP/1.0.
+ */
+void
+Fw_Server_SetUnframed(struct fw_http_server *s, int on);
 /* Closes the connections on which no request has started. */
 void
 Fw_Server_CloseIdle(struct fw_http_server *s);
--- a/stand/wire/internal.h
+++ b/stand/wire/internal.h
@@ -66,6 +66,7 @@
     GList *runs;
     GString *last_head;
     enum fw_wire_fault fault;
+    enum fw_wire_framing framing;
     int faults_left;
     int fault_triggered;
     int started_count;
--- a/stand/wire/main.c
+++ b/stand/wire/main.c
@@ -14,7 +14,10 @@
 static const struct argp_option options[] = {
     {"port", 'p', "PORT", 0, "Port of the store, 0 for any", 0},
     {"fault", 'f', "NAME", 0,
-     "Fault injected into each request: full, fail, reset, break, stall", 0},
+     "Fault injected into each request: full, fail, reset, break, partial, "
+     "empty, "
+     "stall",
+     0},
     {0},
 };
 
@@ -36,7 +39,8 @@
     } faults[] = {
         {"full", FW_WIRE_FAULT_FULL},       {"fail", FW_WIRE_FAULT_ERROR},
         {"reset", FW_WIRE_FAULT_RESET},     {"break", FW_WIRE_FAULT_TRUNCATE},
-        {"partial", FW_WIRE_FAULT_PARTIAL}, {"stall", FW_WIRE_FAULT_STALL}};
+        {"partial", FW_WIRE_FAULT_PARTIAL}, {"empty", FW_WIRE_FAULT_EMPTY},
+        {"stall", FW_WIRE_FAULT_STALL}};
 
     for (size_t i = 0; i < G_N_ELEMENTS(faults); i++) {
         if (strcmp(faults[i].name, name) == 0) {
--- a/stand/wire/run.c
+++ b/stand/wire/run.c
@@ -35,10 +35,11 @@
 {
     GString *fields = g_string_new(NULL);
 
-    g_string_printf(fields,
-                    "Request-Id: %s\r\nServer-Stamp: %s.1\r\n"
-                    "Content-Type: %s\r\n",
-                    r->id, r->server->id, type);
+    g_string_printf(fields, "Request-Id: %s\r\nServer-Stamp: %s.1\r\n", r->id,
+                    r->server->id);
+    if (r->server->framing != FW_WIRE_CLOSE_UNTYPED) {
+        g_string_append_printf(fields, "Content-Type: %s\r\n", type);
+    }
     Fw_Wire_AppendOwnFields(r->server, fields);
     return g_string_free(fields, FALSE);
 }
@@ -93,12 +94,46 @@
     g_free(name);
 }
 
+static void
+start_stream(struct run *r)
+{
+    char *fields = response_fields(r, "text/event-stream");
+
+    Fw_Caller_Start(r->caller, 200, fields, -1);
+    g_free(fields);
+    if (r->fault == FW_WIRE_FAULT_EMPTY) {
+        Fw_Caller_End(r->caller);
+        Fw_Wire_EndRun(r);
+        return;
+    }
+    r->timer =
+        g_timeout_add((guint)r->server->opts.event_interval_ms, send_event, r);
+}
+
+static void
+answer_text(struct run *r)
+{
+    static const char text[] = "the answer";
+    char *fields = response_fields(r, "text/plain");
+    size_t len = strlen(text);
+    int is_framed = r->server->framing == FW_WIRE_FRAMED;
+
+    Fw_Caller_Start(r->caller, r->fault == FW_WIRE_FAULT_ERROR ? 500 : 200,
+                    fields, is_framed ? (int64_t)len : -1);
+    g_free(fields);
+    if (r->fault == FW_WIRE_FAULT_TRUNCATE) {
+        Fw_Caller_Data(r->caller, text, len / 2);
+        Fw_Caller_Abort(r->caller);
+        return;
+    }
+    Fw_Caller_Data(r->caller, text, len);
+    Fw_Caller_End(r->caller);
+}
+
 static gboolean
 start_response(gpointer data)
 {
     struct run *r = data;
-    struct fw_wire_server *s = r->server;
-    char *fields;
 
     r->timer = 0;
     if (r->fault == FW_WIRE_FAULT_RESET) {
@@ -112,17 +147,10 @@
         return G_SOURCE_REMOVE;
     }
     if (r->event_count) {
-        fields = response_fields(r, "text/event-stream");
-        Fw_Caller_Start(r->caller, 200, fields, -1);
-        g_free(fields);
-        r->timer =
-            g_timeout_add((guint)s->opts.event_interval_ms, send_event, r);
+        start_stream(r);
         return G_SOURCE_REMOVE;
     }
-    fields = response_fields(r, "text/plain");
-    Fw_Caller_Respond(r->caller, r->fault == FW_WIRE_FAULT_ERROR ? 500 : 200,
-                      fields, "the answer");
-    g_free(fields);
+    answer_text(r);
     Fw_Wire_EndRun(r);
     return G_SOURCE_REMOVE;
 }
--- a/stand/wire/server.c
+++ b/stand/wire/server.c
@@ -248,6 +248,14 @@
     s->faults_left = n;
 }
 
+void
+Fw_WireServer_SetFraming(struct fw_wire_server *s,
+                         enum fw_wire_framing framing)
+{
+    s->framing = framing;
+    Fw_Server_SetUnframed(s->http, framing != FW_WIRE_FRAMED);
+}
+
 void
 Fw_WireServer_SetLimit(struct fw_wire_server *s, const char *limit)
 {
--- a/stand/wire/wire.h
+++ b/stand/wire/wire.h
@@ -55,10 +55,18 @@
     FW_WIRE_FAULT_FULL,     /* rejects it with 503 and Not-Executed */
     FW_WIRE_FAULT_ERROR,    /* answers 500, if it is not a stream */
     FW_WIRE_FAULT_RESET,    /* runs it and closes the connection */
-    FW_WIRE_FAULT_TRUNCATE, /* closes the connection after three events */
+    FW_WIRE_FAULT_TRUNCATE, /* resets it after three events, or half a text */
     FW_WIRE_FAULT_MOVED,    /* rejects it with 421 and Not-Executed */
     FW_WIRE_FAULT_STALL,    /* starts it and never answers */
     FW_WIRE_FAULT_PARTIAL,  /* ends the response inside the fourth event */
+    FW_WIRE_FAULT_EMPTY,    /* ends a stream before its first event */
+};
+
+/** enum fw_wire_framing - how a server marks the end of its responses. */
+enum fw_wire_framing {
+    FW_WIRE_FRAMED,        /* by chunks or a length */
+    FW_WIRE_CLOSE,         /* by the end of the connection */
+    FW_WIRE_CLOSE_UNTYPED, /* the same, and names no Content-Type */
 };
 
 /**
@@ -119,6 +127,10 @@
 void
 Fw_WireServer_SetFault(struct fw_wire_server *s, enum fw_wire_fault fault,
                        int n);
+/* How the server frames its runs; FW_WIRE_FRAMED at first. */
+void
+Fw_WireServer_SetFraming(struct fw_wire_server *s,
+                         enum fw_wire_framing framing);
 /* All responses of the server name @limit; NULL for none. */
 void
 Fw_WireServer_SetLimit(struct fw_wire_server *s, const char *limit);
