Take a page of newest records that is empty but not the last for malformed

The store says with HasMore that a list goes on. A page without records that says so was taken for the end of the list: a server list that was cut there would drop all servers after it, as no longer listed.

--- a/tests/platform/test_platform.c
+++ b/tests/platform/test_platform.c
@@ -398,6 +398,32 @@
 }
 END_TEST
 
+static const struct {
+    const char *body;
+    int rc;
+} newest_pages[] = {
+    {"{\"items\":[],\"HasMore\":false,\"EndOffset\":3}", 0},
+    {"{\"items\":[{\"Key\":\"a\",\"Value\":\"eA==\",\"Offset\":1}],"
+     "\"HasMore\":true,\"EndOffset\":3}",
+     0},
+    {"{\"items\":[],\"HasMore\":true,\"EndOffset\":3}", -EBADMSG},
+    {"{\"items\":[],\"HasMore\":false,\"EndOff", -EBADMSG},
+    {"", -EBADMSG},
+};
+
+/* Guards against servers that are dropped as the rest of a list is missing. */
+START_TEST(an_empty_page_does_not_end_a_list_that_goes_on)
+{
+    struct fw_store_response r;
+
+    ck_assert_int_eq(
+        Fw_Platform_ParseNewestResponse(200, newest_pages[_i].body,
+                                        strlen(newest_pages[_i].body), &r),
+        newest_pages[_i].rc);
+    Fw_Platform_ClearStoreResponse(&r);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -421,5 +447,7 @@
     tcase_add_loop_test(tc, evacuations_are_parsed, 0,
                         G_N_ELEMENTS(evacuation_cases));
     tcase_add_test(tc, appended_records_are_read_back);
+    tcase_add_loop_test(tc, an_empty_page_does_not_end_a_list_that_goes_on, 0,
+                        G_N_ELEMENTS(newest_pages));
     return Fw_Suite_Run(tc);
 }
