Have the soak's servers frame responses by turns, and be down after a crash

The platform's servers are back after some seconds; the soak's are after two, and refuse connections meanwhile. The checks are unchanged.

--- a/soak/callers.c
+++ b/soak/callers.c
@@ -86,8 +86,8 @@
 draw_kind(struct soak *s)
 {
     static const enum soak_kind drawn[] = {
-        FW_SOAK_READ,  FW_SOAK_READ,   FW_SOAK_READ,  FW_SOAK_ORDER,
-        FW_SOAK_ORDER, FW_SOAK_PUBLIC, FW_SOAK_STREAM};
+        FW_SOAK_READ,  FW_SOAK_READ,   FW_SOAK_READ,   FW_SOAK_ORDER,
+        FW_SOAK_ORDER, FW_SOAK_PUBLIC, FW_SOAK_STREAM, FW_SOAK_STREAM};
 
     if (!s->is_final && g_rand_int_range(s->rand, 0, 100) == 0) {
         return FW_SOAK_LEFT_STREAM;
--- a/soak/crashes.c
+++ b/soak/crashes.c
@@ -4,6 +4,8 @@
 #define FW_CULPRITS_PER_S 4
 /* An engine that begins to run such a request ends after this time. */
 #define FW_CRASH_DELAY_MS 50
+/* Time for which a crashed engine is down. */
+#define FW_DOWN_MS 2000
 /* Crashes after which only a few more requests may reach engines, and when. */
 #define FW_CRASHES_MAX 5
 #define FW_STABLE_US (3 * FW_SEC)
@@ -59,14 +61,27 @@
 }
 
 static gboolean
-crash(gpointer data)
+start_again(gpointer data)
 {
     struct soak_server *v = data;
 
     v->crash_timer = 0;
+    Fw_SoakWorld_RestartServer(v);
     v->disturbed_us = Fw_Soak_NowUs();
+    return G_SOURCE_REMOVE;
+}
+
+static gboolean
+crash(gpointer data)
+{
+    struct soak_server *v = data;
+
+    v->disturbed_us = FW_SOAK_ONGOING;
     Fw_Soak_Log(v->soak, "crash of %s", v->opts->id);
-    Fw_SoakWorld_RestartServer(v);
+    Fw_Proxy_SetMode(v->proxy, FW_PROXY_REFUSE);
+    Fw_Proxy_ResetAll(v->proxy);
+    v->is_down = 1;
+    v->crash_timer = g_timeout_add(FW_DOWN_MS, start_again, v);
     return G_SOURCE_REMOVE;
 }
 
--- a/soak/plan.c
+++ b/soak/plan.c
@@ -76,9 +76,8 @@
 static int busy_servers[FW_SOAK_SERVERS];
 static int store_busy;
 
-/* An empty stream is not a broken one if its server marks its end. */
 static enum fw_wire_fault
-wire_fault(const struct soak_server *v, enum fault f)
+wire_fault(enum fault f)
 {
     switch (f) {
     case FW_SERVER_FULL:
@@ -90,8 +89,7 @@
     case FW_SERVER_BREAKS:
         return FW_WIRE_FAULT_TRUNCATE;
     case FW_SERVER_EMPTY:
-        return Fw_SoakWorld_IsFramed(v) ? FW_WIRE_FAULT_PARTIAL
-                                        : FW_WIRE_FAULT_EMPTY;
+        return FW_WIRE_FAULT_EMPTY;
     default:
         return FW_WIRE_FAULT_PARTIAL;
     }
@@ -222,7 +220,7 @@
     case FW_SERVER_EMPTY:
     case FW_SERVER_BREAKS:
         v->disturbed_us = FW_SOAK_ONGOING;
-        Fw_WireServer_SetFault(v->stand, wire_fault(v, e->fault),
+        Fw_WireServer_SetFault(v->stand, wire_fault(e->fault),
                                FW_FAULTED_REQUESTS);
         break;
     case FW_SERVER_KILL:
@@ -235,7 +233,9 @@
         break;
     default:
         v->disturbed_us = FW_SOAK_ONGOING;
-        Fw_Proxy_SetMode(v->proxy, proxy_mode(e->fault));
+        if (!v->is_down) {
+            Fw_Proxy_SetMode(v->proxy, proxy_mode(e->fault));
+        }
         break;
     }
     if (v->limit_us == now) {
@@ -267,8 +267,10 @@
         break;
     default:
         Fw_WireServer_SetFault(v->stand, FW_WIRE_FAULT_NONE, 0);
-        Fw_Proxy_SetMode(v->proxy, FW_PROXY_PASS);
-        v->disturbed_us = Fw_Soak_NowUs();
+        if (!v->is_down) {
+            Fw_Proxy_SetMode(v->proxy, FW_PROXY_PASS);
+            v->disturbed_us = Fw_Soak_NowUs();
+        }
         break;
     }
     busy_servers[e->target % FW_SOAK_SERVERS] = 0;
--- a/soak/proxy.c
+++ b/soak/proxy.c
@@ -37,8 +37,9 @@
 };
 
 struct fw_proxy {
-    GSocket *listener;
+    GSocket *listener; /* NULL while it refuses connections */
     GSource *source;
+    int port;
     char target[FW_URL_MAX];
     enum fw_proxy_mode mode;
     struct fw_list pairs;
@@ -179,27 +180,55 @@
     return G_SOURCE_CONTINUE;
 }
 
-struct fw_proxy *
-Fw_Proxy_New(const char *target)
+static int
+bound_port(GSocket *listener)
+{
+    GSocketAddress *at = g_socket_get_local_address(listener, NULL);
+    int port = g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(at));
+
+    g_object_unref(at);
+    return port;
+}
+
+/* Listens on @port, 0 for a free one. */
+static void
+start_listening(struct fw_proxy *p, int port)
 {
-    struct fw_proxy *p = g_new0(struct fw_proxy, 1);
     GSocketAddress *addr =
-        g_inet_socket_address_new_from_string("127.0.0.1", 0);
+        g_inet_socket_address_new_from_string("127.0.0.1", (guint)port);
 
-    Fw_List_Init(&p->pairs);
-    Fw_Proxy_SetTarget(p, target);
     p->listener = g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
                                G_SOCKET_PROTOCOL_TCP, NULL);
     g_socket_set_blocking(p->listener, FALSE);
     g_socket_set_listen_backlog(p->listener, FW_BACKLOG);
     if (!g_socket_bind(p->listener, addr, TRUE, NULL) ||
         !g_socket_listen(p->listener, NULL)) {
-        g_error("cannot listen on a free port of 127.0.0.1");
+        g_error("cannot listen on port %d of 127.0.0.1", port);
     }
     g_object_unref(addr);
+    p->port = bound_port(p->listener);
     p->source = g_socket_create_source(p->listener, G_IO_IN, NULL);
     g_source_set_callback(p->source, G_SOURCE_FUNC(on_connection), p, NULL);
     g_source_attach(p->source, NULL);
+}
+
+static void
+stop_listening(struct fw_proxy *p)
+{
+    g_source_destroy(p->source);
+    g_source_unref(p->source);
+    g_socket_close(p->listener, NULL);
+    g_clear_object(&p->listener);
+}
+
+struct fw_proxy *
+Fw_Proxy_New(const char *target)
+{
+    struct fw_proxy *p = g_new0(struct fw_proxy, 1);
+
+    Fw_List_Init(&p->pairs);
+    Fw_Proxy_SetTarget(p, target);
+    start_listening(p, 0);
     p->flush_timer = g_timeout_add(FW_FLUSH_INTERVAL_MS, flush_all, p);
     return p;
 }
@@ -209,21 +238,16 @@
 {
     Fw_Proxy_ResetAll(p);
     g_source_remove(p->flush_timer);
-    g_source_destroy(p->source);
-    g_source_unref(p->source);
-    g_socket_close(p->listener, NULL);
-    g_object_unref(p->listener);
+    if (p->listener) {
+        stop_listening(p);
+    }
     g_free(p);
 }
 
 int
 Fw_Proxy_Port(const struct fw_proxy *p)
 {
-    GSocketAddress *at = g_socket_get_local_address(p->listener, NULL);
-    int port = g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(at));
-
-    g_object_unref(at);
-    return port;
+    return p->port;
 }
 
 void
@@ -237,6 +261,12 @@
 {
     struct fw_list *pos;
 
+    if (mode == FW_PROXY_REFUSE && p->listener) {
+        stop_listening(p);
+    }
+    else if (mode != FW_PROXY_REFUSE && !p->listener) {
+        start_listening(p, p->port);
+    }
     p->mode = mode;
     FW_LIST_EACH (pos, &p->pairs) {
         struct pair *pair = FW_LIST_ENTRY(pos, struct pair, link);
--- a/soak/proxy.h
+++ b/soak/proxy.h
@@ -13,6 +13,7 @@
     FW_PROXY_DELAY,   /* passed on after a delay */
     FW_PROXY_SILENT,  /* held back in both directions */
     FW_PROXY_ONE_WAY, /* responses are held back */
+    FW_PROXY_REFUSE,  /* refuses new connections */
 };
 
 struct fw_proxy;
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -61,6 +61,7 @@
  * @rests: it rejects all requests and asks for rest
  * @arrivals: arrivals while it names a limit, of struct soak_arrival
  * @crash_timer: it is about to crash, 0 if not
+ * @is_down: it has crashed and has not been started again
  * @told_us: by relay, when that first passed on a response with the limit
  * @rest_us: by relay, when it was last asked for rest, 0 for not
  * @rest_arrivals: by relay, arrivals since then
@@ -77,6 +78,7 @@
     double limit;
     int rests;
     guint crash_timer;
+    int is_down;
     GArray *arrivals;
     int64_t told_us[FW_SOAK_RELAYS_MAX];
     int64_t rest_us[FW_SOAK_RELAYS_MAX];
@@ -206,9 +208,6 @@
 /* Ends the server's process and starts it anew. */
 void
 Fw_SoakWorld_RestartServer(struct soak_server *v);
-/* Whether the server marks the end of its responses by a length or chunks. */
-int
-Fw_SoakWorld_IsFramed(const struct soak_server *v);
 void
 Fw_SoakWorld_PutConfig(struct soak *s, int with_k2);
 
--- a/soak/world.c
+++ b/soak/world.c
@@ -15,18 +15,6 @@
     {"s4", "desk", "a", "", 8, 0, 0, 1, 0},
 };
 
-/* By server, in the order of their options. */
-static const enum fw_wire_framing framings[FW_SOAK_SERVERS] = {
-    FW_WIRE_FRAMED, FW_WIRE_FRAMED,        FW_WIRE_FRAMED,
-    FW_WIRE_CLOSE,  FW_WIRE_CLOSE_UNTYPED, FW_WIRE_FRAMED,
-    FW_WIRE_FRAMED, FW_WIRE_CLOSE,         FW_WIRE_CLOSE_UNTYPED};
-
-int
-Fw_SoakWorld_IsFramed(const struct soak_server *v)
-{
-    return framings[v - v->soak->servers] == FW_WIRE_FRAMED;
-}
-
 static void
 start_server(struct soak_server *v)
 {
@@ -34,7 +22,7 @@
     char addr[FW_URL_MAX];
 
     v->stand = Fw_WireServer_New(s->store, "127.0.0.1:0", v->opts);
-    Fw_WireServer_SetFraming(v->stand, framings[v - s->servers]);
+    Fw_WireServer_SetFraming(v->stand, FW_WIRE_BY_TURNS);
     Fw_WireServer_SetObserver(v->stand, Fw_SoakCheck_ServerEvent, v);
     if (!v->proxy) {
         v->proxy = Fw_Proxy_New(Fw_WireServer_Addr(v->stand));
@@ -47,6 +35,14 @@
 void
 Fw_SoakWorld_RestartServer(struct soak_server *v)
 {
+    if (v->crash_timer) {
+        g_source_remove(v->crash_timer);
+        v->crash_timer = 0;
+    }
+    if (v->is_down) {
+        v->is_down = 0;
+        Fw_Proxy_SetMode(v->proxy, FW_PROXY_PASS);
+    }
     Fw_Proxy_ResetAll(v->proxy);
     Fw_WireServer_Free(v->stand);
     v->draining_us = 0;
--- a/stand/wire/internal.h
+++ b/stand/wire/internal.h
@@ -15,6 +15,7 @@
  * @event_count: events of the stream; 0 if the response is not a stream
  * @tokens: KV tokens that it occupies
  * @prefill: nonzero for a prefill request
+ * @framing: of its response
  */
 struct run {
     struct fw_wire_server *server;
@@ -24,6 +25,7 @@
     int event_count;
     int64_t tokens;
     int prefill;
+    enum fw_wire_framing framing;
     char id[FW_ID_MAX];
     enum fw_wire_fault fault;
 };
--- a/stand/wire/run.c
+++ b/stand/wire/run.c
@@ -37,7 +37,7 @@
 
     g_string_printf(fields, "Request-Id: %s\r\nServer-Stamp: %s.1\r\n", r->id,
                     r->server->id);
-    if (r->server->framing != FW_WIRE_CLOSE_UNTYPED) {
+    if (r->framing != FW_WIRE_CLOSE_UNTYPED) {
         g_string_append_printf(fields, "Content-Type: %s\r\n", type);
     }
     Fw_Wire_AppendOwnFields(r->server, fields);
@@ -57,7 +57,9 @@
         Fw_Wire_EndRun(r);
         return G_SOURCE_REMOVE;
     }
-    if (r->fault == FW_WIRE_FAULT_PARTIAL && r->next_event == 3) {
+    if ((r->fault == FW_WIRE_FAULT_PARTIAL ||
+         r->fault == FW_WIRE_FAULT_EMPTY) &&
+        r->next_event == 3) {
         r->timer = 0;
         Fw_Caller_Data(r->caller, partial_event, strlen(partial_event));
         Fw_Caller_End(r->caller);
@@ -94,14 +96,23 @@
     g_free(name);
 }
 
+static enum fw_wire_framing
+next_framing(const struct fw_wire_server *s)
+{
+    return s->framing == FW_WIRE_BY_TURNS
+               ? (enum fw_wire_framing)(s->started_count % FW_WIRE_FRAMINGS)
+               : s->framing;
+}
+
 static void
 start_stream(struct run *r)
 {
     char *fields = response_fields(r, "text/event-stream");
 
+    Fw_Server_SetUnframed(r->server->http, r->framing != FW_WIRE_FRAMED);
     Fw_Caller_Start(r->caller, 200, fields, -1);
     g_free(fields);
-    if (r->fault == FW_WIRE_FAULT_EMPTY) {
+    if (r->fault == FW_WIRE_FAULT_EMPTY && r->framing != FW_WIRE_FRAMED) {
         Fw_Caller_End(r->caller);
         Fw_Wire_EndRun(r);
         return;
@@ -116,8 +127,9 @@
     static const char text[] = "the answer";
     char *fields = response_fields(r, "text/plain");
     size_t len = strlen(text);
-    int is_framed = r->server->framing == FW_WIRE_FRAMED;
+    int is_framed = r->framing == FW_WIRE_FRAMED;
 
+    Fw_Server_SetUnframed(r->server->http, !is_framed);
     Fw_Caller_Start(r->caller, r->fault == FW_WIRE_FAULT_ERROR ? 500 : 200,
                     fields, is_framed ? (int64_t)len : -1);
     g_free(fields);
@@ -262,6 +274,7 @@
         r->fault = fault;
         r->tokens = tokens;
         r->prefill = prefill;
+        r->framing = next_framing(s);
         r->event_count = s->stage[0] && !prefill
                              ? (int)((out_tokens + FW_TOKENS_PER_EVENT - 1) /
                                      FW_TOKENS_PER_EVENT)
--- a/stand/wire/server.c
+++ b/stand/wire/server.c
@@ -253,7 +253,6 @@
                          enum fw_wire_framing framing)
 {
     s->framing = framing;
-    Fw_Server_SetUnframed(s->http, framing != FW_WIRE_FRAMED);
 }
 
 void
--- a/stand/wire/wire.h
+++ b/stand/wire/wire.h
@@ -59,7 +59,8 @@
     FW_WIRE_FAULT_MOVED,    /* rejects it with 421 and Not-Executed */
     FW_WIRE_FAULT_STALL,    /* starts it and never answers */
     FW_WIRE_FAULT_PARTIAL,  /* ends the response inside the fourth event */
-    FW_WIRE_FAULT_EMPTY,    /* ends a stream before its first event */
+    FW_WIRE_FAULT_EMPTY,    /* ends an unframed stream before its first event,
+                               and others like FW_WIRE_FAULT_PARTIAL */
 };
 
 /** enum fw_wire_framing - how a server marks the end of its responses. */
@@ -67,6 +68,8 @@
     FW_WIRE_FRAMED,        /* by chunks or a length */
     FW_WIRE_CLOSE,         /* by the end of the connection */
     FW_WIRE_CLOSE_UNTYPED, /* the same, and names no Content-Type */
+    FW_WIRE_FRAMINGS,
+    FW_WIRE_BY_TURNS = FW_WIRE_FRAMINGS, /* each of the above in turn */
 };
 
 /**
