--- a/src/decide/response_end.c
+++ b/src/decide/response_end.c
@@ -58,8 +58,8 @@
 
 /*
  * A stream that ends inside an event is broken off whatever its framing says.
- * The framing vouches for the rest, unless it is the end of the connection,
- * which a crash of the server brings about as well.
+ * Otherwise a length or chunks show that it is whole. The end of a connection
+ * does not: a crash of the server causes it as well.
  */
 enum fw_response_end
 Fw_ResponseBody_End(const struct fw_response_body *b)
--- a/src/http/http_internal.h
+++ b/src/http/http_internal.h
@@ -18,6 +18,7 @@
     FW_CALLER_LINGER,   /* response sent, discarding input */
 };
 
+/** struct fw_http_server - @unframed: see Fw_Server_SetUnframed. */
 struct fw_http_server {
     const struct fw_http_ops *ops;
     void *ctx;
--- a/tests/relayd/test_cut_streams.c
+++ b/tests/relayd/test_cut_streams.c
@@ -58,8 +58,7 @@
     return inside;
 }
 
-/* A closed connection vouches neither for a comment nor for an empty stream.
- */
+/* A closed connection ends no comment and no stream without events. */
 static int
 is_whole(const char *text, enum raw_framing framing)
 {
