Fetch a changed server list without waiting for the interval of polls

Of servers that leave closely after each other the later one waited for the first one's 700 ms.

Failed before: a_second_change_of_the_list_does_not_wait_for_a_poll (timed out).

--- a/src/relayd/store_response.c
+++ b/src/relayd/store_response.c
@@ -12,6 +12,12 @@
 
 /* Mean delay of a retry; drawn from half to one and a half of it. */
 #define FW_STORE_RETRY_US (250 * FW_MSEC)
+/*
+ * Shortest interval between two snapshots of a topic, each of which another
+ * instance has announced. Servers that leave one after the other must not
+ * wait for each other, as they would for the interval of polls of the store.
+ */
+#define FW_SNAPSHOT_INTERVAL_US (100 * FW_MSEC)
 /* Interval of reads of the instances while this one is isolated. */
 #define FW_INSTANCES_INTERVAL_US (3 * FW_SEC)
 
@@ -202,7 +208,8 @@
         response->end_offset == tc->next_offset) {
         Fw_Relay_SetFreshAsOf(tc->store->d->relay, tc->sent_us - tc->age_us);
     }
-    tc->next_request_us = tc->sent_us + tc->interval_us;
+    tc->next_request_us =
+        tc->sent_us + MIN(tc->interval_us, FW_SNAPSHOT_INTERVAL_US);
 }
 
 /* The next request for the topic goes to the store. */
