Reset connections of the soak's proxy whose data was held back when they ended

Each time the proxy before an engine had just begun to hold its data back: when the engine closed its connection at the end of a stream, the proxy dropped what it held and closed the other side properly, inside the stream and between two events. TCP delivers no end before the data, so a router can't meet this; it shows only since servers end responses with their connection. The proxy resets it now.

--- a/soak/proxy.c
+++ b/soak/proxy.c
@@ -113,18 +113,22 @@
     }
 }
 
-/* What was received before the end is passed on first. */
+/*
+ * What was received before the end is passed on first. A connection whose data
+ * is held back is reset, as TCP delivers no end before the data.
+ */
 static void
 on_closed(void *ctx, int err)
 {
     struct end *e = ctx;
     struct pair *p = e->pair;
+    int is_lost = err || is_held(p->proxy, e->side);
 
-    if (!err && !is_held(p->proxy, e->side)) {
+    if (!is_lost) {
         on_data(ctx);
         flush_delayed(p, e->side, INT64_MAX);
     }
-    pair_free(p, err != 0);
+    pair_free(p, is_lost);
 }
 
 static const struct fw_conn_ops ops = {.data = on_data, .closed = on_closed};
