--- a/soak/plan.c
+++ b/soak/plan.c
@@ -157,6 +157,9 @@
 
     if (e->fault == FW_RELAY_PAUSE) {
         Fw_SoakRelay_Signal(r, SIGCONT);
+        if (r->term_us) {
+            r->term_us = Fw_Soak_NowUs(); /* it gets the signal now */
+        }
     }
     else if (e->fault >= FW_RELAY_STORE_SILENT &&
              e->fault <= FW_RELAY_STORE_DELAY) {
