Sum up the demand for services by rank over all instances

No instance knew what callers asked of others, or what waited there, so no decision could weigh it. Each instance now keeps the offered load and the backlog of each service and rank. A leaf reports its own to its hub, hubs exchange the sums of themselves and their leaves, and a leaf gets the sums of all others, in a message of a new type that earlier versions ignore.

Messages are sent at most once per digest period, for services with engines whose requests have several ranks while [policy] precedence is on, and for plain services while [policy] admission is forecast.

--- a/src/demand/demand.h
+++ b/src/demand/demand.h
@@ -6,6 +6,7 @@
 #ifndef FW_DEMAND_DEMAND_H
 #define FW_DEMAND_DEMAND_H
 
+#include <glib.h>
 #include <stdint.h>
 
 /* Ranks of requests: 0 is the most urgent. */
@@ -18,20 +19,49 @@
  * @asked: requests a second, a mean over about a second
  * @asked_tokens: KV cache tokens a second that these are expected to need; 0
  *     for plain services
+ * @asked_squares: sum of the squares of these numbers of tokens, a second; the
+ *     variance of the tokens asked for in a second if requests are independent
  * @waiting: requests that are queued
  * @waiting_tokens: KV cache tokens that these are expected to need
  */
 struct fw_demand_sum {
     double asked;
     double asked_tokens;
+    double asked_squares;
     int64_t waiting;
     int64_t waiting_tokens;
 };
 
+/** enum fw_demand_scope - which instances the rows of a source cover. */
+enum fw_demand_scope {
+    FW_DEMAND_LEAF, /* one leaf of this hub */
+    FW_DEMAND_HUB,  /* another hub and its leaves */
+    FW_DEMAND_REST, /* all others, from the hub of this leaf */
+    FW_DEMAND_SCOPES,
+};
+
+/* Numbers in a row of a message. */
+#define FW_DEMAND_VALUES 5
+
+/**
+ * struct fw_demand_row - demand for a service at a rank as messages carry it.
+ * @service: hash of the service's name
+ * @value: thousandths of requests a second, tokens a second, millions of
+ *     squared tokens a second, requests waiting, tokens waiting
+ */
+struct fw_demand_row {
+    uint64_t service;
+    int rank;
+    int64_t value[FW_DEMAND_VALUES];
+};
+
 struct fw_demand *
 Fw_Demand_New(void);
 void
 Fw_Demand_Free(struct fw_demand *d);
+/* Rows of other instances that are older than @age_us count as nothing. */
+void
+Fw_Demand_SetMaxAge(struct fw_demand *d, int64_t age_us);
 /*
  * A request arrived at this instance.
  * @service: hash of the service's name
@@ -53,4 +83,30 @@
 Fw_Demand_GetTotal(const struct fw_demand *d, uint64_t service, int rank,
                    int64_t now_us, struct fw_demand_sum *out);
 
+/*
+ * Replaces what the instance whose name has the hash @source reported.
+ * @rows: of struct fw_demand_row; those of a leaf's hub replace all others
+ */
+void
+Fw_Demand_SetRows(struct fw_demand *d, uint64_t source,
+                  enum fw_demand_scope scope, const GArray *rows,
+                  int64_t now_us);
+/* Removes what @source reported. */
+void
+Fw_Demand_DropSource(struct fw_demand *d, uint64_t source);
+/* Removes what is too old to count. */
+void
+Fw_Demand_Expire(struct fw_demand *d, int64_t now_us);
+/*
+ * Appends the demand for @service at this instance and, if @with_leaves, at
+ * its leaves; with @to, at all instances but the leaf @to. Ranks without any
+ * are left out.
+ * @to: hash of the leaf's name, 0 for none
+ * @rows: of struct fw_demand_row
+ */
+void
+Fw_Demand_AppendRows(const struct fw_demand *d, uint64_t service,
+                     int with_leaves, uint64_t to, int64_t now_us,
+                     GArray *rows);
+
 #endif
--- a/src/relay/call.c
+++ b/src/relay/call.c
@@ -156,6 +156,7 @@
     if (c->item.team) {
         Fw_Queue_Remove(&r->queue, &c->item);
     }
+    Fw_ServiceDemand_SetWaiting(r, c, 0);
     if (c->ran == FW_RAN_NO && c->is_charged) {
         Fw_Allowance_Refund(r, c->team, c->cost);
     }
--- a/src/relay/calls.h
+++ b/src/relay/calls.h
@@ -66,6 +66,8 @@
  * @is_noted_sound: it counts as having run well
  * @ran: whether it was run
  * @tried: hashes of the servers to avoid
+ * @service_hash: hash of the name of its service, for generation requests
+ * @is_waiting: it counts as waiting, with @waiting_tokens
  */
 struct fw_rl_call {
     struct fw_list link;
@@ -108,6 +110,9 @@
     enum fw_ran ran;
     uint64_t tried[FW_RL_TRIED_MAX];
     int n_tried;
+    uint64_t service_hash;
+    int is_waiting;
+    int64_t waiting_tokens;
     struct fw_queue_item item;
 };
 
--- a/src/relay/members.c
+++ b/src/relay/members.c
@@ -98,6 +98,7 @@
     m->last_report_us = 0;
     m->last_digest_us = 0;
     Fw_Load_Drop(r, m);
+    Fw_Demand_DropSource(r->service_demand.demand, m->hash);
     g_clear_pointer(&m->prefill_rates, g_hash_table_destroy);
 }
 
@@ -162,6 +163,7 @@
     }
     find_or_add_instance(r, m->hash)->member = NULL;
     Fw_Load_Drop(r, m);
+    Fw_Demand_DropSource(r->service_demand.demand, m->hash);
     Fw_List_Remove(&m->link);
     g_clear_pointer(&m->spent, g_hash_table_destroy);
     g_clear_pointer(&m->prefill_rates, g_hash_table_destroy);
--- a/src/relay/peers.h
+++ b/src/relay/peers.h
@@ -85,6 +85,7 @@
  *     NULL for none
  * @load_us: when @load_rows was last updated
  * @prefill_rates: hash of a service to prompt tokens a second; NULL for none
+ * @demand_boot, @demand_seq: of its last message about demand
  * @reads_store: reads the platform's store itself
  * @store_unreachable: it gets no answer from the store
  * @rules_end: offset after the configuration that it uses, 0 for none
@@ -117,6 +118,8 @@
     enum fw_rl_scope load_scope;
     int64_t load_us;
     GHashTable *prefill_rates;
+    uint64_t demand_boot;
+    uint64_t demand_seq;
     int reads_store;
     int store_unreachable;
     uint64_t rules_end;
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -49,6 +49,7 @@
     Fw_List_Init(&r->limited_servers);
     r->presence.record_ends = Fw_Rows_NewTable();
     Fw_Crashes_Init(r);
+    Fw_ServiceDemand_Init(r);
     Fw_List_Init(&r->call_list);
     Fw_List_Init(&r->op_list);
     Fw_List_Init(&r->members);
@@ -82,6 +83,7 @@
     Fw_Members_Clear(r);
     Fw_Queue_Clear(&r->queue);
     Fw_Crashes_Clear(r);
+    Fw_ServiceDemand_Clear(r);
     g_hash_table_destroy(r->calls);
     g_hash_table_destroy(r->ops);
     g_hash_table_destroy(r->allowances);
@@ -103,6 +105,9 @@
     if (r->opts.digest_period_us <= 0) {
         r->opts.digest_period_us = FW_DIGEST_PERIOD_US;
     }
+    if (r->service_demand.demand) {
+        Fw_ServiceDemand_ApplyOpts(r);
+    }
 }
 
 struct fw_metrics *
@@ -139,6 +144,7 @@
                         ",\"routes\":%u,\"services\":%u,\"teams\":%u",
                         rules->version, offset, rules->routes->len,
                         rules->services->len, rules->teams->len);
+    Fw_ServiceDemand_ApplyRules(r);
     Fw_Allowance_ApplyRules(r, now_us, out);
     Fw_Stream_PlaceQueued(r, now_us, out);
 }
@@ -337,6 +343,7 @@
         tick_call(r, FW_LIST_ENTRY(pos, struct fw_rl_call, link), now_us, out);
     }
     Fw_Members_Tick(r, now_us, out);
+    Fw_Demand_Expire(r->service_demand.demand, now_us);
     Fw_ServerLimits_Tick(r, out);
     Fw_Links_Tick(r, now_us, out);
     Fw_Crashes_Tick(r, now_us, out);
--- a/src/relay/relay_internal.h
+++ b/src/relay/relay_internal.h
@@ -14,6 +14,7 @@
 #include "relay/peers.h"
 #include "relay/relay.h"
 #include "relay/servers.h"
+#include "relay/service_demand.h"
 #include "relay/stage_order.h"
 
 /* An instance without messages from any peer for this long is isolated. */
@@ -79,6 +80,7 @@
  * @allowances: hash of a team's name to struct fw_rl_allowance
  * @retry_budgets: struct fw_rl_retry_budget
  * @service_stats: struct fw_service_stats
+ * @service_demand: demand for services by rank
  * @stage_check_us: next check of the engines' stages
  * @stages_settled: the pools had their target sizes at least once
  * @imbalance_since_us: since when a pool differs from its target size, 0 if
@@ -128,6 +130,7 @@
     struct fw_rl_order_lease order_lease;
     struct fw_rl_store_sync store_sync;
     GPtrArray *service_stats;
+    struct fw_rl_service_demand service_demand;
     uint64_t digest_seq;
     int64_t stage_check_us;
     int stages_settled;
--- a/src/relay/stream.c
+++ b/src/relay/stream.c
@@ -74,6 +74,7 @@
     Fw_Length_Estimate(&stats->length, c->info.tokens_out_hint,
                        c->info.tokens_out_max, &c->length);
     Fw_KvDemand_Update(r, c, now_us);
+    Fw_ServiceDemand_NoteStream(r, c, now_us);
     c->reservation_tokens = Fw_KvDemand_Reservation(r, c);
     c->state = FW_RL_QUEUED;
     c->queue_limit_us =
@@ -92,6 +93,7 @@
     c->item.latest_start_us = c->queue_until_us;
     c->item.tokens = c->kv_tokens;
     Fw_Queue_Put(&r->queue, &c->item);
+    Fw_ServiceDemand_SetWaiting(r, c, 1);
     Fw_Stream_PlaceQueued(r, now_us, out);
 }
 
@@ -120,6 +122,7 @@
         .ttl_us = rule->engine.reservation_ttl_us,
     };
 
+    Fw_ServiceDemand_SetWaiting(r, c, 0);
     assign_server(c, s);
     Fw_Delta_NotePlacement(r, s);
     Fw_Admission_NoteReserving(c);
@@ -163,6 +166,7 @@
         return;
     }
     Fw_Queue_PutBack(&r->queue, &c->item);
+    Fw_ServiceDemand_SetWaiting(r, c, 1);
     Fw_Stream_PlaceQueued(r, now_us, out);
 }
 
--- a/src/relayd/settings.c
+++ b/src/relayd/settings.c
@@ -24,6 +24,8 @@
     int64_t read_here_ms;
     int64_t prefill_permille;
     int64_t policy;
+    int64_t precedence;
+    int64_t admission;
     int64_t log_level;
     int64_t log_sample;
     int64_t log_buffer_kb;
@@ -60,6 +62,10 @@
 /* In the order of enum fw_rl_policy. */
 static const char *const policies[] = {"full", "least-loaded", "random", NULL};
 
+static const char *const off_on[] = {"off", "on", NULL};
+/* Whether plain requests are admitted by a forecast. */
+static const char *const admissions[] = {"queue", "forecast", NULL};
+
 static const struct fw_ini_key keys[] = {
     FW_TEXT("relay", "name", FW_INI_NAME, NULL, out.relay.name),
     FW_TEXT("relay", "domain", FW_INI_NAME, NULL, out.relay.domain),
@@ -93,6 +99,10 @@
     FW_INT("peers", "digest-every-ms", "150", 10, 10000, digest_every_ms),
     {"policy", "routing", FW_INI_CHOICE, "full", 0, 0, FW_AT(policy),
      policies},
+    {"policy", "precedence", FW_INI_CHOICE, "on", 0, 0, FW_AT(precedence),
+     off_on},
+    {"policy", "admission", FW_INI_CHOICE, "forecast", 0, 0, FW_AT(admission),
+     admissions},
     FW_INT("policy", "queue-ms", "0", 0, 600000, queue_ms),
     FW_INT("policy", "reserve-permille", "100", 0, 1000, reserve_permille),
     FW_INT("policy", "read-here-ms", "600", 0, 60000, read_here_ms),
@@ -124,6 +134,8 @@
     convert_regions(&v->regions, &r->regions);
     r->key_stale_us = v->revocation_ms * FW_KEY_STALE_PERMILLE;
     r->policy = (enum fw_rl_policy)v->policy;
+    r->precedence = (int)v->precedence;
+    r->admission_forecast = (int)v->admission;
     r->queue_limit_us = v->queue_ms * FW_MSEC;
     r->reserve_permille = (int)v->reserve_permille;
     r->local_prefill_us = v->read_here_ms * FW_MSEC;
