Keep the window of an allowance while instances come and go

Each change of the live instances started the count anew, so that in a fleet of 75 it was hardly ever complete.

--- a/src/relay/allowance.c
+++ b/src/relay/allowance.c
@@ -56,18 +56,27 @@
 
 /*
  * A hub counts all that is spent; a leaf, which adopts its hub's level several
- * times a second, does not. What an instance that comes or comes back has
- * spent isn't known, so the count starts anew when the live part changes.
+ * times a second, does not. Instances that come back may have spent their part
+ * of the limit meanwhile.
  */
 static void
 follow_window(const struct fw_relay *r, struct fw_rl_allowance *p, double part,
               int64_t now_us)
 {
-    if (!r->exchange.is_hub || part != p->fleet_share) {
+    int64_t window_us = r->opts.allowance_window_us;
+
+    if (!r->exchange.is_hub || !window_us) {
         Fw_SpendWindow_Stop(&p->window);
+        return;
     }
-    if (r->exchange.is_hub && r->opts.allowance_window_us) {
-        Fw_SpendWindow_Start(&p->window, now_us);
+    Fw_SpendWindow_Start(&p->window, p->level, now_us);
+    if (part > p->fleet_share) {
+        double limit =
+            (double)p->rate * (double)window_us / FW_SEC + (double)p->burst;
+
+        Fw_SpendWindow_AddUnknown(&p->window,
+                                  (int64_t)((part - p->fleet_share) * limit),
+                                  window_us, now_us);
     }
 }
 
@@ -93,8 +102,9 @@
         FW_FAULT("allowance-whole-rate") ? 1.0 : (double)n_live / instances;
 
     follow_window(r, p, part, now_us);
-    if (p->level > 0 && part < p->fleet_share) {
-        p->level *= part / p->fleet_share;
+    if (part < p->fleet_share) {
+        p->level *= p->level > 0 ? part / p->fleet_share : 1;
+        Fw_SpendWindow_Shrink(&p->window, part / p->fleet_share);
     }
     p->fleet_share = part;
     if (now_us > p->at_us) {
@@ -281,6 +291,7 @@
         p->adopted = 1;
         p->level = (double)level;
         p->at_us = now_us;
+        Fw_SpendWindow_Stop(&p->window);
     }
     else {
         p->level -= (double)tokens;
--- a/tests/decide/test_spend_window.c
+++ b/tests/decide/test_spend_window.c
@@ -55,7 +55,7 @@
     double asked = 0;
 
     if (by_window) {
-        Fw_SpendWindow_Start(&w, FW_SEC);
+        Fw_SpendWindow_Start(&w, level, FW_SEC);
     }
     for (int i = 0; i < FW_STEPS; i++) {
         int64_t now = FW_SEC + (i + 1) * FW_STEP_US;
@@ -109,7 +109,7 @@
 
     ck_assert(Fw_SpendWindow_Refill(&w, 0, FW_RATE, FW_BURST, FW_SEC,
                                     FW_WINDOW_US, 60 * FW_SEC) == FW_RATE);
-    Fw_SpendWindow_Start(&w, 60 * FW_SEC);
+    Fw_SpendWindow_Start(&w, 0, 60 * FW_SEC);
     ck_assert(Fw_SpendWindow_Refill(&w, 0, FW_RATE, FW_BURST, FW_SEC,
                                     FW_WINDOW_US, 67 * FW_SEC) == FW_RATE);
     ck_assert(Fw_SpendWindow_Refill(&w, 0, FW_RATE, FW_BURST, FW_SEC,
@@ -120,6 +120,37 @@
 }
 END_TEST
 
+/*
+ * Guards against a bucket that is worse off than a plain one, because others
+ * may have spent its window unnoticed.
+ */
+START_TEST(unknown_spending_leaves_the_plain_rate)
+{
+    struct fw_spend_window w = {0};
+    double level = 0;
+    double plain = 0;
+
+    Fw_SpendWindow_Start(&w, level, FW_SEC);
+    for (int i = 1; i <= FW_STEPS; i++) {
+        int64_t now = FW_SEC + i * FW_STEP_US;
+
+        if (i % 100 == 0) {
+            Fw_SpendWindow_AddUnknown(&w, (int64_t)FW_LIMIT, FW_WINDOW_US,
+                                      now);
+        }
+        level = Fw_SpendWindow_Refill(&w, level, FW_RATE, FW_BURST, FW_STEP_US,
+                                      FW_WINDOW_US, now);
+        plain = MIN(plain + FW_RATE * FW_STEP_US / FW_SEC, FW_BURST);
+        ck_assert(level >= plain - 1);
+        if (level >= FW_COST) {
+            level -= FW_COST;
+            plain -= FW_COST;
+            Fw_SpendWindow_Add(&w, FW_COST, FW_WINDOW_US, now);
+        }
+    }
+}
+END_TEST
+
 int
 main(void)
 {
@@ -128,6 +159,7 @@
     tcase_add_loop_test(tc, no_window_exceeds_the_limit, 0,
                         G_N_ELEMENTS(demands));
     tcase_add_test(tc, steady_excess_gets_the_whole_limit);
+    tcase_add_test(tc, unknown_spending_leaves_the_plain_rate);
     tcase_add_test(tc, an_unknown_window_is_refilled_at_the_rate);
     return Fw_Suite_Run(tc);
 }
