--- a/explore/p_relay.h
+++ b/explore/p_relay.h
@@ -11,10 +11,6 @@
 Fw_Explore_RelayAllowanceLapse(struct fw_run *run);
 void
 Fw_Explore_RelayAllowanceHubs(struct fw_run *run);
-void
-Fw_Explore_RelayAllowanceWindow(struct fw_run *run);
-void
-Fw_Explore_RelayAllowanceWindowHubs(struct fw_run *run);
 /* relay_hubs.c */
 void
 Fw_Explore_RelayHubs(struct fw_run *run);
--- a/explore/relay_allowance.c
+++ b/explore/relay_allowance.c
@@ -118,30 +118,8 @@
     }
 }
 
-/**
- * struct plan - what one property plays.
- * @n_min, @n_extra: bounds of the size of the fleet
- * @expires_members: isolation may last until members have expired
- * @window_us: setting of the instances, 0 for plain buckets
- */
-struct plan {
-    int n_min;
-    int n_extra;
-    int expires_members;
-    int64_t window_us;
-};
-
-static void
-start_with_window(struct fleet *fleet, int64_t window_us)
-{
-    fleet->allowance_window_us = window_us;
-    for (int i = 0; window_us && i < fleet->n; i++) {
-        Fw_RelayFleet_Restart(fleet, i);
-    }
-}
-
 static void
-explore(struct fw_run *run, const struct plan *p)
+explore(struct fw_run *run, int n_min, int n_extra, int expires_members)
 {
     struct fw_rl_rules *rules = make_rules();
     GArray *grants = g_array_new(FALSE, FALSE, sizeof(struct grant));
@@ -150,10 +128,8 @@
     int64_t last_us = 0;
 
     Fw_RelayFleet_Init(&fleet, run,
-                       p->n_min + g_rand_int_range(run->rand, 0, p->n_extra),
-                       rules);
-    fleet.expires_members = p->expires_members;
-    start_with_window(&fleet, p->window_us);
+                       n_min + g_rand_int_range(run->rand, 0, n_extra), rules);
+    fleet.expires_members = expires_members;
     Fw_RelayFleet_Advance(&fleet, 10 * FW_SEC);
     for (int s = 0; s < run->steps && !run->failure[0]; s++) {
         int i = Fw_RelayFleet_RandBelow(&fleet, fleet.n);
@@ -184,35 +160,19 @@
 void
 Fw_Explore_RelayAllowance(struct fw_run *run)
 {
-    explore(run, &(struct plan){.n_min = 3, .n_extra = 7});
+    explore(run, 3, 7, 0);
 }
 
 /* Isolation may last until members have expired. */
 void
 Fw_Explore_RelayAllowanceLapse(struct fw_run *run)
 {
-    explore(run,
-            &(struct plan){.n_min = 3, .n_extra = 7, .expires_members = 1});
+    explore(run, 3, 7, 1);
 }
 
 /* A fleet in which most instances are leaves. */
 void
 Fw_Explore_RelayAllowanceHubs(struct fw_run *run)
 {
-    explore(run, &(struct plan){.n_min = 14, .n_extra = 26});
-}
-
-/* The same while rate and burst describe what a window allows. */
-void
-Fw_Explore_RelayAllowanceWindow(struct fw_run *run)
-{
-    explore(run, &(struct plan){
-                     .n_min = 3, .n_extra = 7, .window_us = FW_WINDOW_US});
-}
-
-void
-Fw_Explore_RelayAllowanceWindowHubs(struct fw_run *run)
-{
-    explore(run, &(struct plan){
-                     .n_min = 14, .n_extra = 26, .window_us = FW_WINDOW_US});
+    explore(run, 14, 26, 0);
 }
--- a/explore/relay_fleet.c
+++ b/explore/relay_fleet.c
@@ -79,8 +79,6 @@
                               .prefill_permille = 250,
                               .overage_ppm = 100000,
                               .tolerance_tokens = 72000,
-                              .allowance_window_us =
-                                  fleet->allowance_window_us,
                               .lease_us = 3 * FW_SEC,
                               .grace_us = 8 * FW_SEC,
                               .log_level = 0};
--- a/explore/relay_fleet.h
+++ b/explore/relay_fleet.h
@@ -61,7 +61,6 @@
     GPtrArray *published;
     int n_cross_domain;
     int64_t retry_extra;
-    int64_t allowance_window_us; /* of instances that start from now on */
 };
 
 void
--- a/src/relay/allowance.c
+++ b/src/relay/allowance.c
@@ -54,40 +54,6 @@
     return (double)p->burst * p->fleet_share;
 }
 
-/*
- * A hub counts all that is spent; a leaf, which adopts its hub's level several
- * times a second, does not. Instances that come back may have spent their part
- * of the limit meanwhile.
- */
-static void
-follow_window(const struct fw_relay *r, struct fw_rl_allowance *p, double part,
-              int64_t now_us)
-{
-    int64_t window_us = r->opts.allowance_window_us;
-
-    if (!r->exchange.is_hub || !window_us) {
-        Fw_SpendWindow_Stop(&p->window);
-        return;
-    }
-    Fw_SpendWindow_Start(&p->window, p->level, now_us);
-    if (part > p->fleet_share) {
-        double limit =
-            (double)p->rate * (double)window_us / FW_SEC + (double)p->burst;
-
-        Fw_SpendWindow_AddUnknown(&p->window,
-                                  (int64_t)((part - p->fleet_share) * limit),
-                                  window_us, now_us);
-    }
-}
-
-static void
-note_spent(const struct fw_relay *r, struct fw_rl_allowance *p, int64_t tokens,
-           int64_t now_us)
-{
-    Fw_SpendWindow_Add(&p->window, tokens, r->opts.allowance_window_us,
-                       now_us);
-}
-
 /*
  * Refills the bucket up to @now_us. When fewer instances are live, the level
  * is reduced to their share, or a team could spend its burst once on each side
@@ -100,17 +66,15 @@
     int instances = Fw_Members_Count(r, now_us, &n_live);
     double part =
         FW_FAULT("allowance-whole-rate") ? 1.0 : (double)n_live / instances;
+    double more =
+        (double)p->rate * part * (double)(now_us - p->at_us) / FW_SEC;
 
-    follow_window(r, p, part, now_us);
-    if (part < p->fleet_share) {
-        p->level *= p->level > 0 ? part / p->fleet_share : 1;
-        Fw_SpendWindow_Shrink(&p->window, part / p->fleet_share);
+    if (p->level > 0 && part < p->fleet_share) {
+        p->level *= part / p->fleet_share;
     }
     p->fleet_share = part;
     if (now_us > p->at_us) {
-        p->level = Fw_SpendWindow_Refill(
-            &p->window, p->level, (double)p->rate * part, capacity(p),
-            now_us - p->at_us, r->opts.allowance_window_us, now_us);
+        p->level += more;
         p->at_us = now_us;
     }
     p->level = MIN(p->level, capacity(p));
@@ -242,7 +206,6 @@
     }
     p->level -= (double)cost;
     p->spent += cost;
-    note_spent(r, p, cost, now_us);
     schedule_messages(r, p);
     return 1;
 }
@@ -268,7 +231,6 @@
     if (p) {
         p->level = MIN(p->level + (double)cost, capacity(p));
         p->spent -= cost;
-        note_spent(r, p, -cost, p->at_us);
     }
 }
 
@@ -283,7 +245,6 @@
     }
     /* Refill before subtracting: a full bucket earns nothing meanwhile. */
     refill(r, p, now_us);
-    note_spent(r, p, tokens, now_us);
     r->exchange.push_pending |=
         tokens > 0 &&
         p->level < FW_PUSH_TO_LEAVES_LEVEL_FRACTION * capacity(p);
@@ -291,7 +252,6 @@
         p->adopted = 1;
         p->level = (double)level;
         p->at_us = now_us;
-        Fw_SpendWindow_Stop(&p->window);
     }
     else {
         p->level -= (double)tokens;
@@ -309,7 +269,6 @@
         return;
     }
     refill(r, p, now_us);
-    note_spent(r, p, tokens, now_us);
     p->level = MIN(p->level - (double)tokens, capacity(p));
     p->leaf_spent += tokens;
     schedule_messages(r, p);
--- a/src/relay/limits.h
+++ b/src/relay/limits.h
@@ -3,7 +3,6 @@
 #define FW_RELAY_LIMITS_H
 
 #include "decide/shortage.h"
-#include "decide/spend_window.h"
 #include "relay/relay.h"
 
 struct fw_rl_call;
@@ -25,7 +24,6 @@
  * @adopted: the level was taken from another instance; until then it is the
  *     initial estimate
  * @shortage: since when requests are rejected for lack of tokens
- * @window: tokens spent by all instances, counted by hubs
  */
 struct fw_rl_allowance {
     uint64_t hash;
@@ -42,7 +40,6 @@
     int64_t created_us;
     int adopted;
     struct fw_shortage shortage;
-    struct fw_spend_window window;
 };
 
 /* Two slots more than the window has; see retry_budget.c. */
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -244,8 +244,6 @@
  *     servers can carry
  * @overage_ppm: tolerated excess over a team's rate
  * @tolerance_tokens: tolerated excess over a team's burst
- * @allowance_window_us: a team may spend rate times this and its burst within
- *     any such time; 0 if its rate and burst describe a plain token bucket
  * @cold_overage_ppm: factor of the rate that cold servers tolerate
  * @cold_tolerance: requests that they tolerate beyond that in any second
  * @lease_us: duration of a lease of the order role
@@ -275,7 +273,6 @@
     int admission_forecast;
     int64_t overage_ppm;
     int64_t tolerance_tokens;
-    int64_t allowance_window_us;
     int64_t cold_overage_ppm;
     int64_t cold_tolerance;
     int64_t lease_us;
--- a/src/relayd/settings.c
+++ b/src/relayd/settings.c
@@ -90,8 +90,6 @@
      FW_AT(out.relay.overage_ppm), NULL},
     FW_FLOOR("limits", "tolerance", "0", 0, 1000000000,
              out.relay.tolerance_tokens),
-    FW_SECONDS("limits", "allowance-window-s", "0", 0, 3600,
-               out.relay.allowance_window_us),
     {"limits", "cold-overage", FW_INI_DECIMAL, "1", 0, 1000000000,
      FW_AT(out.relay.cold_overage_ppm), NULL},
     FW_FLOOR("limits", "cold-tolerance", "0", 0, 1000000,
