Have requests wait while an instance starts

After all instances were killed at once, 241 requests were rejected with no_configuration within 100 ms of the starts, although the configuration was there after 45 ms (median of 75 instances; 663 ms at most). For most callers that was the second and last attempt. Requests now wait until the instance can serve, at most [policy] start-wait-ms (400) after its start, then they are rejected as before.

--- a/src/relay/call.c
+++ b/src/relay/call.c
@@ -157,6 +157,7 @@
         Fw_Queue_Remove(&r->queue, &c->item);
     }
     Fw_ServiceDemand_SetWaiting(r, c, 0);
+    Fw_Starting_Forget(r, c);
     if (c->ran == FW_RAN_NO && c->is_charged) {
         Fw_Allowance_Refund(r, c->team, c->cost);
     }
--- a/src/relay/calls.h
+++ b/src/relay/calls.h
@@ -27,6 +27,7 @@
     FW_RL_RESERVING,  /* a reservation was requested of an engine */
     FW_RL_PREFILLING, /* a prefill engine prefills the prompt */
     FW_RL_RUNNING,    /* sent to the server that generates the response */
+    FW_RL_STARTING,   /* waiting for this instance to have started */
 };
 
 /**
@@ -212,6 +213,23 @@
 Fw_Relay_MayServe(const struct fw_relay *r, const struct fw_rl_call *c,
                   int64_t now_us);
 
+/* Routes @c and admits or rejects it. */
+void
+Fw_Relay_Serve(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us,
+               struct fw_rl_actions *out);
+
+/* starting.c */
+/* Return: nonzero if @c has to wait until this instance can serve it. */
+int
+Fw_Starting_Hold(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us);
+/* @c no longer waits, if it did. */
+void
+Fw_Starting_Forget(struct fw_relay *r, struct fw_rl_call *c);
+/* Serves the requests that waited if this instance can, or has waited long. */
+void
+Fw_Starting_Resume(struct fw_relay *r, int64_t now_us,
+                   struct fw_rl_actions *out);
+
 /* plain.c */
 void
 Fw_Plain_Send(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us,
--- a/src/relay/open.c
+++ b/src/relay/open.c
@@ -97,7 +97,7 @@
 }
 
 static void
-set_deadline(struct fw_rl_call *c, int64_t now_us)
+set_deadline(struct fw_rl_call *c)
 {
     int64_t left =
         c->route.timeout_us ? c->route.timeout_us : FW_DEFAULT_TIMEOUT_US;
@@ -105,7 +105,7 @@
     if (c->info.timeout_us > 0) {
         left = MIN(left, c->info.timeout_us);
     }
-    c->deadline_us = now_us + left;
+    c->deadline_us = c->opened_us + left;
 }
 
 /*
@@ -256,37 +256,34 @@
 }
 
 void
-Fw_Relay_Open(struct fw_relay *r, uint64_t call,
-              const struct fw_rl_request_info *info, int64_t now_us,
-              struct fw_rl_actions *out)
+Fw_Relay_Serve(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us,
+               struct fw_rl_actions *out)
 {
-    struct fw_rl_call *c;
     const struct fw_rl_route_rule *route;
 
-    Fw_Crashes_Update(r, now_us, out);
-    c = call_new(r, call, info, now_us);
     if (!r->rules) {
         Fw_Call_Reject(r, c, 503, Fw_Relay_StaleRetryUs(r, now_us),
                        "no_configuration", now_us, out);
         return;
     }
-    route = Fw_Rules_Route(r->rules, info->host, info->path);
+    route = Fw_Rules_Route(r->rules, c->info.host, c->info.path);
     if (!route) {
         Fw_Call_Reject(r, c, 404, 0, "no_route", now_us, out);
         return;
     }
     c->route = *route;
     c->priority = route->priority;
-    g_strlcpy(c->service, choose_service(route, info->id), sizeof(c->service));
+    g_strlcpy(c->service, choose_service(route, c->info.id),
+              sizeof(c->service));
     Fw_Crashes_BindParts(c);
-    set_deadline(c, now_us);
+    set_deadline(c);
     if (must_reject_draining(r, c, now_us)) {
         Fw_Call_Reject(r, c, 503, FW_RETRY_ELSEWHERE_US, "stopping", now_us,
                        out);
         return;
     }
     if (Fw_Links_AreLost(r, now_us)) {
-        if (info->is_handed_over) {
+        if (c->info.is_handed_over) {
             Fw_Call_Reject(r, c, 503, FW_RETRY_ELSEWHERE_US, "links_lost",
                            now_us, out);
             return;
@@ -298,6 +295,20 @@
     Fw_Relay_Admit(r, c, now_us, out);
 }
 
+void
+Fw_Relay_Open(struct fw_relay *r, uint64_t call,
+              const struct fw_rl_request_info *info, int64_t now_us,
+              struct fw_rl_actions *out)
+{
+    struct fw_rl_call *c;
+
+    Fw_Crashes_Update(r, now_us, out);
+    c = call_new(r, call, info, now_us);
+    if (!Fw_Starting_Hold(r, c, now_us)) {
+        Fw_Relay_Serve(r, c, now_us, out);
+    }
+}
+
 void
 Fw_Relay_CallerLeft(struct fw_relay *r, uint64_t call, int64_t now_us,
                     struct fw_rl_actions *out)
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -349,6 +349,7 @@
     Fw_Crashes_Tick(r, now_us, out);
     Fw_StageOrder_Tick(r, now_us, out);
     Fw_ServiceStats_Tick(r, now_us, out);
+    Fw_Starting_Resume(r, now_us, out);
     Fw_Stream_PlaceQueued(r, now_us, out);
     Fw_Relay_UpdateGauges(r, now_us);
 }
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -246,6 +246,8 @@
  * @tolerance_tokens: tolerated excess over a team's burst
  * @cold_overage_ppm: factor of the rate that cold servers tolerate
  * @cold_tolerance: requests that they tolerate beyond that in any second
+ * @start_wait_us: requests that arrive before this instance can serve wait
+ *     until this long after its start
  * @lease_us: duration of a lease of the order role
  * @grace_us: time from SIGTERM until the process is killed
  * @cpu_ppm: CPU share of this instance, one core being 1,000,000; instances
@@ -275,6 +277,7 @@
     int64_t tolerance_tokens;
     int64_t cold_overage_ppm;
     int64_t cold_tolerance;
+    int64_t start_wait_us;
     int64_t lease_us;
     int64_t grace_us;
     int64_t cpu_ppm;
--- a/src/relay/relay_internal.h
+++ b/src/relay/relay_internal.h
@@ -89,6 +89,7 @@
  * @links_logged_lost: the log says that they are lost
  * @next_probe_us: when a server may be probed next
  * @drain_start_us: when draining began
+ * @n_starting: requests that wait until this instance can serve them
  */
 struct fw_relay {
     struct fw_relay_opts opts;
@@ -140,6 +141,7 @@
     int64_t next_probe_us;
     int draining;
     int64_t drain_start_us;
+    int n_starting;
 };
 
 /* actions.c */
--- a/src/relayd/settings.c
+++ b/src/relayd/settings.c
@@ -26,6 +26,7 @@
     int64_t policy;
     int64_t precedence;
     int64_t admission;
+    int64_t start_wait_ms;
     int64_t log_level;
     int64_t log_sample;
     int64_t log_buffer_kb;
@@ -107,6 +108,7 @@
     FW_INT("policy", "reserve-permille", "100", 0, 1000, reserve_permille),
     FW_INT("policy", "read-here-ms", "600", 0, 60000, read_here_ms),
     FW_INT("policy", "prefill-permille", "100", 1, 999, prefill_permille),
+    FW_INT("policy", "start-wait-ms", "400", 0, 10000, start_wait_ms),
     {"log", "level", FW_INI_CHOICE, "info", 0, 0, FW_AT(log_level), levels},
     FW_INT("log", "sample", "1", 1, 1000000, log_sample),
     FW_INT("log", "buffer-kb", "256", 16, 65536, log_buffer_kb),
@@ -140,6 +142,7 @@
     r->reserve_permille = (int)v->reserve_permille;
     r->local_prefill_us = v->read_here_ms * FW_MSEC;
     r->prefill_permille = (int)v->prefill_permille;
+    r->start_wait_us = v->start_wait_ms * FW_MSEC;
     r->lease_us = v->lease_ms * FW_MSEC;
     r->log_level = (int)v->log_level;
     r->log_sample = (int)v->log_sample;
--- a/tests/relay/script_world.c
+++ b/tests/relay/script_world.c
@@ -231,6 +231,8 @@
         Fw_RelayScript_GetNumber(run, "here_ms", 600) * FW_MSEC;
     o->log_sample = (int)Fw_RelayScript_GetNumber(run, "sample", 1);
     o->tolerance_tokens = Fw_RelayScript_GetNumber(run, "tolerance", 0);
+    o->start_wait_us =
+        Fw_RelayScript_GetNumber(run, "start_wait_ms", 0) * FW_MSEC;
     o->lease_us = Fw_RelayScript_GetNumber(run, "lease_ms", 3000) * FW_MSEC;
     Fw_Relay_SetOpts(run->r, o);
 }
