Take more urgent ranks first from a queue

Within an instance's queue only the team and the latest start decided. Items have a rank now, and those of more urgent ranks go first; within a rank the order is as before, as in the queues of src/route, whose items all have one rank. Demand also tells how much of the backlog is late.

--- a/src/demand/demand.c
+++ b/src/demand/demand.c
@@ -23,6 +23,8 @@
     int64_t at_us;
     int64_t waiting;
     int64_t waiting_tokens;
+    int64_t late;
+    int64_t late_tokens;
 };
 
 /** struct service - demand for one service; @others: sums of the sources. */
@@ -140,6 +142,16 @@
     l->waiting_tokens += tokens;
 }
 
+void
+Fw_Demand_AddLate(struct fw_demand *d, uint64_t service, int rank, int n,
+                  int64_t tokens)
+{
+    struct local_demand *l = &find_or_add(d, service)->local[valid_rank(rank)];
+
+    l->late += n;
+    l->late_tokens += tokens;
+}
+
 static struct fw_demand_sum
 local_sum(const struct service *s, int rank, int64_t now_us)
 {
@@ -150,7 +162,9 @@
                                   .asked_tokens = l->tokens * per_second,
                                   .asked_squares = l->squares * per_second,
                                   .waiting = l->waiting,
-                                  .waiting_tokens = l->waiting_tokens};
+                                  .waiting_tokens = l->waiting_tokens,
+                                  .late = l->late,
+                                  .late_tokens = l->late_tokens};
 }
 
 void
@@ -230,6 +244,8 @@
     out->asked_squares += (double)others[2] / FW_ROW_SQUARES;
     out->waiting += others[3];
     out->waiting_tokens += others[4];
+    out->late += others[5];
+    out->late_tokens += others[6];
 }
 
 /* Adds the rows of @source to the sums of its scope, times @sign. */
@@ -357,7 +373,8 @@
             .value = {(int64_t)(local.asked * FW_ROW_REQUESTS),
                       (int64_t)local.asked_tokens,
                       (int64_t)(local.asked_squares * FW_ROW_SQUARES),
-                      local.waiting, local.waiting_tokens}};
+                      local.waiting, local.waiting_tokens, local.late,
+                      local.late_tokens}};
 
         sum_others(d, service, rank, scopes, now_us, row.value);
         if (to) {
--- a/src/demand/demand.h
+++ b/src/demand/demand.h
@@ -23,6 +23,7 @@
  *     variance of the tokens asked for in a second if requests are independent
  * @waiting: requests that are queued
  * @waiting_tokens: KV cache tokens that these are expected to need
+ * @late, @late_tokens: those of them that can no longer meet their objective
  */
 struct fw_demand_sum {
     double asked;
@@ -30,6 +31,8 @@
     double asked_squares;
     int64_t waiting;
     int64_t waiting_tokens;
+    int64_t late;
+    int64_t late_tokens;
 };
 
 /** enum fw_demand_scope - which instances the rows of a source cover. */
@@ -41,13 +44,14 @@
 };
 
 /* Numbers in a row of a message. */
-#define FW_DEMAND_VALUES 5
+#define FW_DEMAND_VALUES 7
 
 /**
  * struct fw_demand_row - demand for a service at a rank as messages carry it.
  * @service: hash of the service's name
  * @value: thousandths of requests a second, tokens a second, millions of
- *     squared tokens a second, requests waiting, tokens waiting
+ *     squared tokens a second; requests waiting, their tokens, those of them
+ *     that are late, their tokens
  */
 struct fw_demand_row {
     uint64_t service;
@@ -74,6 +78,10 @@
 void
 Fw_Demand_AddWaiting(struct fw_demand *d, uint64_t service, int rank, int n,
                      int64_t tokens);
+/* @n of the requests that wait became late; negative when they leave. */
+void
+Fw_Demand_AddLate(struct fw_demand *d, uint64_t service, int rank, int n,
+                  int64_t tokens);
 /* Demand at this instance only. */
 void
 Fw_Demand_GetLocal(const struct fw_demand *d, uint64_t service, int rank,
--- a/src/route/queue.h
+++ b/src/route/queue.h
@@ -1,7 +1,7 @@
 /*
- * Fair queue: deficit round robin over teams, with tokens as the cost, and
- * the earliest latest start time first within a team. Only teams with queued
- * items take memory.
+ * Fair queue: more urgent ranks first; within a rank deficit round robin over
+ * teams, with tokens as the cost, and the earliest latest start time first
+ * within a team. Only teams with queued items take memory.
  */
 #ifndef FW_ROUTE_QUEUE_H
 #define FW_ROUTE_QUEUE_H
@@ -15,6 +15,7 @@
 /**
  * struct fw_queue_item - embedded in the object that is queued.
  * @team: NULL while not queued
+ * @rank: 0 is the most urgent; must not change while queued
  * @latest_start_us: latest time at which the item is still worth starting
  * @tokens: cost charged to the team
  */
@@ -22,18 +23,20 @@
     struct fw_list link;
     struct fw_queue_team *team;
     char team_name[FW_NAME_MAX];
+    int rank;
     int64_t latest_start_us;
     int64_t tokens;
 };
 
 /**
- * struct fw_queue_team - a team with queued items.
+ * struct fw_queue_team - a team with queued items of one rank.
  * @items: by latest start time
  * @n: number of @items
  * @deficit: tokens the team may still spend in its turn
  */
 struct fw_queue_team {
     char name[FW_NAME_MAX];
+    int rank;
     struct fw_list items;
     struct fw_list link;
     int n;
@@ -42,8 +45,8 @@
 
 /**
  * struct fw_queue - deficit round robin over teams.
- * @teams: name to struct fw_queue_team
- * @active_teams: the same teams in the order of their turns
+ * @teams: set of struct fw_queue_team, by name and rank
+ * @active_teams: the same teams by rank, and in the order of their turns
  * @n: number of items of all teams
  * @quantum: tokens added to a team's deficit in each turn
  */
@@ -74,8 +77,9 @@
 Fw_Queue_Remove(struct fw_queue *q, struct fw_queue_item *it);
 
 /* queue_query.c */
-/* Estimates how many items would be taken before a new one of @team,
- * counting one item of each other team per turn. */
+/* Estimates how many items would be taken before a new one of @team and of
+ * rank 0, if all items are of that rank, counting one item of each other team
+ * per turn. */
 int
 Fw_Queue_CountAhead(const struct fw_queue *q, const char *team,
                     int64_t latest_us);
--- a/src/route/queue_cmd.c
+++ b/src/route/queue_cmd.c
@@ -1,9 +1,28 @@
 #include "route/queue.h"
 
+#include <string.h>
+
+static guint
+hash_team(gconstpointer p)
+{
+    const struct fw_queue_team *t = p;
+
+    return g_str_hash(t->name) + (guint)t->rank;
+}
+
+static gboolean
+is_same_team(gconstpointer a, gconstpointer b)
+{
+    const struct fw_queue_team *x = a;
+    const struct fw_queue_team *y = b;
+
+    return x->rank == y->rank && strcmp(x->name, y->name) == 0;
+}
+
 void
 Fw_Queue_Init(struct fw_queue *q, int64_t quantum)
 {
-    q->teams = g_hash_table_new(g_str_hash, g_str_equal);
+    q->teams = g_hash_table_new(hash_team, is_same_team);
     Fw_List_Init(&q->active_teams);
     q->n = 0;
     q->quantum = quantum;
@@ -13,7 +32,7 @@
 free_team(struct fw_queue *q, struct fw_queue_team *t)
 {
     Fw_List_Remove(&t->link);
-    g_hash_table_remove(q->teams, t->name);
+    g_hash_table_remove(q->teams, t);
     g_free(t);
 }
 
@@ -24,17 +43,48 @@
     q->teams = NULL;
 }
 
+static int
+rank_at(const struct fw_list *pos)
+{
+    return FW_LIST_ENTRY(pos, struct fw_queue_team, link)->rank;
+}
+
+static void
+add_as_last_of_rank(struct fw_queue *q, struct fw_queue_team *t)
+{
+    struct fw_list *pos = &q->active_teams;
+
+    while (pos->prev != &q->active_teams && rank_at(pos->prev) > t->rank) {
+        pos = pos->prev;
+    }
+    Fw_List_Append(pos, &t->link);
+}
+
+static void
+add_as_first_of_rank(struct fw_queue *q, struct fw_queue_team *t)
+{
+    struct fw_list *pos = q->active_teams.next;
+
+    while (pos != &q->active_teams && rank_at(pos) < t->rank) {
+        pos = pos->next;
+    }
+    Fw_List_Append(pos, &t->link);
+}
+
 static struct fw_queue_team *
-get_team(struct fw_queue *q, const char *name)
+get_team(struct fw_queue *q, const struct fw_queue_item *it)
 {
-    struct fw_queue_team *t = g_hash_table_lookup(q->teams, name);
+    struct fw_queue_team key = {.rank = it->rank};
+    struct fw_queue_team *t;
 
+    g_strlcpy(key.name, it->team_name, sizeof(key.name));
+    t = g_hash_table_lookup(q->teams, &key);
     if (!t) {
         t = g_new0(struct fw_queue_team, 1);
-        g_strlcpy(t->name, name, sizeof(t->name));
+        *t = key;
         Fw_List_Init(&t->items);
-        Fw_List_Append(&q->active_teams, &t->link);
-        g_hash_table_insert(q->teams, t->name, t);
+        add_as_last_of_rank(q, t);
+        g_hash_table_add(q->teams, t);
     }
     return t;
 }
@@ -60,7 +110,7 @@
 void
 Fw_Queue_Put(struct fw_queue *q, struct fw_queue_item *it)
 {
-    insert_item(get_team(q, it->team_name), it, it->latest_start_us + 1);
+    insert_item(get_team(q, it), it, it->latest_start_us + 1);
     q->n++;
 }
 
@@ -97,7 +147,7 @@
         }
         t->deficit += q->quantum;
         Fw_List_Remove(&t->link);
-        Fw_List_Append(&q->active_teams, &t->link);
+        add_as_last_of_rank(q, t);
     }
     return NULL;
 }
@@ -105,11 +155,11 @@
 void
 Fw_Queue_PutBack(struct fw_queue *q, struct fw_queue_item *it)
 {
-    struct fw_queue_team *t = get_team(q, it->team_name);
+    struct fw_queue_team *t = get_team(q, it);
 
     insert_item(t, it, it->latest_start_us);
     q->n++;
     t->deficit += it->tokens;
     Fw_List_Remove(&t->link);
-    Fw_List_Append(q->active_teams.next, &t->link);
+    add_as_first_of_rank(q, t);
 }
--- a/src/route/queue_query.c
+++ b/src/route/queue_query.c
@@ -4,11 +4,14 @@
 Fw_Queue_CountAhead(const struct fw_queue *q, const char *team,
                     int64_t latest_us)
 {
-    const struct fw_queue_team *own = g_hash_table_lookup(q->teams, team);
+    struct fw_queue_team key = {.rank = 0};
+    const struct fw_queue_team *own;
     struct fw_list *pos;
     int before = 0;
     int ahead;
 
+    g_strlcpy(key.name, team, sizeof(key.name));
+    own = g_hash_table_lookup(q->teams, &key);
     if (own) {
         FW_LIST_EACH (pos, &own->items) {
             if (FW_LIST_ENTRY(pos, struct fw_queue_item, link)
--- a/tests/route/test_policy.c
+++ b/tests/route/test_policy.c
@@ -320,6 +320,38 @@
 }
 END_TEST
 
+/* Guards against a less urgent item that is taken first, or breaks turns. */
+START_TEST(queue_takes_more_urgent_ranks_first)
+{
+    static const struct {
+        const char *team;
+        int rank;
+    } rows[] = {{"a", 2}, {"a", 2}, {"b", 2}, {"a", 0},
+                {"c", 1}, {"b", 0}, {"c", 0}};
+    static const int order[] = {3, 5, 6, 4, 0, 2, 1};
+    struct fw_queue_item items[G_N_ELEMENTS(rows)] = {0};
+    struct fw_queue q;
+
+    Fw_Queue_Init(&q, 1000);
+    for (int i = 0; i < N(rows); i++) {
+        g_strlcpy(items[i].team_name, rows[i].team, FW_NAME_MAX);
+        items[i].rank = rows[i].rank;
+        items[i].tokens = 1000;
+        items[i].latest_start_us = i;
+        Fw_Queue_Put(&q, &items[i]);
+    }
+    for (int i = 0; i < N(order); i++) {
+        struct fw_queue_item *it = Fw_Queue_Take(&q);
+
+        ck_assert_int_eq(it - items, order[i]);
+        Fw_Queue_PutBack(&q, it);
+        ck_assert_ptr_eq(Fw_Queue_Take(&q), it);
+    }
+    ck_assert_ptr_null(Fw_Queue_Take(&q));
+    Fw_Queue_Clear(&q);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -334,5 +366,6 @@
     tcase_add_test(tc, prefixes_are_added_and_removed);
     tcase_add_test(tc, queue_is_fair_in_tokens);
     tcase_add_test(tc, queue_orders_by_latest_start_and_restores_turns);
+    tcase_add_test(tc, queue_takes_more_urgent_ranks_first);
     return Fw_Suite_Run(tc);
 }
