Hold less urgent streams back for more urgent ones

The rank of a stream only became Request-Priority at its engine. In a service whose routes and teams have several ranks, a queued stream that is not of the most urgent rank is now placed only as src/decide/precedence.h allows, by the load and the demand of all instances. More urgent ones go first in the queue; one that waits keeps no other from its place. It may wait beyond its objective as long as it can end before its deadline, and is rejected as held_back when the backlog leaves it no chance of that. A stream whose prompt waits for its prefill yields its reservation to a more urgent one of the same instance, charged to the retry budget.

Services of one rank are placed as before; [policy] precedence = off does the same for all.

--- a/src/decide/precedence.c
+++ b/src/decide/precedence.c
@@ -91,6 +91,7 @@
         if (c->need > 0 && (part < least || i == 0)) {
             least = part;
             out->resource = (enum fw_precedence_resource)i;
+            out->free = c->free;
             out->reserve = reserve;
         }
     }
@@ -104,13 +105,21 @@
     }
 }
 
+/* The sum of what arrived with weights that halve the variance of a second. */
+double
+Fw_Precedence_SurelyAsked(double asked, double squares)
+{
+    return MAX(asked - FW_RESERVE_DEVIATIONS * sqrt(squares / 2), 0);
+}
+
 /* The rank gets what more urgent ones leave, or its share when aged. */
 int64_t
 Fw_Precedence_ExpectedWait(const struct fw_precedence_capacity *c)
 {
     double ahead = c->urgent_waiting + c->peers - c->free;
-    double rate =
-        MAX(c->freed - c->urgent_asked, c->freed / FW_PRECEDENCE_AGED_SHARE);
+    double asked =
+        Fw_Precedence_SurelyAsked(c->urgent_asked, c->urgent_squares);
+    double rate = MAX(c->freed - asked, c->freed / FW_PRECEDENCE_AGED_SHARE);
 
     if (ahead <= 0 || rate <= 0) {
         return 0;
--- a/src/decide/precedence.h
+++ b/src/decide/precedence.h
@@ -78,12 +78,14 @@
 /**
  * struct fw_precedence_decision - what becomes of the request.
  * @resource: the scarcest, which decided
+ * @free: what is unused of it
  * @reserve: what more urgent requests need of it
  */
 struct fw_precedence_decision {
     int place;
     enum fw_precedence_reason reason;
     enum fw_precedence_resource resource;
+    double free;
     double reserve;
 };
 
@@ -93,7 +95,16 @@
 void
 Fw_Precedence_Decide(const struct fw_precedence_request *r,
                      struct fw_precedence_decision *out);
-/* Expected wait in us of a new request of the rank; 0 if it is unknown. */
+/*
+ * What arrives in a second at least, as far as the mean over the last second
+ * tells: of few requests it tells nothing.
+ */
+double
+Fw_Precedence_SurelyAsked(double asked, double squares);
+/*
+ * Expected wait in us of a new request of the rank, if no more is asked for
+ * than is sure; 0 if it is unknown.
+ */
 int64_t
 Fw_Precedence_ExpectedWait(const struct fw_precedence_capacity *c);
 const char *
--- a/src/relay/call.c
+++ b/src/relay/call.c
@@ -188,6 +188,7 @@
         status = 502;
     }
     Fw_Relay_CountRejection(r, reason);
+    Fw_Ranks_Count(r, c, FW_RL_RANK_REJECTED);
     if (status == 502 || status == 504) {
         retry_us = 0;
         r->relay_metrics.failed.value++;
--- a/src/relay/calls.h
+++ b/src/relay/calls.h
@@ -68,6 +68,12 @@
  * @tried: hashes of the servers to avoid
  * @service_hash: hash of the name of its service, for generation requests
  * @is_waiting: it counts as waiting, with @waiting_tokens
+ * @is_less_urgent: requests of its service may have more urgent ranks
+ * @late_from_us: when it can no longer meet its objective if it is queued
+ * @is_late: it counts as late
+ * @is_held: it was held back for others, and is queued
+ * @chance, @chance_us: what it drew, and when; see decide/precedence.h
+ * @yields: reservations that it has given up for more urgent requests
  */
 struct fw_rl_call {
     struct fw_list link;
@@ -113,6 +119,13 @@
     uint64_t service_hash;
     int is_waiting;
     int64_t waiting_tokens;
+    int is_less_urgent;
+    int64_t late_from_us;
+    int is_late;
+    int is_held;
+    double chance;
+    int64_t chance_us;
+    int yields;
     struct fw_queue_item item;
 };
 
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -50,6 +50,7 @@
     r->presence.record_ends = Fw_Rows_NewTable();
     Fw_Crashes_Init(r);
     Fw_ServiceDemand_Init(r);
+    Fw_Ranks_Init(r);
     Fw_List_Init(&r->call_list);
     Fw_List_Init(&r->op_list);
     Fw_List_Init(&r->members);
@@ -83,6 +84,7 @@
     Fw_Members_Clear(r);
     Fw_Queue_Clear(&r->queue);
     Fw_Crashes_Clear(r);
+    Fw_Ranks_Clear(r);
     Fw_ServiceDemand_Clear(r);
     g_hash_table_destroy(r->calls);
     g_hash_table_destroy(r->ops);
@@ -145,6 +147,7 @@
                         rules->version, offset, rules->routes->len,
                         rules->services->len, rules->teams->len);
     Fw_ServiceDemand_ApplyRules(r);
+    Fw_Ranks_ApplyRules(r);
     Fw_Allowance_ApplyRules(r, now_us, out);
     Fw_Stream_PlaceQueued(r, now_us, out);
 }
@@ -324,11 +327,15 @@
     if (c->kv_tokens) {
         Fw_KvDemand_Update(r, c, now_us);
     }
-    if (c->kv_tokens && c->state == FW_RL_QUEUED &&
-        now_us >= c->queue_until_us) {
-        Fw_Call_Reject(r, c, 503, Fw_Stream_RetryAfter(r, c), "no_room",
+    if (!c->kv_tokens || c->state != FW_RL_QUEUED) {
+        return;
+    }
+    if (now_us >= c->queue_until_us) {
+        Fw_Call_Reject(r, c, 503, Fw_Ranks_RetryAfter(r, c, now_us), "no_room",
                        now_us, out);
+        return;
     }
+    Fw_Ranks_TickQueued(r, c, now_us, out);
 }
 
 void
@@ -349,6 +356,7 @@
     Fw_Crashes_Tick(r, now_us, out);
     Fw_StageOrder_Tick(r, now_us, out);
     Fw_ServiceStats_Tick(r, now_us, out);
+    Fw_Ranks_Tick(r, now_us, out);
     Fw_Stream_PlaceQueued(r, now_us, out);
     Fw_Relay_UpdateGauges(r, now_us);
 }
--- a/src/relay/servers.h
+++ b/src/relay/servers.h
@@ -16,6 +16,7 @@
 
 struct fw_rl_call;
 struct fw_rl_load;
+struct fw_rl_pool;
 
 /**
  * struct fw_rl_server - one process of a server, until it ends.
@@ -279,6 +280,18 @@
 struct fw_rl_server *
 Fw_Place_Prefill(struct fw_relay *r, const struct fw_rl_call *c,
                  int64_t now_us, int64_t *wait_us);
+/*
+ * The engines of @c's service that @c may use.
+ * @unit: tokens that a usual request needs; what is left of an engine's memory
+ *     beyond a multiple of it is not counted
+ */
+void
+Fw_Place_Pool(struct fw_relay *r, const struct fw_rl_call *c, double unit,
+              int64_t now_us, struct fw_rl_pool *out);
+/* Whether @c has room at the engine of @other once @other has left it. */
+int
+Fw_Place_FitsInstead(struct fw_relay *r, const struct fw_rl_call *other,
+                     const struct fw_rl_call *c, int64_t now_us);
 /* Load at @s of all instances together. */
 void
 Fw_Place_Load(const struct fw_relay *r, const struct fw_rl_server *s,
--- a/src/relay/service_demand.c
+++ b/src/relay/service_demand.c
@@ -55,8 +55,9 @@
     return t;
 }
 
-static int
-has_target(const struct fw_rl_route_rule *route, const char *service)
+int
+Fw_ServiceDemand_IsTarget(const struct fw_rl_route_rule *route,
+                          const char *service)
 {
     for (int i = 0; i < route->n_targets; i++) {
         if (strcmp(route->targets[i].service, service) == 0) {
@@ -77,7 +78,7 @@
         const struct fw_rl_route_rule *route =
             g_ptr_array_index(rules->routes, i);
 
-        if (!route->generates || !has_target(route, service)) {
+        if (!route->generates || !Fw_ServiceDemand_IsTarget(route, service)) {
             continue;
         }
         if (route->anonymous || teams->any_without) {
@@ -157,6 +158,23 @@
                         c->kv_tokens, now_us);
 }
 
+static void
+add_late(struct fw_relay *r, const struct fw_rl_call *c, int sign)
+{
+    Fw_Demand_AddLate(r->service_demand.demand, c->service_hash, c->priority,
+                      sign, sign * c->waiting_tokens);
+}
+
+static void
+add_waiting(struct fw_relay *r, const struct fw_rl_call *c, int sign)
+{
+    Fw_Demand_AddWaiting(r->service_demand.demand, c->service_hash,
+                         c->priority, sign, sign * c->waiting_tokens);
+    if (c->is_late) {
+        add_late(r, c, sign);
+    }
+}
+
 void
 Fw_ServiceDemand_SetWaiting(struct fw_relay *r, struct fw_rl_call *c,
                             int is_waiting)
@@ -167,8 +185,18 @@
     c->is_waiting = is_waiting;
     if (is_waiting) {
         c->waiting_tokens = c->kv_tokens;
+        add_waiting(r, c, 1);
+        return;
+    }
+    add_waiting(r, c, -1);
+    Fw_Ranks_EndHeld(r, c);
+}
+
+void
+Fw_ServiceDemand_SetLate(struct fw_relay *r, struct fw_rl_call *c)
+{
+    c->is_late = 1;
+    if (c->is_waiting) {
+        add_late(r, c, 1);
     }
-    Fw_Demand_AddWaiting(r->service_demand.demand, c->service_hash,
-                         c->priority, is_waiting ? 1 : -1,
-                         is_waiting ? c->waiting_tokens : -c->waiting_tokens);
 }
--- a/src/relay/service_demand.h
+++ b/src/relay/service_demand.h
@@ -61,6 +61,14 @@
 Fw_ServiceDemand_SetWaiting(struct fw_relay *r, struct fw_rl_call *c,
                             int is_waiting);
 
+/* The queued request @c can no longer meet its objective. */
+void
+Fw_ServiceDemand_SetLate(struct fw_relay *r, struct fw_rl_call *c);
+/* Whether requests of @route may go to @service. */
+int
+Fw_ServiceDemand_IsTarget(const struct fw_rl_route_rule *route,
+                          const char *service);
+
 /* demand_message.c */
 /* Sends other instances the demand that is known here, if that is due. */
 void
--- a/src/relay/stream.c
+++ b/src/relay/stream.c
@@ -43,7 +43,8 @@
 reject_overloaded(struct fw_relay *r, struct fw_rl_call *c, const char *reason,
                   int64_t now_us, struct fw_rl_actions *out)
 {
-    Fw_Call_Reject(r, c, 503, Fw_Stream_RetryAfter(r, c), reason, now_us, out);
+    Fw_Call_Reject(r, c, 503, Fw_Ranks_RetryAfter(r, c, now_us), reason,
+                   now_us, out);
 }
 
 /*
@@ -82,11 +83,13 @@
             ? r->opts.queue_limit_us
             : Fw_ServiceStats_QueueLimit(stats, c->route.objective_us);
     c->queue_until_us = MIN(now_us + c->queue_limit_us, c->deadline_us);
+    Fw_Ranks_Open(r, c, now_us);
     if (c->info.tokens_in + c->info.tokens_out_max > s->engine.kv_tokens) {
         Fw_Call_Reject(r, c, 503, 0, "larger_than_an_engine", now_us, out);
         return;
     }
-    if (reject_if_limited(r, c, now_us, out)) {
+    if (reject_if_limited(r, c, now_us, out) ||
+        Fw_Ranks_RejectIfHopeless(r, c, now_us, out)) {
         return;
     }
     g_strlcpy(c->item.team_name, c->team, sizeof(c->item.team_name));
@@ -105,10 +108,10 @@
     s->kv_tokens += c->kv_tokens;
 }
 
-static void
-request_reservation(struct fw_relay *r, struct fw_rl_call *c,
-                    struct fw_rl_server *s, int64_t now_us,
-                    struct fw_rl_actions *out)
+void
+Fw_Stream_Reserve(struct fw_relay *r, struct fw_rl_call *c,
+                  struct fw_rl_server *s, int64_t now_us,
+                  struct fw_rl_actions *out)
 {
     const struct fw_rl_service_rule *rule =
         Fw_Rules_Service(r->rules, c->service);
@@ -138,6 +141,10 @@
 {
     struct fw_queue_item *it;
 
+    if (r->rules && Fw_Ranks_AreInForce(r)) {
+        Fw_Ranks_PlaceQueued(r, now_us, out);
+        return;
+    }
     while (r->rules && (it = Fw_Queue_Take(&r->queue))) {
         struct fw_rl_call *c = call_from_item(it);
         struct fw_rl_server *s = NULL;
@@ -149,7 +156,7 @@
             Fw_Queue_PutBack(&r->queue, it);
             return;
         }
-        request_reservation(r, c, s, now_us, out);
+        Fw_Stream_Reserve(r, c, s, now_us, out);
     }
 }
 
@@ -221,6 +228,32 @@
     Fw_Stream_Requeue(r, c, now_us, out);
 }
 
+int
+Fw_Stream_Yield(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us,
+                struct fw_rl_actions *out)
+{
+    int charged;
+
+    c->calls_received++; /* the prefill engine may have its prompt */
+    charged = charge_retry(r, c, now_us, out);
+    if (charged < 0) {
+        c->calls_received--;
+        return charged;
+    }
+    c->yields++;
+    Fw_Ranks_Count(r, c, FW_RL_RANK_YIELDED);
+    Fw_RelayActions_Log(out, r, LOG_NOTICE, "yielded",
+                        "\"id\":\"%s\",\"rank\":%d,\"server\":\"%s\","
+                        "\"charged\":%d",
+                        c->info.id, c->item.rank, c->server->entry.id,
+                        charged);
+    Fw_Call_Release(r, c, now_us, out);
+    c->state = FW_RL_QUEUED;
+    Fw_Queue_Put(&r->queue, &c->item);
+    Fw_ServiceDemand_SetWaiting(r, c, 1);
+    return 0;
+}
+
 /* Starts over if that is allowed, and rejects @c otherwise. */
 void
 Fw_Stream_Restart(struct fw_relay *r, struct fw_rl_call *c, const char *reason,
--- a/src/relay/stream.h
+++ b/src/relay/stream.h
@@ -5,7 +5,21 @@
 #include "relay/relay.h"
 
 struct fw_rl_call;
+struct fw_rl_server;
 
+/* Requests a reservation for @c, which was taken from the queue, at @s. */
+void
+Fw_Stream_Reserve(struct fw_relay *r, struct fw_rl_call *c,
+                  struct fw_rl_server *s, int64_t now_us,
+                  struct fw_rl_actions *out);
+/*
+ * Gives up the reservation and the prefill of @c, whose run has not been sent,
+ * and queues it again. Return: 0, or -EDQUOT if the retry budget does not
+ * allow that.
+ */
+int
+Fw_Stream_Yield(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us,
+                struct fw_rl_actions *out);
 /* Queues @c again, or rejects it if it may wait no longer. */
 void
 Fw_Stream_Requeue(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us,
--- a/src/route/queue.h
+++ b/src/route/queue.h
@@ -68,6 +68,12 @@
 /* Removes and returns the next item; NULL when empty. */
 struct fw_queue_item *
 Fw_Queue_Take(struct fw_queue *q);
+/*
+ * Removes @it, which need not be the next item, and charges its team for it as
+ * if it had been.
+ */
+void
+Fw_Queue_TakeItem(struct fw_queue *q, struct fw_queue_item *it);
 /* Returns an item that was taken but not started: it goes ahead of items with
  * the same latest start, and its team gets its tokens and turn back. */
 void
@@ -83,6 +89,9 @@
 int
 Fw_Queue_CountAhead(const struct fw_queue *q, const char *team,
                     int64_t latest_us);
+/* Appends all items to @out in the order in which they would be taken. */
+void
+Fw_Queue_List(const struct fw_queue *q, GPtrArray *out);
 /* The item with the earliest latest start of all teams, or NULL. */
 struct fw_queue_item *
 Fw_Queue_Earliest(const struct fw_queue *q);
--- a/src/route/queue_cmd.c
+++ b/src/route/queue_cmd.c
@@ -152,6 +152,20 @@
     return NULL;
 }
 
+void
+Fw_Queue_TakeItem(struct fw_queue *q, struct fw_queue_item *it)
+{
+    struct fw_queue_team *t = it->team;
+
+    t->deficit -= it->tokens;
+    while (t->deficit < 0) {
+        t->deficit += q->quantum;
+        Fw_List_Remove(&t->link);
+        add_as_last_of_rank(q, t);
+    }
+    Fw_Queue_Remove(q, it);
+}
+
 void
 Fw_Queue_PutBack(struct fw_queue *q, struct fw_queue_item *it)
 {
--- a/src/route/queue_query.c
+++ b/src/route/queue_query.c
@@ -34,6 +34,72 @@
     return ahead;
 }
 
+/** struct turn - a team while its items are listed. */
+struct turn {
+    const struct fw_queue_team *team;
+    const struct fw_list *next;
+    int64_t deficit;
+};
+
+/* Appends the team's next item if its deficit allows that. */
+static void
+list_next(const struct fw_queue *q, struct turn *t, GPtrArray *out)
+{
+    struct fw_queue_item *it =
+        FW_LIST_ENTRY(t->next, struct fw_queue_item, link);
+
+    if (t->deficit < it->tokens) {
+        t->deficit += q->quantum;
+        return;
+    }
+    t->deficit -= it->tokens;
+    t->next = t->next->next;
+    g_ptr_array_add(out, it);
+}
+
+/* Appends the items of the teams in @turns, which have one rank. */
+static void
+list_rank(const struct fw_queue *q, GQueue *turns, GPtrArray *out)
+{
+    while (!g_queue_is_empty(turns)) {
+        struct turn *t = g_queue_pop_head(turns);
+        guint n;
+
+        do {
+            n = out->len;
+            list_next(q, t, out);
+        } while (out->len > n && t->next != &t->team->items);
+        if (t->next == &t->team->items) {
+            g_free(t);
+        }
+        else {
+            g_queue_push_tail(turns, t);
+        }
+    }
+}
+
+void
+Fw_Queue_List(const struct fw_queue *q, GPtrArray *out)
+{
+    GQueue turns = G_QUEUE_INIT;
+    struct fw_list *pos;
+    int rank = 0;
+
+    FW_LIST_EACH (pos, &q->active_teams) {
+        const struct fw_queue_team *team =
+            FW_LIST_ENTRY(pos, struct fw_queue_team, link);
+        struct turn *t = g_new(struct turn, 1);
+
+        if (team->rank != rank) {
+            list_rank(q, &turns, out);
+            rank = team->rank;
+        }
+        *t = (struct turn){team, team->items.next, team->deficit};
+        g_queue_push_tail(&turns, t);
+    }
+    list_rank(q, &turns, out);
+}
+
 struct fw_queue_item *
 Fw_Queue_Earliest(const struct fw_queue *q)
 {
--- a/tests/decide/test_precedence.c
+++ b/tests/decide/test_precedence.c
@@ -218,16 +218,17 @@
         c->urgent_waiting += k->waiting[rank];
         c->urgent_asked += k->asked[rank];
     }
+    c->urgent_squares = c->urgent_asked * FW_MEAN_TOKENS * 1.2;
     if (r->is_late) {
         c->urgent_waiting += k->waiting[r->rank] - k->late[r->rank];
-        c->urgent_asked += k->asked[r->rank];
+        c->urgent_asked += Fw_Precedence_SurelyAsked(
+            k->asked[r->rank], k->asked[r->rank] * FW_MEAN_TOKENS * 1.2);
         c->peers = MAX(k->late[r->rank], r->tokens);
     }
     else {
         c->peers = MAX(k->waiting[r->rank] - k->late[r->rank], r->tokens) +
                    k->asked[r->rank] * FW_INTERVAL_S;
     }
-    c->urgent_squares = c->urgent_asked * FW_MEAN_TOKENS * 1.2;
 }
 
 static int
--- a/tests/relay/script.c
+++ b/tests/relay/script.c
@@ -4,10 +4,14 @@
  *   started                     the process was started just now, and not a
  *                               while ago
  *   options KEY=N ...           queue_ms, stale_ms, reserve, prefill, extra,
- *                               here_ms, lease_ms
+ *                               here_ms, lease_ms, precedence
  *   rules VERSION [KEY=N ...]   loads a configuration (see make_rules); rate,
  *                               burst, keys, attempts, timeout_ms, kv, slots,
- *                               cold_rate, cold_ms, route_region, team_region
+ *                               cold_rate, cold_ms, route_region, team_region,
+ *                               rank_b
+ *   demand NAME RANK [KEY=N ...]
+ *                               another instance reports demand for "llm":
+ *                               waiting, tokens, asked, asked_tokens
  *   fresh MS                    the configuration was current at that time
  *   server ID SERVICE STAGE [draining] [born=N] [domain=S] [cold_ms=N]
  *                               adds or updates a server's entry
@@ -384,6 +388,7 @@
     {"list", do_list},
     {"member", Fw_RelayScript_DoMember},
     {"limit", Fw_RelayScript_DoLimit},
+    {"demand", Fw_RelayScript_DoDemand},
     {"spent", Fw_RelayScript_DoSpent},
     {"lead", Fw_RelayScript_DoLead},
     {"open", do_open},
--- a/tests/relay/script_internal.h
+++ b/tests/relay/script_internal.h
@@ -55,6 +55,8 @@
 void
 Fw_RelayScript_DoLimit(struct relay_script_run *run);
 void
+Fw_RelayScript_DoDemand(struct relay_script_run *run);
+void
 Fw_RelayScript_DoSpent(struct relay_script_run *run);
 void
 Fw_RelayScript_DoLead(struct relay_script_run *run);
--- a/tests/relay/script_world.c
+++ b/tests/relay/script_world.c
@@ -55,7 +55,7 @@
  * Routes to the service "plain": /read/ (idempotent), /order/ (runs at most
  * once) and /open/ (idempotent, no key needed). Routes to the service "llm":
  * /gen/ and /resume/ (resumable). Teams: "a" with key ka and, unless keys=1,
- * "b" with key kb.
+ * "b" with key kb, whose rank is rank_b if that is given; routes have rank 0.
  */
 static struct fw_rl_rules *
 make_rules(struct relay_script_run *run)
@@ -90,7 +90,8 @@
         t->burst = Fw_RelayScript_GetNumber(run, "burst", 0);
         t->plain_cost = 200;
         set_regions(run, "team_region", &t->regions);
-        t->priority = -1;
+        t->priority =
+            i ? (int)Fw_RelayScript_GetNumber(run, "rank_b", -1) : -1;
         Fw_Rules_AddKey(rules, i ? "kb" : "ka", t);
     }
     Fw_Rules_Index(rules);
@@ -205,6 +206,39 @@
     g_byte_array_unref(msg);
 }
 
+void
+Fw_RelayScript_DoDemand(struct relay_script_run *run)
+{
+    static const char *const values[FW_DEMAND_VALUES] = {
+        "asked", "asked_tokens", "asked_squares", "waiting", "tokens"};
+    GByteArray *msg = g_byte_array_new();
+    struct fw_rl_outbox outbox;
+    msgpack_packer pk;
+
+    Fw_Pack_Begin(&pk, msg);
+    msgpack_pack_array(&pk, 6);
+    msgpack_pack_int(&pk, 13);
+    Fw_Pack_Str(&pk, run->word[1]);
+    msgpack_pack_uint64(&pk, 1);
+    msgpack_pack_uint64(&pk, ++run->digest_seq);
+    msgpack_pack_int(&pk, FW_DEMAND_HUB);
+    msgpack_pack_array(&pk, 1);
+    msgpack_pack_array(&pk, 2 + FW_DEMAND_VALUES);
+    msgpack_pack_uint64(&pk, Fw_Hash_Str("llm"));
+    msgpack_pack_int64(&pk, (int64_t)Fw_RelayScript_GetArg(run, 2));
+    for (int i = 0; i < FW_DEMAND_VALUES; i++) {
+        msgpack_pack_int64(
+            &pk, values[i] ? Fw_RelayScript_GetNumber(run, values[i], 0) : 0);
+    }
+    Fw_Outbox_Init(&outbox);
+    ck_assert_int_eq(Fw_Relay_ReadMessage(run->r, "127.0.0.9:1", msg->data,
+                                          msg->len, run->now_us, &outbox),
+                     0);
+    Fw_Outbox_Clear(&outbox);
+    g_ptr_array_unref(outbox.all);
+    g_byte_array_unref(msg);
+}
+
 void
 Fw_RelayScript_DoRules(struct relay_script_run *run)
 {
@@ -230,6 +264,7 @@
     o->local_prefill_us =
         Fw_RelayScript_GetNumber(run, "here_ms", 600) * FW_MSEC;
     o->log_sample = (int)Fw_RelayScript_GetNumber(run, "sample", 1);
+    o->precedence = (int)Fw_RelayScript_GetNumber(run, "precedence", 0);
     o->tolerance_tokens = Fw_RelayScript_GetNumber(run, "tolerance", 0);
     o->lease_us = Fw_RelayScript_GetNumber(run, "lease_ms", 3000) * FW_MSEC;
     Fw_Relay_SetOpts(run->r, o);
--- a/tests/route/test_policy.c
+++ b/tests/route/test_policy.c
@@ -330,6 +330,7 @@
                 {"c", 1}, {"b", 0}, {"c", 0}};
     static const int order[] = {3, 5, 6, 4, 0, 2, 1};
     struct fw_queue_item items[G_N_ELEMENTS(rows)] = {0};
+    GPtrArray *list = g_ptr_array_new();
     struct fw_queue q;
 
     Fw_Queue_Init(&q, 1000);
@@ -340,15 +341,48 @@
         items[i].latest_start_us = i;
         Fw_Queue_Put(&q, &items[i]);
     }
+    Fw_Queue_List(&q, list);
+    ck_assert_uint_eq(list->len, N(order));
     for (int i = 0; i < N(order); i++) {
         struct fw_queue_item *it = Fw_Queue_Take(&q);
 
         ck_assert_int_eq(it - items, order[i]);
+        ck_assert_ptr_eq(it, g_ptr_array_index(list, i));
         Fw_Queue_PutBack(&q, it);
         ck_assert_ptr_eq(Fw_Queue_Take(&q), it);
     }
     ck_assert_ptr_null(Fw_Queue_Take(&q));
     Fw_Queue_Clear(&q);
+    g_ptr_array_unref(list);
+}
+END_TEST
+
+/* Guards against a team that gets its turns twice, or none. */
+START_TEST(queue_charges_an_item_taken_out_of_turn)
+{
+    struct fw_queue_item items[12] = {0};
+    GPtrArray *list = g_ptr_array_new();
+    struct fw_queue q;
+
+    Fw_Queue_Init(&q, 1000);
+    for (int i = 0; i < N(items); i++) {
+        g_strlcpy(items[i].team_name, i % 2 ? "b" : "a", FW_NAME_MAX);
+        items[i].tokens = 700 + 40 * i;
+        items[i].latest_start_us = i;
+        Fw_Queue_Put(&q, &items[i]);
+    }
+    for (int turns = 0; q.n; turns++) {
+        struct fw_queue_item *first;
+
+        g_ptr_array_set_size(list, 0);
+        Fw_Queue_List(&q, list);
+        first = g_ptr_array_index(list, 0);
+        ck_assert_int_eq(first - items, turns);
+        Fw_Queue_TakeItem(&q, first);
+        ck_assert_ptr_null(first->team);
+    }
+    Fw_Queue_Clear(&q);
+    g_ptr_array_unref(list);
 }
 END_TEST
 
@@ -367,5 +401,6 @@
     tcase_add_test(tc, queue_is_fair_in_tokens);
     tcase_add_test(tc, queue_orders_by_latest_start_and_restores_turns);
     tcase_add_test(tc, queue_takes_more_urgent_ranks_first);
+    tcase_add_test(tc, queue_charges_an_item_taken_out_of_turn);
     return Fw_Suite_Run(tc);
 }
