Explore that urgent streams go first

A stream counted as waiting only while it was queued, so that one whose reservations engines rejected in turn was unknown to the others. It counts until a reservation is granted, and an engine that has rejected one within a digest period counts as full for less urgent streams.

--- a/explore/p_relay.h
+++ b/explore/p_relay.h
@@ -29,6 +29,9 @@
 /* relay_retries.c */
 void
 Fw_Explore_RelayRetries(struct fw_run *run);
+/* relay_ranks.c */
+void
+Fw_Explore_RelayRanks(struct fw_run *run);
 /* relay_limits.c */
 void
 Fw_Explore_RelayLimits(struct fw_run *run);
--- a/src/relay/calls.h
+++ b/src/relay/calls.h
@@ -71,7 +71,7 @@
  * @is_less_urgent: requests of its service may have more urgent ranks
  * @late_from_us: when it can no longer meet its objective if it is queued
  * @is_late: it counts as late
- * @is_held: it was held back for others, and is queued
+ * @is_held: it was held back for others, and waits for a reservation
  * @chance, @chance_us: what it drew, and when; see decide/precedence.h
  * @yields: reservations that it has given up for more urgent requests
  */
--- a/src/relay/place.c
+++ b/src/relay/place.c
@@ -252,9 +252,7 @@
         c->kv_tokens >= s->full_tokens) {
         return -1;
     }
-    if (now_us - s->full_us <
-            Fw_ServiceStats_FullBackoff(Fw_ServiceStats_Get(r, c->service),
-                                        l.running) ||
+    if (now_us - s->full_us < r->opts.digest_period_us ||
         l.running >= spec->slots || is_changing_stage(s, &l) ||
         is_unreachable(&l)) {
         return -1;
--- a/src/relay/ranks.c
+++ b/src/relay/ranks.c
@@ -1,5 +1,6 @@
 #include "relay/ranks.h"
 
+#include "base/fault.h"
 #include "base/hash.h"
 #include "decide/precedence.h"
 #include "relay/relay_internal.h"
@@ -314,6 +315,7 @@
     refresh(r, s, c, now_us);
     fill(r, s, c, c->is_late, q.capacity);
     Fw_Precedence_Decide(&q, out);
+    out->place |= FW_FAULT("ranks-ignored");
 }
 
 /* Longest expected wait for one of the resources that streams hold. */
--- a/src/relay/servers.h
+++ b/src/relay/servers.h
@@ -281,7 +281,8 @@
 Fw_Place_Prefill(struct fw_relay *r, const struct fw_rl_call *c,
                  int64_t now_us, int64_t *wait_us);
 /*
- * The engines of @c's service that @c may use.
+ * The engines of @c's service that @c may use. One that has rejected a
+ * reservation within a digest period counts as full, whatever is known of it.
  * @unit: tokens that a usual request needs; what is left of an engine's memory
  *     beyond a multiple of it is not counted
  */
--- a/src/relay/service_demand.h
+++ b/src/relay/service_demand.h
@@ -56,7 +56,10 @@
 void
 Fw_ServiceDemand_NoteStream(struct fw_relay *r, struct fw_rl_call *c,
                             int64_t now_us);
-/* Whether the generation request @c is queued. */
+/*
+ * Whether the generation request @c waits for a reservation. One that was
+ * requested counts until it is granted: engines may reject many in turn.
+ */
 void
 Fw_ServiceDemand_SetWaiting(struct fw_relay *r, struct fw_rl_call *c,
                             int is_waiting);
--- a/src/relay/stream.c
+++ b/src/relay/stream.c
@@ -125,7 +125,6 @@
         .ttl_us = rule->engine.reservation_ttl_us,
     };
 
-    Fw_ServiceDemand_SetWaiting(r, c, 0);
     assign_server(c, s);
     Fw_Delta_NotePlacement(r, s);
     Fw_Admission_NoteReserving(c);
--- a/src/relay/stream_outcome.c
+++ b/src/relay/stream_outcome.c
@@ -13,6 +13,7 @@
     if (ans->status == 200 && ans->handle[0]) {
         g_strlcpy(c->reservation, ans->handle, sizeof(c->reservation));
         c->reserved_us = now_us;
+        Fw_ServiceDemand_SetWaiting(r, c, 0);
         Fw_Histogram_Add(&r->relay_metrics.queued_s, now_us - c->opened_us);
         Fw_Servers_NoteResponse(s, 0, -1);
         Fw_Stream_StartPrefill(r, c, now_us, out);
