--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -239,6 +239,8 @@
  *     prefill engine would take longer than this
  * @prefill_permille: part of a service's engines assumed to be busy with
  *     prefill until prompts have been received long enough to estimate it
+ * @patience_objectives: callers abandon a stream whose first event takes
+ *     longer than this many times its objective; 0 if they don't
  * @precedence: requests of less urgent ranks wait for more urgent ones
  * @admission_forecast: plain requests are admitted by a forecast of what the
  *     servers can carry
@@ -271,6 +273,7 @@
     int reserve_permille;
     int64_t local_prefill_us;
     int prefill_permille;
+    int patience_objectives;
     int precedence;
     int admission_forecast;
     int64_t overage_ppm;
--- a/src/relayd/settings.c
+++ b/src/relayd/settings.c
@@ -27,6 +27,7 @@
     int64_t precedence;
     int64_t admission;
     int64_t start_wait_ms;
+    int64_t patience;
     int64_t log_level;
     int64_t log_sample;
     int64_t log_buffer_kb;
@@ -108,6 +109,7 @@
     FW_INT("policy", "reserve-permille", "100", 0, 1000, reserve_permille),
     FW_INT("policy", "read-here-ms", "600", 0, 60000, read_here_ms),
     FW_INT("policy", "prefill-permille", "100", 1, 999, prefill_permille),
+    FW_INT("policy", "patience", "4", 0, 1000, patience),
     FW_INT("policy", "start-wait-ms", "400", 0, 10000, start_wait_ms),
     {"log", "level", FW_INI_CHOICE, "info", 0, 0, FW_AT(log_level), levels},
     FW_INT("log", "sample", "1", 1, 1000000, log_sample),
@@ -136,6 +138,7 @@
     convert_regions(&v->regions, &r->regions);
     r->key_stale_us = v->revocation_ms * FW_KEY_STALE_PERMILLE;
     r->policy = (enum fw_rl_policy)v->policy;
+    r->patience_objectives = (int)v->patience;
     r->precedence = (int)v->precedence;
     r->admission_forecast = (int)v->admission;
     r->queue_limit_us = v->queue_ms * FW_MSEC;
