--- a/src/relay/allowance.c
+++ b/src/relay/allowance.c
@@ -41,9 +41,7 @@
  */
 #define FW_OVERDRAFT_PERMILLE 250
 #define FW_SMALL_COST_DIVISOR 16
-/* From this fraction of the capacity on, a bucket is short no longer. */
-#define FW_AMPLE_LEVEL_FRACTION 0.5
-/* Bounds of Retry-After if it doesn't follow how long the bucket is short. */
+/* Bounds of Retry-After. */
 #define FW_RETRY_MIN_US (100 * FW_MSEC)
 #define FW_RETRY_MAX_US (4 * FW_SEC)
 
@@ -186,7 +184,7 @@
 
 int
 Fw_Allowance_Take(struct fw_relay *r, const struct fw_rl_team_rule *t,
-                  int64_t cost, int64_t now_us, int64_t *covered_us)
+                  int64_t cost, int64_t now_us, int64_t *retry_us)
 {
     struct fw_rl_allowance *p;
     double need;
@@ -196,12 +194,10 @@
     }
     p = find_or_add_bucket(r, t, now_us);
     refill(r, p, now_us);
-    Fw_Shortage_NoteLevel(&p->shortage, p->level,
-                          FW_AMPLE_LEVEL_FRACTION * capacity(p));
     need = required_level(r, p, cost);
     if (p->level < need) {
-        *covered_us = (int64_t)((need - p->level) / (double)p->rate * FW_SEC);
-        Fw_Shortage_NoteRejected(&p->shortage, now_us);
+        *retry_us = (int64_t)((need - p->level) / (double)p->rate * FW_SEC);
+        *retry_us = CLAMP(*retry_us, FW_RETRY_MIN_US, FW_RETRY_MAX_US);
         return 0;
     }
     p->level -= (double)cost;
@@ -210,19 +206,6 @@
     return 1;
 }
 
-int64_t
-Fw_Allowance_RetryAfter(struct fw_relay *r, const char *team,
-                        int64_t covered_us, int64_t left_us, int64_t now_us)
-{
-    const struct fw_rl_allowance *p = find_bucket(r, Fw_Hash_Str(team));
-
-    if (!p || !r->opts.admission_forecast) {
-        return CLAMP(covered_us, FW_RETRY_MIN_US, FW_RETRY_MAX_US);
-    }
-    return Fw_Shortage_RetryAfter(&p->shortage, covered_us, left_us,
-                                  g_rand_double(r->rand), now_us);
-}
-
 void
 Fw_Allowance_Refund(struct fw_relay *r, const char *team, int64_t cost)
 {
--- a/src/relay/limits.h
+++ b/src/relay/limits.h
@@ -2,7 +2,6 @@
 #ifndef FW_RELAY_LIMITS_H
 #define FW_RELAY_LIMITS_H
 
-#include "decide/shortage.h"
 #include "relay/relay.h"
 
 struct fw_rl_call;
@@ -23,7 +22,6 @@
  * @created_us: when the bucket was created
  * @adopted: the level was taken from another instance; until then it is the
  *     initial estimate
- * @shortage: since when requests are rejected for lack of tokens
  */
 struct fw_rl_allowance {
     uint64_t hash;
@@ -39,7 +37,6 @@
     int64_t report_spent;
     int64_t created_us;
     int adopted;
-    struct fw_shortage shortage;
 };
 
 /* Two slots more than the window has; see retry_budget.c. */
@@ -65,20 +62,11 @@
                         struct fw_rl_actions *out);
 /*
  * Takes @cost from a team's bucket. Return: nonzero if it was taken, otherwise
- * @covered_us receives the time until the bucket has so much again if no other
- * request takes it.
+ * @retry_us receives when to retry.
  */
 int
 Fw_Allowance_Take(struct fw_relay *r, const struct fw_rl_team_rule *t,
-                  int64_t cost, int64_t now_us, int64_t *covered_us);
-/*
- * Retry-After for a request of the team that was rejected.
- * @covered_us: as Fw_Allowance_Take() gave it
- * @left_us: time that the caller has left
- */
-int64_t
-Fw_Allowance_RetryAfter(struct fw_relay *r, const char *team,
-                        int64_t covered_us, int64_t left_us, int64_t now_us);
+                  int64_t cost, int64_t now_us, int64_t *retry_us);
 /* Level of the bucket in tokens and fleet_share, to log a rejection. */
 void
 Fw_Allowance_Describe(const struct fw_relay *r, const char *team,
--- a/src/relay/open.c
+++ b/src/relay/open.c
@@ -173,7 +173,7 @@
            struct fw_rl_actions *out)
 {
     const struct fw_rl_team_rule *t = Fw_Rules_Team(r->rules, c->info.key);
-    int64_t covered_us;
+    int64_t retry_us;
 
     memset(c->info.key, 0, sizeof(c->info.key));
     if (!Fw_Relay_AreKeysFresh(r, now_us)) {
@@ -191,13 +191,9 @@
         c->priority = t->priority;
     }
     c->cost = allowance_cost(t, &c->info);
-    if (!Fw_Allowance_Take(r, t, c->cost, now_us, &covered_us)) {
+    if (!Fw_Allowance_Take(r, t, c->cost, now_us, &retry_us)) {
         log_allowance(r, c, out);
-        Fw_Call_Reject(r, c, 429,
-                       Fw_Allowance_RetryAfter(r, c->team, covered_us,
-                                               c->deadline_us - now_us,
-                                               now_us),
-                       "over_allowance", now_us, out);
+        Fw_Call_Reject(r, c, 429, retry_us, "over_allowance", now_us, out);
         return 0;
     }
     c->is_charged = 1;
