Admit plain calls by forecast and tell when to retry

In a burst callers of plain services got late answers, or were rejected and told a random time to retry at, the same for an empty and a full service.

With [policy] admission = forecast the relay now feeds the decision with the loads of all instances, the demand by rank and the time that a call takes at an idle server. Repeats are recognised by their request id or by the time that they declare, and add nothing to the demand. Every rejection of such a call tells when there should be room, within a third of the caller's time. Routes without an objective, streams and services with engines are served as before, and so is everything with admission = queue.

--- a/src/decide/plain_admission.c
+++ b/src/decide/plain_admission.c
@@ -205,11 +205,19 @@
     return MAX(0, all->completions * (rate + change) / MAX(rate, 1e-3));
 }
 
-/* Share of calls like @c that fits in @rate after those that go first. */
+/*
+ * Share of calls like @c that fits in @rate after those that go first. A
+ * backlog grows only if more is asked than completed: where the rates known
+ * say otherwise, some instances don't tell theirs, or servers are slow.
+ */
 static double
-admissible_share(const struct fw_plain_call *c, double rate)
+admissible_share(const struct fw_plain_servers *all,
+                 const struct fw_plain_call *c, double rate)
 {
-    return CLAMP((rate - c->asked_before) / MAX(c->asked, 1e-3), 0.0, 1.0);
+    double unknown = MAX(all->completions / MAX(all->asked, 1e-3), 1.0);
+    double before = c->asked_before * unknown;
+
+    return CLAMP((rate - before) / MAX(c->asked * unknown, 1e-3), 0.0, 1.0);
 }
 
 /*
@@ -305,7 +313,7 @@
         }
         return;
     }
-    out->probability = admissible_share(c, out->rate);
+    out->probability = admissible_share(all, c, out->rate);
     queue = wait_us > 0 ? queue_share(c, wait_us, work_us) : 1.0;
     if (chance < MIN(out->probability, queue)) {
         return;
@@ -322,8 +330,8 @@
                           int64_t now_us)
 {
     double longest = MIN(FW_RETRY_MAX_US, c->left_us / FW_RETRY_PARTS);
-    double free_rate = all->completions - c->asked - c->asked_before;
-    double others = a->local > 0 ? MAX(c->asked / a->local, 1.0) : 1.0;
+    double free_rate = all->completions - all->asked;
+    double others = a->local > 0 ? MAX(all->asked / a->local, 1.0) : 1.0;
     double work = MAX(0, all->running - all->slots) +
                   told_ahead(a, now_us) * MIN(others, all->instances);
     double us = longest;
--- a/src/decide/plain_admission.h
+++ b/src/decide/plain_admission.h
@@ -35,6 +35,7 @@
  * @running: requests of all instances there
  * @slots: requests that they run at once
  * @completions: requests that they complete a second with all slots busy
+ * @asked: calls a second of all ranks and instances
  * @age_us: age of the other instances' loads
  * @instances: size of the fleet
  * @is_isolated: this instance knows no load of others, and there are some
@@ -43,6 +44,7 @@
     int running;
     int slots;
     double completions;
+    double asked;
     int64_t age_us;
     int instances;
     int is_isolated;
--- a/src/relay/call.c
+++ b/src/relay/call.c
@@ -182,6 +182,7 @@
                struct fw_rl_actions *out)
 {
     struct fw_rl_action *a;
+    char wait[32] = "";
 
     /* 429 and 503 guarantee that the request has not run and will not. */
     if (c->ran != FW_RAN_NO && (status == 503 || status == 429)) {
@@ -195,16 +196,20 @@
     else {
         r->relay_metrics.rejected.value++;
     }
+    if (c->is_wait_known) {
+        g_snprintf(wait, sizeof(wait), ",\"wait_ms\":%" G_GINT64_FORMAT,
+                   Fw_Relay_UsToMs(c->expected_wait_us));
+    }
     Fw_RelayActions_Log(out, r, LOG_WARNING, "refused",
                         "\"id\":\"%s\",\"route\":\"%s\",\"team\":\"%s\","
                         "\"status\":%d,\"reason\":\"%s\",\"ran\":\"%s\","
                         "\"cost\":%" G_GINT64_FORMAT ","
                         "\"tries\":%d,\"after_ms\":%" G_GINT64_FORMAT
-                        ",\"retry_ms\":%" G_GINT64_FORMAT,
+                        ",\"retry_ms\":%" G_GINT64_FORMAT "%s",
                         c->info.id, c->route.name, c->team, status, reason,
                         Fw_Ran_Name(c->ran), c->cost, c->attempts,
                         Fw_Relay_UsToMs(now_us - c->opened_us),
-                        Fw_Relay_UsToMs(retry_us));
+                        Fw_Relay_UsToMs(retry_us), wait);
     a = Fw_RelayActions_Add(out, FW_RL_DO_REJECT);
     a->u.rejection = (struct fw_rl_rejection){.call = c->id,
                                               .status = status,
--- a/src/relay/calls.h
+++ b/src/relay/calls.h
@@ -68,6 +68,10 @@
  * @tried: hashes of the servers to avoid
  * @service_hash: hash of the name of its service, for generation requests
  * @is_waiting: it counts as waiting, with @waiting_tokens
+ * @is_repeat: its caller has been rejected before
+ * @spent_before_us: time that its caller had spent before, 0 if unknown
+ * @is_wait_known: @expected_wait_us is set
+ * @expected_wait_us: wait for a slot expected at the server that was chosen
  */
 struct fw_rl_call {
     struct fw_list link;
@@ -113,6 +117,10 @@
     uint64_t service_hash;
     int is_waiting;
     int64_t waiting_tokens;
+    int is_repeat;
+    int64_t spent_before_us;
+    int is_wait_known;
+    int64_t expected_wait_us;
     struct fw_queue_item item;
 };
 
@@ -123,6 +131,7 @@
  * @instance: hash of the name of the instance called
  * @deadline_us: when it times out
  * @had_free_slot: the server had a free slot when the call was sent
+ * @had_idle_server: half of the server's slots were free then
  * @is_calibration: a report requested only to learn the tokens per event
  */
 struct fw_rl_op {
@@ -135,6 +144,7 @@
     int64_t sent_us;
     int64_t deadline_us;
     int had_free_slot;
+    int had_idle_server;
     int is_calibration;
 };
 
--- a/src/relay/metrics.c
+++ b/src/relay/metrics.c
@@ -55,6 +55,12 @@
          "Requests handed over to another instance", 0},
         {&r->relay_metrics.links_lost, "fw_server_links_lost",
          "1 while this instance has no links to the servers", 1},
+        {&r->relay_metrics.plain_admitted, "fw_plain_admitted_total",
+         "Plain requests admitted by forecast", 0},
+        {&r->relay_metrics.plain_asked, "fw_plain_asked_per_second",
+         "First attempts at plain services, of all instances", 1},
+        {&r->relay_metrics.plain_completions, "fw_plain_completed_per_second",
+         "Requests that these services are expected to complete", 1},
         {&r->relay_metrics.role_held, "fw_order_role_held",
          "1 while this instance may order engines", 1},
     };
@@ -136,6 +142,7 @@
     r->relay_metrics.servers_usable.value = usable;
     r->relay_metrics.servers_limited.value = limited;
     r->relay_metrics.tokens_reserved.value = reserved;
+    Fw_PlainCalls_UpdateGauges(r, now_us);
     r->relay_metrics.role_held.value =
         r->order_lease.fence && now_us < r->order_lease.expires_us;
 }
--- a/src/relay/metrics.h
+++ b/src/relay/metrics.h
@@ -6,7 +6,7 @@
 #include "relay/relay.h"
 
 /* Maximum number of reasons with a counter of their own. */
-#define FW_RL_REJECT_REASONS_MAX 24
+#define FW_RL_REJECT_REASONS_MAX 32
 
 /**
  * struct fw_rl_metrics - metrics of the relay; see metrics.c for the others.
@@ -40,6 +40,9 @@
     struct fw_metric role_held;
     struct fw_metric handed_over;
     struct fw_metric links_lost;
+    struct fw_metric plain_admitted;
+    struct fw_metric plain_asked;
+    struct fw_metric plain_completions;
     struct fw_metric reasons[FW_RL_REJECT_REASONS_MAX];
     char labels[FW_RL_REJECT_REASONS_MAX][FW_NAME_MAX + 16];
     int n_reasons;
--- a/src/relay/open.c
+++ b/src/relay/open.c
@@ -227,7 +227,7 @@
         Fw_Stream_Open(r, c, now_us, out);
     }
     else {
-        Fw_ServiceDemand_NotePlain(r, c, now_us);
+        Fw_PlainCalls_NoteArrival(r, c, now_us);
         Fw_Plain_Send(r, c, now_us, out);
     }
 }
--- a/src/relay/plain.c
+++ b/src/relay/plain.c
@@ -36,8 +36,25 @@
 reject_overloaded(struct fw_relay *r, struct fw_rl_call *c, const char *reason,
                   int64_t now_us, struct fw_rl_actions *out)
 {
-    int64_t retry_us =
-        g_rand_int_range(r->rand, FW_RETRY_FULL_MIN_US, FW_RETRY_FULL_MAX_US);
+    int64_t retry_us = Fw_PlainCalls_IsForecast(r, c)
+                           ? Fw_PlainCalls_RetryUs(r, c, 0, now_us)
+                           : g_rand_int_range(r->rand, FW_RETRY_FULL_MIN_US,
+                                              FW_RETRY_FULL_MAX_US);
+
+    Fw_Call_Reject(r, c, 503, retry_us, reason, now_us, out);
+}
+
+/*
+ * Rejects @c, which can be served after @least_us. By forecast callers are
+ * told when there is room for them as well, and keep time for the retry.
+ */
+static void
+reject_until(struct fw_relay *r, struct fw_rl_call *c, int64_t least_us,
+             const char *reason, int64_t now_us, struct fw_rl_actions *out)
+{
+    int64_t retry_us = Fw_PlainCalls_IsForecast(r, c)
+                           ? Fw_PlainCalls_RetryUs(r, c, least_us, now_us)
+                           : least_us;
 
     Fw_Call_Reject(r, c, 503, retry_us, reason, now_us, out);
 }
@@ -54,8 +71,8 @@
     int64_t longest_us = CLAMP(available_us - now_us, FW_RETRY_FULL_MAX_US,
                                FW_RETRY_NO_SERVER_US);
 
-    Fw_Call_Reject(
-        r, c, 503,
+    reject_until(
+        r, c,
         g_rand_int_range(r->rand, FW_RETRY_FULL_MIN_US, (gint32)longest_us),
         "servers_limited", now_us, out);
 }
@@ -71,10 +88,10 @@
         reject_limited(r, c, available_us, now_us, out);
         return;
     }
-    Fw_Call_Reject(r, c, 503,
-                   r->has_server_list ? FW_RETRY_NO_SERVER_US
-                                      : Fw_Relay_StaleRetryUs(r, now_us),
-                   "no_server", now_us, out);
+    reject_until(r, c,
+                 r->has_server_list ? FW_RETRY_NO_SERVER_US
+                                    : Fw_Relay_StaleRetryUs(r, now_us),
+                 "no_server", now_us, out);
 }
 
 /* Rejects @c, which the server that it was sent to has rejected. */
@@ -126,6 +143,7 @@
     g_strlcpy(up.team, c->team, sizeof(up.team));
     op = Fw_Call_Upstream(r, c, s, &up, timeout_at_us, now_us, out);
     op->had_free_slot = load.running < s->entry.slots;
+    op->had_idle_server = load.running <= s->entry.slots / 2;
     Fw_RelayActions_Log(
         out, r, Fw_Call_LogSeverity(r, c), "sent",
         "\"id\":\"%s\",\"route\":\"%s\",\"team\":\"%s\","
@@ -135,17 +153,29 @@
         s->running, Fw_Relay_UsToMs(up.timeout_us));
 }
 
+/* Return: NULL to send @c to @s, otherwise the reason to reject it. */
+static const char *
+reason_to_reject(struct fw_relay *r, struct fw_rl_call *c,
+                 const struct fw_rl_server *s, int64_t now_us)
+{
+    if (Fw_PlainCalls_IsForecast(r, c)) {
+        return Fw_PlainCalls_Admit(r, c, s, now_us);
+    }
+    return Fw_Place_IsOverloaded(r, c, s, now_us) ? "servers_crowded" : NULL;
+}
+
 void
 Fw_Plain_Send(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us,
               struct fw_rl_actions *out)
 {
     struct fw_rl_server *s = Fw_Place_Plain(r, c, now_us);
+    const char *reason;
 
     if (!s) {
         reject_unplaced(r, c, now_us, out);
     }
-    else if (Fw_Place_IsOverloaded(r, c, s, now_us)) {
-        reject_overloaded(r, c, "servers_crowded", now_us, out);
+    else if ((reason = reason_to_reject(r, c, s, now_us))) {
+        reject_overloaded(r, c, reason, now_us, out);
     }
     else {
         send_attempt(r, c, s, now_us, out);
@@ -158,8 +188,8 @@
  * the requests queued there.
  */
 static struct fw_rl_server *
-take_retry_server(struct fw_relay *r, const struct fw_rl_call *c,
-                  int64_t now_us, struct fw_rl_actions *out)
+take_retry_server(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us,
+                  struct fw_rl_actions *out)
 {
     struct fw_rl_server *s;
 
@@ -168,7 +198,7 @@
         return NULL;
     }
     s = Fw_Place_Plain(r, c, now_us);
-    if (!s || Fw_Place_IsOverloaded(r, c, s, now_us) ||
+    if (!s || reason_to_reject(r, c, s, now_us) ||
         !Fw_RetryBudget_Take(r, c, 1, now_us, out)) {
         return NULL;
     }
@@ -226,6 +256,9 @@
     c->ran = FW_RAN_YES;
     c->is_response_good = ans->status / 100 == 2;
     Fw_Servers_NoteResponse(op->server, ans->status >= 500, took_us);
+    if (c->is_response_good) {
+        Fw_PlainCalls_NoteResponse(r, op, took_us);
+    }
     if (op->had_free_slot) {
         Fw_Servers_NoteServiceTime(op->server, took_us);
     }
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -50,6 +50,7 @@
     r->presence.record_ends = Fw_Rows_NewTable();
     Fw_Crashes_Init(r);
     Fw_ServiceDemand_Init(r);
+    Fw_PlainCalls_Init(r);
     Fw_List_Init(&r->call_list);
     Fw_List_Init(&r->op_list);
     Fw_List_Init(&r->members);
@@ -84,6 +85,7 @@
     Fw_Queue_Clear(&r->queue);
     Fw_Crashes_Clear(r);
     Fw_ServiceDemand_Clear(r);
+    Fw_PlainCalls_Clear(r);
     g_hash_table_destroy(r->calls);
     g_hash_table_destroy(r->ops);
     g_hash_table_destroy(r->allowances);
--- a/src/relay/relay_internal.h
+++ b/src/relay/relay_internal.h
@@ -12,6 +12,7 @@
 #include "relay/limits.h"
 #include "relay/metrics.h"
 #include "relay/peers.h"
+#include "relay/plain_admission.h"
 #include "relay/relay.h"
 #include "relay/servers.h"
 #include "relay/service_demand.h"
@@ -81,6 +82,7 @@
  * @retry_budgets: struct fw_rl_retry_budget
  * @service_stats: struct fw_service_stats
  * @service_demand: demand for services by rank
+ * @plain_admission: admission of plain requests by forecast
  * @stage_check_us: next check of the engines' stages
  * @stages_settled: the pools had their target sizes at least once
  * @imbalance_since_us: since when a pool differs from its target size, 0 if
@@ -131,6 +133,7 @@
     struct fw_rl_store_sync store_sync;
     GPtrArray *service_stats;
     struct fw_rl_service_demand service_demand;
+    struct fw_rl_plain_admission plain_admission;
     uint64_t digest_seq;
     int64_t stage_check_us;
     int stages_settled;
--- a/tests/decide/plain_play.c
+++ b/tests/decide/plain_play.c
@@ -262,6 +262,7 @@
 
     c.left_us = f->k->deadline_ms * FW_MSEC - c.spent_us;
     describe(f, x, server, &all, &one);
+    all.asked = c.asked;
     Fw_PlainAdmission_Refill(&x->admission, &all, f->now_us);
     Fw_PlainAdmission_Decide(&x->admission, &all, &one, &c,
                              g_rand_double(f->rand), &got);
--- a/tests/relay/script.c
+++ b/tests/relay/script.c
@@ -4,7 +4,7 @@
  *   started                     the process was started just now, and not a
  *                               while ago
  *   options KEY=N ...           queue_ms, stale_ms, reserve, prefill, extra,
- *                               here_ms, lease_ms
+ *                               here_ms, lease_ms, forecast
  *   rules VERSION [KEY=N ...]   loads a configuration (see make_rules); rate,
  *                               burst, keys, attempts, timeout_ms, kv, slots,
  *                               cold_rate, cold_ms, route_region, team_region
--- a/tests/relay/script_world.c
+++ b/tests/relay/script_world.c
@@ -232,6 +232,7 @@
     o->log_sample = (int)Fw_RelayScript_GetNumber(run, "sample", 1);
     o->tolerance_tokens = Fw_RelayScript_GetNumber(run, "tolerance", 0);
     o->lease_us = Fw_RelayScript_GetNumber(run, "lease_ms", 3000) * FW_MSEC;
+    o->admission_forecast = (int)Fw_RelayScript_GetNumber(run, "forecast", 0);
     Fw_Relay_SetOpts(run->r, o);
 }
 
