Keep the demand by rank with the sums over a service's servers

The demand of ten ranks was added up for each plain call. The play shows callers that declare no time: their repeats pass for first attempts, and are served no worse than by bounded queues.

--- a/src/relay/plain_admission.c
+++ b/src/relay/plain_admission.c
@@ -19,12 +19,14 @@
 /**
  * struct plain_service - one service with plain servers.
  * @all: its servers, as of @all_us
+ * @asked: first attempts a second by rank, of all instances, as of then
  * @shown_us: time of the last call
  */
 struct plain_service {
     uint64_t hash;
     struct fw_plain_admission admission;
     struct fw_plain_servers all;
+    double asked[FW_RANKS];
     int64_t all_us;
     int64_t shown_us;
 };
@@ -159,9 +161,22 @@
     return r->opts.digest_period_us + (latest_us ? now_us - latest_us : 0);
 }
 
-/* Adds up the servers of the service. */
 static void
-update_servers(struct fw_relay *r, struct plain_service *p,
+update_demand(const struct fw_relay *r, struct plain_service *p,
+              int64_t now_us)
+{
+    for (int i = 0; i < FW_RANKS; i++) {
+        struct fw_demand_sum sum;
+
+        Fw_Demand_GetTotal(r->service_demand.demand, p->hash, i, now_us, &sum);
+        p->asked[i] = sum.asked;
+        p->all.asked += sum.asked;
+    }
+}
+
+/* Adds up the servers of the service, and the demand for it. */
+static void
+update_service(struct fw_relay *r, struct plain_service *p,
                const struct fw_rl_call *c, int64_t now_us)
 {
     double slot_us = Fw_PlainAdmission_SlotUs(&p->admission);
@@ -190,26 +205,7 @@
     p->all.completions = p->all.slots * FW_SEC / slot_us;
     p->all.instances = Fw_Members_Count(r, now_us, &n_live);
     p->all.is_isolated = p->all.instances > 1 && n_live <= 1;
-}
-
-/* Calls a second by rank, and in sum. */
-static void
-update_demand(const struct fw_relay *r, struct plain_service *p,
-              struct fw_plain_call *call, int rank, int64_t now_us)
-{
-    p->all.asked = 0;
-    for (int i = 0; i < FW_RANKS; i++) {
-        struct fw_demand_sum sum;
-
-        Fw_Demand_GetTotal(r->service_demand.demand, p->hash, i, now_us, &sum);
-        p->all.asked += sum.asked;
-        if (i < rank) {
-            call->asked_before += sum.asked;
-        }
-        else if (i == rank) {
-            call->asked = sum.asked;
-        }
-    }
+    update_demand(r, p, now_us);
 }
 
 /* The time that the caller will wait, which may be beyond the deadline here.
@@ -221,6 +217,17 @@
                                   : c->deadline_us - now_us;
 }
 
+static void
+add_demand(const struct plain_service *p, int rank, struct fw_plain_call *call)
+{
+    int own = CLAMP(rank, 0, FW_RANKS - 1);
+
+    call->asked = p->asked[own];
+    for (int i = 0; i < own; i++) {
+        call->asked_before += p->asked[i];
+    }
+}
+
 static struct fw_plain_call
 describe_call(const struct fw_rl_call *c, int64_t now_us)
 {
@@ -245,8 +252,8 @@
     if (s->entry.slots <= 0) {
         return NULL;
     }
-    update_servers(r, p, c, now_us);
-    update_demand(r, p, &call, CLAMP(c->priority, 0, FW_RANKS - 1), now_us);
+    update_service(r, p, c, now_us);
+    add_demand(p, c->priority, &call);
     Fw_Place_Load(r, s, now_us, &l);
     one.running = l.running;
     one.service_us = Fw_PlainAdmission_SlotUs(&p->admission);
@@ -273,8 +280,8 @@
     int64_t retry_us;
 
     call.left_us = callers_left_us(c, now_us);
-    update_servers(r, p, c, now_us);
-    update_demand(r, p, &call, CLAMP(c->priority, 0, FW_RANKS - 1), now_us);
+    update_service(r, p, c, now_us);
+    add_demand(p, c->priority, &call);
     retry_us = Fw_PlainAdmission_RetryUs(&p->admission, &p->all, &call,
                                          g_rand_double(r->rand), now_us);
     if (!retry_us) {
--- a/tests/decide/plain_play.c
+++ b/tests/decide/plain_play.c
@@ -253,14 +253,14 @@
     struct fw_plain_servers all;
     struct fw_plain_server one;
     struct fw_plain_decision got;
-    struct fw_plain_call c = {.objective_us = f->k->objective_ms * FW_MSEC,
-                              .spent_us = f->now_us - who->first_us,
-                              .is_repeat = who->attempts > 1,
-                              .asked = f->p->age_ms
-                                           ? f->history[view_index(f, x)].asked
-                                           : x->admission.local};
-
-    c.left_us = f->k->deadline_ms * FW_MSEC - c.spent_us;
+    struct fw_plain_call c = {
+        .objective_us = f->k->objective_ms * FW_MSEC,
+        .spent_us = f->p->is_undeclared ? 0 : f->now_us - who->first_us,
+        .is_repeat = !f->p->is_undeclared && who->attempts > 1,
+        .asked = f->p->age_ms ? f->history[view_index(f, x)].asked
+                              : x->admission.local};
+
+    c.left_us = f->k->deadline_ms * FW_MSEC - (f->now_us - who->first_us);
     describe(f, x, server, &all, &one);
     all.asked = c.asked;
     Fw_PlainAdmission_Refill(&x->admission, &all, f->now_us);
@@ -350,7 +350,7 @@
     int tried = 0;
 
     who->attempts++;
-    f->asked += who->attempts == 1;
+    f->asked += who->attempts == 1 || f->p->is_undeclared;
     Fw_PlainAdmission_NoteCall(&x->admission, f->now_us);
     if (in_outage(f)) {
         retry_us = f->p->forecast ? MIN(FW_NO_SERVER_RETRY_US, left_us / 3)
--- a/tests/decide/plain_play.h
+++ b/tests/decide/plain_play.h
@@ -29,6 +29,7 @@
  * @crowd: part of the burst's calls that reach one instance
  * @outage_ms: time without any server before the burst
  * @by_load: servers are chosen by all instances' loads
+ * @is_undeclared: repeats look like first attempts
  * @knows_speed: the slow server's speed is known, a second late
  */
 struct fw_plain_play {
@@ -43,6 +44,7 @@
     double crowd;
     int outage_ms;
     int by_load;
+    int is_undeclared;
     int knows_speed;
     uint32_t seed;
 };
