Leave callers time for the retry that they are told

A stream's Retry-After could be longer than its caller waits, and a plain call to unreachable servers was told a second even with 600 ms left in all. With [policy] admission = forecast both are at most a third of the caller's time, by the time that it declares. Other rejections, and admission = queue, tell what they did before.

tests/relay and tests/decide pass.

--- a/src/decide/plain_admission.c
+++ b/src/decide/plain_admission.c
@@ -323,20 +323,29 @@
     out->probability = MIN(out->probability, queue);
 }
 
+int64_t
+Fw_PlainAdmission_LongestRetryUs(int64_t left_us)
+{
+    int64_t us = left_us / FW_RETRY_PARTS;
+
+    return us < FW_RETRY_MIN_US ? 0 : us;
+}
+
 int64_t
 Fw_PlainAdmission_RetryUs(const struct fw_plain_admission *a,
                           const struct fw_plain_servers *all,
                           const struct fw_plain_call *c, double chance,
                           int64_t now_us)
 {
-    double longest = MIN(FW_RETRY_MAX_US, c->left_us / FW_RETRY_PARTS);
+    double longest =
+        MIN(FW_RETRY_MAX_US, Fw_PlainAdmission_LongestRetryUs(c->left_us));
     double free_rate = all->completions - all->asked;
     double others = a->local > 0 ? MAX(all->asked / a->local, 1.0) : 1.0;
     double work = MAX(0, all->running - all->slots) +
                   told_ahead(a, now_us) * MIN(others, all->instances);
     double us = longest;
 
-    if (longest < FW_RETRY_MIN_US) {
+    if (longest <= 0) {
         return 0;
     }
     if (free_rate > 0) {
--- a/src/decide/plain_admission.h
+++ b/src/decide/plain_admission.h
@@ -164,10 +164,16 @@
                          const struct fw_plain_server *s,
                          const struct fw_plain_call *c, double chance,
                          struct fw_plain_decision *out);
+/*
+ * The longest Retry-After for a caller that will wait for @left_us, a third of
+ * it. 0 if a retry can't help.
+ */
+int64_t
+Fw_PlainAdmission_LongestRetryUs(int64_t left_us);
 /*
  * Retry-After for a rejected call: when the backlog and the retries already
- * told are expected to be worked off, spread, and at most a third of the time
- * left to the call. 0 if no retry can help.
+ * told are expected to be worked off, spread, and at most the longest one. 0
+ * if no retry can help.
  */
 int64_t
 Fw_PlainAdmission_RetryUs(const struct fw_plain_admission *a,
--- a/src/relay/call.c
+++ b/src/relay/call.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "base/hash.h"
+#include "decide/plain_admission.h"
 #include "relay/relay_internal.h"
 
 static struct fw_rl_op *
@@ -176,6 +177,25 @@
            !Fw_Links_AreLost(r, now_us);
 }
 
+int64_t
+Fw_Call_LeftUs(const struct fw_rl_call *c, int64_t now_us)
+{
+    return c->info.timeout_us > 0 ? c->opened_us + c->info.timeout_us - now_us
+                                  : c->deadline_us - now_us;
+}
+
+/* A stream's caller keeps time for its retry, as a plain request's does. */
+static int64_t
+bounded_retry_us(const struct fw_relay *r, const struct fw_rl_call *c,
+                 int64_t retry_us, int64_t now_us)
+{
+    if (!r->opts.admission_forecast || c->kv_tokens <= 0) {
+        return retry_us;
+    }
+    return MIN(retry_us,
+               Fw_PlainAdmission_LongestRetryUs(Fw_Call_LeftUs(c, now_us)));
+}
+
 void
 Fw_Call_Reject(struct fw_relay *r, struct fw_rl_call *c, int status,
                int64_t retry_us, const char *reason, int64_t now_us,
@@ -195,6 +215,7 @@
     }
     else {
         r->relay_metrics.rejected.value++;
+        retry_us = bounded_retry_us(r, c, retry_us, now_us);
     }
     if (c->is_wait_known) {
         g_snprintf(wait, sizeof(wait), ",\"wait_ms\":%" G_GINT64_FORMAT,
--- a/src/relay/calls.h
+++ b/src/relay/calls.h
@@ -172,6 +172,9 @@
 /* Frees @op; a response that arrives later is ignored. */
 void
 Fw_Op_End(struct fw_relay *r, struct fw_rl_op *op);
+/* Time that the caller will wait, which may be more than to the deadline. */
+int64_t
+Fw_Call_LeftUs(const struct fw_rl_call *c, int64_t now_us);
 /*
  * Ends @c with an error response. A status that says that the request was not
  * run is replaced by 502 if it may have run.
--- a/src/relay/plain.c
+++ b/src/relay/plain.c
@@ -217,6 +217,19 @@
     send_attempt(r, c, next, now_us, out);
 }
 
+/* Rejects @c, to which no server has responded. */
+static void
+reject_failed(struct fw_relay *r, struct fw_rl_call *c, const char *reason,
+              int64_t now_us, struct fw_rl_actions *out)
+{
+    if (c->ran == FW_RAN_NO) {
+        reject_until(r, c, FW_RETRY_NO_SERVER_US, reason, now_us, out);
+        return;
+    }
+    Fw_Call_Reject(r, c, now_us >= c->deadline_us ? 504 : 502,
+                   FW_RETRY_NO_SERVER_US, reason, now_us, out);
+}
+
 static int
 may_retry(const struct fw_rl_call *c)
 {
@@ -310,11 +323,6 @@
               now_us, out);
         return;
     }
-    if (now_us >= c->deadline_us) {
-        Fw_Call_Reject(r, c, c->ran == FW_RAN_NO ? 503 : 504,
-                       FW_RETRY_NO_SERVER_US, "timeout", now_us, out);
-        return;
-    }
-    Fw_Call_Reject(r, c, c->ran == FW_RAN_NO ? 503 : 502,
-                   FW_RETRY_NO_SERVER_US, "upstream_lost", now_us, out);
+    reject_failed(r, c, now_us >= c->deadline_us ? "timeout" : "upstream_lost",
+                  now_us, out);
 }
--- a/src/relay/plain_admission.c
+++ b/src/relay/plain_admission.c
@@ -13,8 +13,6 @@
 #define FW_VIEW_AGE_MAX_US (20 * FW_MSEC)
 /* A rate without calls for this long is no longer shown. */
 #define FW_GAUGE_AGE_MAX_US (2 * FW_SEC)
-/* Part of the remaining time that a Retry-After may take. */
-#define FW_RETRY_PARTS 3
 
 /**
  * struct plain_service - one service with plain servers.
@@ -208,15 +206,6 @@
     update_demand(r, p, now_us);
 }
 
-/* The time that the caller will wait, which may be beyond the deadline here.
- */
-static int64_t
-callers_left_us(const struct fw_rl_call *c, int64_t now_us)
-{
-    return c->info.timeout_us > 0 ? c->opened_us + c->info.timeout_us - now_us
-                                  : c->deadline_us - now_us;
-}
-
 static void
 add_demand(const struct plain_service *p, int rank, struct fw_plain_call *call)
 {
@@ -279,7 +268,7 @@
     struct fw_plain_call call = describe_call(c, now_us);
     int64_t retry_us;
 
-    call.left_us = callers_left_us(c, now_us);
+    call.left_us = Fw_Call_LeftUs(c, now_us);
     update_service(r, p, c, now_us);
     add_demand(p, c->priority, &call);
     retry_us = Fw_PlainAdmission_RetryUs(&p->admission, &p->all, &call,
@@ -287,7 +276,8 @@
     if (!retry_us) {
         return 0;
     }
-    retry_us = MIN(MAX(retry_us, least_us), call.left_us / FW_RETRY_PARTS);
+    retry_us = MIN(MAX(retry_us, least_us),
+                   Fw_PlainAdmission_LongestRetryUs(call.left_us));
     Fw_PlainAdmission_NoteTold(&p->admission, retry_us, now_us);
     a->told_calls[a->n_told_calls++ % FW_RL_TOLD_CALLS] =
         Fw_Hash_Str(c->info.id);
--- a/tests/relay/test_plain_admission.c
+++ b/tests/relay/test_plain_admission.c
@@ -154,6 +154,19 @@
              "  ask 1 run s1 for 1 team=a left=10000\n"
              "fail 1 104 sent\n"
              "  refuse 1 502 upstream_lost ran=maybe\n"},
+    /* Guards against a stream's caller who is told to retry too late. */
+    {.name = "a stream's Retry-After is a third of its time at most",
+     .text = "options forecast=1 queue_ms=1\n"
+             "rules 1\n"
+             "fresh 0\n"
+             "open 1 /gen/x key=ka in=100 out=50 left_ms=120\n"
+             "at 2\n"
+             "tick\n"
+             "  refuse 1 503 no_room ran=no at-once\n"
+             "open 2 /gen/x key=ka in=100 out=50 left_ms=5000\n"
+             "at 4\n"
+             "tick\n"
+             "  refuse 2 503 no_room ran=no later\n"},
     /* Eight calls at four slots: five would be before it, 30 ms each. */
     {.name = "a call that can't be answered in time is rejected at once",
      .text = "options forecast=1\n"
