--- a/src/relay/call.c
+++ b/src/relay/call.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "base/hash.h"
+#include "decide/plain_admission.h"
 #include "relay/relay_internal.h"
 
 static struct fw_rl_op *
@@ -177,12 +178,32 @@
            !Fw_Links_AreLost(r, now_us);
 }
 
+int64_t
+Fw_Call_LeftUs(const struct fw_rl_call *c, int64_t now_us)
+{
+    return c->info.timeout_us > 0 ? c->opened_us + c->info.timeout_us - now_us
+                                  : c->deadline_us - now_us;
+}
+
+/* A stream's caller keeps time for its retry, as a plain request's does. */
+static int64_t
+bounded_retry_us(const struct fw_relay *r, const struct fw_rl_call *c,
+                 int64_t retry_us, int64_t now_us)
+{
+    if (!r->opts.admission_forecast || c->kv_tokens <= 0) {
+        return retry_us;
+    }
+    return MIN(retry_us,
+               Fw_PlainAdmission_LongestRetryUs(Fw_Call_LeftUs(c, now_us)));
+}
+
 void
 Fw_Call_Reject(struct fw_relay *r, struct fw_rl_call *c, int status,
                int64_t retry_us, const char *reason, int64_t now_us,
                struct fw_rl_actions *out)
 {
     struct fw_rl_action *a;
+    char wait[32] = "";
 
     /* 429 and 503 guarantee that the request has not run and will not. */
     if (c->ran != FW_RAN_NO && (status == 503 || status == 429)) {
@@ -196,17 +217,22 @@
     }
     else {
         r->relay_metrics.rejected.value++;
+        retry_us = bounded_retry_us(r, c, retry_us, now_us);
+    }
+    if (c->is_wait_known) {
+        g_snprintf(wait, sizeof(wait), ",\"wait_ms\":%" G_GINT64_FORMAT,
+                   Fw_Relay_UsToMs(c->expected_wait_us));
     }
     Fw_RelayActions_Log(out, r, LOG_WARNING, "refused",
                         "\"id\":\"%s\",\"route\":\"%s\",\"team\":\"%s\","
                         "\"status\":%d,\"reason\":\"%s\",\"ran\":\"%s\","
                         "\"cost\":%" G_GINT64_FORMAT ","
                         "\"tries\":%d,\"after_ms\":%" G_GINT64_FORMAT
-                        ",\"retry_ms\":%" G_GINT64_FORMAT,
+                        ",\"retry_ms\":%" G_GINT64_FORMAT "%s",
                         c->info.id, c->route.name, c->team, status, reason,
                         Fw_Ran_Name(c->ran), c->cost, c->attempts,
                         Fw_Relay_UsToMs(now_us - c->opened_us),
-                        Fw_Relay_UsToMs(retry_us));
+                        Fw_Relay_UsToMs(retry_us), wait);
     a = Fw_RelayActions_Add(out, FW_RL_DO_REJECT);
     a->u.rejection = (struct fw_rl_rejection){.call = c->id,
                                               .status = status,
--- a/src/relay/calls.h
+++ b/src/relay/calls.h
@@ -75,6 +75,10 @@
  * @is_held: it was held back for others, and waits for a reservation
  * @chance, @chance_us: what it drew, and when; see decide/precedence.h
  * @yields: reservations that it has given up for more urgent requests
+ * @is_repeat: its caller has been rejected before
+ * @spent_before_us: time that its caller had spent before, 0 if unknown
+ * @is_wait_known: @expected_wait_us is set
+ * @expected_wait_us: wait for a slot expected at the server that was chosen
  */
 struct fw_rl_call {
     struct fw_list link;
@@ -127,6 +131,10 @@
     double chance;
     int64_t chance_us;
     int yields;
+    int is_repeat;
+    int64_t spent_before_us;
+    int is_wait_known;
+    int64_t expected_wait_us;
     struct fw_queue_item item;
 };
 
@@ -137,6 +145,7 @@
  * @instance: hash of the name of the instance called
  * @deadline_us: when it times out
  * @had_free_slot: the server had a free slot when the call was sent
+ * @had_idle_server: half of the server's slots were free then
  * @is_calibration: a report requested only to learn the tokens per event
  */
 struct fw_rl_op {
@@ -149,6 +158,7 @@
     int64_t sent_us;
     int64_t deadline_us;
     int had_free_slot;
+    int had_idle_server;
     int is_calibration;
 };
 
@@ -176,6 +186,9 @@
 /* Frees @op; a response that arrives later is ignored. */
 void
 Fw_Op_End(struct fw_relay *r, struct fw_rl_op *op);
+/* Time that the caller will wait, which may be more than to the deadline. */
+int64_t
+Fw_Call_LeftUs(const struct fw_rl_call *c, int64_t now_us);
 /*
  * Ends @c with an error response. A status that says that the request was not
  * run is replaced by 502 if it may have run.
--- a/tests/relay/script.c
+++ b/tests/relay/script.c
@@ -5,7 +5,7 @@
  *                               while ago
  *   options KEY=N ...           queue_ms, stale_ms, reserve, prefill, extra,
  *                               here_ms, lease_ms, start_wait_ms, precedence,
- *                               patience
+ *                               patience, forecast
  *   rules VERSION [KEY=N ...]   loads a configuration (see make_rules); rate,
  *                               burst, keys, attempts, timeout_ms, kv, slots,
  *                               cold_rate, cold_ms, route_region, team_region,
--- a/tests/relay/script_world.c
+++ b/tests/relay/script_world.c
@@ -270,6 +270,7 @@
     o->start_wait_us =
         Fw_RelayScript_GetNumber(run, "start_wait_ms", 0) * FW_MSEC;
     o->lease_us = Fw_RelayScript_GetNumber(run, "lease_ms", 3000) * FW_MSEC;
+    o->admission_forecast = (int)Fw_RelayScript_GetNumber(run, "forecast", 0);
     Fw_Relay_SetOpts(run->r, o);
 }
 
