Measure by the ends of streams what becomes free

The rate at which memory becomes free was what is in use over the duration of a stream, which an instance with few streams overestimates by its prior of 4 s.

A request that is held back is decided about at most every 10 ms. The bound of the size of a demand message with four rows rises from 230 to 260 bytes.

--- a/src/demand/demand.c
+++ b/src/demand/demand.c
@@ -12,15 +12,18 @@
 #define FW_ROW_REQUESTS 1000.0
 #define FW_ROW_SQUARES 1e-6
 
-/**
- * struct local_demand - demand at this instance.
- * @asked, @tokens, @squares: exponentially decaying sums, as of @at_us
- */
-struct local_demand {
-    double asked;
+/** struct decaying_sum - exponentially decaying sums, as of @at_us. */
+struct decaying_sum {
+    double requests;
     double tokens;
     double squares;
     int64_t at_us;
+};
+
+/** struct local_demand - demand at this instance. */
+struct local_demand {
+    struct decaying_sum asked;
+    struct decaying_sum ended;
     int64_t waiting;
     int64_t waiting_tokens;
     int64_t late;
@@ -112,24 +115,38 @@
     return CLAMP(rank, 0, FW_RANKS - 1);
 }
 
-/* Part of the sums at @l that is left at @now_us. */
+/* Part of @sum that is left at @now_us. */
 static double
-decay(const struct local_demand *l, int64_t now_us)
+decay(const struct decaying_sum *sum, int64_t now_us)
+{
+    return exp(-(double)MAX(now_us - sum->at_us, 0) / FW_ASKED_MEAN_US);
+}
+
+static void
+add_request(struct decaying_sum *sum, int64_t tokens, int64_t now_us)
 {
-    return exp(-(double)MAX(now_us - l->at_us, 0) / FW_ASKED_MEAN_US);
+    double left = decay(sum, now_us);
+
+    sum->requests = sum->requests * left + 1;
+    sum->tokens = sum->tokens * left + (double)tokens;
+    sum->squares = sum->squares * left + (double)tokens * (double)tokens;
+    sum->at_us = now_us;
 }
 
 void
 Fw_Demand_NoteAsked(struct fw_demand *d, uint64_t service, int rank,
                     int64_t tokens, int64_t now_us)
 {
-    struct local_demand *l = &find_or_add(d, service)->local[valid_rank(rank)];
-    double left = decay(l, now_us);
+    add_request(&find_or_add(d, service)->local[valid_rank(rank)].asked,
+                tokens, now_us);
+}
 
-    l->asked = l->asked * left + 1;
-    l->tokens = l->tokens * left + (double)tokens;
-    l->squares = l->squares * left + (double)tokens * (double)tokens;
-    l->at_us = now_us;
+void
+Fw_Demand_NoteEnded(struct fw_demand *d, uint64_t service, int rank,
+                    int64_t tokens, int64_t now_us)
+{
+    add_request(&find_or_add(d, service)->local[valid_rank(rank)].ended,
+                tokens, now_us);
 }
 
 void
@@ -152,19 +169,29 @@
     l->late_tokens += tokens;
 }
 
+/* Factor that makes @sum a rate per second. */
+static double
+per_second(const struct decaying_sum *sum, int64_t now_us)
+{
+    return decay(sum, now_us) * FW_SEC / (double)FW_ASKED_MEAN_US;
+}
+
 static struct fw_demand_sum
 local_sum(const struct service *s, int rank, int64_t now_us)
 {
     const struct local_demand *l = &s->local[rank];
-    double per_second = decay(l, now_us) * FW_SEC / (double)FW_ASKED_MEAN_US;
+    double asked = per_second(&l->asked, now_us);
+    double ended = per_second(&l->ended, now_us);
 
-    return (struct fw_demand_sum){.asked = l->asked * per_second,
-                                  .asked_tokens = l->tokens * per_second,
-                                  .asked_squares = l->squares * per_second,
+    return (struct fw_demand_sum){.asked = l->asked.requests * asked,
+                                  .asked_tokens = l->asked.tokens * asked,
+                                  .asked_squares = l->asked.squares * asked,
                                   .waiting = l->waiting,
                                   .waiting_tokens = l->waiting_tokens,
                                   .late = l->late,
-                                  .late_tokens = l->late_tokens};
+                                  .late_tokens = l->late_tokens,
+                                  .ended = l->ended.requests * ended,
+                                  .ended_tokens = l->ended.tokens * ended};
 }
 
 void
@@ -246,6 +273,8 @@
     out->waiting_tokens += others[4];
     out->late += others[5];
     out->late_tokens += others[6];
+    out->ended += (double)others[7] / FW_ROW_REQUESTS;
+    out->ended_tokens += (double)others[8];
 }
 
 /* Adds the rows of @source to the sums of its scope, times @sign. */
@@ -374,7 +403,9 @@
                       (int64_t)local.asked_tokens,
                       (int64_t)(local.asked_squares * FW_ROW_SQUARES),
                       local.waiting, local.waiting_tokens, local.late,
-                      local.late_tokens}};
+                      local.late_tokens,
+                      (int64_t)(local.ended * FW_ROW_REQUESTS),
+                      (int64_t)local.ended_tokens}};
 
         sum_others(d, service, rank, scopes, now_us, row.value);
         if (to) {
--- a/src/demand/demand.h
+++ b/src/demand/demand.h
@@ -24,6 +24,8 @@
  * @waiting: requests that are queued
  * @waiting_tokens: KV cache tokens that these are expected to need
  * @late, @late_tokens: those of them that can no longer meet their objective
+ * @ended, @ended_tokens: requests that leave their engines in a second, a mean
+ *     over about a second, and the KV cache tokens that become free with them
  */
 struct fw_demand_sum {
     double asked;
@@ -33,6 +35,8 @@
     int64_t waiting_tokens;
     int64_t late;
     int64_t late_tokens;
+    double ended;
+    double ended_tokens;
 };
 
 /** enum fw_demand_scope - which instances the rows of a source cover. */
@@ -44,14 +48,15 @@
 };
 
 /* Numbers in a row of a message. */
-#define FW_DEMAND_VALUES 7
+#define FW_DEMAND_VALUES 9
 
 /**
  * struct fw_demand_row - demand for a service at a rank as messages carry it.
  * @service: hash of the service's name
  * @value: thousandths of requests a second, tokens a second, millions of
  *     squared tokens a second; requests waiting, their tokens, those of them
- *     that are late, their tokens
+ *     that are late, their tokens; thousandths of requests that end a second,
+ *     their tokens
  */
 struct fw_demand_row {
     uint64_t service;
@@ -74,6 +79,10 @@
 void
 Fw_Demand_NoteAsked(struct fw_demand *d, uint64_t service, int rank,
                     int64_t tokens, int64_t now_us);
+/* A request of this instance has left its engine. */
+void
+Fw_Demand_NoteEnded(struct fw_demand *d, uint64_t service, int rank,
+                    int64_t tokens, int64_t now_us);
 /* @n requests began to wait here; negative when they no longer do. */
 void
 Fw_Demand_AddWaiting(struct fw_demand *d, uint64_t service, int rank, int n,
--- a/src/relay/call.c
+++ b/src/relay/call.c
@@ -152,6 +152,10 @@
 Fw_Call_End(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us,
             struct fw_rl_actions *out)
 {
+    if (c->kv_tokens && c->server && c->reserved_us) {
+        Fw_Demand_NoteEnded(r->service_demand.demand, c->service_hash,
+                            c->priority, c->kv_tokens, now_us);
+    }
     Fw_Call_Release(r, c, now_us, out);
     if (c->item.team) {
         Fw_Queue_Remove(&r->queue, &c->item);
--- a/src/relay/ranks.c
+++ b/src/relay/ranks.c
@@ -16,6 +16,11 @@
 #define FW_PREFILL_WAIT_DEFAULT_US (300 * FW_MSEC)
 /* Deviations beyond the mean time of a stream to reserve for it. */
 #define FW_STREAM_DEVIATIONS 2.0
+/*
+ * The streams of all instances may take this many times less than those that
+ * this instance has seen, of which it assumes a few long ones at first.
+ */
+#define FW_STREAM_TIME_RATIO_MAX 4
 /* Bounds of Retry-After: a minimum, and a part of the time that is left. */
 #define FW_RETRY_MIN_US (250 * FW_MSEC)
 #define FW_RETRY_LEFT_FRACTION 3
@@ -214,15 +219,52 @@
     return (double)r->opts.digest_period_us / FW_SEC;
 }
 
+/**
+ * struct turnover - what streams hold and give back, of all instances.
+ * @held_s: mean time that a stream holds its part
+ */
+struct turnover {
+    double freed_tokens;
+    double freed_slots;
+    double held_s;
+};
+
+/*
+ * What has become free in the last second, and the time that streams take by
+ * that. This instance's own mean bounds both: streams of a lost engine end,
+ * but their memory does not become free, and at first none ends.
+ */
+static struct turnover
+measure_turnover(struct fw_relay *r, const struct fw_rl_ranked_service *s,
+                 const char *service)
+{
+    const struct fw_service_stats *stats = Fw_ServiceStats_Get(r, service);
+    double own_s = MAX(
+        (stats->stream_us.mean + stats->first_event_us.mean) / FW_SEC, 0.001);
+    double shortest_s = own_s / FW_STREAM_TIME_RATIO_MAX;
+    struct turnover t = {.held_s = own_s};
+
+    for (int rank = 0; rank < FW_RANKS; rank++) {
+        t.freed_tokens += s->sums[rank].ended_tokens;
+        t.freed_slots += s->sums[rank].ended;
+    }
+    t.freed_tokens = MIN(t.freed_tokens, s->pool.used_tokens / shortest_s);
+    t.freed_slots = MIN(t.freed_slots, s->pool.running / shortest_s);
+    if (t.freed_slots > 0) {
+        t.held_s = CLAMP(s->pool.running / t.freed_slots, shortest_s, own_s);
+    }
+    return t;
+}
+
 static void
 fill_memory(const struct fw_relay *r, const struct fw_rl_ranked_service *s,
             const struct fw_rl_call *c, const struct competition *k,
-            double held_s, struct fw_precedence_capacity *out)
+            const struct turnover *t, struct fw_precedence_capacity *out)
 {
     *out = (struct fw_precedence_capacity){
         .free = s->pool.free_tokens,
-        .freed = s->pool.used_tokens / held_s,
-        .held_s = held_s,
+        .freed = t->freed_tokens,
+        .held_s = t->held_s,
         .unseen_s = interval_s(r),
         .need = (double)c->kv_tokens,
         .urgent_waiting = (double)k->urgent.waiting_tokens,
@@ -233,12 +275,12 @@
 
 static void
 fill_slots(const struct fw_relay *r, const struct fw_rl_ranked_service *s,
-           const struct competition *k, double held_s,
+           const struct competition *k, const struct turnover *t,
            struct fw_precedence_capacity *out)
 {
     *out = (struct fw_precedence_capacity){.free = s->pool.free_slots,
-                                           .freed = s->pool.running / held_s,
-                                           .held_s = held_s,
+                                           .freed = t->freed_slots,
+                                           .held_s = t->held_s,
                                            .unseen_s = interval_s(r),
                                            .need = 1,
                                            .urgent_waiting =
@@ -280,13 +322,11 @@
      const struct fw_rl_call *c, int is_late,
      struct fw_precedence_capacity out[FW_PRECEDENCE_RESOURCES])
 {
-    const struct fw_service_stats *stats = Fw_ServiceStats_Get(r, c->service);
     struct competition k = compete(s, c, is_late, interval_s(r));
-    double held_s = MAX(
-        (stats->stream_us.mean + stats->first_event_us.mean) / FW_SEC, 0.001);
+    struct turnover t = measure_turnover(r, s, c->service);
 
-    fill_memory(r, s, c, &k, held_s, &out[FW_PRECEDENCE_MEMORY]);
-    fill_slots(r, s, &k, held_s, &out[FW_PRECEDENCE_SLOTS]);
+    fill_memory(r, s, c, &k, &t, &out[FW_PRECEDENCE_MEMORY]);
+    fill_slots(r, s, &k, &t, &out[FW_PRECEDENCE_SLOTS]);
     fill_prefill(r, s, c, &k, &out[FW_PRECEDENCE_PREFILL]);
 }
 
--- a/src/relay/ranks_queue.c
+++ b/src/relay/ranks_queue.c
@@ -15,10 +15,12 @@
  */
 #define FW_RELEASED_MIN 2
 #define FW_RELEASED_FRACTION 8
+/* A request that is held back is decided about again after this time. */
+#define FW_DECISION_AGE_US (10 * FW_MSEC)
 
 /**
  * struct round - one pass over the queue.
- * @calls: queued requests in their order, NULL once placed
+ * @calls: queued requests in their order, NULL once they are placed or wait
  * @is_blocked: a request of a service without ranks found no engine
  */
 struct round {
@@ -52,7 +54,7 @@
     g_ptr_array_unref(items);
 }
 
-/* Counts a request that was held back. Return: 0 if it must wait. */
+/* Whether @c, if it was held back, may be placed within this period. */
 static int
 may_release(struct fw_relay *r, const struct fw_rl_call *c, int64_t now_us)
 {
@@ -174,7 +176,29 @@
     return c && c->is_less_urgent && Fw_Ranks_ServiceOf(r, c);
 }
 
-/* Those of the less urgent ones that have waited for long and drew a place. */
+/*
+ * Whether the less urgent request @c, which may be placed only in its turn or
+ * if it has waited for long, takes part in this round.
+ */
+static int
+takes_part(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us,
+           struct fw_precedence_decision *d, struct fw_rl_actions *out)
+{
+    if (c->is_held && now_us - c->decided_us < FW_DECISION_AGE_US) {
+        return 0;
+    }
+    c->decided_us = now_us;
+    Fw_Ranks_Decide(r, c, now_us, d);
+    if (!d->place) {
+        Fw_Ranks_NoteHeld(r, c, d, now_us, out);
+    }
+    return d->place;
+}
+
+/*
+ * Places those of the less urgent requests that have waited for long and drew
+ * a place, and removes those that wait from the round.
+ */
 static void
 place_aged(struct fw_relay *r, struct round *round, int64_t now_us,
            struct fw_rl_actions *out)
@@ -187,39 +211,47 @@
         if (!is_less_urgent(r, c)) {
             continue;
         }
-        Fw_Ranks_Decide(r, c, now_us, &d);
-        if (d.reason == FW_PRECEDENCE_AGED) {
+        if (!takes_part(r, c, now_us, &d, out)) {
+            round->calls->pdata[i] = NULL;
+        }
+        else if (d.reason == FW_PRECEDENCE_AGED) {
             try_place(r, round, i, now_us, out);
         }
     }
 }
 
+/* The decision of this round may have changed with what was placed in it. */
+static int
+may_place(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us,
+          struct fw_rl_actions *out)
+{
+    struct fw_precedence_decision d;
+
+    if (!is_less_urgent(r, c)) {
+        return 1;
+    }
+    Fw_Ranks_Decide(r, c, now_us, &d);
+    if (!d.place) {
+        Fw_Ranks_NoteHeld(r, c, &d, now_us, out);
+        return 0;
+    }
+    return may_release(r, c, now_us);
+}
+
 void
 Fw_Ranks_PlaceQueued(struct fw_relay *r, int64_t now_us,
                      struct fw_rl_actions *out)
 {
     struct round round = {0};
-    struct fw_precedence_decision d;
 
     list_queued(r, &round);
     place_aged(r, &round, now_us, out);
     for (guint i = 0; i < round.calls->len; i++) {
         struct fw_rl_call *c = g_ptr_array_index(round.calls, i);
 
-        if (!c) {
-            continue;
-        }
-        if (is_less_urgent(r, c)) {
-            Fw_Ranks_Decide(r, c, now_us, &d);
-            if (!d.place) {
-                Fw_Ranks_NoteHeld(r, c, &d, now_us, out);
-                continue;
-            }
-            if (!may_release(r, c, now_us)) {
-                continue;
-            }
+        if (c && may_place(r, c, now_us, out)) {
+            try_place(r, &round, i, now_us, out);
         }
-        try_place(r, &round, i, now_us, out);
     }
     g_ptr_array_unref(round.calls);
 }
--- a/tests/demand/test_demand.c
+++ b/tests/demand/test_demand.c
@@ -53,6 +53,9 @@
     for (int i = 0; i < 300; i++) {
         now += 10 * FW_MSEC;
         Fw_Demand_NoteAsked(d, FW_SERVICE, 2, FW_TOKENS, now);
+        if (i % 2) {
+            Fw_Demand_NoteEnded(d, FW_SERVICE, 2, FW_TOKENS, now);
+        }
     }
     Fw_Demand_GetLocal(d, FW_SERVICE, 2, now, &sum);
     ck_assert_double_eq_tol(sum.asked, 100, 10);
@@ -60,6 +63,9 @@
                             10.0 * FW_TOKENS);
     ck_assert_double_eq_tol(sum.asked_squares, 100.0 * FW_TOKENS * FW_TOKENS,
                             10.0 * FW_TOKENS * FW_TOKENS);
+    ck_assert_double_eq_tol(sum.ended, 50, 5);
+    ck_assert_double_eq_tol(sum.ended_tokens, 50.0 * FW_TOKENS,
+                            5.0 * FW_TOKENS);
     Fw_Demand_GetLocal(d, FW_SERVICE, 2, now + 3 * FW_SEC, &sum);
     ck_assert_double_lt(sum.asked, 6);
     Fw_Demand_GetLocal(d, FW_SERVICE, 1, now, &sum);
@@ -106,11 +112,15 @@
     struct fw_demand *a = Fw_Demand_New();
     struct fw_demand *b = Fw_Demand_New();
     int64_t now = FW_START_US;
+    struct fw_demand_sum sum;
     GArray *rows;
 
     Fw_Demand_AddWaiting(a, FW_SERVICE, 0, 5, 5 * FW_TOKENS);
     Fw_Demand_AddWaiting(b, FW_SERVICE, 0, 1, FW_TOKENS);
+    Fw_Demand_NoteEnded(a, FW_SERVICE, 0, FW_TOKENS, now);
     exchange(a, b, FW_LEAF_A, FW_DEMAND_LEAF, 0, now);
+    Fw_Demand_GetTotal(b, FW_SERVICE, 0, now, &sum);
+    ck_assert_double_eq_tol(sum.ended_tokens, FW_TOKENS, 1);
     ck_assert_int_eq(total_waiting(b, 0, now + 599 * FW_MSEC), 6);
     ck_assert_int_eq(total_waiting(b, 0, now + 600 * FW_MSEC), 1);
     rows = rows_of(b, 1, 0, now + 600 * FW_MSEC);
--- a/tests/relay/script.c
+++ b/tests/relay/script.c
@@ -11,7 +11,8 @@
  *                               rank_b
  *   demand NAME RANK [KEY=N ...]
  *                               another instance reports demand for "llm":
- *                               waiting, tokens, asked, asked_tokens
+ *                               waiting, tokens, asked, asked_tokens, ended,
+ *                               ended_tokens
  *   fresh MS                    the configuration was current at that time
  *   server ID SERVICE STAGE [draining] [born=N] [domain=S] [cold_ms=N]
  *                               adds or updates a server's entry
--- a/tests/relay/test_demand_message.c
+++ b/tests/relay/test_demand_message.c
@@ -10,7 +10,7 @@
 #define FW_TOKENS 5200
 /* The clinic's rows of one message: streams of two ranks, two plain services,
  * one of them with two ranks. */
-#define FW_BYTES_MAX 230
+#define FW_BYTES_MAX 260
 
 /* A service with engines and two routes, and a plain one. */
 static struct fw_rl_rules *
