Ask a full engine again after its own delay

The rule that an engine which rejected a reservation counts as full for a digest period had gone into the check of every placement, in all deployments.

Demand of ranks that were never used is skipped when messages are written.

--- a/src/demand/demand.c
+++ b/src/demand/demand.c
@@ -383,6 +383,20 @@
     return 1;
 }
 
+/* Whether there has never been any demand at the rank, here or elsewhere. */
+static int
+is_unused(const struct service *s, int rank)
+{
+    const struct local_demand *l = &s->local[rank];
+
+    for (int k = 0; k < FW_DEMAND_SCOPES; k++) {
+        if (!is_zero(s->others[k][rank])) {
+            return 0;
+        }
+    }
+    return !l->asked.at_us && !l->ended.at_us && !l->waiting;
+}
+
 void
 Fw_Demand_AppendRows(const struct fw_demand *d, uint64_t service,
                      int with_leaves, uint64_t to, int64_t now_us,
@@ -395,8 +409,14 @@
         scopes |= 1U << FW_DEMAND_HUB;
     }
     for (int rank = 0; s && rank < FW_RANKS; rank++) {
-        struct fw_demand_sum local = local_sum(s, rank, now_us);
-        struct fw_demand_row row = {
+        struct fw_demand_sum local;
+        struct fw_demand_row row;
+
+        if (is_unused(s, rank)) {
+            continue;
+        }
+        local = local_sum(s, rank, now_us);
+        row = (struct fw_demand_row){
             .service = service,
             .rank = rank,
             .value = {(int64_t)(local.asked * FW_ROW_REQUESTS),
--- a/src/relay/place.c
+++ b/src/relay/place.c
@@ -252,8 +252,7 @@
         c->kv_tokens >= s->full_tokens) {
         return -1;
     }
-    if (now_us - s->full_us < r->opts.digest_period_us ||
-        l.running >= spec->slots || is_changing_stage(s, &l) ||
+    if (l.running >= spec->slots || is_changing_stage(s, &l) ||
         is_unreachable(&l)) {
         return -1;
     }
@@ -295,7 +294,8 @@
     Fw_Place_Load(r, s, now_us, &l);
     pool->used_tokens += (double)l.kv_tokens;
     pool->running += l.running;
-    if (l.running >= spec->slots || is_changing_stage(s, &l) ||
+    if (now_us - s->full_us < r->opts.digest_period_us ||
+        l.running >= spec->slots || is_changing_stage(s, &l) ||
         is_unreachable(&l) ||
         !Fw_Admission_MaySend(r, s, FW_RL_REQUESTS_PER_RESERVATION, now_us)) {
         return;
