--- a/src/relay/calls.h
+++ b/src/relay/calls.h
@@ -72,6 +72,7 @@
  * @late_from_us: when it can no longer meet its objective if it is queued
  * @is_late: it counts as late
  * @is_held: it was held back for others, and waits for a reservation
+ * @is_hold_logged: the log says that it was held back
  * @decided_us: when it was last decided whether to place it
  * @chance, @chance_us: what it drew, and when; see decide/precedence.h
  * @yields: reservations that it has given up for more urgent requests
@@ -124,6 +125,7 @@
     int64_t late_from_us;
     int is_late;
     int is_held;
+    int is_hold_logged;
     int64_t decided_us;
     double chance;
     int64_t chance_us;
--- a/src/relay/ranks_report.c
+++ b/src/relay/ranks_report.c
@@ -73,6 +73,10 @@
     if (!s->is_holding) {
         log_start(r, s, d, out);
     }
+    if (c->is_hold_logged) {
+        return;
+    }
+    c->is_hold_logged = 1;
     Fw_RelayActions_Log(
         out, r, Fw_Call_LogSeverity(r, c), "held_back",
         "\"id\":\"%s\",\"rank\":%d,\"reason\":\"%s\",\"resource\":\"%s\","
