--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -220,6 +220,13 @@
     FW_RL_POLICY_RANDOM,       /* any usable server; a baseline */
 };
 
+/** enum fw_rl_precedence - services whose requests have precedence by rank. */
+enum fw_rl_precedence {
+    FW_RL_PRECEDENCE_OFF,
+    FW_RL_PRECEDENCE_ON,     /* those whose routes or teams differ in rank */
+    FW_RL_PRECEDENCE_ROUTES, /* those whose routes differ in rank */
+};
+
 /**
  * struct fw_relay_opts - settings; see docs/OPERATIONS.md.
  * @domain: failure domain of this instance
@@ -241,7 +248,7 @@
  *     prefill until prompts have been received long enough to estimate it
  * @patience_objectives: callers abandon a stream whose first event takes
  *     longer than this many times its objective; 0 if they don't
- * @precedence: requests of less urgent ranks wait for more urgent ones
+ * @precedence: where requests of less urgent ranks wait for more urgent ones
  * @admission_forecast: plain requests are admitted by a forecast of what the
  *     servers can carry
  * @overage_ppm: tolerated excess over a team's rate
@@ -274,7 +281,7 @@
     int64_t local_prefill_us;
     int prefill_permille;
     int patience_objectives;
-    int precedence;
+    enum fw_rl_precedence precedence;
     int admission_forecast;
     int64_t overage_ppm;
     int64_t tolerance_tokens;
--- a/src/relay/service_demand.c
+++ b/src/relay/service_demand.c
@@ -91,6 +91,30 @@
     return ranks;
 }
 
+static int
+is_several(unsigned bits)
+{
+    return (bits & (bits - 1)) != 0;
+}
+
+/* Whether precedence by rank is in force for @service. */
+static int
+has_precedence(const struct fw_relay *r, const char *service, unsigned ranks)
+{
+    static const struct team_ranks no_teams = {.any_without = 1};
+
+    switch (r->opts.precedence) {
+    case FW_RL_PRECEDENCE_ON:
+        return is_several(ranks);
+    case FW_RL_PRECEDENCE_ROUTES:
+        return is_several(ranks) &&
+               is_several(ranks_of_service(r->rules, service, &no_teams));
+    case FW_RL_PRECEDENCE_OFF:
+        break;
+    }
+    return 0;
+}
+
 void
 Fw_ServiceDemand_ApplyRules(struct fw_relay *r)
 {
@@ -103,8 +127,7 @@
             g_ptr_array_index(r->rules->services, i);
         uint64_t hash = Fw_Hash_Str(s->name);
         unsigned ranks = ranks_of_service(r->rules, s->name, &teams);
-        int is_ranked =
-            r->opts.precedence && s->has_engines && (ranks & (ranks - 1));
+        int is_ranked = s->has_engines && has_precedence(r, s->name, ranks);
 
         if (is_ranked) {
             *Fw_Rows_LookupOrAdd(r->service_demand.ranked, hash, 0) = ranks;
--- a/src/relayd/settings.c
+++ b/src/relayd/settings.c
@@ -64,10 +64,12 @@
 /* In the order of enum fw_rl_policy. */
 static const char *const policies[] = {"full", "least-loaded", "random", NULL};
 
-static const char *const off_on[] = {"off", "on", NULL};
 /* Whether plain requests are admitted by a forecast. */
 static const char *const admissions[] = {"queue", "forecast", NULL};
 
+/* In the order of enum fw_rl_precedence. */
+static const char *const precedences[] = {"off", "on", "routes", NULL};
+
 static const struct fw_ini_key keys[] = {
     FW_TEXT("relay", "name", FW_INI_NAME, NULL, out.relay.name),
     FW_TEXT("relay", "domain", FW_INI_NAME, NULL, out.relay.domain),
@@ -101,8 +103,8 @@
     FW_INT("peers", "digest-every-ms", "150", 10, 10000, digest_every_ms),
     {"policy", "routing", FW_INI_CHOICE, "full", 0, 0, FW_AT(policy),
      policies},
-    {"policy", "precedence", FW_INI_CHOICE, "on", 0, 0, FW_AT(precedence),
-     off_on},
+    {"policy", "precedence", FW_INI_CHOICE, "routes", 0, 0, FW_AT(precedence),
+     precedences},
     {"policy", "admission", FW_INI_CHOICE, "forecast", 0, 0, FW_AT(admission),
      admissions},
     FW_INT("policy", "queue-ms", "0", 0, 600000, queue_ms),
@@ -139,7 +141,7 @@
     r->key_stale_us = v->revocation_ms * FW_KEY_STALE_PERMILLE;
     r->policy = (enum fw_rl_policy)v->policy;
     r->patience_objectives = (int)v->patience;
-    r->precedence = (int)v->precedence;
+    r->precedence = (enum fw_rl_precedence)v->precedence;
     r->admission_forecast = (int)v->admission;
     r->queue_limit_us = v->queue_ms * FW_MSEC;
     r->reserve_permille = (int)v->reserve_permille;
