Hand over requests whose tries reached no server, or whose service is cut off

Generations at instances whose open connections survive while new ones are refused waited for engines until they were refused as no_room, and plain requests were answered upstream_lost: any response showed that the links as a whole work.

Links are judged for the servers of each service at each stage as well. A request is handed over when the links to the servers that it needs are lost, when no connection to any decode engine can be made, or when all its own tries ended without a connection; what was counted and charged for it is taken back first. An instance that takes it refuses it at once if its own tries reach no server. A stage none of whose servers can be connected to is not reported as unreachable to other instances, which skipped its engines.

Two scripts of test_handover.c add the other instance after the first request has failed, as that request would be handed over now.

--- a/src/decide/prefill_pool.c
+++ b/src/decide/prefill_pool.c
@@ -40,6 +40,17 @@
     }
 }
 
+void
+Fw_PrefillLoad_TakeBack(struct fw_prefill_load *load, int64_t tokens,
+                        int64_t added_us, int64_t now_us)
+{
+    double left = load->sum * decay((double)(now_us - load->at_us)) -
+                  (double)tokens * decay((double)(now_us - added_us));
+
+    load->sum = MAX(left, 0);
+    load->at_us = now_us;
+}
+
 /* Normalizes by the time observed, so that it is unbiased after a start. */
 double
 Fw_PrefillLoad_Rate(const struct fw_prefill_load *load, int64_t now_us)
--- a/src/decide/prefill_pool.h
+++ b/src/decide/prefill_pool.h
@@ -24,6 +24,10 @@
 void
 Fw_PrefillLoad_Add(struct fw_prefill_load *load, int64_t tokens,
                    int64_t now_us);
+/* Removes a prompt that was added at @added_us. */
+void
+Fw_PrefillLoad_TakeBack(struct fw_prefill_load *load, int64_t tokens,
+                        int64_t added_us, int64_t now_us);
 /* Prompt tokens per second, as of @now_us. */
 double
 Fw_PrefillLoad_Rate(const struct fw_prefill_load *load, int64_t now_us);
--- a/src/decide/upstream_links.c
+++ b/src/decide/upstream_links.c
@@ -47,6 +47,12 @@
            now_us - l->failing_since_us >= FW_LINKS_LOST_US;
 }
 
+int
+Fw_UpstreamReach_IsNone(const struct fw_upstream_reach *reach)
+{
+    return reach->n > 0 && reach->n_unconnected == reach->n;
+}
+
 int
 Fw_UpstreamLinks_AreSuspect(const struct fw_upstream_links *l, int64_t now_us)
 {
--- a/src/relay/admission.c
+++ b/src/relay/admission.c
@@ -131,7 +131,7 @@
     if (!op || !op->server) {
         return;
     }
-    Fw_Links_NoteResponse(r, now_us);
+    Fw_Links_NoteResponse(r, op->server, now_us);
     if (!ans->wrong_server) {
         Fw_Crashes_ServerResponded(r, op->server, op->sent_us, now_us);
         note_limit(r, op->server, ans, now_us, out);
--- a/src/relay/call.c
+++ b/src/relay/call.c
@@ -172,7 +172,19 @@
 can_serve(const struct fw_relay *r, const struct fw_rl_call *c, int64_t now_us)
 {
     return r->rules && !r->draining && Fw_Relay_MayServe(r, c, now_us) &&
-           !Fw_Links_AreLost(r, now_us);
+           !Fw_Links_AreLostFor(r, c, now_us) && !Fw_Handover_IsUnconnected(c);
+}
+
+/*
+ * Whether the instance that has handed over @c may give it to another one: it
+ * is not sent again beyond the retry budget.
+ */
+static int
+refuses_handover(const struct fw_relay *r, const struct fw_rl_call *c,
+                 int64_t now_us)
+{
+    return c->info.is_handed_over && c->ran == FW_RAN_NO &&
+           c->calls_received == c->calls_charged && !can_serve(r, c, now_us);
 }
 
 void
@@ -210,9 +222,10 @@
                                               .retry_us = retry_us,
                                               .reason = reason,
                                               .ran = c->ran};
-    a->u.rejection.refuses_handover = c->info.is_handed_over &&
-                                      c->ran == FW_RAN_NO &&
-                                      !can_serve(r, c, now_us);
+    if (refuses_handover(r, c, now_us)) {
+        a->u.rejection.refuses_handover = 1;
+        Fw_Relay_Uncount(r, c, now_us);
+    }
     Fw_Call_End(r, c, now_us, out);
 }
 
--- a/src/relay/calls.h
+++ b/src/relay/calls.h
@@ -60,7 +60,17 @@
  * @attempts: servers that may have run it
  * @calls_received: its prefills and runs that an engine may have received
  * @calls_charged: those of them that the retry budget was charged for
+ * @n_unconnected: tries that ended as no connection to the server was
+ *     established
+ * @is_declined: a server has received it and said that it does not run it
+ * @counted_us: when it was counted as a request of its service, 0 if it is
+ *     not
+ * @retries_charged: retries of a plain request that the retry budget was
+ *     charged for
  * @handovers: instances that it was handed over to
+ * @resumes: if no other instance takes it, it goes on here
+ * @gives_up: the reason for which it is rejected if no other instance takes
+ *     it, NULL for none
  * @is_forwarded: its response has begun
  * @is_response_good: the status of its response says that it was served
  * @is_noted_sound: it counts as having run well
@@ -101,7 +111,13 @@
     int attempts;
     int calls_received;
     int calls_charged;
+    int n_unconnected;
+    int is_declined;
+    int64_t counted_us;
+    int retries_charged;
     int handovers;
+    int resumes;
+    const char *gives_up;
     int is_forwarded;
     int is_response_good;
     int is_noted_sound;
@@ -199,6 +215,22 @@
 /* Whether callers' keys may be accepted; see open.c. */
 int
 Fw_Relay_AreKeysFresh(const struct fw_relay *r, int64_t now_us);
+/*
+ * Takes back that @c was counted and charged, as another instance will count
+ * and charge it. Its team stays known.
+ */
+void
+Fw_Relay_Uncount(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us);
+/*
+ * Counts and charges @c again, which no other instance has taken. Return:
+ * nonzero if it may be sent to a server, 0 if it was rejected and freed.
+ */
+int
+Fw_Relay_Recount(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us,
+                 struct fw_rl_actions *out);
+/* Whether @c goes through prefill and decode. */
+int
+Fw_Relay_NeedsEngines(const struct fw_relay *r, const struct fw_rl_call *c);
 /* Retry-After in us for requests rejected because keys are stale. */
 int64_t
 Fw_Relay_StaleRetryUs(struct fw_relay *r, int64_t now_us);
@@ -211,6 +243,10 @@
 void
 Fw_Plain_Send(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us,
               struct fw_rl_actions *out);
+/* Goes on with @c, which no other instance has taken. */
+void
+Fw_Plain_Resume(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us,
+                struct fw_rl_actions *out);
 void
 Fw_Plain_HandleResponse(struct fw_relay *r, struct fw_rl_op *op,
                         const struct fw_rl_upstream_response *ans,
@@ -223,6 +259,18 @@
 void
 Fw_Stream_Open(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us,
                struct fw_rl_actions *out);
+/* Queues @c again, which no other instance has taken. */
+void
+Fw_Stream_Resume(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us,
+                 struct fw_rl_actions *out);
+/*
+ * Charges the retry budget for the calls of @c that engines have received in
+ * vain, as many of which will be made again. Return: the number of calls
+ * charged, or -EDQUOT if the budget does not allow them.
+ */
+int
+Fw_Stream_ChargeRetry(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us,
+                      struct fw_rl_actions *out);
 /* Requests reservations for queued requests while an engine has room. */
 void
 Fw_Stream_PlaceQueued(struct fw_relay *r, int64_t now_us,
@@ -239,16 +287,36 @@
 Fw_Stream_RetryAfter(struct fw_relay *r, const struct fw_rl_call *c);
 
 /* links.c */
-/* A server has responded. */
+/* The links to the servers of @service at @stage, added if new. */
+struct fw_rl_stage_links *
+Fw_Links_OfStage(struct fw_relay *r, const char *service,
+                 enum fw_rl_stage stage);
+/* The server @s has responded. */
 void
-Fw_Links_NoteResponse(struct fw_relay *r, int64_t now_us);
-/* The call @op to a server has failed. */
+Fw_Links_NoteResponse(struct fw_relay *r, struct fw_rl_server *s,
+                      int64_t now_us);
+/* The call @op to a server has failed; @sent: it may have received it. */
 void
-Fw_Links_NoteFailure(struct fw_relay *r, const struct fw_rl_op *op,
+Fw_Links_NoteFailure(struct fw_relay *r, const struct fw_rl_op *op, int sent,
                      int64_t now_us);
 /* Whether this instance has lost its links to all servers. */
 int
-Fw_Links_AreLost(const struct fw_relay *r, int64_t now_us);
+Fw_Links_AreAllLost(const struct fw_relay *r, int64_t now_us);
+/*
+ * Whether this instance has lost its links to all servers, to those that @c
+ * needs, or can't connect to any of these now. The engines that prefill are
+ * not needed, as those that decode do it as well.
+ */
+int
+Fw_Links_AreLostFor(const struct fw_relay *r, const struct fw_rl_call *c,
+                    int64_t now_us);
+/*
+ * Whether it is no sign of a server's end that this instance can't connect to
+ * @s: the same holds for the other servers of its service at its stage.
+ */
+int
+Fw_Links_AreInDoubt(const struct fw_relay *r, const struct fw_rl_server *s,
+                    int64_t now_us);
 /* Asks the server for its health. */
 void
 Fw_Links_Probe(struct fw_relay *r, struct fw_rl_server *s, int64_t now_us,
@@ -262,6 +330,23 @@
 int
 Fw_Handover_Start(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us,
                   struct fw_rl_actions *out);
+/*
+ * Whether no server has received @c, or said that it does not run it, and no
+ * connection was established at one of its tries.
+ */
+int
+Fw_Handover_IsUnconnected(const struct fw_rl_call *c);
+/*
+ * Hands over @c, which has had its tries at servers, if none of them reached
+ * one; or which waits for servers that can't be reached from here.
+ * @gives_up: the reason for which it is rejected if no instance takes it;
+ *     NULL if it goes on here then
+ * Return: nonzero if it was handed over.
+ */
+int
+Fw_Handover_Rescue(struct fw_relay *r, struct fw_rl_call *c,
+                   const char *gives_up, int64_t now_us,
+                   struct fw_rl_actions *out);
 void
 Fw_Handover_HandleResponse(struct fw_relay *r, struct fw_rl_op *op,
                            const struct fw_rl_upstream_response *ans,
--- a/src/relay/limits.h
+++ b/src/relay/limits.h
@@ -122,6 +122,13 @@
 void
 Fw_RetryBudget_NoteRequest(struct fw_relay *r, const char *service,
                            int64_t now_us);
+/*
+ * Takes back a request that was counted at @counted_us, and @retries that were
+ * charged since.
+ */
+void
+Fw_RetryBudget_TakeBack(struct fw_relay *r, const char *service,
+                        int64_t counted_us, int retries, int64_t now_us);
 /*
  * Charges the service of @c for @n calls that reach its servers beyond the
  * first of a request. Return: nonzero if the budget allows them.
--- a/src/relay/message.c
+++ b/src/relay/message.c
@@ -80,14 +80,15 @@
 {
     struct fw_rl_load part;
 
-    *out = (struct fw_rl_load){.target_stage =
-                                   Fw_Servers_IsChangingStage(s, now_us)
-                                       ? s->target_stage
-                                       : FW_RL_STAGE_NONE,
-                               .n_unreachable = now_us < s->backoff_until_us,
-                               .running = s->running,
-                               .kv_tokens = s->kv_tokens,
-                               .prefill_tokens = s->prefill_tokens};
+    *out = (struct fw_rl_load){
+        .target_stage = Fw_Servers_IsChangingStage(s, now_us)
+                            ? s->target_stage
+                            : FW_RL_STAGE_NONE,
+        .n_unreachable =
+            now_us < s->backoff_until_us && !Fw_Links_AreInDoubt(r, s, now_us),
+        .running = s->running,
+        .kv_tokens = s->kv_tokens,
+        .prefill_tokens = s->prefill_tokens};
     if (!r->exchange.is_hub) {
         return;
     }
--- a/src/relay/metrics.c
+++ b/src/relay/metrics.c
@@ -55,6 +55,8 @@
          "Requests handed over to another instance", 0},
         {&r->relay_metrics.links_lost, "fw_server_links_lost",
          "1 while this instance has no links to the servers", 1},
+        {&r->relay_metrics.stage_links_lost, "fw_server_stage_links_lost",
+         "Stages of services to whose servers alone the links are lost", 1},
         {&r->relay_metrics.role_held, "fw_order_role_held",
          "1 while this instance may order engines", 1},
     };
--- a/src/relay/open.c
+++ b/src/relay/open.c
@@ -167,13 +167,30 @@
         c->info.id, c->team, c->cost, level, part);
 }
 
+/* Return: nonzero if charged, 0 if the request was rejected and freed. */
+static int
+charge_team(struct fw_relay *r, struct fw_rl_call *c,
+            const struct fw_rl_team_rule *t, int64_t now_us,
+            struct fw_rl_actions *out)
+{
+    int64_t retry_us;
+
+    c->cost = allowance_cost(t, &c->info);
+    if (!Fw_Allowance_Take(r, t, c->cost, now_us, &retry_us)) {
+        log_allowance(r, c, out);
+        Fw_Call_Reject(r, c, 429, retry_us, "over_allowance", now_us, out);
+        return 0;
+    }
+    c->is_charged = 1;
+    return 1;
+}
+
 /* Return: nonzero if admitted, 0 if the request was rejected and freed. */
 static int
 admit_team(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us,
            struct fw_rl_actions *out)
 {
     const struct fw_rl_team_rule *t = Fw_Rules_Team(r->rules, c->info.key);
-    int64_t retry_us;
 
     memset(c->info.key, 0, sizeof(c->info.key));
     if (!Fw_Relay_AreKeysFresh(r, now_us)) {
@@ -190,14 +207,7 @@
     if (t->priority >= 0) {
         c->priority = t->priority;
     }
-    c->cost = allowance_cost(t, &c->info);
-    if (!Fw_Allowance_Take(r, t, c->cost, now_us, &retry_us)) {
-        log_allowance(r, c, out);
-        Fw_Call_Reject(r, c, 429, retry_us, "over_allowance", now_us, out);
-        return 0;
-    }
-    c->is_charged = 1;
-    return 1;
+    return charge_team(r, c, t, now_us, out);
 }
 
 /*
@@ -215,15 +225,72 @@
                                                      : FW_DRAIN_MIN_PLAIN_US);
 }
 
-static void
-dispatch(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us,
-         struct fw_rl_actions *out)
+int
+Fw_Relay_NeedsEngines(const struct fw_relay *r, const struct fw_rl_call *c)
 {
     const struct fw_rl_service_rule *s =
         Fw_Rules_Service(r->rules, c->service);
 
+    return c->route.generates && s && s->has_engines && c->info.tokens_in >= 0;
+}
+
+static void
+count_request(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us)
+{
     Fw_RetryBudget_NoteRequest(r, c->service, now_us);
-    if (c->route.generates && s && s->has_engines && c->info.tokens_in >= 0) {
+    c->counted_us = now_us;
+}
+
+void
+Fw_Relay_Uncount(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us)
+{
+    if (c->is_charged) {
+        Fw_Allowance_Refund(r, c->team, c->cost);
+        c->is_charged = 0;
+    }
+    if (!c->counted_us) {
+        return;
+    }
+    Fw_RetryBudget_TakeBack(r, c->service, c->counted_us, c->retries_charged,
+                            now_us);
+    if (c->kv_tokens) {
+        Fw_PrefillLoad_TakeBack(
+            &Fw_ServiceStats_Get(r, c->service)->prefill_load,
+            c->info.tokens_in, c->counted_us, now_us);
+    }
+    c->counted_us = 0;
+    c->retries_charged = 0;
+}
+
+int
+Fw_Relay_Recount(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us,
+                 struct fw_rl_actions *out)
+{
+    const struct fw_rl_team_rule *t =
+        c->team[0] ? Fw_Rules_TeamNamed(r->rules, c->team) : NULL;
+
+    if (!Fw_Relay_MayServe(r, c, now_us)) {
+        Fw_Call_Reject(r, c, 503, Fw_Relay_StaleRetryUs(r, now_us),
+                       "configuration_stale", now_us, out);
+        return 0;
+    }
+    if (t && !charge_team(r, c, t, now_us, out)) {
+        return 0;
+    }
+    count_request(r, c, now_us);
+    if (c->kv_tokens) {
+        Fw_PrefillLoad_Add(&Fw_ServiceStats_Get(r, c->service)->prefill_load,
+                           c->info.tokens_in, now_us);
+    }
+    return 1;
+}
+
+static void
+dispatch(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us,
+         struct fw_rl_actions *out)
+{
+    count_request(r, c, now_us);
+    if (Fw_Relay_NeedsEngines(r, c)) {
         Fw_Stream_Open(r, c, now_us, out);
     }
     else {
@@ -280,7 +347,7 @@
                        out);
         return;
     }
-    if (Fw_Links_AreLost(r, now_us)) {
+    if (Fw_Links_AreLostFor(r, c, now_us)) {
         if (info->is_handed_over) {
             Fw_Call_Reject(r, c, 503, FW_RETRY_ELSEWHERE_US, "links_lost",
                            now_us, out);
--- a/src/relay/peers.h
+++ b/src/relay/peers.h
@@ -76,6 +76,10 @@
  * @unreachable_since_us: when it was found unreachable, 0 while reachable
  * @last_retry_us: when a message was last sent to it while unreachable
  * @no_handover_until_us: it is handed no requests until then
+ * @took_over_us: when it last served a request that it was handed, 0 for never
+ * @refused_service: hash of the service of the request that it last refused
+ *     to take over
+ * @refused_until_us: it is handed no requests for that service until then
  * @is_ranked_hub: is a hub by rank among reachable instances
  * @is_nominal_hub: is a hub by rank among all known instances
  * @report_session, @report_seq: of its last report
@@ -108,6 +112,9 @@
     int64_t unreachable_since_us;
     int64_t last_retry_us;
     int64_t no_handover_until_us;
+    int64_t took_over_us;
+    uint64_t refused_service;
+    int64_t refused_until_us;
     int is_ranked_hub;
     int is_nominal_hub;
     uint64_t report_session;
--- a/src/relay/place.c
+++ b/src/relay/place.c
@@ -349,6 +349,24 @@
     return drawn.n ? drawn.s[sample_best(r, &drawn)] : NULL;
 }
 
+int
+Fw_Place_MayReachDecode(const struct fw_relay *r, const struct fw_rl_call *c,
+                        int64_t now_us)
+{
+    struct fw_list *pos;
+
+    FW_LIST_EACH (pos, &r->servers) {
+        const struct fw_rl_server *s =
+            FW_LIST_ENTRY(pos, struct fw_rl_server, link);
+
+        if (runs_service(r, s, c) && can_decode(s, now_us) &&
+            !Fw_Call_HasTried(c, s)) {
+            return 1;
+        }
+    }
+    return 0;
+}
+
 /*
  * Expected time until @s completes the prefill of @c, with the deduction for
  * the same failure domain. Negative when @c can't be sent there.
--- a/src/relay/plain.c
+++ b/src/relay/plain.c
@@ -158,8 +158,8 @@
  * the requests queued there.
  */
 static struct fw_rl_server *
-take_retry_server(struct fw_relay *r, const struct fw_rl_call *c,
-                  int64_t now_us, struct fw_rl_actions *out)
+take_retry_server(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us,
+                  struct fw_rl_actions *out)
 {
     struct fw_rl_server *s;
 
@@ -172,9 +172,24 @@
         !Fw_RetryBudget_Take(r, c, 1, now_us, out)) {
         return NULL;
     }
+    c->retries_charged++;
     return s;
 }
 
+void
+Fw_Plain_Resume(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us,
+                struct fw_rl_actions *out)
+{
+    struct fw_rl_server *next = take_retry_server(r, c, now_us, out);
+
+    if (next) {
+        send_attempt(r, c, next, now_us, out);
+        return;
+    }
+    Fw_Call_Reject(r, c, 503, FW_RETRY_NO_SERVER_US, "upstream_lost", now_us,
+                   out);
+}
+
 static void
 retry(struct fw_relay *r, struct fw_rl_call *c, struct fw_rl_server *next,
       const char *reason, int64_t now_us, struct fw_rl_actions *out)
@@ -213,6 +228,7 @@
             Fw_Servers_NoteUnreachable(op->server, now_us);
         }
         c->attempts--; /* not an attempt: it did not run */
+        c->is_declined = 1;
         Fw_Op_End(r, op);
         next = take_retry_server(r, c, now_us, out);
         if (next) {
@@ -270,6 +286,11 @@
     }
     else {
         c->attempts--;
+        c->n_unconnected++;
+    }
+    if (Fw_Links_AreLostFor(r, c, now_us) &&
+        Fw_Handover_Rescue(r, c, NULL, now_us, out)) {
+        return;
     }
     next = !sent || may_retry(c) ? take_retry_server(r, c, now_us, out) : NULL;
     if (next) {
@@ -282,6 +303,9 @@
                        FW_RETRY_NO_SERVER_US, "timeout", now_us, out);
         return;
     }
+    if (Fw_Handover_Rescue(r, c, "upstream_lost", now_us, out)) {
+        return;
+    }
     Fw_Call_Reject(r, c, c->ran == FW_RAN_NO ? 503 : 502,
                    FW_RETRY_NO_SERVER_US, "upstream_lost", now_us, out);
 }
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -43,6 +43,7 @@
     r->retry_budgets = g_ptr_array_new_with_free_func(g_free);
     r->service_stats = g_ptr_array_new_with_free_func(g_free);
     r->evacuations = g_ptr_array_new_with_free_func(g_free);
+    r->stage_links = g_ptr_array_new_with_free_func(g_free);
     r->servers_by_hash = g_hash_table_new(g_int64_hash, g_int64_equal);
     Fw_List_Init(&r->servers);
     Fw_List_Init(&r->active_servers);
@@ -90,6 +91,7 @@
     g_ptr_array_unref(r->retry_budgets);
     g_ptr_array_unref(r->service_stats);
     g_ptr_array_unref(r->evacuations);
+    g_ptr_array_unref(r->stage_links);
     g_hash_table_destroy(r->servers_by_hash);
     g_hash_table_destroy(r->presence.record_ends);
     g_rand_free(r->rand);
@@ -249,7 +251,7 @@
     }
     s = Fw_Servers_Ref(op->server);
     Fw_Servers_Activate(r, s);
-    Fw_Links_NoteFailure(r, op, now_us);
+    Fw_Links_NoteFailure(r, op, sent, now_us);
     if (!op->call) {
         Fw_StageOrder_HandleFailure(r, op, out);
     }
@@ -320,6 +322,9 @@
     }
     if (c->kv_tokens && c->state == FW_RL_QUEUED &&
         now_us >= c->queue_until_us) {
+        if (Fw_Handover_Rescue(r, c, "no_room", now_us, out)) {
+            return;
+        }
         Fw_Call_Reject(r, c, 503, Fw_Stream_RetryAfter(r, c), "no_room",
                        now_us, out);
     }
--- a/src/relay/relay_internal.h
+++ b/src/relay/relay_internal.h
@@ -45,6 +45,17 @@
     int members_known;
 };
 
+/**
+ * struct fw_rl_stage_links - the links to the servers of a service at a stage.
+ * @logged_lost: the log says that they are lost
+ */
+struct fw_rl_stage_links {
+    char service[FW_NAME_MAX];
+    enum fw_rl_stage stage;
+    struct fw_upstream_links links;
+    int logged_lost;
+};
+
 static inline int64_t
 Fw_Relay_UsToMs(int64_t us)
 {
@@ -85,6 +96,8 @@
  *     none does
  * @links: the links to all servers
  * @links_logged_lost: the log says that they are lost
+ * @stage_links: struct fw_rl_stage_links
+ * @links_failed_us: when a call to a server last failed, 0 for never
  * @next_probe_us: when a server may be probed next
  * @drain_start_us: when draining began
  */
@@ -134,6 +147,8 @@
     int64_t imbalance_since_us;
     struct fw_upstream_links links;
     int links_logged_lost;
+    GPtrArray *stage_links;
+    int64_t links_failed_us;
     int64_t next_probe_us;
     int draining;
     int64_t drain_start_us;
--- a/src/relay/retry_budget.c
+++ b/src/relay/retry_budget.c
@@ -15,11 +15,17 @@
 /* Usable part of retry_extra; the rest is for instances not known here. */
 #define FW_RETRY_EXTRA_USABLE_PERMILLE 800
 
+static int64_t
+slot_at(const struct fw_relay *r, int64_t us)
+{
+    return us * (FW_RL_RETRY_BUDGET_SLOTS - 2) /
+           MAX(r->opts.retry_window_us, 1);
+}
+
 static struct fw_rl_retry_budget *
 find_or_add_budget(struct fw_relay *r, const char *service, int64_t now_us)
 {
-    int64_t slot = now_us * (FW_RL_RETRY_BUDGET_SLOTS - 2) /
-                   MAX(r->opts.retry_window_us, 1);
+    int64_t slot = slot_at(r, now_us);
     struct fw_rl_retry_budget *b = NULL;
 
     for (guint i = 0; i < r->retry_budgets->len && !b; i++) {
@@ -66,6 +72,30 @@
     b->requests[b->slot % FW_RL_RETRY_BUDGET_SLOTS]++;
 }
 
+/*
+ * Retries are taken from the oldest slots first. Those leave the window first,
+ * so that the sum is never too small.
+ */
+void
+Fw_RetryBudget_TakeBack(struct fw_relay *r, const char *service,
+                        int64_t counted_us, int retries, int64_t now_us)
+{
+    struct fw_rl_retry_budget *b = find_or_add_budget(r, service, now_us);
+    int64_t counted = slot_at(r, counted_us);
+    int64_t oldest = MAX(counted, b->slot - FW_RL_RETRY_BUDGET_SLOTS + 1);
+
+    if (counted == oldest) {
+        b->requests[counted % FW_RL_RETRY_BUDGET_SLOTS]--;
+    }
+    for (int64_t slot = oldest; slot <= b->slot; slot++) {
+        int *charged = &b->retries[slot % FW_RL_RETRY_BUDGET_SLOTS];
+        int n = MIN(retries, *charged);
+
+        *charged -= n;
+        retries -= n;
+    }
+}
+
 int
 Fw_RetryBudget_Take(struct fw_relay *r, const struct fw_rl_call *c, int n,
                     int64_t now_us, struct fw_rl_actions *out)
--- a/src/relay/rules.c
+++ b/src/relay/rules.c
@@ -157,6 +157,19 @@
     return NULL;
 }
 
+const struct fw_rl_team_rule *
+Fw_Rules_TeamNamed(const struct fw_rl_rules *r, const char *name)
+{
+    for (guint i = 0; i < r->teams->len; i++) {
+        const struct fw_rl_team_rule *t = g_ptr_array_index(r->teams, i);
+
+        if (strcmp(t->name, name) == 0) {
+            return t;
+        }
+    }
+    return NULL;
+}
+
 const struct fw_rl_team_rule *
 Fw_Rules_Team(const struct fw_rl_rules *r, const char *key)
 {
--- a/src/relay/servers.c
+++ b/src/relay/servers.c
@@ -20,6 +20,8 @@
  */
 #define FW_BACKOFF_INITIAL_US (700 * FW_MSEC)
 #define FW_BACKOFF_DOUBLINGS_MAX 2
+G_STATIC_ASSERT(FW_BACKOFF_INITIAL_US << FW_BACKOFF_DOUBLINGS_MAX ==
+                FW_RL_BACKOFF_MAX_US);
 /* Consecutive timeouts that start a backoff. */
 #define FW_TIMEOUTS_MAX 2
 /* Consecutive rejected runs that start a backoff. */
@@ -76,6 +78,7 @@
 {
     s->entry = *e;
     s->is_evacuated = Fw_Evacuation_IsActive(r, e->domain);
+    s->stage_links = Fw_Links_OfStage(r, e->service, e->stage);
     Fw_Cold_ApplyEntry(s, now_us);
     r->list_hash -= s->list_hash;
     s->list_hash = Fw_StoreSync_EntryHash(e);
--- a/src/relay/servers.h
+++ b/src/relay/servers.h
@@ -14,8 +14,12 @@
  */
 #define FW_RL_RELIST_GRACE_US (2200 * FW_MSEC)
 
+/* The longest backoff of a server that could not be reached. */
+#define FW_RL_BACKOFF_MAX_US (2800 * FW_MSEC)
+
 struct fw_rl_call;
 struct fw_rl_load;
+struct fw_rl_stage_links;
 
 /**
  * struct fw_rl_server - one process of a server, until it ends.
@@ -33,6 +37,9 @@
  *     prefill
  * @backoff_until_us: not chosen before this time
  * @consecutive_backoffs: backoffs since its last response
+ * @unconnected_us: when a connection to it was last not established, 0 for
+ *     never
+ * @stage_links: the links to the servers of its service at its stage
  * @timeouts: calls that timed out since its last response
  * @rejected_runs: runs with a reservation rejected since one was accepted
  * @error_rate: moving mean of the share of failures among its responses
@@ -76,6 +83,8 @@
     int64_t full_tokens;
     int64_t backoff_until_us;
     int consecutive_backoffs;
+    int64_t unconnected_us;
+    struct fw_rl_stage_links *stage_links;
     int timeouts;
     int rejected_runs;
     double error_rate;
@@ -272,6 +281,13 @@
 struct fw_rl_server *
 Fw_Place_Decode(struct fw_relay *r, const struct fw_rl_call *c,
                 int64_t now_us);
+/*
+ * Whether @c may be sent to any decode engine, even if it has no memory free
+ * now: one that it has not tried and that has no backoff.
+ */
+int
+Fw_Place_MayReachDecode(const struct fw_relay *r, const struct fw_rl_call *c,
+                        int64_t now_us);
 /*
  * Chooses a prefill engine for @c's prompt, or NULL.
  * @wait_us: receives the predicted time until the prompt is prefilled
--- a/src/relay/stream.c
+++ b/src/relay/stream.c
@@ -46,6 +46,16 @@
     Fw_Call_Reject(r, c, 503, Fw_Stream_RetryAfter(r, c), reason, now_us, out);
 }
 
+/* Hands @c over if none of its tries reached an engine, or rejects it. */
+static void
+give_up(struct fw_relay *r, struct fw_rl_call *c, const char *reason,
+        int64_t now_us, struct fw_rl_actions *out)
+{
+    if (!Fw_Handover_Rescue(r, c, reason, now_us, out)) {
+        reject_overloaded(r, c, reason, now_us, out);
+    }
+}
+
 /*
  * Rejects @c if the limits of all engines keep it out for longer than it may
  * wait. Return: nonzero if it was rejected and freed.
@@ -156,24 +166,42 @@
 {
     c->state = FW_RL_QUEUED;
     if (now_us >= c->queue_until_us) {
-        reject_overloaded(r, c, "no_room", now_us, out);
+        give_up(r, c, "no_room", now_us, out);
         return;
     }
     if (reject_if_limited(r, c, now_us, out)) {
         return;
     }
+    if (c->n_unconnected && !Fw_Place_MayReachDecode(r, c, now_us)) {
+        /* The instance before may give it to another one sooner. */
+        if (c->info.is_handed_over) {
+            reject_overloaded(r, c, "engine_unreachable", now_us, out);
+            return;
+        }
+        if (Fw_Handover_Rescue(r, c, NULL, now_us, out)) {
+            return;
+        }
+    }
     Fw_Queue_PutBack(&r->queue, &c->item);
     Fw_Stream_PlaceQueued(r, now_us, out);
 }
 
-/*
- * Charges the retry budget for the calls of @c that engines have received in
- * vain, as many of which will be made again. Return: the number of calls
- * charged, or -EDQUOT if the budget does not allow them.
- */
-static int
-charge_retry(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us,
-             struct fw_rl_actions *out)
+void
+Fw_Stream_Resume(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us,
+                 struct fw_rl_actions *out)
+{
+    c->state = FW_RL_QUEUED;
+    if (now_us >= c->queue_until_us) {
+        reject_overloaded(r, c, "no_room", now_us, out);
+        return;
+    }
+    Fw_Queue_PutBack(&r->queue, &c->item);
+    Fw_Stream_PlaceQueued(r, now_us, out);
+}
+
+int
+Fw_Stream_ChargeRetry(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us,
+                      struct fw_rl_actions *out)
 {
     int n = c->calls_received - c->calls_charged;
 
@@ -189,7 +217,7 @@
 
 /*
  * Releases what @c holds at engines and queues it again, or rejects it.
- * @charged: as returned by charge_retry(); negative to reject it
+ * @charged: as returned by Fw_Stream_ChargeRetry(); negative to reject it
  */
 static void
 start_over(struct fw_relay *r, struct fw_rl_call *c, const char *reason,
@@ -208,7 +236,7 @@
     c->tried[c->n_tried++] = failed;
     Fw_Call_Release(r, c, now_us, out);
     if (charged < 0) {
-        reject_overloaded(r, c, reason, now_us, out);
+        give_up(r, c, reason, now_us, out);
         return;
     }
     c->queue_until_us =
@@ -225,7 +253,7 @@
     int charged = -ETIMEDOUT;
 
     if (c->n_tried < FW_RETRIES_MAX && now_us < c->deadline_us) {
-        charged = charge_retry(r, c, now_us, out);
+        charged = Fw_Stream_ChargeRetry(r, c, now_us, out);
     }
     start_over(r, c, reason, charged, now_us, out);
 }
@@ -349,7 +377,7 @@
         Fw_Stream_Restart(r, c, "prompt_not_read", now_us, out);
         return;
     }
-    charged = charge_retry(r, c, now_us, out);
+    charged = Fw_Stream_ChargeRetry(r, c, now_us, out);
     if (charged < 0) {
         start_over(r, c, "prompt_not_read", charged, now_us, out);
         return;
--- a/src/relay/stream_outcome.c
+++ b/src/relay/stream_outcome.c
@@ -70,6 +70,7 @@
         Fw_Servers_NoteRejectedRun(c->server, now_us);
     }
     c->attempts--;
+    c->is_declined = 1;
     Fw_Stream_Restart(r, c, "engine_full", now_us, out);
 }
 
@@ -134,6 +135,7 @@
 
     Fw_Op_End(r, op);
     c->calls_received += sent && kind != FW_RL_UP_RESERVE;
+    c->n_unconnected += !sent;
     if (sent && kind != FW_RL_UP_RUN && err == -ETIMEDOUT) {
         Fw_Servers_NoteTimeout(s, now_us);
     }
--- a/src/relay/types.h
+++ b/src/relay/types.h
@@ -200,6 +200,8 @@
 Fw_Rules_Service(const struct fw_rl_rules *r, const char *name);
 /* Returns the team that a caller's @key belongs to, or NULL. */
 const struct fw_rl_team_rule *
+Fw_Rules_TeamNamed(const struct fw_rl_rules *r, const char *name);
+const struct fw_rl_team_rule *
 Fw_Rules_Team(const struct fw_rl_rules *r, const char *key);
 
 /** enum fw_rl_stage - the phase of inference that an engine serves. */
--- a/tests/decide/test_links.c
+++ b/tests/decide/test_links.c
@@ -65,6 +65,26 @@
 }
 END_TEST
 
+/* Guards against requests that wait for servers none of which can be tried. */
+START_TEST(upstreams_without_connections_are_out_of_reach)
+{
+    static const struct {
+        struct fw_upstream_reach reach;
+        int is_none;
+    } cases[] = {
+        {{.n = 0, .n_unconnected = 0}, 0},
+        {{.n = 2, .n_unconnected = 0}, 0},
+        {{.n = 2, .n_unconnected = 1}, 0},
+        {{.n = 2, .n_unconnected = 2}, 1},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        ck_assert_int_eq(Fw_UpstreamReach_IsNone(&cases[i].reach),
+                         cases[i].is_none);
+    }
+}
+END_TEST
+
 int
 main(void)
 {
@@ -74,5 +94,6 @@
     tcase_add_test(tc, any_response_shows_that_the_links_work);
     tcase_add_test(tc, a_call_from_before_the_last_response_says_nothing);
     tcase_add_test(tc, a_moment_without_responses_is_not_enough);
+    tcase_add_test(tc, upstreams_without_connections_are_out_of_reach);
     return Fw_Suite_Run(tc);
 }
--- a/tests/relay/test_handover.c
+++ b/tests/relay/test_handover.c
@@ -8,14 +8,13 @@
 #include "tests/base/suite.h"
 #include "tests/relay/script.h"
 
-/* Two servers that can't be reached, and another instance. */
+/* Two servers that can't be reached, and another instance that joins then. */
 #define FW_LINKS_LOST                                                         \
     "rules 1\n"                                                               \
     "fresh 0\n"                                                               \
     "list\n"                                                                  \
     "server s1 plain none\n"                                                  \
     "server s2 plain none\n"                                                  \
-    "member n2\n"                                                             \
     "open 1 /order/x key=ka\n"                                                \
     "  ask 1 run s1 for 1 team=a left=10000\n"                                \
     "fail 1 111 unsent\n"                                                     \
@@ -30,6 +29,7 @@
     "  ask 6 run s2 for 1 team=a left=10000\n"                                \
     "fail 6 111 unsent\n"                                                     \
     "  refuse 1 503 upstream_lost ran=no later\n"                             \
+    "member n2\n"                                                             \
     "at 310\n"
 
 static const struct fw_relay_script scripts[] = {
@@ -102,7 +102,6 @@
              "fresh 0\n"
              "list\n"
              "server s1 plain none\n"
-             "member n2\n"
              "open 1 /order/x key=ka\n"
              "  ask 1 run s1 for 1 team=a left=10000\n"
              "fail 1 111 unsent\n"
@@ -117,6 +116,7 @@
              "  ask 6 run s1 for 1 team=a left=10000\n"
              "fail 6 111 unsent\n"
              "  refuse 1 503 upstream_lost ran=no later\n"
+             "member n2\n"
              "at 310\n"
              "open 2 /order/x key=ka\n"
              "  ask 7 hand-over 127.0.0.9:1 for 2 left=10000\n"
