Ask other instances for what is in quarantine before being ready

What is in quarantine is kept by the instances only and repeated every second. An instance that had started was ready before it knew, for up to a second; one that was back within 0.6 s was not sent the list of hubs and the length models either, as its hub took it for the process before.

A digest of a new process of a known instance gets the initial state.

--- a/src/relay/crash_message.c
+++ b/src/relay/crash_message.c
@@ -120,6 +120,16 @@
     }
 }
 
+void
+Fw_CrashMessage_PackQuarantine(msgpack_packer *pk,
+                               const struct fw_quarantine *q, int64_t now_us)
+{
+    msgpack_pack_array(pk, FW_QUARANTINE_COLUMNS);
+    msgpack_pack_uint64(pk, q->key);
+    pack_age(pk, q->crash_us, now_us);
+    msgpack_pack_int(pk, q->n_crashes);
+}
+
 static void
 write_message(const struct fw_relay *r, const struct contents *contents,
               int64_t now_us, GByteArray *out)
@@ -146,13 +156,8 @@
     }
     msgpack_pack_array(&pk, (size_t)contents->n_quarantines);
     for (int i = 0; i < contents->n_quarantines; i++) {
-        const struct fw_quarantine *q =
-            &b->quarantines[contents->quarantines[i]];
-
-        msgpack_pack_array(&pk, FW_QUARANTINE_COLUMNS);
-        msgpack_pack_uint64(&pk, q->key);
-        pack_age(&pk, q->crash_us, now_us);
-        msgpack_pack_int(&pk, q->n_crashes);
+        Fw_CrashMessage_PackQuarantine(
+            &pk, &b->quarantines[contents->quarantines[i]], now_us);
     }
 }
 
@@ -333,6 +338,21 @@
     return 0;
 }
 
+int
+Fw_CrashMessage_ReadQuarantines(struct fw_relay *r, const msgpack_object *rows,
+                                int64_t now_us)
+{
+    for (int is_check = 1; is_check >= 0; is_check--) {
+        for (uint32_t k = 0; k < rows->via.array.size; k++) {
+            if (apply_quarantine(r, &rows->via.array.ptr[k], now_us,
+                                 is_check)) {
+                return -EBADMSG;
+            }
+        }
+    }
+    return 0;
+}
+
 /* Elements of the message with rows, and how these are read. */
 static const struct {
     uint32_t element;
--- a/src/relay/crashes.c
+++ b/src/relay/crashes.c
@@ -376,6 +376,24 @@
     }
 }
 
+/* How long an instance that has started has waited for the others' answer. */
+static void
+log_answered(struct fw_relay *r, int64_t now_us, struct fw_rl_actions *out)
+{
+    if (r->crashes.is_logged || !Fw_CrashQuery_IsAnswered(r, now_us)) {
+        return;
+    }
+    r->crashes.is_logged = 1;
+    if (!r->crashes.asked_us) {
+        return;
+    }
+    Fw_RelayActions_Log(out, r, LOG_NOTICE, "crashes_known",
+                        "\"answered\":%d,\"quarantined\":%d,"
+                        "\"after_ms\":%" G_GINT64_FORMAT,
+                        r->crashes.is_answered, r->crashes.blame.n_quarantines,
+                        Fw_Relay_UsToMs(now_us - r->start_us));
+}
+
 void
 Fw_Crashes_Tick(struct fw_relay *r, int64_t now_us, struct fw_rl_actions *out)
 {
@@ -384,4 +402,5 @@
     }
     refute_listed(r, now_us);
     Fw_Crashes_Update(r, now_us, out);
+    log_answered(r, now_us, out);
 }
--- a/src/relay/crashes.h
+++ b/src/relay/crashes.h
@@ -45,6 +45,10 @@
  * @changed: other instances are to be sent something
  * @next_quarantine: number of quarantines sent so far
  * @sent_us: when other instances were last sent anything
+ * @asked_us: when others were last asked for what they know
+ * @asking_since_us: when they were first asked, 0 for never
+ * @is_answered: they have answered
+ * @is_logged: the log says so
  */
 struct fw_rl_crashes {
     struct fw_blame blame;
@@ -54,6 +58,10 @@
     int changed;
     unsigned next_quarantine;
     int64_t sent_us;
+    int64_t asked_us;
+    int64_t asking_since_us;
+    int is_answered;
+    int is_logged;
 };
 
 /* crashes.c */
@@ -111,5 +119,29 @@
 int
 Fw_CrashMessage_Read(struct fw_relay *r, const msgpack_object *o,
                      int64_t now_us);
+/* Packs one row. */
+void
+Fw_CrashMessage_PackQuarantine(msgpack_packer *pk,
+                               const struct fw_quarantine *q, int64_t now_us);
+/* Applies such rows. Return: 0, or -EBADMSG if any isn't valid. */
+int
+Fw_CrashMessage_ReadQuarantines(struct fw_relay *r, const msgpack_object *rows,
+                                int64_t now_us);
+
+/* crash_query.c */
+/*
+ * Whether this instance knows what is in quarantine, as far as the others do:
+ * they have answered, there are none, or it has waited long enough.
+ */
+int
+Fw_CrashQuery_IsAnswered(const struct fw_relay *r, int64_t now_us);
+/* Asks other instances, if that is due. */
+void
+Fw_CrashQuery_SendDue(struct fw_relay *r, int64_t now_us,
+                      struct fw_rl_outbox *out);
+/* Return: 0, or -EBADMSG if @o is neither a valid question nor an answer. */
+int
+Fw_CrashQuery_Read(struct fw_relay *r, const msgpack_object *o,
+                   const char *addr, int64_t now_us, struct fw_rl_outbox *out);
 
 #endif
--- a/src/relay/digest.c
+++ b/src/relay/digest.c
@@ -115,7 +115,8 @@
 }
 
 /*
- * Return: nonzero if the sender wasn't a live hub before. It is then sent a
+ * Return: nonzero if the sender wasn't a live hub before, or has been started
+ * anew, so that it knows nothing. It is then sent a
  * digest at once: while only one of the two counts the other as live, their
  * shares of an allowance add up to more than the whole.
  */
@@ -125,12 +126,14 @@
 {
     struct fw_rl_member *m = Fw_Message_FindOrAddSender(r, &d->from, now_us);
     int is_first;
+    int is_new;
 
     if (!m || (m->last_message_us && is_stale(m, d))) {
         return 0;
     }
     is_first = !m->last_digest_us ||
                now_us - m->last_digest_us >= Fw_Members_TimeoutUs(r);
+    is_new = is_first || d->from.boot != m->boot;
     if (d->from.boot != m->boot && m->spent) {
         g_hash_table_remove_all(m->spent);
     }
@@ -140,7 +143,7 @@
     m->last_report_us = 0;
     apply_common_rows(r, m, d, is_first, now_us);
     Fw_Message_ApplyStoreState(r, m, d->common.store_state, now_us);
-    return is_first;
+    return is_new;
 }
 
 int
--- a/src/relay/exchange.c
+++ b/src/relay/exchange.c
@@ -291,6 +291,7 @@
     }
     Fw_LimitMessage_SendDue(r, now_us, out);
     Fw_CrashMessage_SendDue(r, now_us, out);
+    Fw_CrashQuery_SendDue(r, now_us, out);
     Fw_StoreSync_SendQuery(r, now_us, out);
 }
 
@@ -361,6 +362,7 @@
         Fw_HubList_Read(r, o, addr, now_us) == 0 ||
         Fw_LimitMessage_Read(r, o, now_us) == 0 ||
         Fw_CrashMessage_Read(r, o, now_us) == 0 ||
+        Fw_CrashQuery_Read(r, o, addr, now_us, out) == 0 ||
         Fw_ServiceStats_Read(r, o) == 0) {
         return 0;
     }
--- a/src/relay/peers.h
+++ b/src/relay/peers.h
@@ -76,6 +76,8 @@
  * @unreachable_since_us: when it was found unreachable, 0 while reachable
  * @last_retry_us: when a message was last sent to it while unreachable
  * @no_handover_until_us: it is handed no requests until then
+ * @has_answered_crashes: it has answered what this instance asked about
+ * crashes
  * @took_over_us: when it last served a request that it was handed, 0 for never
  * @refused_service: hash of the service of the request that it last refused
  *     to take over
@@ -112,6 +114,7 @@
     int64_t unreachable_since_us;
     int64_t last_retry_us;
     int64_t no_handover_until_us;
+    int has_answered_crashes;
     int64_t took_over_us;
     uint64_t refused_service;
     int64_t refused_until_us;
@@ -450,7 +453,8 @@
 Fw_Digest_Write(struct fw_relay *r, int64_t now_us, GByteArray *out);
 /*
  * Return: 1 if no digest of its sender was received within the timeout before,
- * 0 if one was or the digest is stale, or -EBADMSG if @o isn't a valid digest.
+ * or it has started anew, 0 if one was or the digest is stale, or -EBADMSG if
+ * @o isn't a valid digest.
  */
 int
 Fw_Digest_Read(struct fw_relay *r, const msgpack_object *o, const char *addr,
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -393,7 +393,8 @@
 Fw_Relay_IsReady(const struct fw_relay *r, int64_t now_us)
 {
     return !r->draining && r->has_server_list &&
-           Fw_Relay_AreKeysFresh(r, now_us);
+           Fw_Relay_AreKeysFresh(r, now_us) &&
+           Fw_CrashQuery_IsAnswered(r, now_us);
 }
 
 const struct fw_rl_rules *
