--- a/src/relay/crash_query.c
+++ b/src/relay/crash_query.c
@@ -40,6 +40,12 @@
            now_us - r->crashes.asking_since_us >= FW_WAIT_MAX_US;
 }
 
+static int
+may_ask(const struct fw_rl_member *m)
+{
+    return m->addr[0] && !m->has_answered_crashes;
+}
+
 /*
  * Draws up to FW_ASKED_MAX instances that have not answered; a leaf's hub is
  * always among them. Return: their number.
@@ -47,30 +53,26 @@
 static int
 draw_instances(struct fw_relay *r, struct fw_rl_member *drawn[FW_ASKED_MAX])
 {
-    struct fw_rl_member *hub = r->exchange.hub;
     struct fw_list *pos;
-    int first = 0;
-    int seen = 0;
+    int n = 0;
 
-    if (hub && !hub->has_answered_crashes) {
-        drawn[first++] = hub;
-    }
     FW_LIST_EACH (pos, &r->members) {
         struct fw_rl_member *m = FW_LIST_ENTRY(pos, struct fw_rl_member, link);
         int at;
 
-        if (m == hub || m->has_answered_crashes || !m->addr[0]) {
+        if (!may_ask(m)) {
             continue;
         }
-        at = first + seen++;
-        if (at >= FW_ASKED_MAX) {
-            at = first + g_rand_int_range(r->rand, 0, seen);
-        }
+        at = n < FW_ASKED_MAX ? n : g_rand_int_range(r->rand, 0, n + 1);
+        n++;
         if (at < FW_ASKED_MAX) {
             drawn[at] = m;
         }
     }
-    return MIN(first + seen, FW_ASKED_MAX);
+    if (r->exchange.hub && may_ask(r->exchange.hub)) {
+        drawn[0] = r->exchange.hub;
+    }
+    return MIN(n, FW_ASKED_MAX);
 }
 
 void
