Count no response as lasting that broke off while the instance was frozen

An instance that froze for three seconds while a response was under way took it for one that had lasted, before it read that the connection had broken. A request that had crashed its server thus cleared its parts of all earlier crashes, at all instances, and its own crash was not counted.

A response has lasted once two ticks have found it so: what was missed is read between them.

--- a/src/relay/calls.h
+++ b/src/relay/calls.h
@@ -73,6 +73,9 @@
  *     it, NULL for none
  * @is_forwarded: its response has begun
  * @is_response_good: the status of its response says that it was served
+ * @lasting_us: tick at which its response had first lasted so long that it has
+ *     not crashed its server, 0 for none
+ * @has_lasted: it still did at a later tick
  * @is_noted_sound: it counts as having run well
  * @ran: whether it was run
  * @tried: hashes of the servers to avoid
@@ -120,6 +123,8 @@
     const char *gives_up;
     int is_forwarded;
     int is_response_good;
+    int64_t lasting_us;
+    int has_lasted;
     int is_noted_sound;
     enum fw_ran ran;
     uint64_t tried[FW_RL_TRIED_MAX];
--- a/src/relay/crashes.c
+++ b/src/relay/crashes.c
@@ -119,8 +119,7 @@
     struct fw_rl_broken_run *b;
 
     log_broken_run(r, c, s, now_us, out);
-    if (!Fw_Servers_IsInService(s) ||
-        (c->is_forwarded && now_us - c->response_us >= FW_CRASH_ONSET_US)) {
+    if (!Fw_Servers_IsInService(s) || c->has_lasted) {
         return;
     }
     b = &r->crashes.runs[r->crashes.n_runs++ % FW_RL_BROKEN_RUNS_MAX];
@@ -255,11 +254,23 @@
     r->crashes.changed |= r->crashes.blame.changed;
 }
 
+/*
+ * The end of a response that an instance has missed while it was frozen is
+ * read between the first tick after that and the next one. Until then the
+ * response may have been broken off long before.
+ */
 void
 Fw_Crashes_NoteLasting(struct fw_relay *r, struct fw_rl_call *c,
                        int64_t now_us)
 {
-    if (c->is_forwarded && now_us - c->response_us >= FW_CRASH_ONSET_US) {
+    if (!c->is_forwarded || now_us - c->response_us < FW_CRASH_ONSET_US) {
+        return;
+    }
+    if (!c->lasting_us) {
+        c->lasting_us = now_us;
+    }
+    if (now_us > c->lasting_us) {
+        c->has_lasted = 1;
         Fw_Crashes_NoteSound(r, c, now_us);
     }
 }
