Offer a request to the only other instance although it has refused one

An instance that had lost its links refused all requests for 0.5 s after the only other one had refused one, as both had when the servers fell silent for a moment.

--- a/src/relay/handover.c
+++ b/src/relay/handover.c
@@ -44,17 +44,24 @@
 
 static int
 may_take(const struct fw_relay *r, const struct fw_rl_member *m,
-         uint64_t service, int64_t now_us)
+         int64_t now_us)
 {
     return m->addr[0] && !m->unreachable_since_us &&
-           now_us >= m->no_handover_until_us &&
-           (m->refused_service != service || now_us >= m->refused_until_us) &&
-           is_in_own_region(r, m);
+           now_us >= m->no_handover_until_us && is_in_own_region(r, m);
+}
+
+static int
+has_refused(const struct fw_rl_member *m, uint64_t service, int64_t now_us)
+{
+    return now_us < m->refused_until_us &&
+           (!m->refused_service || m->refused_service == service);
 }
 
 /*
  * Drawn at random, so that the load spreads. After some refusals one that has
- * taken requests is preferred: most instances may be cut off.
+ * taken requests is preferred: most instances may be cut off. Each request is
+ * offered once to an instance that has refused others lately if there is no
+ * other one.
  */
 static struct fw_rl_member *
 choose_instance(struct fw_relay *r, const struct fw_rl_call *c, int64_t now_us)
@@ -62,13 +69,22 @@
     uint64_t service = Fw_Hash_Str(c->service);
     int prefers_known = c->handovers >= FW_HANDOVERS_AT_RANDOM;
     struct fw_rl_member *chosen = NULL;
+    struct fw_rl_member *refusing = NULL;
     struct fw_list *pos;
     int n = 0;
+    int n_refusing = 0;
 
     FW_LIST_EACH (pos, &r->members) {
         struct fw_rl_member *m = FW_LIST_ENTRY(pos, struct fw_rl_member, link);
 
-        if (!may_take(r, m, service, now_us)) {
+        if (!may_take(r, m, now_us)) {
+            continue;
+        }
+        if (has_refused(m, service, now_us)) {
+            if (!c->handovers &&
+                g_rand_int_range(r->rand, 0, ++n_refusing) == 0) {
+                refusing = m;
+            }
             continue;
         }
         if (prefers_known && m->took_over_us &&
@@ -79,7 +95,7 @@
             chosen = m;
         }
     }
-    return chosen;
+    return chosen ? chosen : refusing;
 }
 
 static struct fw_rl_member *
@@ -117,17 +133,12 @@
              int64_t now_us)
 {
     struct fw_rl_member *m = find_instance(r, hash);
-    int64_t until_us = now_us + FW_REFUSED_PAUSE_US;
 
-    if (!m) {
-        return;
-    }
-    if (Fw_Links_AreAllLost(r, now_us)) {
-        m->no_handover_until_us = until_us;
-        return;
+    if (m) {
+        m->refused_service =
+            Fw_Links_AreAllLost(r, now_us) ? 0 : Fw_Hash_Str(service);
+        m->refused_until_us = now_us + FW_REFUSED_PAUSE_US;
     }
-    m->refused_service = Fw_Hash_Str(service);
-    m->refused_until_us = until_us;
 }
 
 static void
--- a/src/relay/peers.h
+++ b/src/relay/peers.h
@@ -80,8 +80,9 @@
  * crashes
  * @took_over_us: when it last served a request that it was handed, 0 for never
  * @refused_service: hash of the service of the request that it last refused
- *     to take over
- * @refused_until_us: it is handed no requests for that service until then
+ *     to take over, 0 for all services
+ * @refused_until_us: it is handed requests for these only if no other instance
+ *     is left until then
  * @is_ranked_hub: is a hub by rank among reachable instances
  * @is_nominal_hub: is a hub by rank among all known instances
  * @report_session, @report_seq: of its last report
