--- a/soak/plan.c
+++ b/soak/plan.c
@@ -16,6 +16,15 @@
 /* Instances that a series stops one after the other. */
 #define FW_SERIES 3
 #define FW_SERIES_GAP_MS 700
+/*
+ * Beside a crashing part all instances are killed, one after the other, once
+ * it is in quarantine. One is back when the next is killed, so that another
+ * one always knows of it. The part then stays for longer, so that requests
+ * with it reach all instances after these have been calm again.
+ */
+#define FW_ROLL_AFTER_MS 4000
+#define FW_ROLL_GAP_MS 900
+#define FW_ROLL_LONGER_MS 9000
 
 enum fault {
     FW_RELAY_TERM,
@@ -65,12 +74,17 @@
     "server leaves", "key withdrawn",   "crashing part",
     "crowd"};
 
-/** struct entry - a fault; @target: of the instances, or of the servers. */
+/**
+ * struct entry - a fault.
+ * @target: of the instances, or of the servers
+ * @rolls: all instances are killed, one after the other
+ */
 struct entry {
     struct soak *soak;
     enum fault fault;
     int target;
     guint for_ms;
+    int rolls;
 };
 
 static int busy_servers[FW_SOAK_SERVERS];
@@ -112,6 +126,22 @@
     return G_SOURCE_REMOVE;
 }
 
+static gboolean
+kill_once(gpointer data)
+{
+    Fw_SoakRelay_Signal(data, SIGKILL);
+    return G_SOURCE_REMOVE;
+}
+
+static void
+roll(struct soak *s)
+{
+    for (int i = 0; i < s->n_relays; i++) {
+        g_timeout_add(FW_ROLL_AFTER_MS + (guint)i * FW_ROLL_GAP_MS, kill_once,
+                      &s->relays[i]);
+    }
+}
+
 static void
 begin_relay_fault(struct entry *e)
 {
@@ -369,6 +399,9 @@
     }
     else if (e->fault == FW_CRASHING_PART) {
         Fw_SoakCrashes_Begin(s);
+        if (e->rolls) {
+            roll(s);
+        }
     }
     else if (e->fault == FW_CROWD) {
         s->crowded_relay = e->target % s->n_relays;
@@ -447,6 +480,9 @@
         e->fault = draw_fault(s);
         e->target = draw_target(s, e->fault);
         e->for_ms = draw_duration(s, e->fault);
+        e->rolls = e->fault == FW_CRASHING_PART &&
+                   at + e->for_ms + FW_ROLL_LONGER_MS < ms - FW_QUIET_MS;
+        e->for_ms += e->rolls ? FW_ROLL_LONGER_MS : 0;
         g_timeout_add((guint)at, begin_fault, e);
         at += g_rand_int_range(s->rand, FW_GAP_MIN_MS, FW_GAP_MAX_MS);
     }
