--- a/soak/plan.c
+++ b/soak/plan.c
@@ -129,7 +129,12 @@
 static gboolean
 kill_once(gpointer data)
 {
-    Fw_SoakRelay_Signal(data, SIGKILL);
+    struct soak_relay *r = data;
+
+    /* A stop that has begun must end as planned. */
+    if (!r->term_us) {
+        Fw_SoakRelay_Signal(r, SIGKILL);
+    }
     return G_SOURCE_REMOVE;
 }
 
