Check what is in quarantine when a request returns, and forget servers that end

A request that no other instance took went on here although a part of it had been put in quarantine meanwhile. Failures of a server that is no longer listed counted for the links to its stage, so that engines which had ended were taken for lost links. Retries that a server declined stay charged when a request is refused to the instance that has handed it over.

--- a/src/decide/upstream_links.c
+++ b/src/decide/upstream_links.c
@@ -36,6 +36,19 @@
     }
 }
 
+void
+Fw_UpstreamLinks_Forget(struct fw_upstream_links *l, uint64_t hash)
+{
+    for (int i = 0; i < l->n_failed; i++) {
+        if (l->failed[i] == hash) {
+            l->failed[i--] = l->failed[--l->n_failed];
+        }
+    }
+    if (!l->n_failed) {
+        l->failing_since_us = 0;
+    }
+}
+
 int
 Fw_UpstreamLinks_AreLost(const struct fw_upstream_links *l, int n_upstreams,
                          int64_t now_us)
--- a/src/decide/upstream_links.h
+++ b/src/decide/upstream_links.h
@@ -46,6 +46,9 @@
 void
 Fw_UpstreamLinks_NoteFailure(struct fw_upstream_links *l, uint64_t hash,
                              int64_t sent_us, int64_t now_us);
+/* The upstream is not in service any more: its failures say nothing. */
+void
+Fw_UpstreamLinks_Forget(struct fw_upstream_links *l, uint64_t hash);
 /* Whether the links are lost; @n_upstreams: upstreams of the set in service.
  */
 int
--- a/src/relay/calls.h
+++ b/src/relay/calls.h
@@ -304,6 +304,9 @@
 void
 Fw_Links_NoteFailure(struct fw_relay *r, const struct fw_rl_op *op, int sent,
                      int64_t now_us);
+/* The server @s is no longer listed. */
+void
+Fw_Links_NoteGone(struct fw_rl_server *s);
 /* Whether this instance has lost its links to all servers. */
 int
 Fw_Links_AreAllLost(const struct fw_relay *r, int64_t now_us);
--- a/src/relay/handover.c
+++ b/src/relay/handover.c
@@ -241,7 +241,13 @@
 resume(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us,
        struct fw_rl_actions *out)
 {
+    int64_t retry_us;
+
     c->resumes = 0;
+    if (Fw_Crashes_IsQuarantined(r, c, now_us, &retry_us)) {
+        Fw_Call_Reject(r, c, 503, retry_us, "poison", now_us, out);
+        return;
+    }
     if (!Fw_Relay_Recount(r, c, now_us, out)) {
         return;
     }
@@ -261,8 +267,9 @@
         return;
     }
     if (c->gives_up) {
-        Fw_Call_Reject(r, c, 503, Fw_Stream_RetryAfter(r, c), c->gives_up,
-                       now_us, out);
+        Fw_Call_Reject(r, c, 503,
+                       c->kv_tokens ? Fw_Stream_RetryAfter(r, c) : FW_SEC,
+                       c->gives_up, now_us, out);
     }
     else if (c->resumes) {
         resume(r, c, now_us, out);
--- a/src/relay/links.c
+++ b/src/relay/links.c
@@ -84,6 +84,13 @@
     }
 }
 
+/* An engine that has ended has taken no links with it. */
+void
+Fw_Links_NoteGone(struct fw_rl_server *s)
+{
+    Fw_UpstreamLinks_Forget(&s->stage_links->links, s->hash);
+}
+
 /* The servers are counted only when calls fail. */
 int
 Fw_Links_AreAllLost(const struct fw_relay *r, int64_t now_us)
--- a/src/relay/open.c
+++ b/src/relay/open.c
@@ -251,8 +251,8 @@
     if (!c->counted_us) {
         return;
     }
-    Fw_RetryBudget_TakeBack(r, c->service, c->counted_us, c->retries_charged,
-                            now_us);
+    Fw_RetryBudget_TakeBack(r, c->service, c->counted_us,
+                            c->is_declined ? 0 : c->retries_charged, now_us);
     if (c->kv_tokens) {
         Fw_PrefillLoad_TakeBack(
             &Fw_ServiceStats_Get(r, c->service)->prefill_load,
--- a/src/relay/servers.c
+++ b/src/relay/servers.c
@@ -232,6 +232,7 @@
     r->list_hash -= s->list_hash;
     g_hash_table_remove(r->servers_by_hash, &s->hash);
     deactivate(s);
+    Fw_Links_NoteGone(s);
     Fw_ServerLimits_Remove(s);
     s->gone = 1;
     Fw_List_Remove(&s->link);
--- a/tests/decide/test_links.c
+++ b/tests/decide/test_links.c
@@ -65,6 +65,22 @@
 }
 END_TEST
 
+/* Guards against upstreams that have ended being taken for lost links. */
+START_TEST(an_upstream_that_is_gone_says_nothing)
+{
+    struct fw_upstream_links l = {0};
+
+    Fw_UpstreamLinks_NoteFailure(&l, 1, FW_SEC, FW_SEC);
+    Fw_UpstreamLinks_NoteFailure(&l, 2, FW_SEC, FW_SEC);
+    ck_assert(Fw_UpstreamLinks_AreLost(&l, 2, 2 * FW_SEC));
+    Fw_UpstreamLinks_Forget(&l, 1);
+    ck_assert(!Fw_UpstreamLinks_AreLost(&l, 2, 2 * FW_SEC));
+    ck_assert(Fw_UpstreamLinks_AreSuspect(&l, 2 * FW_SEC));
+    Fw_UpstreamLinks_Forget(&l, 2);
+    ck_assert(!Fw_UpstreamLinks_AreSuspect(&l, 2 * FW_SEC));
+}
+END_TEST
+
 /* Guards against requests that wait for servers none of which can be tried. */
 START_TEST(upstreams_without_connections_are_out_of_reach)
 {
@@ -94,6 +110,7 @@
     tcase_add_test(tc, any_response_shows_that_the_links_work);
     tcase_add_test(tc, a_call_from_before_the_last_response_says_nothing);
     tcase_add_test(tc, a_moment_without_responses_is_not_enough);
+    tcase_add_test(tc, an_upstream_that_is_gone_says_nothing);
     tcase_add_test(tc, upstreams_without_connections_are_out_of_reach);
     return Fw_Suite_Run(tc);
 }
