Keep messages about crashes readable when a server ends twice under one start

A server that was started anew and ended again before its new entry was read counts as the same crash. Its later requests were listed with a negative age, for which other instances rejected the whole message: with the next crashes, sound runs and quarantines in it.

--- a/src/relay/crash_message.c
+++ b/src/relay/crash_message.c
@@ -98,10 +98,14 @@
     }
 }
 
+/*
+ * A request may have been sent after the crash that it is listed with: a
+ * server that was started anew ends again before its new entry was read.
+ */
 static void
 pack_age(msgpack_packer *pk, int64_t at_us, int64_t now_us)
 {
-    msgpack_pack_int64(pk, Fw_Relay_UsToMs(now_us - at_us));
+    msgpack_pack_int64(pk, Fw_Relay_UsToMs(MAX(now_us - at_us, 0)));
 }
 
 static void
--- a/tests/relay/test_crash_message.c
+++ b/tests/relay/test_crash_message.c
@@ -147,6 +147,35 @@
 }
 END_TEST
 
+/* Guards against one crash that makes all later messages unreadable. */
+START_TEST(a_request_sent_after_the_crash_does_not_spoil_the_message)
+{
+    struct fw_relay *a = new_relay("a", "b", FW_TO);
+    struct fw_relay *b = new_relay("b", "a", FW_FROM);
+    int64_t at_us = FW_START_US + FW_SEC;
+    int64_t now_us = FW_START_US + 5 * FW_SEC;
+    struct fw_blame_key early = {.hash = 7, .depth = 1, .sent_us = at_us};
+    struct fw_blame_key late = {
+        .hash = 8, .depth = 1, .sent_us = at_us + 2 * FW_SEC};
+    GBytes *msg;
+    gsize len;
+
+    Fw_Blame_NoteCrash(&a->crashes.blame, 1, at_us, &early, 1, at_us);
+    Fw_Blame_NoteCrash(&a->crashes.blame, 1, at_us + 2 * FW_SEC, &late, 1,
+                       at_us + 2 * FW_SEC)
+        ->is_unsent = 1;
+    a->crashes.changed = 1;
+    msg = take_message(a, now_us);
+    const void *data = g_bytes_get_data(msg, &len);
+    ck_assert_int_eq(receive(b, data, len, now_us), 0);
+    ck_assert_int_eq(b->crashes.blame.n_crashes, 1);
+    ck_assert_int_eq(b->crashes.blame.crashes[0].n_keys, 2);
+    g_bytes_unref(msg);
+    Fw_Relay_Free(a);
+    Fw_Relay_Free(b);
+}
+END_TEST
+
 START_TEST(nothing_is_sent_before_the_first_crash)
 {
     struct fw_relay *a = new_relay("a", "b", FW_TO);
@@ -231,6 +260,8 @@
 
     tcase_add_test(tc, another_instance_learns_the_quarantine);
     tcase_add_test(tc, the_quarantine_is_repeated_in_a_few_bytes);
+    tcase_add_test(tc,
+                   a_request_sent_after_the_crash_does_not_spoil_the_message);
     tcase_add_test(tc, nothing_is_sent_before_the_first_crash);
     tcase_add_test(tc, a_message_with_all_tables_full_is_bounded);
     tcase_add_test(tc, damaged_messages_are_harmless);
