Register the servers of the soak under their proxies' addresses only

A server that was started anew was registered with the address that it listens on, then with that of its proxy. An instance that read both at once sent what it had queued to the first, past the proxy: an engine that the soak had ended by its proxy served such requests to their end.

--- a/soak/world.c
+++ b/soak/world.c
@@ -21,7 +21,7 @@
     struct soak *s = v->soak;
     char addr[FW_URL_MAX];
 
-    v->stand = Fw_WireServer_New(s->store, "127.0.0.1:0", v->opts);
+    v->stand = Fw_WireServer_NewBehindProxy(s->store, "127.0.0.1:0", v->opts);
     Fw_WireServer_SetFraming(v->stand, FW_WIRE_BY_TURNS);
     Fw_WireServer_SetObserver(v->stand, Fw_SoakCheck_ServerEvent, v);
     if (!v->proxy) {
--- a/stand/wire/server.c
+++ b/stand/wire/server.c
@@ -156,8 +156,8 @@
                                        .rejected = on_rejected};
 
 struct fw_wire_server *
-Fw_WireServer_New(struct fw_wire_store *store, const char *addr,
-                  const struct fw_wire_opts *opts)
+Fw_WireServer_NewBehindProxy(struct fw_wire_store *store, const char *addr,
+                             const struct fw_wire_opts *opts)
 {
     struct fw_wire_server *s = g_new0(struct fw_wire_server, 1);
     int err;
@@ -184,6 +184,15 @@
                Fw_Server_Port(s->http));
     g_strlcpy(s->listen_addr, s->addr, sizeof(s->listen_addr));
     g_hash_table_insert(Fw_Wire_ServersByAddr, s->addr, s);
+    return s;
+}
+
+struct fw_wire_server *
+Fw_WireServer_New(struct fw_wire_store *store, const char *addr,
+                  const struct fw_wire_opts *opts)
+{
+    struct fw_wire_server *s = Fw_WireServer_NewBehindProxy(store, addr, opts);
+
     Fw_Wire_Register(s);
     return s;
 }
--- a/stand/wire/wire.h
+++ b/stand/wire/wire.h
@@ -114,6 +114,14 @@
 struct fw_wire_server *
 Fw_WireServer_New(struct fw_wire_store *store, const char *addr,
                   const struct fw_wire_opts *opts);
+/*
+ * As above, but registers it under the address of a proxy before it only, once
+ * Fw_WireServer_Advertise() names it: calls to its own would pass the proxy
+ * by.
+ */
+struct fw_wire_server *
+Fw_WireServer_NewBehindProxy(struct fw_wire_store *store, const char *addr,
+                             const struct fw_wire_opts *opts);
 void
 Fw_WireServer_Free(struct fw_wire_server *s);
 /* Calls @fn for each event of the server. */
