Merge handing over per service and stage, and the query for quarantines at a start

In the merge: a stream that is handed over counts as waiting no longer; requests that arrive while an instance starts wait for its configuration and servers, not for the answers about crashes.

--- a/src/decide/upstream_links.c
+++ b/src/decide/upstream_links.c
@@ -36,6 +36,19 @@
     }
 }
 
+void
+Fw_UpstreamLinks_Forget(struct fw_upstream_links *l, uint64_t hash)
+{
+    for (int i = 0; i < l->n_failed; i++) {
+        if (l->failed[i] == hash) {
+            l->failed[i--] = l->failed[--l->n_failed];
+        }
+    }
+    if (!l->n_failed) {
+        l->failing_since_us = 0;
+    }
+}
+
 int
 Fw_UpstreamLinks_AreLost(const struct fw_upstream_links *l, int n_upstreams,
                          int64_t now_us)
@@ -47,6 +60,12 @@
            now_us - l->failing_since_us >= FW_LINKS_LOST_US;
 }
 
+int
+Fw_UpstreamReach_IsNone(const struct fw_upstream_reach *reach)
+{
+    return reach->n > 0 && reach->n_unconnected == reach->n;
+}
+
 int
 Fw_UpstreamLinks_AreSuspect(const struct fw_upstream_links *l, int64_t now_us)
 {
--- a/src/relay/metrics.c
+++ b/src/relay/metrics.c
@@ -61,6 +61,8 @@
          "First attempts at plain services, of all instances", 1},
         {&r->relay_metrics.plain_completions, "fw_plain_completed_per_second",
          "Requests that these services are expected to complete", 1},
+        {&r->relay_metrics.stage_links_lost, "fw_server_stage_links_lost",
+         "Stages of services to whose servers alone the links are lost", 1},
         {&r->relay_metrics.role_held, "fw_order_role_held",
          "1 while this instance may order engines", 1},
     };
--- a/src/relay/metrics.h
+++ b/src/relay/metrics.h
@@ -43,6 +43,7 @@
     struct fw_metric plain_admitted;
     struct fw_metric plain_asked;
     struct fw_metric plain_completions;
+    struct fw_metric stage_links_lost;
     struct fw_metric reasons[FW_RL_REJECT_REASONS_MAX];
     char labels[FW_RL_REJECT_REASONS_MAX][FW_NAME_MAX + 16];
     int n_reasons;
--- a/src/relay/plain.c
+++ b/src/relay/plain.c
@@ -202,9 +202,24 @@
         !Fw_RetryBudget_Take(r, c, 1, now_us, out)) {
         return NULL;
     }
+    c->retries_charged++;
     return s;
 }
 
+void
+Fw_Plain_Resume(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us,
+                struct fw_rl_actions *out)
+{
+    struct fw_rl_server *next = take_retry_server(r, c, now_us, out);
+
+    if (next) {
+        send_attempt(r, c, next, now_us, out);
+        return;
+    }
+    Fw_Call_Reject(r, c, 503, FW_RETRY_NO_SERVER_US, "upstream_lost", now_us,
+                   out);
+}
+
 static void
 retry(struct fw_relay *r, struct fw_rl_call *c, struct fw_rl_server *next,
       const char *reason, int64_t now_us, struct fw_rl_actions *out)
@@ -256,6 +271,7 @@
             Fw_Servers_NoteUnreachable(op->server, now_us);
         }
         c->attempts--; /* not an attempt: it did not run */
+        c->is_declined = 1;
         Fw_Op_End(r, op);
         next = take_retry_server(r, c, now_us, out);
         if (next) {
@@ -316,6 +332,11 @@
     }
     else {
         c->attempts--;
+        c->n_unconnected++;
+    }
+    if (Fw_Links_AreLostFor(r, c, now_us) &&
+        Fw_Handover_Rescue(r, c, NULL, now_us, out)) {
+        return;
     }
     next = !sent || may_retry(c) ? take_retry_server(r, c, now_us, out) : NULL;
     if (next) {
@@ -323,6 +344,10 @@
               now_us, out);
         return;
     }
+    if (now_us < c->deadline_us &&
+        Fw_Handover_Rescue(r, c, "upstream_lost", now_us, out)) {
+        return;
+    }
     reject_failed(r, c, now_us >= c->deadline_us ? "timeout" : "upstream_lost",
                   now_us, out);
 }
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -43,6 +43,7 @@
     r->retry_budgets = g_ptr_array_new_with_free_func(g_free);
     r->service_stats = g_ptr_array_new_with_free_func(g_free);
     r->evacuations = g_ptr_array_new_with_free_func(g_free);
+    r->stage_links = g_ptr_array_new_with_free_func(g_free);
     r->servers_by_hash = g_hash_table_new(g_int64_hash, g_int64_equal);
     Fw_List_Init(&r->servers);
     Fw_List_Init(&r->active_servers);
@@ -96,6 +97,7 @@
     g_ptr_array_unref(r->retry_budgets);
     g_ptr_array_unref(r->service_stats);
     g_ptr_array_unref(r->evacuations);
+    g_ptr_array_unref(r->stage_links);
     g_hash_table_destroy(r->servers_by_hash);
     g_hash_table_destroy(r->presence.record_ends);
     g_rand_free(r->rand);
@@ -260,7 +262,7 @@
     }
     s = Fw_Servers_Ref(op->server);
     Fw_Servers_Activate(r, s);
-    Fw_Links_NoteFailure(r, op, now_us);
+    Fw_Links_NoteFailure(r, op, sent, now_us);
     if (!op->call) {
         Fw_StageOrder_HandleFailure(r, op, out);
     }
@@ -333,6 +335,9 @@
         return;
     }
     if (now_us >= c->queue_until_us) {
+        if (Fw_Handover_Rescue(r, c, "no_room", now_us, out)) {
+            return;
+        }
         Fw_Call_Reject(r, c, 503, Fw_Ranks_RetryAfter(r, c, now_us), "no_room",
                        now_us, out);
         return;
@@ -406,7 +411,8 @@
 Fw_Relay_IsReady(const struct fw_relay *r, int64_t now_us)
 {
     return !r->draining && r->has_server_list &&
-           Fw_Relay_AreKeysFresh(r, now_us);
+           Fw_Relay_AreKeysFresh(r, now_us) &&
+           Fw_CrashQuery_IsAnswered(r, now_us);
 }
 
 const struct fw_rl_rules *
--- a/src/relay/starting.c
+++ b/src/relay/starting.c
@@ -10,7 +10,9 @@
 static int
 is_starting(const struct fw_relay *r, int64_t now_us)
 {
-    return !r->draining && !Fw_Relay_IsReady(r, now_us) &&
+    int can_serve = r->has_server_list && Fw_Relay_AreKeysFresh(r, now_us);
+
+    return !r->draining && !can_serve &&
            now_us - r->start_us < r->opts.start_wait_us;
 }
 
