--- a/src/decide/server_speed.c
+++ b/src/decide/server_speed.c
@@ -81,9 +81,9 @@
     if (!g->is_known || now_us <= since_us) {
         return s->lasting;
     }
-    return g->mean + (s->lasting - g->mean) * halved((double)(now_us -
-                                                              since_us),
-                                                     FW_FORGET_HALF_LIFE_US);
+    return g->mean +
+           (s->lasting - g->mean) *
+               halved((double)(now_us - since_us), FW_FORGET_HALF_LIFE_US);
 }
 
 static double
@@ -133,8 +133,7 @@
     double recent = recent_part(s, now_us);
 
     if (s->sampled_us) {
-        update_variance(g, samples,
-                        Fw_ServerSpeed_Log(s, g, 0, now_us));
+        update_variance(g, samples, Fw_ServerSpeed_Log(s, g, 0, now_us));
         s->lasting = lasting_log(s, g, 0, now_us);
         s->lasting_weight *= lasting_part(s, now_us);
         prior_weight = 0;
@@ -156,9 +155,8 @@
 void
 Fw_ServerSpeed_Set(struct fw_server_speed *s, double log, int64_t now_us)
 {
-    *s = (struct fw_server_speed){.lasting = log,
-                                  .at_us = now_us,
-                                  .sampled_us = now_us};
+    *s = (struct fw_server_speed){
+        .lasting = log, .at_us = now_us, .sampled_us = now_us};
 }
 
 /**
--- a/src/speed/speed.c
+++ b/src/speed/speed.c
@@ -184,10 +184,9 @@
         return;
     }
     item = find_or_add(sp, &row->key);
-    Fw_ServerSpeed_Fold(
-        &item->estimate,
-        find_or_add_group(sp, row->key.service, row->key.use), &samples,
-        now_us);
+    Fw_ServerSpeed_Fold(&item->estimate,
+                        find_or_add_group(sp, row->key.service, row->key.use),
+                        &samples, now_us);
     if (pass_on) {
         add(&item->unsent, &samples);
     }
@@ -233,15 +232,13 @@
     FW_LIST_EACH (pos, &sp->entries) {
         struct entry *e = FW_LIST_ENTRY(pos, struct entry, link);
 
-        if (e->service == service->hash &&
-            e->items[use].estimate.sampled_us) {
+        if (e->service == service->hash && e->items[use].estimate.sampled_us) {
             g_ptr_array_add(scratch, &e->items[use].estimate);
         }
     }
-    Fw_SpeedGroup_Update(
-        &service->groups[use],
-        (const struct fw_server_speed *const *)scratch->pdata,
-        (int)scratch->len, sp->confirmed_us, now_us);
+    Fw_SpeedGroup_Update(&service->groups[use],
+                         (const struct fw_server_speed *const *)scratch->pdata,
+                         (int)scratch->len, sp->confirmed_us, now_us);
 }
 
 void
@@ -435,17 +432,12 @@
 }
 
 double
-Fw_Speed_Rate(const struct fw_speed *sp, const struct fw_speed_key *key,
-              int64_t now_us)
+Fw_Speed_MeanRate(const struct fw_speed *sp, uint64_t service,
+                  enum fw_speed_use use)
 {
-    const struct fw_speed_group *g = find_group(sp, key->service, key->use);
-    const struct item *item = find(sp, key);
+    const struct fw_speed_group *g = find_group(sp, service, use);
 
-    if (!g || !g->is_known || !item) {
-        return g && g->is_known ? exp(g->mean) : 0;
-    }
-    return exp(
-        Fw_ServerSpeed_Log(&item->estimate, g, sp->confirmed_us, now_us));
+    return g && g->is_known ? exp(g->mean) : 0;
 }
 
 void
--- a/src/speed/speed.h
+++ b/src/speed/speed.h
@@ -10,7 +10,8 @@
 #include <glib.h>
 #include <stdint.h>
 
-/** enum fw_speed_use - kinds of work, for each of which a server has a speed. */
+/** enum fw_speed_use - kinds of work, for each of which a server has a speed.
+ */
 enum fw_speed_use {
     FW_SPEED_PLAIN,
     FW_SPEED_PREFILL,
@@ -126,13 +127,10 @@
 int
 Fw_Speed_IsInForce(const struct fw_speed *sp, uint64_t service,
                    enum fw_speed_use use, double spread_min);
-/*
- * Work per microsecond that a server does for one request, 0 if unknown, in
- * the unit of the samples.
- */
+/* Mean rate of the servers in the unit of the samples, 0 if unknown. */
 double
-Fw_Speed_Rate(const struct fw_speed *sp, const struct fw_speed_key *key,
-              int64_t now_us);
+Fw_Speed_MeanRate(const struct fw_speed *sp, uint64_t service,
+                  enum fw_speed_use use);
 /* The server has ended: its next lifetime starts at the mean. */
 void
 Fw_Speed_Remove(struct fw_speed *sp, uint64_t server);
--- a/tests/decide/test_server_speed.c
+++ b/tests/decide/test_server_speed.c
@@ -101,9 +101,8 @@
 static double
 relative(const struct pool *p, int i)
 {
-    return exp(
-        Fw_ServerSpeed_Log(&p->believed[i], &p->group, 0, p->now_us) -
-        p->group.mean);
+    return exp(Fw_ServerSpeed_Log(&p->believed[i], &p->group, 0, p->now_us) -
+               p->group.mean);
 }
 
 static const double rates[] = {7, 20, 67};
