Place requests by the speeds of servers

Samples are taken where responses arrive: prefills, ended streams and plain calls, in a unit that all instances share. With [policy] speed-spread (1.5; 0 switches the part off) placement uses the estimates where the fastest known server of a service and use exceeds the slowest by more than that; elsewhere the former code runs unchanged. Instances exchange samples and estimates in a message of type 14. sent lines show the speeds that were used, server_speed lines name changes.

--- a/src/relay/calls.h
+++ b/src/relay/calls.h
@@ -117,6 +117,7 @@
  * @server: the server called, NULL if another instance is
  * @instance: hash of the name of the instance called
  * @deadline_us: when it times out
+ * @n_running: requests of all instances at the server then
  * @had_free_slot: the server had a free slot when the call was sent
  * @is_calibration: a report requested only to learn the tokens per event
  */
@@ -129,6 +130,7 @@
     uint64_t instance;
     int64_t sent_us;
     int64_t deadline_us;
+    int n_running;
     int had_free_slot;
     int is_calibration;
 };
--- a/src/relay/exchange.c
+++ b/src/relay/exchange.c
@@ -290,6 +290,7 @@
         act_as_leaf(r, now_us, out);
     }
     Fw_LimitMessage_SendDue(r, now_us, out);
+    Fw_SpeedMessage_SendDue(r, now_us, out);
     Fw_CrashMessage_SendDue(r, now_us, out);
     Fw_StoreSync_SendQuery(r, now_us, out);
 }
@@ -323,6 +324,7 @@
         Fw_Outbox_Add(out, addr, msg);
     }
     r->limits_changed = 1;
+    Fw_Speed_ResendEstimates(r->speeds.table);
     r->crashes.changed |= r->crashes.blame.n_quarantines != 0;
     g_byte_array_unref(msg);
 }
@@ -360,6 +362,7 @@
     if (Fw_Reply_Read(r, o, now_us) == 0 || Fw_Delta_Read(r, o, now_us) == 0 ||
         Fw_HubList_Read(r, o, addr, now_us) == 0 ||
         Fw_LimitMessage_Read(r, o, now_us) == 0 ||
+        Fw_SpeedMessage_Read(r, o, now_us) == 0 ||
         Fw_CrashMessage_Read(r, o, now_us) == 0 ||
         Fw_ServiceStats_Read(r, o) == 0) {
         return 0;
--- a/src/relay/metrics.c
+++ b/src/relay/metrics.c
@@ -55,6 +55,11 @@
          "Requests handed over to another instance", 0},
         {&r->relay_metrics.links_lost, "fw_server_links_lost",
          "1 while this instance has no links to the servers", 1},
+        {&r->relay_metrics.speed_samples, "fw_speed_samples_total",
+         "Requests of this instance that the servers' speeds were taken from",
+         0},
+        {&r->relay_metrics.servers_slow, "fw_servers_slow",
+         "Servers that are slower than the mean by a quarter or more", 1},
         {&r->relay_metrics.role_held, "fw_order_role_held",
          "1 while this instance may order engines", 1},
     };
--- a/src/relay/metrics.h
+++ b/src/relay/metrics.h
@@ -40,6 +40,8 @@
     struct fw_metric role_held;
     struct fw_metric handed_over;
     struct fw_metric links_lost;
+    struct fw_metric speed_samples;
+    struct fw_metric servers_slow;
     struct fw_metric reasons[FW_RL_REJECT_REASONS_MAX];
     char labels[FW_RL_REJECT_REASONS_MAX][FW_NAME_MAX + 16];
     int n_reasons;
--- a/src/relay/place.c
+++ b/src/relay/place.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "decide/memory.h"
+#include "decide/place_engine.h"
 #include "relay/relay_internal.h"
 
 /*
@@ -90,10 +91,9 @@
            Fw_Regions_Allow(&c->team_regions, region);
 }
 
-/* Whether @s runs the service of @c in a region that @c may use. */
-static int
-runs_service(const struct fw_relay *r, const struct fw_rl_server *s,
-             const struct fw_rl_call *c)
+int
+Fw_Place_MayRun(const struct fw_relay *r, const struct fw_rl_server *s,
+                const struct fw_rl_call *c)
 {
     return strcmp(s->entry.service, c->service) == 0 && is_in_regions(r, s, c);
 }
@@ -133,11 +133,15 @@
     struct fw_list *pos;
     double best_score = 0;
 
+    if (Fw_PlaceSpeed_IsPlainInForce(r, c->service, now_us)) {
+        return Fw_PlaceSpeed_Plain(r, c, now_us);
+    }
     FW_LIST_EACH (pos, &r->servers) {
         struct fw_rl_server *s = FW_LIST_ENTRY(pos, struct fw_rl_server, link);
         double score;
 
-        if (!runs_service(r, s, c) || !Fw_Admission_MaySend(r, s, 1, now_us)) {
+        if (!Fw_Place_MayRun(r, s, c) ||
+            !Fw_Admission_MaySend(r, s, 1, now_us)) {
             continue;
         }
         score = plain_score(r, s);
@@ -166,7 +170,8 @@
         struct fw_rl_server *s = FW_LIST_ENTRY(pos, struct fw_rl_server, link);
         int64_t at;
 
-        if (!runs_service(r, s, c) || s->entry.stage == FW_RL_STAGE_PREFILL) {
+        if (!Fw_Place_MayRun(r, s, c) ||
+            s->entry.stage == FW_RL_STAGE_PREFILL) {
             continue;
         }
         at = Fw_Admission_AvailableUs(r, s, n, now_us);
@@ -316,6 +321,35 @@
     return drawn->score[1] > drawn->score[0];
 }
 
+/** struct decode_speeds - how speeds count; see Fw_PlaceEngine_DecodeCost. */
+struct decode_speeds {
+    int are_in_force;
+    double mean_gap_us;
+};
+
+static struct decode_speeds
+get_decode_speeds(const struct fw_relay *r, const struct fw_rl_call *c)
+{
+    double rate = Fw_Speeds_MeanRate(r, c->service, FW_SPEED_DECODE);
+
+    return (struct decode_speeds){
+        .are_in_force = r->opts.policy == FW_RL_POLICY_FULL &&
+                        Fw_Speeds_AreInForce(r, c->service, FW_SPEED_DECODE),
+        .mean_gap_us = rate > 0 ? 1 / rate : 0};
+}
+
+/* Score of a decode engine with @left tokens free after @c. */
+static int64_t
+decode_score(const struct decode_speeds *speeds, const struct fw_rl_server *s,
+             const struct fw_rl_call *c, int64_t left)
+{
+    return speeds->are_in_force
+               ? (int64_t)-Fw_PlaceEngine_DecodeCost(
+                     (double)left, s->speed, speeds->mean_gap_us / s->speed,
+                     (double)c->route.event_gap_us)
+               : left;
+}
+
 /*
  * The power of two choices: of two random engines the one with more room.
  * Instances with the same view of the load thus don't all pick one engine.
@@ -325,17 +359,19 @@
 {
     const struct fw_rl_service_rule *rule =
         Fw_Rules_Service(r->rules, c->service);
+    struct decode_speeds speeds;
     struct sample drawn = {0};
     struct fw_list *pos;
 
     if (!rule || !rule->has_engines) {
         return NULL;
     }
+    speeds = get_decode_speeds(r, c);
     FW_LIST_EACH (pos, &r->servers) {
         struct fw_rl_server *s = FW_LIST_ENTRY(pos, struct fw_rl_server, link);
         int64_t left;
 
-        if (!runs_service(r, s, c) || !can_decode(s, now_us) ||
+        if (!Fw_Place_MayRun(r, s, c) || !can_decode(s, now_us) ||
             Fw_Call_HasTried(c, s) ||
             !Fw_Admission_MaySend(r, s, FW_RL_REQUESTS_PER_RESERVATION,
                                   now_us)) {
@@ -343,7 +379,7 @@
         }
         left = room_left(r, s, &rule->engine, c, now_us);
         if (left >= 0) {
-            sample_add(r, &drawn, s, left);
+            sample_add(r, &drawn, s, decode_score(&speeds, s, c, left));
         }
     }
     return drawn.n ? drawn.s[sample_best(r, &drawn)] : NULL;
@@ -360,7 +396,7 @@
     struct fw_rl_load l;
     int64_t us;
 
-    if (!runs_service(r, s, c) || s->entry.stage != FW_RL_STAGE_PREFILL ||
+    if (!Fw_Place_MayRun(r, s, c) || s->entry.stage != FW_RL_STAGE_PREFILL ||
         Fw_Servers_IsChangingStage(s, now_us) || Fw_Call_HasTried(c, s) ||
         now_us - s->full_us < FW_PREFILL_BACKOFF_US ||
         !Fw_Servers_IsUsable(s, now_us) ||
@@ -371,14 +407,38 @@
     if (is_changing_stage(s, &l) || is_unreachable(&l)) {
         return -1;
     }
-    us = Fw_ServiceStats_PrefillTime(Fw_ServiceStats_Get(r, c->service),
-                                     l.prefill_tokens + c->info.tokens_in);
+    us = Fw_ServiceStats_PrefillTime(
+        Fw_ServiceStats_Get(r, c->service),
+        Fw_Speeds_MeanTokens(s, l.prefill_tokens + c->info.tokens_in));
     if (c->server && strcmp(s->entry.domain, c->server->entry.domain) == 0) {
         us -= FW_SAME_DOMAIN_BONUS_US;
     }
     return MAX(us, 0);
 }
 
+/* Draws the prefill engine by speed; see decide/place_engine.h. */
+static struct fw_rl_server *
+draw_prefill(struct fw_relay *r, const struct fw_rl_call *c, int64_t now_us,
+             int64_t *wait_us)
+{
+    struct fw_engine_draw drawn = {0};
+    struct fw_rl_server *best;
+    struct fw_list *pos;
+
+    FW_LIST_EACH (pos, &r->servers) {
+        struct fw_rl_server *s = FW_LIST_ENTRY(pos, struct fw_rl_server, link);
+        int64_t us = prefill_time_us(r, s, c, now_us);
+
+        if (us >= 0) {
+            Fw_EngineDraw_Add(&drawn, s, s->speed, (double)us,
+                              1 - g_rand_double(r->rand));
+        }
+    }
+    best = Fw_EngineDraw_Best(&drawn);
+    *wait_us = best ? MAX(prefill_time_us(r, best, c, now_us), 0) : 0;
+    return best;
+}
+
 /*
  * Of two random engines the one that would complete first. Peers' loads are
  * known late: if every instance chose the best engine, all prompts would go
@@ -392,6 +452,10 @@
     struct fw_list *pos;
     int at;
 
+    if (r->opts.policy == FW_RL_POLICY_FULL &&
+        Fw_Speeds_AreInForce(r, c->service, FW_SPEED_PREFILL)) {
+        return draw_prefill(r, c, now_us, wait_us);
+    }
     *wait_us = 0;
     FW_LIST_EACH (pos, &r->servers) {
         struct fw_rl_server *s = FW_LIST_ENTRY(pos, struct fw_rl_server, link);
--- a/src/relay/plain.c
+++ b/src/relay/plain.c
@@ -109,6 +109,7 @@
             is_retryable(c) ? FW_RL_REUSE_US : FW_RL_REUSE_NON_IDEMPOTENT_US,
     };
     int64_t timeout_at_us = c->deadline_us;
+    char speed[FW_RL_SPEED_TEXT_MAX];
     struct fw_rl_load load;
 
     Fw_Place_Load(r, s, now_us, &load);
@@ -126,13 +127,15 @@
     g_strlcpy(up.team, c->team, sizeof(up.team));
     op = Fw_Call_Upstream(r, c, s, &up, timeout_at_us, now_us, out);
     op->had_free_slot = load.running < s->entry.slots;
+    op->n_running = load.running;
     Fw_RelayActions_Log(
         out, r, Fw_Call_LogSeverity(r, c), "sent",
         "\"id\":\"%s\",\"route\":\"%s\",\"team\":\"%s\","
         "\"cost\":%" G_GINT64_FORMAT ",\"server\":\"%s\","
-        "\"try\":%d,\"running\":%d,\"left_ms\":%" G_GINT64_FORMAT,
+        "\"try\":%d,\"running\":%d,\"left_ms\":%" G_GINT64_FORMAT "%s",
         c->info.id, c->route.name, c->team, c->cost, s->entry.id, c->attempts,
-        s->running, Fw_Relay_UsToMs(up.timeout_us));
+        s->running, Fw_Relay_UsToMs(up.timeout_us),
+        Fw_Speeds_LogText(r, s, NULL, speed));
 }
 
 void
@@ -229,6 +232,9 @@
     if (op->had_free_slot) {
         Fw_Servers_NoteServiceTime(op->server, took_us);
     }
+    if (c->is_response_good) {
+        Fw_Speeds_NotePlain(r, op, took_us);
+    }
     next = ans->status >= 500 && may_retry(c)
                ? take_retry_server(r, c, now_us, out)
                : NULL;
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -44,6 +44,8 @@
     r->service_stats = g_ptr_array_new_with_free_func(g_free);
     r->evacuations = g_ptr_array_new_with_free_func(g_free);
     r->servers_by_hash = g_hash_table_new(g_int64_hash, g_int64_equal);
+    r->servers_by_short_hash = g_hash_table_new(NULL, NULL);
+    r->speeds.table = Fw_Speed_New();
     Fw_List_Init(&r->servers);
     Fw_List_Init(&r->active_servers);
     Fw_List_Init(&r->limited_servers);
@@ -91,6 +93,8 @@
     g_ptr_array_unref(r->service_stats);
     g_ptr_array_unref(r->evacuations);
     g_hash_table_destroy(r->servers_by_hash);
+    g_hash_table_destroy(r->servers_by_short_hash);
+    Fw_Speed_Free(r->speeds.table);
     g_hash_table_destroy(r->presence.record_ends);
     g_rand_free(r->rand);
     g_free(r);
@@ -338,6 +342,7 @@
     }
     Fw_Members_Tick(r, now_us, out);
     Fw_ServerLimits_Tick(r, out);
+    Fw_Speeds_Tick(r, now_us, out);
     Fw_Links_Tick(r, now_us, out);
     Fw_Crashes_Tick(r, now_us, out);
     Fw_StageOrder_Tick(r, now_us, out);
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -239,6 +239,9 @@
  *     prefill engine would take longer than this
  * @prefill_permille: part of a service's engines assumed to be busy with
  *     prefill until prompts have been received long enough to estimate it
+ * @speed_spread_ppm: servers of a service are chosen by their speeds if the
+ *     ratio of the fastest to the slowest exceeds this, in millionths; 0 for
+ *     never
  * @overage_ppm: tolerated excess over a team's rate
  * @tolerance_tokens: tolerated excess over a team's burst
  * @cold_overage_ppm: factor of the rate that cold servers tolerate
@@ -266,6 +269,7 @@
     int reserve_permille;
     int64_t local_prefill_us;
     int prefill_permille;
+    int64_t speed_spread_ppm;
     int64_t overage_ppm;
     int64_t tolerance_tokens;
     int64_t cold_overage_ppm;
--- a/src/relay/relay_internal.h
+++ b/src/relay/relay_internal.h
@@ -14,6 +14,7 @@
 #include "relay/peers.h"
 #include "relay/relay.h"
 #include "relay/servers.h"
+#include "relay/speeds.h"
 #include "relay/stage_order.h"
 
 /* An instance without messages from any peer for this long is isolated. */
@@ -62,6 +63,7 @@
  *     one again, 0 for never
  * @has_server_list: a complete listing of the servers was received
  * @servers_by_hash: hash of a server's id to struct fw_rl_server
+ * @servers_by_short_hash: the same by the lower half of the hash
  * @active_servers: servers with is_active set
  * @limited_servers: servers that name a limit, or did a short while ago
  * @limits_changed: one of these limits has changed since they were sent
@@ -101,6 +103,7 @@
     int has_server_list;
     struct fw_list servers;
     GHashTable *servers_by_hash;
+    GHashTable *servers_by_short_hash;
     struct fw_list active_servers;
     struct fw_list limited_servers;
     int limits_changed;
@@ -125,6 +128,7 @@
     GHashTable *allowances;
     GPtrArray *retry_budgets;
     struct fw_rl_crashes crashes;
+    struct fw_rl_speeds speeds;
     struct fw_rl_order_lease order_lease;
     struct fw_rl_store_sync store_sync;
     GPtrArray *service_stats;
--- a/src/relay/servers.c
+++ b/src/relay/servers.c
@@ -33,6 +33,13 @@
     return g_hash_table_lookup(r->servers_by_hash, &hash);
 }
 
+struct fw_rl_server *
+Fw_Servers_FindByShortHash(const struct fw_relay *r, uint32_t hash)
+{
+    return g_hash_table_lookup(r->servers_by_short_hash,
+                               GUINT_TO_POINTER(hash));
+}
+
 struct fw_rl_server *
 Fw_Servers_Find(const struct fw_relay *r, const char *id)
 {
@@ -228,6 +235,11 @@
     set_removal(r, s, 0);
     r->list_hash -= s->list_hash;
     g_hash_table_remove(r->servers_by_hash, &s->hash);
+    if (Fw_Servers_FindByShortHash(r, (uint32_t)s->hash) == s) {
+        g_hash_table_remove(r->servers_by_short_hash,
+                            GUINT_TO_POINTER((uint32_t)s->hash));
+    }
+    Fw_Speed_Remove(r->speeds.table, s->hash);
     deactivate(s);
     Fw_ServerLimits_Remove(s);
     s->gone = 1;
@@ -247,7 +259,11 @@
     s->limit.milli = FW_NO_LIMIT;
     s->logged_limit = FW_NO_LIMIT;
     set_entry(r, s, e, now_us);
+    s->speed = 1;
+    s->logged_speed = 1;
     g_hash_table_replace(r->servers_by_hash, &s->hash, s);
+    g_hash_table_replace(r->servers_by_short_hash,
+                         GUINT_TO_POINTER((uint32_t)s->hash), s);
     Fw_List_Append(&r->servers, &s->link);
     Fw_RelayActions_Log(out, r, LOG_NOTICE, "server_seen",
                         "\"server\":\"%s\",\"addr\":\"%s\",\"service\":\"%s\","
--- a/src/relay/servers.h
+++ b/src/relay/servers.h
@@ -60,6 +60,10 @@
  * @limit_share_us: when @limit_share was last set
  * @logged_limit: the limit that was last logged
  * @limit_link: in the list of limited servers if @is_limit_listed
+ * @speed: of its use, relative to the mean of its service; 1 if unknown, or
+ *     if speeds are not in force there
+ * @logged_speed: the speed that was last logged
+ * @speed_logged_us: when that was, 0 for never
  */
 struct fw_rl_server {
     struct fw_list link;
@@ -100,6 +104,9 @@
     int64_t logged_limit;
     struct fw_list limit_link;
     int is_limit_listed;
+    double speed;
+    double logged_speed;
+    int64_t speed_logged_us;
 };
 
 /* servers.c */
@@ -114,6 +121,9 @@
 /* @hash: of the server's id */
 struct fw_rl_server *
 Fw_Servers_FindByHash(const struct fw_relay *r, uint64_t hash);
+/* @hash: lower half of the hash of the server's id */
+struct fw_rl_server *
+Fw_Servers_FindByShortHash(const struct fw_relay *r, uint32_t hash);
 /* Adds the server to the active ones: its load or state may change. */
 void
 Fw_Servers_Activate(struct fw_relay *r, struct fw_rl_server *s);
@@ -250,6 +260,10 @@
 Fw_Admission_EndReservation(struct fw_rl_call *c);
 
 /* place.c */
+/* Whether @s runs the service of @c in a region that @c may use. */
+int
+Fw_Place_MayRun(const struct fw_relay *r, const struct fw_rl_server *s,
+                const struct fw_rl_call *c);
 /* Chooses the server for the plain request @c; NULL if there is none. */
 struct fw_rl_server *
 Fw_Place_Plain(struct fw_relay *r, const struct fw_rl_call *c, int64_t now_us);
--- a/src/relay/stream.c
+++ b/src/relay/stream.c
@@ -258,6 +258,7 @@
         .reuse_us = FW_RL_REUSE_NON_IDEMPOTENT_US,
         .connect_us = FW_RL_CONNECT_TIMEOUT_US,
     };
+    char speed[FW_RL_SPEED_TEXT_MAX];
 
     if (reject_if_stale(r, c, now_us, out)) {
         return;
@@ -285,11 +286,12 @@
         "\"cost\":%" G_GINT64_FORMAT ",\"server\":\"%s\","
         "\"reader\":\"%s\",\"in\":%" G_GINT64_FORMAT
         ",\"most_out\":%" G_GINT64_FORMAT ",\"hint\":%" G_GINT64_FORMAT
-        ",\"tokens\":%" G_GINT64_FORMAT ",\"after_ms\":%" G_GINT64_FORMAT,
+        ",\"tokens\":%" G_GINT64_FORMAT ",\"after_ms\":%" G_GINT64_FORMAT "%s",
         c->info.id, c->route.name, c->team, c->cost, c->server->entry.id,
         c->prefill_server ? c->prefill_server->entry.id : "",
         c->info.tokens_in, c->info.tokens_out_max, c->info.tokens_out_hint,
-        c->kv_tokens, Fw_Relay_UsToMs(now_us - c->opened_us));
+        c->kv_tokens, Fw_Relay_UsToMs(now_us - c->opened_us),
+        Fw_Speeds_LogText(r, c->server, c->prefill_server, speed));
 }
 
 void
--- a/src/relay/stream_outcome.c
+++ b/src/relay/stream_outcome.c
@@ -36,8 +36,10 @@
 {
     Fw_Call_EndPrefill(c);
     if (ans->status == 200 && ans->handle[0]) {
-        Fw_ServiceStats_NotePrefill(Fw_ServiceStats_Get(r, c->service),
-                                    c->prefill_queue_tokens, took_us);
+        Fw_ServiceStats_NotePrefill(
+            Fw_ServiceStats_Get(r, c->service),
+            Fw_Speeds_MeanTokens(s, c->prefill_queue_tokens), took_us);
+        Fw_Speeds_NotePrefill(r, c, s, took_us);
         Fw_Servers_NoteResponse(s, 0, -1);
         Fw_Histogram_Add(&r->relay_metrics.prefill_s, now_us - c->reserved_us);
         g_strlcpy(c->kv_handle, ans->handle, sizeof(c->kv_handle));
@@ -60,6 +62,7 @@
 {
     if (c->is_forwarded) {
         Fw_KvDemand_NoteStreamEnd(r, c, ans->events, now_us);
+        Fw_Speeds_NoteStream(r, c, ans->events, now_us);
         Fw_Call_Finish(r, c, 1, now_us, out);
         return;
     }
--- a/src/relayd/settings.c
+++ b/src/relayd/settings.c
@@ -96,6 +96,8 @@
     FW_INT("policy", "queue-ms", "0", 0, 600000, queue_ms),
     FW_INT("policy", "reserve-permille", "100", 0, 1000, reserve_permille),
     FW_INT("policy", "read-here-ms", "600", 0, 60000, read_here_ms),
+    {"policy", "speed-spread", FW_INI_DECIMAL, "1.5", 0, 1000000000,
+     FW_AT(out.relay.speed_spread_ppm), NULL},
     FW_INT("policy", "prefill-permille", "100", 1, 999, prefill_permille),
     {"log", "level", FW_INI_CHOICE, "info", 0, 0, FW_AT(log_level), levels},
     FW_INT("log", "sample", "1", 1, 1000000, log_sample),
