--- a/src/relay/speeds.c
+++ b/src/relay/speeds.c
@@ -198,15 +198,30 @@
                  FW_WEIGHT_MAX);
 }
 
+/* The setting has changed. */
+static void
+switch_off(struct fw_relay *r, int64_t now_us)
+{
+    if (r->speeds.is_on) {
+        r->speeds.is_on = 0;
+        Fw_Speeds_Refresh(r, now_us);
+    }
+}
+
 void
 Fw_Speeds_Tick(struct fw_relay *r, int64_t now_us, struct fw_rl_actions *out)
 {
     struct fw_rl_speeds *x = &r->speeds;
     int fold;
 
-    if (is_off(r) || now_us - x->settled_us < r->opts.digest_period_us) {
+    if (is_off(r)) {
+        switch_off(r, now_us);
+        return;
+    }
+    if (now_us - x->settled_us < r->opts.digest_period_us) {
         return;
     }
+    x->is_on = 1;
     x->settled_us = now_us;
     fold = r->exchange.is_hub || !Fw_Speed_IsConfirmed(x->table, now_us);
     Fw_Speed_SettleSamples(x->table, weight_max(r, now_us), fold, now_us);
--- a/src/relay/speeds.h
+++ b/src/relay/speeds.h
@@ -9,12 +9,14 @@
 
 /**
  * struct fw_rl_speeds - what the relay keeps beside the estimates.
+ * @is_on: speeds may be in use
  * @settled_us: when this instance's samples were last settled
  * @samples_sent_us, @estimates_sent_us, @groups_sent_us: when a message last
  *     carried these
  */
 struct fw_rl_speeds {
     struct fw_speed *table;
+    int is_on;
     int64_t settled_us;
     int64_t samples_sent_us;
     int64_t estimates_sent_us;
--- a/src/speed/speed.c
+++ b/src/speed/speed.c
@@ -32,9 +32,10 @@
     struct item items[FW_SPEED_USES];
 };
 
-/** struct service - one service. */
+/** struct service - one service; @known: scratch space. */
 struct service {
     uint64_t hash;
+    GPtrArray *known[FW_SPEED_USES];
     struct fw_speed_group groups[FW_SPEED_USES];
 };
 
@@ -52,6 +53,17 @@
     int64_t confirmed_us;
 };
 
+static void
+free_service(gpointer v)
+{
+    struct service *s = v;
+
+    for (int i = 0; i < FW_SPEED_USES; i++) {
+        g_ptr_array_unref(s->known[i]);
+    }
+    g_free(s);
+}
+
 struct fw_speed *
 Fw_Speed_New(void)
 {
@@ -61,7 +73,7 @@
     sp->by_server =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
     sp->services =
-        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_service);
     return sp;
 }
 
@@ -91,6 +103,7 @@
         s->hash = service;
         for (int i = 0; i < FW_SPEED_USES; i++) {
             Fw_SpeedGroup_Init(&s->groups[i]);
+            s->known[i] = g_ptr_array_new();
         }
         g_hash_table_insert(sp->services, &s->hash, s);
     }
@@ -222,39 +235,43 @@
     return sp->confirmed_us && now_us - sp->confirmed_us < FW_CONFIRMED_US;
 }
 
+/* Collects the known estimates of each service. */
 static void
-update_group(struct fw_speed *sp, struct service *service,
-             enum fw_speed_use use, GPtrArray *scratch, int64_t now_us)
+collect_known(struct fw_speed *sp)
 {
     struct fw_list *pos;
 
-    g_ptr_array_set_size(scratch, 0);
     FW_LIST_EACH (pos, &sp->entries) {
         struct entry *e = FW_LIST_ENTRY(pos, struct entry, link);
+        struct service *s = g_hash_table_lookup(sp->services, &e->service);
 
-        if (e->service == service->hash && e->items[use].estimate.sampled_us) {
-            g_ptr_array_add(scratch, &e->items[use].estimate);
+        for (int use = 0; s && use < FW_SPEED_USES; use++) {
+            if (e->items[use].estimate.sampled_us) {
+                g_ptr_array_add(s->known[use], &e->items[use].estimate);
+            }
         }
     }
-    Fw_SpeedGroup_Update(&service->groups[use],
-                         (const struct fw_server_speed *const *)scratch->pdata,
-                         (int)scratch->len, sp->confirmed_us, now_us);
 }
 
 void
 Fw_Speed_UpdateGroups(struct fw_speed *sp, int64_t now_us)
 {
-    GPtrArray *scratch = g_ptr_array_new();
     GHashTableIter it;
     gpointer v;
 
+    collect_known(sp);
     g_hash_table_iter_init(&it, sp->services);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
+        struct service *s = v;
+
         for (int use = 0; use < FW_SPEED_USES; use++) {
-            update_group(sp, v, (enum fw_speed_use)use, scratch, now_us);
+            Fw_SpeedGroup_Update(
+                &s->groups[use],
+                (const struct fw_server_speed *const *)s->known[use]->pdata,
+                (int)s->known[use]->len, sp->confirmed_us, now_us);
+            g_ptr_array_set_size(s->known[use], 0);
         }
     }
-    g_ptr_array_unref(scratch);
 }
 
 static struct fw_speed_row
--- a/tests/relay/test_speeds.c
+++ b/tests/relay/test_speeds.c
@@ -445,7 +445,8 @@
     ck_assert(fast_part(&g, FW_SPEED_PREFILL) > 0.6);
     ck_assert(fast_part(&g, FW_SPEED_DECODE) > 0.5);
     set_part(&g, 0);
-    Fw_Speeds_Refresh(relay_at(&g, 0), Fw_RelayFleet_Now(&g.f, 0));
+    Fw_Speeds_Tick(relay_at(&g, 0), Fw_RelayFleet_Now(&g.f, 0),
+                   &g.f.instances[0].acts);
     ck_assert(fabs(fast_part(&g, FW_SPEED_PLAIN) - 1.0 / 3) < 0.05);
     ck_assert(fabs(fast_part(&g, FW_SPEED_PREFILL) - 5.0 / 16) < 0.05);
     ck_assert(fabs(fast_part(&g, FW_SPEED_DECODE) - 10.0 / 29) < 0.05);
--- a/tests/relayd/test_settings.c
+++ b/tests/relayd/test_settings.c
@@ -45,12 +45,12 @@
 }
 
 /*
- * Renders the template with the defaults and @override, and loads it. A value
- * of NULL is absent.
+ * Renders the template with the defaults and @override, and loads it with
+ * @more at its end. A value of NULL is absent.
  */
 static int
-render_and_load(const struct placeholder *override, struct fw_relayd_opts *out,
-                char **error)
+load_with(const struct placeholder *override, const char *more,
+          struct fw_relayd_opts *out, char **error)
 {
     char *path = NULL;
     char *file = NULL;
@@ -72,6 +72,7 @@
         replace(text, defaults[i].name, defaults[i].value);
     }
     ck_assert_ptr_null(strstr(text->str, "{{"));
+    g_string_append(text, more);
     ck_assert(g_file_set_contents(path, text->str, -1, NULL));
     *error = NULL;
     rc = Fw_Relayd_LoadSettings(path, out, error);
@@ -83,6 +84,13 @@
 
 #define FW_AT(field) offsetof(struct fw_relayd_opts, relay.field)
 
+static int
+render_and_load(const struct placeholder *override, struct fw_relayd_opts *out,
+                char **error)
+{
+    return load_with(override, "", out, error);
+}
+
 /**
  * struct accepted_case - a value, and the resulting option.
  * @at: offset of the option in struct fw_relayd_opts
@@ -152,6 +160,39 @@
 }
 END_TEST
 
+/** struct spread_case - lines of the settings, and the resulting option. */
+struct spread_case {
+    const char *more;
+    int rc;
+    int64_t want;
+};
+
+static const struct spread_case spread_cases[] = {
+    {"", 0, 1500000},
+    {"\n[policy]\nspeed-spread = 0\n", 0, 0},
+    {"\n[policy]\nspeed-spread = false\n", 0, 0},
+    {"\n[policy]\nspeed-spread = 2.25\n", 0, 2250000},
+    {"\n[policy]\nspeed-spread = -1\n", -1, 0},
+    {"\n[policy]\nspeed-spread = much\n", -1, 0},
+};
+
+/* Guards against a part that can't be switched off. */
+START_TEST(speeds_take_effect_as_set)
+{
+    const struct spread_case *t = &spread_cases[_i];
+    struct placeholder none = {"Node", "n1"};
+    struct fw_relayd_opts opts;
+    char *error = NULL;
+    int rc = load_with(&none, t->more, &opts, &error);
+
+    ck_assert_msg((rc < 0) == (t->rc < 0), "%d: %s", rc, error);
+    if (rc == 0) {
+        ck_assert_int_eq(opts.relay.speed_spread_ppm, t->want);
+    }
+    g_free(error);
+}
+END_TEST
+
 /** struct rejected_case - an invalid value, and the end of the error. */
 struct rejected_case {
     struct placeholder override;
@@ -200,6 +241,8 @@
     tcase_add_test(tc, domains_have_regions);
     tcase_add_loop_test(tc, numbers_are_accepted_in_any_form, 0,
                         G_N_ELEMENTS(accepted_cases));
+    tcase_add_loop_test(tc, speeds_take_effect_as_set, 0,
+                        G_N_ELEMENTS(spread_cases));
     tcase_add_loop_test(tc, invalid_numbers_are_reported, 0,
                         G_N_ELEMENTS(rejected_cases));
     return Fw_Suite_Run(tc);
