Size the prefill pool by the engines' speeds

The pool's size counted engines, while the load is measured in engines of mean speed. Where speeds are not in force all are 1, and the size is as before. Which engines prefill is left as it is: see docs/design/server-speeds.md.

--- a/src/decide/prefill_pool.c
+++ b/src/decide/prefill_pool.c
@@ -66,6 +66,12 @@
     return weight * rate * token_us / FW_SEC + (1 - weight) * prior_engines;
 }
 
+double
+Fw_PrefillPool_EnginesFor(double mean_engines, double speeds, int n)
+{
+    return n > 0 && speeds > 0 ? mean_engines * n / speeds : mean_engines;
+}
+
 /* Square-root staffing: the mean load plus a multiple of its square root. */
 int
 Fw_PrefillPool_TargetSize(double busy_engines, int engines, int current)
--- a/src/decide/prefill_pool.h
+++ b/src/decide/prefill_pool.h
@@ -39,6 +39,12 @@
 Fw_PrefillPool_BusyEngines(const struct fw_prefill_load *local, double rate,
                            double token_us, double prior_engines,
                            int64_t now_us);
+/*
+ * Number of engines that do the work of @mean_engines of mean speed, if they
+ * are as fast as those of a pool of @n whose speeds add up to @speeds.
+ */
+double
+Fw_PrefillPool_EnginesFor(double mean_engines, double speeds, int n);
 /**
  * Fw_PrefillPool_TargetSize - engines that should be in the prefill stage.
  * @busy_engines: mean number of engines busy with prefill
--- a/src/relay/stage_order.c
+++ b/src/relay/stage_order.c
@@ -117,19 +117,34 @@
     return sum;
 }
 
+/**
+ * struct pool_state - engines of a service.
+ * @prefill_engines: those that prefill, or will
+ * @prefill_speeds: sum of the speeds of those that prefill already
+ * @known_speeds: number of these
+ */
+struct pool_state {
+    int engines;
+    int prefill_engines;
+    double prefill_speeds;
+    int known_speeds;
+};
+
 static int
-target_pool_size(const struct fw_relay *r, const char *service, int engines,
-                 int prefill_engines, int64_t now_us)
+target_pool_size(const struct fw_relay *r, const char *service,
+                 const struct pool_state *pool, int64_t now_us)
 {
     const struct fw_service_stats *stats = Fw_ServiceStats_Get(r, service);
-    double prior_engines = engines * r->opts.prefill_permille / 1000.0;
+    double prior_engines = pool->engines * r->opts.prefill_permille / 1000.0;
     double busy_engines = Fw_PrefillPool_BusyEngines(
         &stats->prefill_load, total_prefill_rate(r, stats, now_us),
         stats->prefill_us_per_token.mean, prior_engines, now_us);
 
     /* No hysteresis before the first assignment. */
-    return Fw_PrefillPool_TargetSize(busy_engines, engines,
-                                     r->stages_settled ? prefill_engines : 0);
+    return Fw_PrefillPool_TargetSize(
+        Fw_PrefillPool_EnginesFor(busy_engines, pool->prefill_speeds,
+                                  pool->known_speeds),
+        pool->engines, r->stages_settled ? pool->prefill_engines : 0);
 }
 
 /* Stage of @s once a pending change is complete. */
@@ -147,6 +162,18 @@
                                         : FW_RL_STAGE_PREFILL;
 }
 
+static void
+add_to_pool(struct pool_state *pool, const struct fw_rl_server *s,
+            int64_t now_us)
+{
+    pool->engines++;
+    pool->prefill_engines += future_stage(s, now_us) == FW_RL_STAGE_PREFILL;
+    if (s->entry.stage == FW_RL_STAGE_PREFILL) {
+        pool->prefill_speeds += s->speed;
+        pool->known_speeds++;
+    }
+}
+
 /*
  * Returns the next engine of @service whose stage should change, or NULL. The
  * one with the highest hash goes first, so that all instances choose the same.
@@ -158,8 +185,7 @@
     const struct fw_rl_service_rule *rule;
     struct fw_rl_server *best = NULL;
     struct fw_list *pos;
-    int prefill_engines = 0;
-    int engines = 0;
+    struct pool_state pool = {0};
     int target;
 
     FW_LIST_EACH (pos, &r->servers) {
@@ -167,15 +193,15 @@
 
         if (find_engine_rule(r, s, &rule) &&
             strcmp(s->entry.service, service) == 0) {
-            engines++;
-            prefill_engines += future_stage(s, now_us) == FW_RL_STAGE_PREFILL;
+            add_to_pool(&pool, s, now_us);
         }
     }
-    target = target_pool_size(r, service, engines, prefill_engines, now_us);
-    if (engines < 2 || prefill_engines == target) {
+    target = target_pool_size(r, service, &pool, now_us);
+    if (pool.engines < 2 || pool.prefill_engines == target) {
         return NULL;
     }
-    *to = prefill_engines > target ? FW_RL_STAGE_DECODE : FW_RL_STAGE_PREFILL;
+    *to = pool.prefill_engines > target ? FW_RL_STAGE_DECODE
+                                        : FW_RL_STAGE_PREFILL;
     FW_LIST_EACH (pos, &r->servers) {
         struct fw_rl_server *s = FW_LIST_ENTRY(pos, struct fw_rl_server, link);
 
--- a/tests/decide/test_decide.c
+++ b/tests/decide/test_decide.c
@@ -179,6 +179,16 @@
 }
 END_TEST
 
+/* Guards against a pool that counts a slow engine as much as a fast one. */
+START_TEST(prefill_pool_counts_speeds)
+{
+    ck_assert(Fw_PrefillPool_EnginesFor(10, 5, 5) == 10);
+    ck_assert(Fw_PrefillPool_EnginesFor(10, 6, 5) < 8.4);
+    ck_assert(Fw_PrefillPool_EnginesFor(10, 4, 5) > 12.4);
+    ck_assert(Fw_PrefillPool_EnginesFor(10, 0, 0) == 10);
+}
+END_TEST
+
 /* A burst of ten seconds must not resize the pool; a lasting change must. */
 START_TEST(prefill_pool_ignores_bursts)
 {
@@ -241,6 +251,7 @@
     tcase_add_test(tc, stream_memory_grows_with_generated_tokens);
     tcase_add_test(tc, headroom_follows_uncertainty);
     tcase_add_test(tc, prefill_pool_ignores_bursts);
+    tcase_add_test(tc, prefill_pool_counts_speeds);
     tcase_add_test(tc, time_limits_follow_measured_times);
     return Fw_Suite_Run(tc);
 }
--- a/tests/decide/test_place_speeds.c
+++ b/tests/decide/test_place_speeds.c
@@ -33,9 +33,9 @@
 #define FW_SEEDS 3
 
 enum kind {
-    KIND_PLAIN,
-    KIND_PREFILL,
-    KIND_DECODE
+    FW_PLAIN,
+    FW_PREFILL,
+    FW_DECODE
 };
 
 /**
@@ -255,11 +255,11 @@
 choose(struct play *p, const struct instance *in, double size_ms)
 {
     switch (p->plan.kind) {
-    case KIND_PLAIN:
+    case FW_PLAIN:
         return choose_plain(p, in);
-    case KIND_PREFILL:
+    case FW_PREFILL:
         return choose_prefill(p, in, size_ms);
-    case KIND_DECODE:
+    case FW_DECODE:
         return choose_decode(p, in);
     }
     return -1;
@@ -270,7 +270,7 @@
 {
     double size = p->plan.work_ms;
 
-    if (p->plan.kind == KIND_PREFILL) {
+    if (p->plan.kind == FW_PREFILL) {
         size *= 0.3 + 1.4 * g_rand_double(p->rand);
     }
     return g_rand_double(p->rand) < p->plan.long_part ? size * 5 : size;
@@ -290,7 +290,7 @@
         (int)p->servers[s].jobs->len >= p->plan.slots + p->plan.queue) {
         return;
     }
-    job.work_ms = p->plan.kind == KIND_PREFILL
+    job.work_ms = p->plan.kind == FW_PREFILL
                       ? size
                       : size * (0.5 + g_rand_double(p->rand));
     job.actual_ms = job.work_ms;
@@ -306,11 +306,11 @@
 measured_rate(const struct plan *plan, const struct job *job, int took_ms)
 {
     switch (plan->kind) {
-    case KIND_PLAIN:
+    case FW_PLAIN:
         return MAX(1, (job->running + 1.0) / plan->slots) / took_ms;
-    case KIND_PREFILL:
+    case FW_PREFILL:
         return job->queued_ms / took_ms;
-    case KIND_DECODE:
+    case FW_DECODE:
         return job->actual_ms / took_ms;
     }
     return 0;
@@ -327,7 +327,7 @@
         .server = s,
         .rate = measured_rate(&p->plan, job, MAX(p->now_ms - job->sent_ms, 1)),
         .weight =
-            p->plan.kind == KIND_PREFILL ? job->size_ms / job->queued_ms : 1};
+            p->plan.kind == FW_PREFILL ? job->size_ms / job->queued_ms : 1};
 
     g_array_append_val(p->pending, sample);
 }
@@ -488,9 +488,9 @@
         for (p->now_ms = 0; p->now_ms < FW_END_MS; p->now_ms++) {
             remember(p);
             use_samples(p);
-            for (; next_ms <= p->now_ms;
-                 next_ms += exponential(p->rand, 1000 / plan->per_s)) {
+            while (next_ms <= p->now_ms) {
                 open_request(p);
+                next_ms += exponential(p->rand, 1000 / plan->per_s);
             }
             for (int s = 0; s < plan->servers; s++) {
                 work(p, s);
@@ -512,18 +512,18 @@
                                   .work_ms = 30,
                                   .long_part = 0.01,
                                   .objective_ms = 150,
-                                  .kind = KIND_PLAIN};
+                                  .kind = FW_PLAIN};
 static const struct plan prefill = {.servers = 16,
                                     .slots = 1,
                                     .queue = 1000,
                                     .work_ms = 94,
                                     .objective_ms = 500,
-                                    .kind = KIND_PREFILL};
+                                    .kind = FW_PREFILL};
 static const struct plan decode = {.servers = 29,
                                    .slots = 13,
                                    .work_ms = 2800,
                                    .objective_ms = 7000,
-                                   .kind = KIND_DECODE};
+                                   .kind = FW_DECODE};
 static const double uneven[] = {0.7, 0.7, 1.7};
 static const double even[] = {1, 1, 1};
 
