Play uneven engines through the relay's core

The tokens that a stream has generated are estimated with its engine's speed, so that fast engines don't run out of memory.

--- a/src/relay/kv_demand.c
+++ b/src/relay/kv_demand.c
@@ -2,7 +2,10 @@
 #include "decide/memory.h"
 #include "relay/relay_internal.h"
 
-/* Estimates the tokens generated so far from the stream's age. */
+/*
+ * Estimates the tokens generated so far from the stream's age and the speed of
+ * its engine.
+ */
 static double
 tokens_generated(const struct fw_relay *r, const struct fw_rl_call *c,
                  int64_t now_us)
@@ -10,7 +13,7 @@
     if (c->state != FW_RL_RUNNING) {
         return 0;
     }
-    return (double)(now_us - c->sent_us) *
+    return (double)(now_us - c->sent_us) * (c->server ? c->server->speed : 1) *
            Fw_ServiceStats_Get(r, c->service)->decode_tokens_per_us.mean;
 }
 
--- a/tests/relay/engines.c
+++ b/tests/relay/engines.c
@@ -99,6 +99,21 @@
     g_snprintf(id, FW_ID_MAX, "r%d", (int)s->call);
 }
 
+static double
+speed_of(const struct world *w, int engine)
+{
+    double speed = w->plan->speeds[engine % 3];
+
+    return speed > 0 ? speed : 1;
+}
+
+/* Generation rate of a stream at its engine. */
+static double
+tokens_per_ms(const struct world *w, const struct stream *s)
+{
+    return w->plan->shape.decode_tokens_per_ms * speed_of(w, s->engine);
+}
+
 static int64_t
 stream_tokens(const struct world *w, const struct stream *s)
 {
@@ -108,8 +123,8 @@
     if (!s->ends_ms || w->now_ms >= s->ends_ms) {
         return s->is_over ? 0 : s->reserved_tokens;
     }
-    return s->in + (int64_t)((double)(w->now_ms - s->run_ms) *
-                             w->plan->shape.decode_tokens_per_ms);
+    return s->in +
+           (int64_t)((double)(w->now_ms - s->run_ms) * tokens_per_ms(w, s));
 }
 
 static int64_t
@@ -159,7 +174,8 @@
     int64_t from = MAX(w->prefill_end_ms[engine], w->now_ms);
 
     w->prefill_end_ms[engine] =
-        from + (int64_t)((double)s->in / w->plan->shape.prefill_tokens_per_ms);
+        from + (int64_t)((double)s->in / w->plan->shape.prefill_tokens_per_ms /
+                         speed_of(w, engine));
     g_strlcpy(add_reply(w, u->xid, w->prefill_end_ms[engine], 0)->handle, "k",
               FW_RL_KEY_MAX);
 }
@@ -171,8 +187,7 @@
 
     s->run_xid = u->xid;
     s->run_ms = w->now_ms;
-    s->ends_ms = w->now_ms + (int64_t)((double)s->out /
-                                       w->plan->shape.decode_tokens_per_ms);
+    s->ends_ms = w->now_ms + (int64_t)((double)s->out / tokens_per_ms(w, s));
     add_reply(w, u->xid, w->now_ms + 5, 1);
     add_reply(w, u->xid, s->ends_ms, 0)->events = s->out / FW_EVENT_TOKENS;
 }
@@ -346,7 +361,7 @@
 {
     int64_t paused = w->now_ms - s->preempted_ms;
     int64_t had = s->in + (int64_t)((double)(s->preempted_ms - s->run_ms) *
-                                    w->plan->shape.decode_tokens_per_ms);
+                                    tokens_per_ms(w, s));
 
     if (engine_tokens(w, s->engine) + had > w->plan->shape.kv_tokens) {
         return;
@@ -459,6 +474,8 @@
                                  .local_prefill_us = 600 * FW_MSEC,
                                  .reserve_permille = plan->reserve_permille,
                                  .prefill_permille = 100,
+                                 .speed_spread_ppm = plan->speed_spread_ppm,
+                                 .digest_period_us = 150 * FW_MSEC,
                                  .lease_us = 3 * FW_SEC,
                                  .grace_us = 8 * FW_SEC};
     struct world w = {.plan = plan, .res = out};
--- a/tests/relay/engines.h
+++ b/tests/relay/engines.h
@@ -45,6 +45,9 @@
  * @burst_start_ms: start of the burst
  * @burst_end_ms: end of the burst
  * @end_ms: end of arrivals
+ * @speeds: of the engines, in rotation, relative to the rates of @shape; 0
+ *     for 1
+ * @speed_spread_ppm: setting of the relay
  */
 struct fw_load_plan {
     struct fw_load_shape shape;
@@ -59,6 +62,8 @@
     uint32_t seed;
     enum fw_rl_policy policy;
     int reserve_permille;
+    double speeds[3];
+    int64_t speed_spread_ppm;
 };
 
 /**
--- a/tests/relay/test_load.c
+++ b/tests/relay/test_load.c
@@ -1,6 +1,7 @@
 /* Load balancing under peak load, against simulated upstreams. */
 #include <check.h>
 #include <math.h>
+#include <string.h>
 
 #include "relay/relay_internal.h"
 #include "tests/base/suite.h"
@@ -85,6 +86,74 @@
 }
 END_TEST
 
+/* Minimum advantage of speeds on uneven engines, of some 5,100 requests. */
+#define FW_MIN_SPEED_ADVANTAGE 100
+
+static struct fw_load_result
+play_uneven(const double *speeds, int64_t speed_spread_ppm)
+{
+    struct fw_load_plan plan = {.prefill_engines = 6,
+                                .decode_engines = 10,
+                                .shape = {.slots = 16,
+                                          .kv_tokens = 69582,
+                                          .prefill_tokens_per_ms = 55.6,
+                                          .decode_tokens_per_ms = 0.4,
+                                          .mean_prompt = 5200,
+                                          .mean_answer = 900,
+                                          .max_answer = 2000,
+                                          .spread = 0.4,
+                                          .hint_spread = 0.5},
+                                .requests_per_s = 50,
+                                .burst_factor = 1.2,
+                                .burst_start_ms = 8000,
+                                .burst_end_ms = 12000,
+                                .end_ms = 20000,
+                                .reserve_permille = 100,
+                                .speed_spread_ppm = speed_spread_ppm};
+    struct fw_load_result sum = {0};
+
+    memcpy(plan.speeds, speeds, sizeof(plan.speeds));
+    for (plan.seed = 1; plan.seed <= FW_SEEDS / 2; plan.seed++) {
+        struct fw_load_result got;
+
+        Fw_Load_Play(&plan, &got);
+        sum.requests += got.requests;
+        sum.on_time += got.on_time;
+        sum.late += got.late;
+        sum.rejected += got.rejected;
+        sum.preempted += got.preempted;
+    }
+    return sum;
+}
+
+/* Guards against prompts that wait for slow engines while fast ones idle. */
+START_TEST(uneven_engines_are_used_by_their_speeds)
+{
+    static const double uneven[] = {0.7, 0.7, 1.7};
+    struct fw_load_result without = play_uneven(uneven, 0);
+    struct fw_load_result with = play_uneven(uneven, 1500000);
+
+    ck_assert_msg(with.on_time > without.on_time + FW_MIN_SPEED_ADVANTAGE,
+                  "%d of %d on time, %d refused, %d preempted; %d, %d, %d "
+                  "without speeds",
+                  with.on_time, with.requests, with.rejected, with.preempted,
+                  without.on_time, without.rejected, without.preempted);
+}
+END_TEST
+
+/* Guards against estimates that disturb engines of one speed. */
+START_TEST(equal_engines_are_used_as_without_speeds)
+{
+    static const double even[] = {1, 1, 1};
+    struct fw_load_result without = play_uneven(even, 0);
+    struct fw_load_result with = play_uneven(even, 1500000);
+
+    ck_assert_msg(with.on_time * 1000 >= without.on_time * 995,
+                  "%d of %d on time; %d without speeds", with.on_time,
+                  with.requests, without.on_time);
+}
+END_TEST
+
 /*
  * At one and a half times the servers' capacity, the excess must be rejected
  * at once; otherwise full queues make every response late.
@@ -300,6 +369,8 @@
 
     tcase_add_test(tc, a_peak_is_served_on_time);
     tcase_add_test(tc, full_policy_beats_its_baselines);
+    tcase_add_test(tc, uneven_engines_are_used_by_their_speeds);
+    tcase_add_test(tc, equal_engines_are_used_as_without_speeds);
     tcase_add_loop_test(tc, learned_prediction_matches_best_constant, 0,
                         FW_SHAPES);
     tcase_add_test(tc, all_engines_of_a_large_fleet_are_used);
