Merge the speeds of servers

The admission of plain calls now uses the speed of the server that was chosen. With [policy] speed-spread 0, or while the servers of a service are alike, placement is as before.

--- a/src/relay/calls.h
+++ b/src/relay/calls.h
@@ -169,6 +169,7 @@
  * @server: the server called, NULL if another instance is
  * @instance: hash of the name of the instance called
  * @deadline_us: when it times out
+ * @n_running: requests of all instances at the server then
  * @had_free_slot: the server had a free slot when the call was sent
  * @had_idle_server: half of the server's slots were free then
  * @is_calibration: a report requested only to learn the tokens per event
@@ -182,6 +183,7 @@
     uint64_t instance;
     int64_t sent_us;
     int64_t deadline_us;
+    int n_running;
     int had_free_slot;
     int had_idle_server;
     int is_calibration;
--- a/src/relay/metrics.c
+++ b/src/relay/metrics.c
@@ -63,6 +63,11 @@
          "Requests that these services are expected to complete", 1},
         {&r->relay_metrics.stage_links_lost, "fw_server_stage_links_lost",
          "Stages of services to whose servers alone the links are lost", 1},
+        {&r->relay_metrics.speed_samples, "fw_speed_samples_total",
+         "Requests of this instance that the servers' speeds were taken from",
+         0},
+        {&r->relay_metrics.servers_slow, "fw_servers_slow",
+         "Servers that are slower than the mean by a quarter or more", 1},
         {&r->relay_metrics.role_held, "fw_order_role_held",
          "1 while this instance may order engines", 1},
     };
--- a/src/relay/plain_admission.c
+++ b/src/relay/plain_admission.c
@@ -233,8 +233,9 @@
 {
     struct plain_service *p = service_of(r, c);
     struct fw_plain_call call = describe_call(c, now_us);
-    struct fw_plain_server one = {
-        .slots = s->entry.slots, .speed = 1, .response_us = s->latency_us};
+    struct fw_plain_server one = {.slots = s->entry.slots,
+                                  .speed = s->speed,
+                                  .response_us = s->latency_us};
     struct fw_plain_decision got;
     struct fw_rl_load l;
 
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -251,6 +251,9 @@
  * @precedence: where requests of less urgent ranks wait for more urgent ones
  * @admission_forecast: plain requests are admitted by a forecast of what the
  *     servers can carry
+ * @speed_spread_ppm: servers of a service are chosen by their speeds if the
+ *     ratio of the fastest to the slowest exceeds this, in millionths; 0 for
+ *     never
  * @overage_ppm: tolerated excess over a team's rate
  * @tolerance_tokens: tolerated excess over a team's burst
  * @cold_overage_ppm: factor of the rate that cold servers tolerate
@@ -283,6 +286,7 @@
     int patience_objectives;
     enum fw_rl_precedence precedence;
     int admission_forecast;
+    int64_t speed_spread_ppm;
     int64_t overage_ppm;
     int64_t tolerance_tokens;
     int64_t cold_overage_ppm;
