Add up completions by server, where a server's speed belongs

The rate that a service completes was the sum of its slots over the mean time in a slot. It is now added up server by server, with the same result, so that each one's speed can count. tests/relay and tests/decide pass.

--- a/src/relay/plain_admission.c
+++ b/src/relay/plain_admission.c
@@ -199,8 +199,8 @@
         Fw_Place_Load(r, s, now_us, &l);
         p->all.running += l.running;
         p->all.slots += s->entry.slots;
+        p->all.completions += s->entry.slots * FW_SEC / slot_us;
     }
-    p->all.completions = p->all.slots * FW_SEC / slot_us;
     p->all.instances = Fw_Members_Count(r, now_us, &n_live);
     p->all.is_isolated = p->all.instances > 1 && n_live <= 1;
     update_demand(r, p, now_us);
