--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,7 @@
              -fsanitize=address,undefined -fno-sanitize-recover=undefined
 LD_san = -fsanitize=address,undefined
 
-CORE_DIRS = base core decide config fleet limit idem route request order operate node relay
+CORE_DIRS = base core decide held config fleet limit idem route request order operate node relay
 CORE := $(sort $(wildcard $(CORE_DIRS:%=src/%/*.c)))
 IO := $(sort $(wildcard src/io/*.c src/http/*.c \
       src/relayd/*.c platform/*.c) src/daemon/ini.c)
