--- a/src/decide/held_share.c
+++ b/src/decide/held_share.c
@@ -6,6 +6,8 @@
 #define FW_SHARED_QUARTERS 3
 /* Above this part of the budget, new requests are rejected. */
 #define FW_FULL_SIXTEENTHS 15
+/* The part of what is left until then that any connection may hold. */
+#define FW_SMALL_HOLDERS 128
 
 static size_t
 shared_bytes(const struct fw_held_use *u)
@@ -13,41 +15,65 @@
     return u->budget / 4 * FW_SHARED_QUARTERS;
 }
 
+/* Half of what is free of the shared part when @used bytes are held. */
+static size_t
+half_of_free(const struct fw_held_use *u, size_t used)
+{
+    size_t shared = shared_bytes(u);
+
+    return used < shared ? (shared - used) / 2 : 0;
+}
+
 static size_t
 at_least(size_t n, size_t least)
 {
     return n > least ? n : least;
 }
 
+static size_t
+full_bytes(const struct fw_held_use *u)
+{
+    return u->budget / 16 * FW_FULL_SIXTEENTHS;
+}
+
+/* What a connection may hold whatever others hold. */
+static size_t
+small_bytes(const struct fw_held_use *u)
+{
+    size_t full = full_bytes(u);
+    size_t part = u->used < full ? (full - u->used) / FW_SMALL_HOLDERS : 0;
+
+    return part < FW_HELD_SMALL_BYTES ? at_least(part, FW_HELD_HEAD_BYTES)
+                                      : FW_HELD_SMALL_BYTES;
+}
+
 enum fw_held_level
 Fw_HeldShare_Level(const struct fw_held_use *u)
 {
     if (!u->budget || u->used < u->budget / 2) {
         return FW_HELD_FREE;
     }
-    return u->used < u->budget / 16 * FW_FULL_SIXTEENTHS ? FW_HELD_FILLING
-                                                         : FW_HELD_FULL;
+    return u->used < full_bytes(u) ? FW_HELD_FILLING : FW_HELD_FULL;
 }
 
 size_t
 Fw_HeldShare_Limit(const struct fw_held_use *u)
 {
-    size_t shared = shared_bytes(u);
-
     if (!u->budget) {
         return SIZE_MAX;
     }
     if (Fw_HeldShare_Level(u) == FW_HELD_FULL) {
         return u->used < u->budget ? FW_HELD_HEAD_BYTES : 0;
     }
-    return at_least(u->used < shared ? (shared - u->used) / 2 : 0,
-                    FW_HELD_SMALL_BYTES);
+    return at_least(half_of_free(u, u->used), small_bytes(u));
 }
 
 enum fw_held_admission
 Fw_HeldShare_Admit(const struct fw_held_use *u, size_t own, size_t more)
 {
-    size_t largest = at_least(shared_bytes(u) / 2, FW_HELD_SMALL_BYTES);
+    /* Half of the rest is free beside it. */
+    size_t largest = at_least(shared_bytes(u) / 3, FW_HELD_SMALL_BYTES);
+    size_t limit;
 
     if (!u->budget) {
         return FW_HELD_ADMITTED;
@@ -55,21 +81,16 @@
     if (more > largest || own > largest - more) {
         return FW_HELD_TOO_LARGE;
     }
-    if (Fw_HeldShare_Level(u) == FW_HELD_FULL ||
-        own + more > Fw_HeldShare_Limit(u)) {
-        return FW_HELD_NO_ROOM;
-    }
-    return FW_HELD_ADMITTED;
+    limit = at_least(half_of_free(u, u->used + more), small_bytes(u));
+    return Fw_HeldShare_Level(u) != FW_HELD_FULL && own + more <= limit
+               ? FW_HELD_ADMITTED
+               : FW_HELD_NO_ROOM;
 }
 
 size_t
 Fw_HeldShare_ServerLimit(const struct fw_held_use *u)
 {
-    size_t shared = shared_bytes(u);
-
-    if (!u->budget) {
-        return SIZE_MAX;
-    }
-    return at_least(u->waiting < shared ? (shared - u->waiting) / 2 : 0,
-                    FW_HELD_SERVER_BYTES);
+    return u->budget
+               ? at_least(half_of_free(u, u->waiting), FW_HELD_SERVER_BYTES)
+               : SIZE_MAX;
 }
--- a/src/decide/held_share.h
+++ b/src/decide/held_share.h
@@ -13,11 +13,12 @@
 
 #include <stddef.h>
 
-/* What a connection may hold in any case until the budget is nearly used. */
+/* What a connection may hold in any case; less when the budget is nearly used.
+ */
 #define FW_HELD_SMALL_BYTES (16 * 1024)
 /*
- * The same until it is used entirely: the head of an ordinary request, which
- * can then be rejected.
+ * The least of this until the budget is used entirely: the head of an ordinary
+ * request, which can then be rejected.
  */
 #define FW_HELD_HEAD_BYTES (2 * 1024)
 /* What may wait for one server in any case. */
--- a/src/http/caller.c
+++ b/src/http/caller.c
@@ -15,17 +15,25 @@
     }
     c->state = state;
     c->timer_start_us = Fw_Conn_NowUs();
+    Fw_Conn_SetPrepaid(c->conn,
+                       state == FW_CALLER_BODY || state == FW_CALLER_LINGER);
+}
+
+static void
+charge_head(struct fw_http_caller *c, size_t bytes)
+{
+    Fw_HeldAccount_Set(Fw_Conn_Account(c->conn), FW_HELD_HEAD,
+                       &c->charged_head, bytes);
 }
 
 static void
 drop_request(struct fw_http_caller *c)
 {
     Fw_Http_ClearHead(&c->head);
+    charge_head(c, 0);
     Fw_Caller_ReleaseBody(c);
-    if (c->body_buffer) {
-        c->server->buffered_bytes -= c->body_buffer->len;
-        g_clear_pointer(&c->body_buffer, g_byte_array_unref);
-    }
+    c->server->buffered_bytes -= c->body_buffer.len;
+    Fw_BodyBuffer_Clear(&c->body_buffer);
 }
 
 void
@@ -35,6 +43,8 @@
         g_source_remove(c->resume_source_id);
     }
     drop_request(c);
+    Fw_HeldAccount_Set(Fw_Conn_Account(c->conn), FW_HELD_CONNECTION,
+                       &c->charged_self, 0);
     Fw_List_Remove(&c->link);
     Fw_Conn_Free(c->conn, reset);
     g_free(c);
@@ -70,12 +80,25 @@
     }
 }
 
+static void
+reject_unheld(struct fw_http_caller *c, enum fw_held_admission why)
+{
+    Fw_Held_NoteRejected(c->server->held);
+    if (why == FW_HELD_TOO_LARGE) {
+        Fw_Caller_Reject(c, 413, "the body is too large");
+    }
+    else {
+        Fw_Caller_Reject(c, 503, FW_HTTP_NO_MEMORY);
+    }
+}
+
 /* Return: 1 to continue with the body; 0 otherwise, when c may be freed. */
 static int
 read_head(struct fw_http_caller *c)
 {
     const struct fw_http_limits *l = &c->server->limits;
     const struct fw_http_field *expect;
+    enum fw_held_admission admission;
     size_t len;
     const char *data = Fw_Conn_Received(c->conn, &len);
     int n = Fw_Http_ParseHead(FW_HTTP_REQUEST, data, MIN(len, l->header_bytes),
@@ -96,13 +119,20 @@
         return 0;
     }
     Fw_Conn_Consume(c->conn, (size_t)n);
+    charge_head(c, (size_t)n);
     if (c->head.framing == FW_HTTP_CONTENT_LENGTH &&
         c->head.length > l->body_bytes) {
         Fw_Caller_Reject(c, 413, "the body is too large");
         return 0;
     }
+    admission = Fw_BodyBuffer_Begin(
+        &c->body_buffer, Fw_Conn_Account(c->conn),
+        c->head.framing == FW_HTTP_CONTENT_LENGTH ? c->head.length : 0);
+    if (admission != FW_HELD_ADMITTED) {
+        reject_unheld(c, admission);
+        return 0;
+    }
     Fw_Http_BodyInit(&c->body_decoder, &c->head);
-    c->body_buffer = g_byte_array_new();
     set_state(c, FW_CALLER_BODY);
     expect = Fw_Http_FindField(&c->head, "expect");
     if (expect && Fw_Http_HasToken(expect, "100-continue")) {
@@ -115,17 +145,22 @@
 append_body(struct fw_http_caller *c, const char *part, size_t len)
 {
     struct fw_http_server *s = c->server;
+    enum fw_held_admission admission;
 
-    if (c->body_buffer->len + len > s->limits.body_bytes) {
+    if (c->body_buffer.len + len > s->limits.body_bytes) {
         Fw_Caller_Reject(c, 413, "the body is too large");
         return -EMSGSIZE;
     }
     if (s->buffered_bytes + len > s->limits.buffered_bytes) {
-        Fw_Caller_Reject(c, 503, "no memory for the body");
+        Fw_Caller_Reject(c, 503, FW_HTTP_NO_MEMORY);
+        return -ENOMEM;
+    }
+    admission = Fw_BodyBuffer_Append(&c->body_buffer, part, len);
+    if (admission != FW_HELD_ADMITTED) {
+        reject_unheld(c, admission);
         return -ENOMEM;
     }
     s->buffered_bytes += len;
-    g_byte_array_append(c->body_buffer, (const guint8 *)part, (guint)len);
     c->timer_start_us = Fw_Conn_NowUs();
     return 0;
 }
@@ -135,8 +170,7 @@
 {
     struct fw_http_server *s = c->server;
 
-    c->request_body = g_byte_array_free_to_bytes(c->body_buffer);
-    c->body_buffer = NULL;
+    c->request_body = Fw_BodyBuffer_Take(&c->body_buffer);
     c->close_after = s->draining || !c->head.keep_alive;
     set_state(c, FW_CALLER_RESPONSE);
     s->ops->request(s->ctx, c, &c->head, c->request_body);
@@ -228,10 +262,21 @@
     }
 }
 
+static void
+on_progress(void *ctx)
+{
+    struct fw_http_caller *c = ctx;
+
+    if (c->state == FW_CALLER_RESPONSE && c->server->ops->progress) {
+        c->server->ops->progress(c->server->ctx, c);
+    }
+}
+
 static const struct fw_conn_ops conn_ops = {
     .data = on_data,
     .closed = on_closed,
     .flushed = on_flushed,
+    .progress = on_progress,
 };
 
 void
@@ -241,6 +286,12 @@
 
     c->server = s;
     c->conn = Fw_Conn_Accept(sock, &conn_ops, c);
+    Fw_Conn_SetHeld(c->conn, s->held, FW_HELD_OUTPUT);
+    if (!s->is_bounded) {
+        Fw_HeldAccount_SetUnbounded(Fw_Conn_Account(c->conn));
+    }
+    Fw_HeldAccount_Set(Fw_Conn_Account(c->conn), FW_HELD_CONNECTION,
+                       &c->charged_self, sizeof(*c));
     Fw_List_Append(&s->callers, &c->link);
     set_state(c, FW_CALLER_IDLE);
 }
--- a/src/http/client.c
+++ b/src/http/client.c
@@ -21,6 +21,7 @@
 #define FW_KEEP_ALIVE_MARGIN_US (600 * FW_MSEC)
 
 struct fw_conn_pool {
+    struct fw_held *held;
     GHashTable *idle_conns; /* by address, see idle_conns.h */
     struct fw_list active;
     struct fw_metric opened;
@@ -37,6 +38,7 @@
  * @reusable: keep the connection afterwards
  * @in_callback: the exchange must not be freed yet
  * @aborted: free the exchange when the callback returns
+ * @waiting: bytes that wait to be read by the upstream
  * @idle_max_us: how long the connection may stay idle afterwards
  */
 struct fw_exchange {
@@ -54,6 +56,7 @@
     int reusable;
     int in_callback;
     int aborted;
+    size_t waiting;
     int64_t idle_max_us;
     struct fw_http_body_decoder body_decoder;
 };
@@ -85,15 +88,28 @@
     Fw_Metrics_Add(m, &p->mismatched);
 }
 
+void
+Fw_ConnPool_SetHeld(struct fw_conn_pool *p, struct fw_held *held)
+{
+    p->held = held;
+}
+
 void
 Fw_ConnPool_CloseIdle(struct fw_conn_pool *p, const char *addr)
 {
     g_hash_table_remove(p->idle_conns, addr);
 }
 
+static void
+set_waiting(struct fw_exchange *x, size_t bytes)
+{
+    Fw_Held_SetWaiting(x->pool->held, x->addr, &x->waiting, bytes);
+}
+
 static void
 exchange_free(struct fw_exchange *x)
 {
+    set_waiting(x, 0);
     Fw_List_Remove(&x->link);
     g_free(x);
 }
@@ -268,9 +284,19 @@
     exchange_fail(x, err ? err : -EPIPE);
 }
 
+static void
+on_progress(void *ctx)
+{
+    struct fw_exchange *x = ctx;
+
+    set_waiting(x, Fw_Conn_Unsent(x->conn));
+}
+
 static const struct fw_conn_ops conn_ops = {
     .data = on_data,
     .closed = on_closed,
+    .flushed = on_progress,
+    .progress = on_progress,
 };
 
 static struct fw_conn *
@@ -285,7 +311,11 @@
         return conn;
     }
     x->pool->opened.value++;
-    return Fw_Conn_Open(x->addr, &conn_ops, x, err);
+    conn = Fw_Conn_Open(x->addr, &conn_ops, x, err);
+    if (conn) {
+        Fw_Conn_SetHeld(conn, x->pool->held, FW_HELD_REQUEST);
+    }
+    return conn;
 }
 
 struct fw_exchange *
@@ -308,13 +338,14 @@
         g_free(x);
         return NULL;
     }
+    Fw_Conn_SetPrepaid(x->conn, opts->is_control);
     Fw_List_Append(&p->active, &x->link);
     x->sent_at_start = Fw_Conn_SentBytes(x->conn);
     Fw_Conn_Write(x->conn, head->str, head->len);
-    if (body && g_bytes_get_size(body)) {
-        Fw_Conn_Write(x->conn, g_bytes_get_data(body, NULL),
-                      g_bytes_get_size(body));
+    if (body) {
+        Fw_Conn_WriteBytes(x->conn, body);
     }
+    set_waiting(x, Fw_Conn_Unsent(x->conn));
     return x;
 }
 
@@ -329,6 +360,12 @@
     exchange_free(x);
 }
 
+struct fw_held_account *
+Fw_Exchange_Account(const struct fw_exchange *x)
+{
+    return Fw_Conn_Account(x->conn);
+}
+
 void
 Fw_Exchange_Pause(struct fw_exchange *x, int paused)
 {
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -8,6 +8,7 @@
 #include <glib.h>
 
 #include "base/metrics.h"
+#include "held/held.h"
 #include "http/head.h"
 
 /** struct fw_conn_pool - idle connections and running exchanges. */
@@ -54,15 +55,20 @@
  *                     timeout after it was sent.
  * @connect_timeout_us: the exchange fails when it is not connected by then
  * @no_body: the response has no body, whatever its head says (HEAD)
+ * @is_control: serves no caller: reading doesn't pause for the budget
  */
 struct fw_exchange_opts {
     int64_t reuse_idle_max_us;
     int64_t connect_timeout_us;
     int no_body;
+    int is_control;
 };
 
 struct fw_conn_pool *
 Fw_ConnPool_New(void);
+/* Charges what the connections hold to @held, which must outlive them. */
+void
+Fw_ConnPool_SetHeld(struct fw_conn_pool *p, struct fw_held *held);
 void
 Fw_ConnPool_Free(struct fw_conn_pool *p);
 /*
@@ -81,7 +87,7 @@
  * Fw_Exchange_Start - sends a request to @addr ("ip:port").
  * @head: request line and all fields, including those for the framing of
  *        @body, and the empty line
- * @body: copied; may be NULL
+ * @body: referenced until it is sent; may be NULL
  * @ops: must outlive the exchange
  *
  * Return: the exchange, or NULL with a negative errno in @err when connecting
@@ -98,6 +104,9 @@
  */
 void
 Fw_Exchange_Abort(struct fw_exchange *x);
+/* What its buffers are charged to, valid as long as it is; may be NULL. */
+struct fw_held_account *
+Fw_Exchange_Account(const struct fw_exchange *x);
 /* Pauses or resumes reading the response, for flow control. */
 void
 Fw_Exchange_Pause(struct fw_exchange *x, int paused);
--- a/src/http/conn.c
+++ b/src/http/conn.c
@@ -7,12 +7,33 @@
 #include <sys/socket.h>
 #include <time.h>
 
+#include "base/list.h"
 #include "io/addr.h"
 
 /* Bytes read at most per iteration of the main loop. */
 #define FW_READ_BYTES 16384
 /* Reading pauses while this much received data is unconsumed. */
 #define FW_INPUT_MAX_BYTES (256 * 1024)
+/* Reading pauses while the budget allows for less. */
+#define FW_READ_MIN_BYTES 256
+/* Least memory for received data. */
+#define FW_INPUT_MIN_BYTES 512
+/*
+ * Memory for data not yet sent is allocated in parts of these sizes: the first
+ * part may be small, as most backlogs are; the largest are so small that the
+ * memory is given back while a long backlog is sent.
+ */
+#define FW_FIRST_PART_MIN_BYTES 1024
+#define FW_PART_MIN_BYTES (16 * 1024)
+#define FW_PART_MAX_BYTES (64 * 1024)
+/*
+ * TCP_NOTSENT_LOWAT of connections to upstreams: what the kernel holds beyond
+ * what is on the way. What an upstream doesn't read is counted only if the
+ * kernel doesn't take it.
+ */
+#define FW_KERNEL_UNSENT_BYTES (64 * 1024)
+/* Memory of a socket and its event source besides struct fw_conn. */
+#define FW_SOCKET_BYTES 1024
 /*
  * TCP_USER_TIMEOUT: fails a connection whose sent data is not acknowledged, or
  * whose peer has no room for more. With the default, a network partition is
@@ -24,11 +45,33 @@
 /* From callers, who may read an answer late: as long as a write may stall. */
 #define FW_CALLER_USER_TIMEOUT_MS 15000
 
+/**
+ * struct out_part - data to be sent.
+ * @shared: holds @data, NULL if that is @own
+ * @sent: bytes that the kernel has accepted
+ * @size: bytes that fit @own
+ */
+struct out_part {
+    struct fw_list link;
+    GBytes *shared;
+    const char *data;
+    size_t len;
+    size_t sent;
+    size_t size;
+    char own[];
+};
+
 /**
  * struct fw_conn - a connection, which is also a GSource.
- * @in: received data that is not consumed
- * @out: written data, of which the kernel has accepted the first @out_sent
- *       bytes
+ * @in: the first @in_len of @in_size bytes are received data that is not
+ *      consumed; NULL when there is none
+ * @out: struct out_part, written data that the kernel has not accepted
+ * @unsent: bytes of @out not yet accepted
+ * @out_bytes: memory of @out without shared data
+ * @account: what the buffers are charged to, or NULL
+ * @wait: pause of reading until @account may hold more
+ * @charged_conn, @charged_in, @charged_out: charges
+ * @is_prepaid: see Fw_Conn_SetPrepaid
  * @sent_total: bytes that the kernel has accepted on this connection
  * @shutdown_pending: shut down the sending side when @out is empty
  * @resets_at_close: the kernel resets the connection when it is closed
@@ -40,9 +83,19 @@
     gpointer fd_tag;
     const struct fw_conn_ops *ops;
     void *ctx;
-    GByteArray *in;
-    GByteArray *out;
-    size_t out_sent;
+    char *in;
+    size_t in_len;
+    size_t in_size;
+    struct fw_list out;
+    size_t unsent;
+    size_t out_bytes;
+    struct fw_held_account *account;
+    struct fw_held_wait wait;
+    enum fw_held_kind out_kind;
+    size_t charged_conn;
+    size_t charged_in;
+    size_t charged_out;
+    int is_prepaid;
     uint64_t sent_total;
     int connected;
     int reading;
@@ -68,7 +121,8 @@
     if (c->closed) {
         return;
     }
-    if (c->connected && c->reading && c->in->len < FW_INPUT_MAX_BYTES) {
+    if (c->connected && c->reading && !c->wait.account &&
+        c->in_len < FW_INPUT_MAX_BYTES) {
         events |= G_IO_IN;
     }
     if (!c->connected || Fw_Conn_Unsent(c)) {
@@ -77,6 +131,109 @@
     g_source_modify_unix_fd(&c->source, c->fd_tag, events);
 }
 
+static void
+charge_in(struct fw_conn *c)
+{
+    Fw_HeldAccount_Set(c->account, FW_HELD_INPUT, &c->charged_in, c->in_size);
+}
+
+static void
+charge_out(struct fw_conn *c)
+{
+    Fw_HeldAccount_Set(c->account, c->out_kind, &c->charged_out, c->out_bytes);
+}
+
+static void
+append_input(struct fw_conn *c, const char *data, size_t len)
+{
+    size_t size = MAX(c->in_size, FW_INPUT_MIN_BYTES);
+
+    while (size < c->in_len + len) {
+        size *= 2;
+    }
+    if (size != c->in_size) {
+        c->in = g_realloc(c->in, size);
+        c->in_size = size;
+        charge_in(c);
+    }
+    memcpy(c->in + c->in_len, data, len);
+    c->in_len += len;
+}
+
+static void
+drop_input(struct fw_conn *c)
+{
+    g_clear_pointer(&c->in, g_free);
+    c->in_len = 0;
+    c->in_size = 0;
+    charge_in(c);
+}
+
+static void
+remove_part(struct fw_conn *c, struct out_part *p)
+{
+    Fw_List_Remove(&p->link);
+    c->unsent -= p->len - p->sent;
+    c->out_bytes -= sizeof(*p) + p->size;
+    charge_out(c);
+    if (p->shared) {
+        g_bytes_unref(p->shared);
+    }
+    g_free(p);
+}
+
+static void
+drop_output(struct fw_conn *c)
+{
+    while (!Fw_List_Empty(&c->out)) {
+        remove_part(c, FW_LIST_ENTRY(c->out.next, struct out_part, link));
+    }
+}
+
+static struct out_part *
+add_part(struct fw_conn *c, size_t size)
+{
+    struct out_part *p = g_malloc(sizeof(*p) + size);
+
+    *p = (struct out_part){.data = p->own, .size = size};
+    Fw_List_Append(&c->out, &p->link);
+    c->out_bytes += sizeof(*p) + size;
+    charge_out(c);
+    return p;
+}
+
+/* The last part if it has room, else a new one for @len bytes. */
+static struct out_part *
+part_with_room(struct fw_conn *c, size_t len)
+{
+    size_t least = FW_FIRST_PART_MIN_BYTES;
+
+    if (!Fw_List_Empty(&c->out)) {
+        struct out_part *p = FW_LIST_ENTRY(c->out.prev, struct out_part, link);
+
+        if (p->len < p->size) {
+            return p;
+        }
+        least = FW_PART_MIN_BYTES;
+    }
+    return add_part(c, CLAMP(len, least, FW_PART_MAX_BYTES));
+}
+
+static void
+append_output(struct fw_conn *c, const char *data, size_t len)
+{
+    while (len) {
+        struct out_part *p = part_with_room(c, len);
+        size_t n = MIN(len, p->size - p->len);
+
+        memcpy(p->own + p->len, data, n);
+        p->len += n;
+        c->unsent += n;
+        data += n;
+        len -= n;
+    }
+}
+
 static void
 set_reset_at_close(struct fw_conn *c, int on)
 {
@@ -136,24 +293,34 @@
     return rc;
 }
 
+/* Sends from @data. Return: as io_result; *@sent bytes were accepted. */
+static int
+send_some(struct fw_conn *c, const char *data, size_t len, size_t *sent)
+{
+    GError *error = NULL;
+    gssize n = g_socket_send(c->sock, data, len, NULL, &error);
+
+    *sent = n > 0 ? (size_t)n : 0;
+    c->sent_total += *sent;
+    return io_result(error);
+}
+
 static int
 flush(struct fw_conn *c)
 {
-    while (Fw_Conn_Unsent(c)) {
-        GError *error = NULL;
-        gssize n = g_socket_send(c->sock, (char *)c->out->data + c->out_sent,
-                                 Fw_Conn_Unsent(c), NULL, &error);
-        int rc = io_result(error);
+    while (!Fw_List_Empty(&c->out)) {
+        struct out_part *p = FW_LIST_ENTRY(c->out.next, struct out_part, link);
+        size_t n;
+        int rc = send_some(c, p->data + p->sent, p->len - p->sent, &n);
 
         if (rc <= 0) {
             return rc;
         }
-        c->out_sent += (size_t)n;
-        c->sent_total += (uint64_t)n;
-    }
-    if (c->out->len) {
-        g_byte_array_set_size(c->out, 0);
-        c->out_sent = 0;
+        p->sent += n;
+        c->unsent -= n;
+        if (p->sent == p->len) {
+            remove_part(c, p);
+        }
     }
     if (c->shutdown_pending) {
         if (c->resets_at_close) {
@@ -168,6 +335,7 @@
 static void
 on_writable(struct fw_conn *c)
 {
+    uint64_t sent_before = c->sent_total;
     GError *error = NULL;
     int rc;
 
@@ -183,22 +351,41 @@
     else if (rc > 0 && c->ops->flushed) {
         c->ops->flushed(c->ctx);
     }
+    else if (rc == 0 && c->sent_total != sent_before && c->ops->progress) {
+        c->ops->progress(c->ctx);
+    }
 }
 
 static void
-on_readable(struct fw_conn *c)
+on_room(void *ctx)
+{
+    update_events(ctx);
+}
+
+static void
+on_readable(struct fw_conn *c, int has_error)
 {
     static char buf[FW_READ_BYTES];
+    size_t room =
+        c->is_prepaid ? FW_READ_BYTES : Fw_HeldAccount_Room(c->account);
     GError *error = NULL;
-    gssize n = g_socket_receive(c->sock, buf, sizeof(buf), NULL, &error);
-    int rc = io_result(error);
+    gssize n;
+    int rc;
 
+    if (room < FW_READ_MIN_BYTES && !has_error) {
+        Fw_HeldAccount_Wait(c->account, &c->wait);
+        return;
+    }
+    n = g_socket_receive(c->sock, buf,
+                         CLAMP(room, FW_READ_MIN_BYTES, sizeof(buf)), NULL,
+                         &error);
+    rc = io_result(error);
     if (rc < 0 || (rc > 0 && n == 0)) {
         close_conn(c, rc < 0 ? rc : 0);
         return;
     }
     if (rc > 0) {
-        g_byte_array_append(c->in, (guint8 *)buf, (guint)n);
+        append_input(c, buf, (size_t)n);
         c->ops->data(c->ctx);
     }
 }
@@ -216,8 +403,8 @@
     }
     if (!c->closed && c->connected &&
         (ready & (G_IO_IN | G_IO_HUP | G_IO_ERR)) &&
-        (c->reading || (ready & G_IO_ERR))) {
-        on_readable(c);
+        ((c->reading && !c->wait.account) || (ready & G_IO_ERR))) {
+        on_readable(c, (ready & G_IO_ERR) != 0);
     }
     update_events(c);
     return G_SOURCE_CONTINUE;
@@ -229,8 +416,7 @@
     struct fw_conn *c = (struct fw_conn *)source;
 
     g_clear_object(&c->sock);
-    g_byte_array_unref(c->in);
-    g_byte_array_unref(c->out);
+    g_free(c->in);
 }
 
 static GSourceFuncs funcs = {.dispatch = dispatch, .finalize = finalize};
@@ -245,8 +431,9 @@
     c->sock = sock;
     c->ops = ops;
     c->ctx = ctx;
-    c->in = g_byte_array_new();
-    c->out = g_byte_array_new();
+    c->wait = (struct fw_held_wait){
+        .need = FW_READ_MIN_BYTES, .resume = on_room, .ctx = c};
+    Fw_List_Init(&c->out);
     c->reading = 1;
     g_socket_set_blocking(sock, FALSE);
     g_socket_set_option(sock, IPPROTO_TCP, TCP_NODELAY, 1, NULL);
@@ -303,6 +490,38 @@
     return c;
 }
 
+void
+Fw_Conn_SetHeld(struct fw_conn *c, struct fw_held *held,
+                enum fw_held_kind out_kind)
+{
+    c->account = Fw_HeldAccount_New(held);
+    c->out_kind = out_kind;
+    if (held && out_kind == FW_HELD_REQUEST) {
+        g_socket_set_option(c->sock, IPPROTO_TCP, TCP_NOTSENT_LOWAT,
+                            FW_KERNEL_UNSENT_BYTES, NULL);
+    }
+    Fw_HeldAccount_Set(c->account, FW_HELD_CONNECTION, &c->charged_conn,
+                       sizeof(*c) + FW_SOCKET_BYTES);
+    charge_in(c);
+    charge_out(c);
+}
+
+struct fw_held_account *
+Fw_Conn_Account(const struct fw_conn *c)
+{
+    return c->account;
+}
+
+void
+Fw_Conn_SetPrepaid(struct fw_conn *c, int on)
+{
+    c->is_prepaid = on;
+    if (on && c->wait.account) {
+        Fw_HeldWait_Cancel(&c->wait);
+        update_events(c);
+    }
+}
+
 void
 Fw_Conn_SetOwner(struct fw_conn *c, const struct fw_conn_ops *ops, void *ctx)
 {
@@ -313,31 +532,82 @@
 const char *
 Fw_Conn_Received(const struct fw_conn *c, size_t *len)
 {
-    *len = c->in->len;
-    return (const char *)c->in->data;
+    *len = c->in_len;
+    return c->in ? c->in : "";
 }
 
+/* An empty buffer is freed: most connections are idle. */
 void
 Fw_Conn_Consume(struct fw_conn *c, size_t n)
 {
-    if (n) {
-        g_byte_array_remove_range(c->in, 0, (guint)n);
-        update_events(c);
+    if (!n) {
+        return;
+    }
+    c->in_len -= n;
+    if (c->in_len) {
+        memmove(c->in, c->in + n, c->in_len);
+    }
+    else {
+        drop_input(c);
+    }
+    update_events(c);
+}
+
+/*
+ * Sends immediately what the socket buffer takes, usually all of it. Return:
+ * bytes sent; all of them on an error, which the next read reports, as no
+ * callback is made from here.
+ */
+static size_t
+send_at_once(struct fw_conn *c, const char *data, size_t len)
+{
+    size_t sent = 0;
+    int rc = 1;
+
+    if (!c->connected || !Fw_List_Empty(&c->out)) {
+        return 0;
+    }
+    while (sent < len && rc > 0) {
+        size_t n;
+
+        rc = send_some(c, data + sent, len - sent, &n);
+        sent += n;
     }
+    return rc < 0 ? len : sent;
 }
 
-/* Sends immediately, as most messages fit the socket buffer. */
 void
 Fw_Conn_Write(struct fw_conn *c, const void *data, size_t len)
 {
+    size_t sent;
+
     if (c->closed) {
         return;
     }
-    g_byte_array_append(c->out, data, (guint)len);
-    if (c->connected && flush(c) < 0) {
-        /* The next read reports the error: no callback is made from here. */
-        g_byte_array_set_size(c->out, 0);
-        c->out_sent = 0;
+    sent = send_at_once(c, data, len);
+    append_output(c, (const char *)data + sent, len - sent);
+    update_events(c);
+}
+
+void
+Fw_Conn_WriteBytes(struct fw_conn *c, GBytes *data)
+{
+    struct out_part *p;
+    gsize len;
+    const char *start = g_bytes_get_data(data, &len);
+    size_t sent;
+
+    if (c->closed || !len) {
+        return;
+    }
+    sent = send_at_once(c, start, len);
+    if (sent < len) {
+        p = add_part(c, 0);
+        p->shared = g_bytes_ref(data);
+        p->data = start;
+        p->len = len;
+        p->sent = sent;
+        c->unsent += len - sent;
     }
     update_events(c);
 }
@@ -345,7 +615,7 @@
 size_t
 Fw_Conn_Unsent(const struct fw_conn *c)
 {
-    return c->out->len - c->out_sent;
+    return c->unsent;
 }
 
 uint64_t
@@ -386,6 +656,12 @@
     if (reset) {
         set_reset_at_close(c, 1);
     }
+    Fw_HeldWait_Cancel(&c->wait);
+    drop_output(c);
+    drop_input(c);
+    Fw_HeldAccount_Set(c->account, FW_HELD_CONNECTION, &c->charged_conn, 0);
+    Fw_HeldAccount_Unref(c->account);
+    c->account = NULL;
     g_source_destroy(&c->source);
     g_socket_close(c->sock, NULL);
     g_source_unref(&c->source);
--- a/src/http/conn.h
+++ b/src/http/conn.h
@@ -8,6 +8,8 @@
 #include <gio/gio.h>
 #include <stdint.h>
 
+#include "held/held.h"
+
 struct fw_conn;
 
 /**
@@ -17,11 +19,13 @@
  *          by the peer, else a negative errno. The owner must still free the
  *          connection.
  * @flushed: the kernel has accepted all written data; may be NULL
+ * @progress: the kernel has accepted a part of it; may be NULL
  */
 struct fw_conn_ops {
     void (*data)(void *ctx);
     void (*closed)(void *ctx, int err);
     void (*flushed)(void *ctx);
+    void (*progress)(void *ctx);
 };
 
 /* CLOCK_BOOTTIME in microseconds; advances during suspend. */
@@ -42,6 +46,23 @@
 struct fw_conn *
 Fw_Conn_Open(const char *addr, const struct fw_conn_ops *ops, void *ctx,
              int *err);
+/*
+ * Charges the connection's buffers to @held, data not yet sent as @out_kind;
+ * without effect if @held is NULL. Reading then pauses while the connection
+ * may hold no more.
+ */
+void
+Fw_Conn_SetHeld(struct fw_conn *c, struct fw_held *held,
+                enum fw_held_kind out_kind);
+/* Its account, valid as long as the connection; NULL without a budget. */
+struct fw_held_account *
+Fw_Conn_Account(const struct fw_conn *c);
+/*
+ * While @on is set, reading does not pause for the budget: what is read is
+ * dropped, has been charged already, or is needed by this instance itself.
+ */
+void
+Fw_Conn_SetPrepaid(struct fw_conn *c, int on);
 /* Changes the owner: further callbacks use @ops and @ctx. */
 void
 Fw_Conn_SetOwner(struct fw_conn *c, const struct fw_conn_ops *ops, void *ctx);
@@ -57,6 +78,9 @@
 /* Sends or buffers a copy of @data; without effect after @closed. */
 void
 Fw_Conn_Write(struct fw_conn *c, const void *data, size_t len);
+/* Like Fw_Conn_Write, but takes a reference instead of copying. */
+void
+Fw_Conn_WriteBytes(struct fw_conn *c, GBytes *data);
 /*
  * Has the kernel reset the connection if it is closed before Fw_Conn_Shutdown
  * has sent all data, also by the end of the process: for messages that end
--- a/src/http/http_internal.h
+++ b/src/http/http_internal.h
@@ -6,6 +6,7 @@
 
 #include "base/list.h"
 #include "http/body.h"
+#include "http/body_buffer.h"
 #include "http/conn.h"
 #include "http/server.h"
 
@@ -18,7 +19,10 @@
     FW_CALLER_LINGER,   /* response sent, discarding input */
 };
 
-/** struct fw_http_server - @unframed: see Fw_Server_SetUnframed. */
+/**
+ * struct fw_http_server - @unframed: see Fw_Server_SetUnframed.
+ * @held, @is_bounded: see Fw_Server_SetHeld
+ */
 struct fw_http_server {
     const struct fw_http_ops *ops;
     void *ctx;
@@ -30,6 +34,8 @@
     int draining;
     int close_after_response;
     int unframed;
+    struct fw_held *held;
+    int is_bounded;
 };
 
 /**
@@ -40,6 +46,7 @@
  * @sent_bytes: bytes that the kernel had accepted at the last tick
  * @progress_us: time of the last tick at which @sent_bytes had grown or no
  *               complete response was left to send
+ * @charged_self, @charged_head: charges of this struct and of @head
  * @body_buffer: body while it is received
  * @request_body: complete body
  * @chunked: the response uses chunked transfer coding
@@ -58,7 +65,9 @@
     int64_t progress_us;
     struct fw_http_head head;
     struct fw_http_body_decoder body_decoder;
-    GByteArray *body_buffer;
+    size_t charged_self;
+    size_t charged_head;
+    struct fw_body_buffer body_buffer;
     GBytes *request_body;
     int chunked;
     int omit_body;
--- a/src/http/response.c
+++ b/src/http/response.c
@@ -123,3 +123,9 @@
 {
     return Fw_Conn_Unsent(c->conn);
 }
+
+struct fw_held_account *
+Fw_Caller_Account(const struct fw_http_caller *c)
+{
+    return Fw_Conn_Account(c->conn);
+}
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -109,6 +109,14 @@
     s->limits = *l;
 }
 
+void
+Fw_Server_SetHeld(struct fw_http_server *s, struct fw_held *held,
+                  int is_bounded)
+{
+    s->held = held;
+    s->is_bounded = is_bounded;
+}
+
 void
 Fw_Server_Drain(struct fw_http_server *s)
 {
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -11,8 +11,12 @@
 #include <glib.h>
 
 #include "base/metrics.h"
+#include "held/held.h"
 #include "http/head.h"
 
+/* Why a request is rejected with 503 when it can't be held. */
+#define FW_HTTP_NO_MEMORY "no memory for the request"
+
 struct fw_http_server;
 /** struct fw_http_caller - connection of a caller, and its request. */
 struct fw_http_caller;
@@ -66,6 +70,8 @@
                              GString *body);
     /* The kernel has accepted all data written to @c; may be NULL. */
     void (*flushed)(void *ctx, struct fw_http_caller *c);
+    /* The kernel has accepted a part of it; may be NULL. */
+    void (*progress)(void *ctx, struct fw_http_caller *c);
 };
 
 /**
@@ -80,6 +86,14 @@
 Fw_Server_Free(struct fw_http_server *s);
 void
 Fw_Server_SetLimits(struct fw_http_server *s, const struct fw_http_limits *l);
+/*
+ * Charges what the connections hold to @held, which must outlive them. If
+ * @is_bounded is set, requests that can't be held are rejected: with 413 if
+ * they never can be, else with 503.
+ */
+void
+Fw_Server_SetHeld(struct fw_http_server *s, struct fw_held *held,
+                  int is_bounded);
 /*
  * Closes each connection after its current or next response. Can't be undone;
  * listening goes on.
@@ -147,6 +161,9 @@
 /* Frees the body of the request before the response ends. */
 void
 Fw_Caller_ReleaseBody(struct fw_http_caller *c);
+/* What the connection's buffers are charged to; NULL without a budget. */
+struct fw_held_account *
+Fw_Caller_Account(const struct fw_http_caller *c);
 /* Bytes of the response that the kernel has not accepted yet. */
 size_t
 Fw_Caller_Unsent(const struct fw_http_caller *c);
--- a/src/relayd/actions.c
+++ b/src/relayd/actions.c
@@ -1,6 +1,4 @@
 /* Executes the core's actions. */
-#include <errno.h>
-
 #include "base/fault.h"
 #include "http/conn.h"
 #include "io/logger.h"
@@ -122,9 +120,7 @@
         if (!xid) {
             break;
         }
-        Fw_Relay_UpstreamFailed(d->relay, *xid, -ECONNREFUSED, 0,
-                                Fw_Conn_NowUs(), acts);
-        Fw_UpstreamCall_Remove(d, *xid);
+        Fw_UpstreamCall_ReportFailed(d, *xid, acts);
         g_free(xid);
     }
     Fw_RelayActions_Clear(acts);
--- a/src/relayd/peer_snapshot.c
+++ b/src/relayd/peer_snapshot.c
@@ -414,7 +414,10 @@
 static const struct fw_http_ops ops = {.request = on_request,
                                        .disconnected = Fw_Relayd_CloseRequest,
                                        .rejected = Fw_Relayd_LogMalformed,
-                                       .flushed = Fw_Relayd_ResumeResponse};
+                                       .format_rejection =
+                                           Fw_Relayd_FormatRejection,
+                                       .flushed = Fw_Relayd_ResumeResponse,
+                                       .progress = Fw_Relayd_ContinueResponse};
 
 int
 Fw_PeerSnapshot_Listen(struct fw_relayd *d)
@@ -422,5 +425,9 @@
     int err = 0;
 
     d->peer_server = Fw_Server_New(d->opts.peers_addr, &ops, d, &err);
-    return d->peer_server ? 0 : err;
+    if (!d->peer_server) {
+        return err;
+    }
+    Fw_Server_SetHeld(d->peer_server, d->held, 1);
+    return 0;
 }
--- a/src/relayd/relayd.c
+++ b/src/relayd/relayd.c
@@ -99,26 +99,13 @@
                   NULL);
 }
 
-/* The data queued for a slow caller was written: resumes its upstream. */
-void
-Fw_Relayd_ResumeResponse(void *ctx, struct fw_http_caller *caller)
-{
-    struct fw_relayd *d = ctx;
-    struct fw_caller_request *c =
-        g_hash_table_lookup(d->requests_by_caller, caller);
-    struct fw_upstream_call *rec =
-        c ? g_hash_table_lookup(d->upstream_calls, &c->forwarded_xid) : NULL;
-
-    if (rec && rec->exchange) {
-        Fw_Exchange_Pause(rec->exchange, 0);
-    }
-}
-
 static const struct fw_http_ops caller_ops = {
     .request = on_request,
     .disconnected = Fw_Relayd_CloseRequest,
     .rejected = Fw_Relayd_LogMalformed,
+    .format_rejection = Fw_Relayd_FormatRejection,
     .flushed = Fw_Relayd_ResumeResponse,
+    .progress = Fw_Relayd_ContinueResponse,
 };
 
 static void
@@ -138,6 +125,9 @@
     if (!r) {
         return;
     }
+    if (d->opts.memory_bytes) {
+        l.buffered_bytes = SIZE_MAX; /* bounded by the budget */
+    }
     l.header_bytes =
         r->header_bytes > 0 ? (size_t)r->header_bytes : l.header_bytes;
     l.body_bytes = r->body_bytes > 0 ? (size_t)r->body_bytes : l.body_bytes;
@@ -170,6 +160,8 @@
     d->opts.relay = o->relay;
     d->opts.config_wait_us = o->config_wait_us;
     d->opts.servers_interval_us = o->servers_interval_us;
+    d->opts.memory_bytes = o->memory_bytes;
+    Fw_Memory_ApplySettings(d);
     g_strlcpy(d->opts.store_addr, o->store_addr, sizeof(d->opts.store_addr));
     Fw_Relay_SetOpts(d->relay, &d->opts.relay);
 }
@@ -291,6 +283,7 @@
     Fw_Server_Tick(d->metrics_server, now);
     Fw_Server_Tick(d->peer_server, now);
     Fw_StoreClient_Tick(d->store, now);
+    Fw_Memory_Tick(d, now);
     apply_limits(d);
     check_settings(d, now);
     check_stopped(d, now);
@@ -320,6 +313,7 @@
     if (!d->caller_server) {
         return err;
     }
+    Fw_Server_SetHeld(d->caller_server, d->held, 1);
     err = Fw_Status_Listen(d);
     err = err ? err : Fw_PeerSocket_Open(d);
     return err ? err : Fw_PeerSnapshot_Listen(d);
@@ -354,7 +348,9 @@
     d->settings_path = g_strdup(settings_path);
     d->settings_mtime_us = settings_mtime_us(settings_path);
     d->relay = Fw_Relay_New(&d->opts.relay, Fw_Conn_NowUs());
+    Fw_Memory_Init(d);
     d->pool = Fw_ConnPool_New();
+    Fw_ConnPool_SetHeld(d->pool, d->held);
     Fw_ConnPool_AddMetrics(d->pool, Fw_Relay_Metrics(d->relay));
     Fw_Logger_AddMetrics(Fw_Relay_Metrics(d->relay));
     Fw_UpstreamCall_AddMetrics(d);
@@ -431,6 +427,7 @@
     g_hash_table_destroy(d->requests_by_caller);
     g_hash_table_destroy(d->requests_by_id);
     Fw_ConnPool_Free(d->pool);
+    Fw_Memory_Free(d);
     Fw_Relay_Free(d->relay);
     g_free(d->settings_path);
     g_free(d);
--- a/src/relayd/relayd_internal.h
+++ b/src/relayd/relayd_internal.h
@@ -6,6 +6,7 @@
 #include <syslog.h>
 
 #include "decide/response_end.h"
+#include "held/held.h"
 #include "http/client.h"
 #include "platform/platform.h"
 #include "relayd/relayd.h"
@@ -36,9 +37,11 @@
  * @fields: header lines to forward to the caller
  * @content_length: bytes of the response's body, -1 if unknown
  * @body: part of the response that is buffered
+ * @body_size: memory of @body
  * @buffered: hold the response back until it is complete, unless it exceeds
  *            the buffer
  * @is_streaming: the route's responses are event streams
+ * @is_refused: not sent, as too much waits to be read by the upstream
  * @has_no_body: the response has no body, whatever its head says
  * @response_started: the body is no longer buffered: it is forwarded to the
  *                    caller, or dropped when there is none
@@ -46,6 +49,8 @@
  * @framing: how the server marks the end of the response
  * @response_body: follows a response that is sent to the caller
  * @last_chunk_us: arrival of the last forwarded chunk, 0 for none
+ * @account: what @fields and @body are charged to
+ * @wait: pause until the caller's connection may hold more
  */
 struct fw_upstream_call {
     struct fw_relayd *d;
@@ -58,23 +63,37 @@
     GString *fields;
     int64_t content_length;
     GByteArray *body;
+    size_t body_size;
     int buffered;
     int is_streaming;
+    int is_refused;
     int has_no_body;
     int response_started;
     int complete;
     enum fw_http_framing framing;
     struct fw_response_body response_body;
     int64_t last_chunk_us;
+    struct fw_held_account *account;
+    size_t charged;
+    struct fw_held_wait wait;
 };
 
-/** struct fw_relayd - @outbox: messages to be sent to other instances. */
+/**
+ * struct fw_relayd - @outbox: messages to be sent to other instances.
+ * @own_account: what is held for no connection
+ * @held_level, @held_logged_us: the last level that was logged
+ */
 struct fw_relayd {
     struct fw_relayd_opts opts;
     char *settings_path;
     int64_t settings_mtime_us;
     int64_t settings_checked_us; /* last check of the modification time */
     struct fw_relay *relay;
+    struct fw_held *held;
+    struct fw_held_account *own_account;
+    size_t charged_log;
+    enum fw_held_level held_level;
+    int64_t held_logged_us;
     struct fw_conn_pool *pool;
     struct fw_http_server *caller_server;
     struct fw_http_server *ready_server;
@@ -111,11 +130,9 @@
 Fw_Relayd_OpenRequest(struct fw_relayd *d, struct fw_http_caller *caller,
                       const struct fw_http_head *head, GBytes *body,
                       int is_handed_over);
-/* Callbacks of struct fw_http_ops. */
+/* Callback of struct fw_http_ops. */
 void
 Fw_Relayd_CloseRequest(void *ctx, struct fw_http_caller *caller);
-void
-Fw_Relayd_ResumeResponse(void *ctx, struct fw_http_caller *caller);
 /*
  * Logs a request that violated a limit or the protocol. A callback of struct
  * fw_http_ops.
@@ -123,6 +140,31 @@
 void
 Fw_Relayd_LogMalformed(void *ctx, int status, const char *why);
 
+/* memory.c */
+void
+Fw_Memory_Init(struct fw_relayd *d);
+void
+Fw_Memory_Free(struct fw_relayd *d);
+void
+Fw_Memory_ApplySettings(struct fw_relayd *d);
+/* Ends pauses and logs a change of what is free. */
+void
+Fw_Memory_Tick(struct fw_relayd *d, int64_t now_us);
+/* Pauses the upstream if the response's reader has too much to read. */
+void
+Fw_Memory_PauseIfBehind(struct fw_upstream_call *call,
+                        struct fw_http_caller *caller);
+/* Callbacks of struct fw_http_ops: everything, or a part of it, was sent. */
+void
+Fw_Relayd_ResumeResponse(void *ctx, struct fw_http_caller *caller);
+void
+Fw_Relayd_ContinueResponse(void *ctx, struct fw_http_caller *caller);
+/* Writes the response to a request that was rejected for its size. */
+void
+Fw_Relayd_FormatRejection(void *ctx, const struct fw_http_head *head,
+                          int status, const char *why, GString *fields,
+                          GString *body);
+
 /* upstream.c */
 void
 Fw_UpstreamCall_AddMetrics(struct fw_relayd *d);
@@ -133,6 +175,10 @@
 void
 Fw_UpstreamCall_Start(struct fw_relayd *d,
                       const struct fw_rl_upstream_call *c);
+/* Reports the call @xid, which failed to start, to the core. */
+void
+Fw_UpstreamCall_ReportFailed(struct fw_relayd *d, uint64_t xid,
+                             struct fw_rl_actions *acts);
 /* Frees the call @xid, and cancels it when it is in flight. */
 void
 Fw_UpstreamCall_Remove(struct fw_relayd *d, uint64_t xid);
--- a/src/relayd/settings.c
+++ b/src/relayd/settings.c
@@ -3,6 +3,7 @@
 
 #include "base/hash.h"
 #include "daemon/ini.h"
+#include "io/machine_limits.h"
 #include "relayd/relayd.h"
 
 /**
@@ -27,6 +28,8 @@
     int64_t log_level;
     int64_t log_sample;
     int64_t log_buffer_kb;
+    int64_t budget_mb;
+    int64_t limit_mb;
 };
 
 /*
@@ -36,6 +39,10 @@
  */
 #define FW_KEY_STALE_PERMILLE 960
 
+#define FW_MB (1024 * 1024)
+/* With less, not even a few requests fit. */
+#define FW_BUDGET_MIN_BYTES (4 * FW_MB)
+
 #define FW_AT(field) offsetof(struct parsed_settings, field)
 #define FW_INT(group, key, fallback, min, max, field)                         \
     FW_INI_NUMBER(group, key, fallback, min, max, FW_AT(field))
@@ -97,6 +104,8 @@
     FW_INT("policy", "reserve-permille", "100", 0, 1000, reserve_permille),
     FW_INT("policy", "read-here-ms", "600", 0, 60000, read_here_ms),
     FW_INT("policy", "prefill-permille", "100", 1, 999, prefill_permille),
+    FW_INT("memory", "budget-mb", "0", 0, 1048576, budget_mb),
+    FW_FLOOR("memory", "limit-mb", "0", 0, 1048576, limit_mb),
     {"log", "level", FW_INI_CHOICE, "info", 0, 0, FW_AT(log_level), levels},
     FW_INT("log", "sample", "1", 1, 1000000, log_sample),
     FW_INT("log", "buffer-kb", "256", 16, 65536, log_buffer_kb),
@@ -115,6 +124,17 @@
     }
 }
 
+/* The budget in bytes: half of the memory limit unless it is set. */
+static int64_t
+memory_bytes(const struct parsed_settings *v)
+{
+    int64_t limit =
+        v->limit_mb ? v->limit_mb * FW_MB : Fw_MachineLimits_Memory("");
+
+    return v->budget_mb ? v->budget_mb * FW_MB
+                        : MAX(limit / 2, limit ? FW_BUDGET_MIN_BYTES : 0);
+}
+
 static void
 convert(const struct parsed_settings *v, struct fw_relayd_opts *out)
 {
@@ -134,6 +154,7 @@
     out->config_wait_us = v->config_wait_ms * FW_MSEC;
     out->servers_interval_us = v->servers_interval_ms * FW_MSEC;
     r->digest_period_us = v->digest_every_ms * FW_MSEC;
+    out->memory_bytes = memory_bytes(v);
     out->log_buffer_bytes = v->log_buffer_kb * 1024;
 }
 
--- a/src/relayd/status.c
+++ b/src/relayd/status.c
@@ -59,7 +59,12 @@
     if (!d->ready_server) {
         return err;
     }
+    Fw_Server_SetHeld(d->ready_server, d->held, 0);
     d->metrics_server =
         Fw_Server_New(d->opts.metrics_addr, &metrics_ops, d, &err);
-    return d->metrics_server ? 0 : err;
+    if (!d->metrics_server) {
+        return err;
+    }
+    Fw_Server_SetHeld(d->metrics_server, d->held, 0);
+    return 0;
 }
--- a/src/relayd/store_client.c
+++ b/src/relayd/store_client.c
@@ -78,7 +78,8 @@
 request_snapshot(struct fw_topic_client *tc)
 {
     struct fw_exchange_opts opts = {.reuse_idle_max_us = FW_STORE_REUSE_US,
-                                    .connect_timeout_us = FW_STORE_CONNECT_US};
+                                    .connect_timeout_us = FW_STORE_CONNECT_US,
+                                    .is_control = 1};
     GString *head = g_string_new(NULL);
     int err = 0;
 
@@ -99,7 +100,8 @@
     struct fw_store_client *s = tc->store;
     struct fw_relayd *d = s->d;
     struct fw_exchange_opts opts = {.reuse_idle_max_us = FW_STORE_REUSE_US,
-                                    .connect_timeout_us = FW_STORE_CONNECT_US};
+                                    .connect_timeout_us = FW_STORE_CONNECT_US,
+                                    .is_control = 1};
     GString *head;
     GBytes *body = NULL;
     int64_t wait_us;
--- a/src/relayd/upstream.c
+++ b/src/relayd/upstream.c
@@ -6,13 +6,13 @@
 #include "io/logger.h"
 #include "relayd/relayd_internal.h"
 
+/* Least memory of a response that is held back, as GLib allocates it. */
+#define FW_BODY_MIN_BYTES 16
 /*
- * Responses up to this size are buffered until complete, so that a truncated
- * one can be replaced by a retry on another server.
+ * Responses up to this size are buffered until complete, if memory is free, so
+ * that a truncated one can be replaced by a retry on another server.
  */
 #define FW_BUFFERED_RESPONSE_BYTES (64 * 1024)
-/* Bytes queued for a slow caller above which its upstream is paused. */
-#define FW_CALLER_BACKLOG_BYTES (256 * 1024)
 
 void
 Fw_UpstreamCall_AddMetrics(struct fw_relayd *d)
@@ -41,11 +41,46 @@
     return call->kind == FW_RL_UP_RUN || call->kind == FW_RL_UP_HANDOVER;
 }
 
+/* Charges the part of the response that is held back. */
+static void
+charge_response(struct fw_upstream_call *call)
+{
+    size_t bytes = call->body_size;
+
+    if (call->fields) {
+        bytes += call->fields->allocated_len;
+    }
+    Fw_HeldAccount_Set(call->account, FW_HELD_RESPONSE, &call->charged, bytes);
+}
+
+static void
+hold_body(struct fw_upstream_call *call, const char *data, size_t len)
+{
+    g_byte_array_append(call->body, (const guint8 *)data, (guint)len);
+    while (call->body_size < call->body->len) {
+        call->body_size = MAX(2 * call->body_size, FW_BODY_MIN_BYTES);
+    }
+    charge_response(call);
+}
+
+static void
+drop_body(struct fw_upstream_call *call)
+{
+    g_byte_array_unref(call->body);
+    call->body = g_byte_array_new();
+    call->body_size = 0;
+    charge_response(call);
+}
+
 void
 Fw_UpstreamCall_Free(gpointer data)
 {
     struct fw_upstream_call *call = data;
 
+    Fw_HeldWait_Cancel(&call->wait);
+    Fw_HeldAccount_Set(call->account, FW_HELD_RESPONSE, &call->charged, 0);
+    Fw_HeldAccount_Unref(call->account);
+
     if (call->exchange) {
         Fw_Exchange_Abort(call->exchange);
     }
@@ -184,6 +219,7 @@
     Fw_Platform_ParseResponseHead(h, &call->answer);
     notify_head(call);
     call->fields = forwarded_fields(h);
+    charge_response(call);
     follow_body(call, h);
     /* With its length, a stream that lacks its end would look complete. */
     call->content_length = h->framing == FW_HTTP_CONTENT_LENGTH &&
@@ -212,16 +248,16 @@
     if (to) {
         observe_chunk_gap(call);
         Fw_Caller_Data(to->caller, data, len);
-        if (Fw_Caller_Unsent(to->caller) > FW_CALLER_BACKLOG_BYTES) {
-            Fw_Exchange_Pause(call->exchange, 1);
-        }
+        Fw_Memory_PauseIfBehind(call, to->caller);
         return;
     }
     if (call->response_started) {
         return; /* no caller to forward to */
     }
-    g_byte_array_append(call->body, (const guint8 *)data, (guint)len);
-    if (call->body->len > FW_BUFFERED_RESPONSE_BYTES && answers_caller(call)) {
+    hold_body(call, data, len);
+    if (answers_caller(call) &&
+        (call->body->len > FW_BUFFERED_RESPONSE_BYTES ||
+         !Fw_HeldAccount_Room(call->account))) {
         notify_begun(call);
     }
 }
@@ -278,13 +314,63 @@
     .fail = on_fail,
 };
 
+/* Whether the request of a caller is sent. */
+static int
+carries_request(enum fw_rl_upstream_kind kind)
+{
+    return kind == FW_RL_UP_RUN || kind == FW_RL_UP_PREFILL ||
+           kind == FW_RL_UP_HANDOVER;
+}
+
+static int
+may_wait(const struct fw_relayd *d, const struct fw_rl_upstream_call *c,
+         const GString *head, GBytes *body)
+{
+    return !carries_request(c->kind) ||
+           Fw_Held_MayWait(d->held, c->addr,
+                           head->len + (body ? g_bytes_get_size(body) : 0));
+}
+
+/*
+ * A server that doesn't read what waits for it is treated as if it had
+ * rejected the request, of which nothing was sent: it may go elsewhere.
+ */
+static void
+report_refused(struct fw_upstream_call *call, struct fw_rl_actions *acts)
+{
+    struct fw_rl_upstream_response answer = {.status = 503, .not_run = 1};
+
+    answer.handover_refused = call->kind == FW_RL_UP_HANDOVER;
+    Fw_Logger_Log(LOG_INFO, "server_unread", "id", call->request_id, NULL);
+    Fw_Relay_ResponseEnded(call->d->relay, call->xid, &answer, Fw_Conn_NowUs(),
+                           acts);
+}
+
+void
+Fw_UpstreamCall_ReportFailed(struct fw_relayd *d, uint64_t xid,
+                             struct fw_rl_actions *acts)
+{
+    struct fw_upstream_call *call =
+        g_hash_table_lookup(d->upstream_calls, &xid);
+
+    if (call && call->is_refused) {
+        report_refused(call, acts);
+    }
+    else {
+        Fw_Relay_UpstreamFailed(d->relay, xid, -ECONNREFUSED, 0,
+                                Fw_Conn_NowUs(), acts);
+    }
+    Fw_UpstreamCall_Remove(d, xid);
+}
+
 void
 Fw_UpstreamCall_Start(struct fw_relayd *d, const struct fw_rl_upstream_call *c)
 {
     struct fw_caller_request *from =
         g_hash_table_lookup(d->requests_by_id, &c->call);
     struct fw_exchange_opts opts = {.reuse_idle_max_us = c->reuse_us,
-                                    .connect_timeout_us = c->connect_us};
+                                    .connect_timeout_us = c->connect_us,
+                                    .is_control = !carries_request(c->kind)};
     struct fw_upstream_call *call = g_new0(struct fw_upstream_call, 1);
     GString *head = g_string_sized_new(512);
     GBytes *body = NULL;
@@ -308,9 +394,18 @@
     Fw_Platform_WriteUpstreamRequest(c, from ? from->head : NULL,
                                      from ? from->body : NULL,
                                      d->opts.relay.name, head, &body);
-    call->exchange = Fw_Exchange_Start(d->pool, c->addr, head, body, &opts,
-                                       &ops, call, &err);
-    if (!call->exchange) {
+    if (!may_wait(d, c, head, body)) {
+        call->is_refused = 1;
+    }
+    else {
+        call->exchange = Fw_Exchange_Start(d->pool, c->addr, head, body, &opts,
+                                           &ops, call, &err);
+    }
+    if (call->exchange) {
+        call->account =
+            Fw_HeldAccount_Ref(Fw_Exchange_Account(call->exchange));
+    }
+    else {
         /* Reported after the current actions; see Fw_Relayd_ExecuteActions. */
         g_queue_push_tail(&d->failed_calls,
                           g_memdup2(&c->xid, sizeof(c->xid)));
@@ -333,5 +428,8 @@
     Fw_Caller_Start(to->caller, call->answer.status, call->fields->str,
                     length);
     Fw_Caller_Data(to->caller, call->body->data, call->body->len);
-    g_byte_array_set_size(call->body, 0);
+    drop_body(call);
+    /* It isn't sent again, and what is being sent is referenced. */
+    to->body = NULL;
+    Fw_Caller_ReleaseBody(to->caller);
 }
--- a/tests/relayd/test_settings.c
+++ b/tests/relayd/test_settings.c
@@ -23,6 +23,7 @@
     {"InternalPortRange.1", "7515"},
     {"Platform.Address", "10.200.1.7:8361"},
     {"Limits.CpuShare", "0.12"},
+    {"Limits.MemoryMb", "88"},
     {"Bounds.RevocationMs", "5000"},
     {"Bounds.RetryBudgetRatio", "0.2"},
     {"Bounds.RetryBudgetExtra", "58"},
