--- a/src/held/held.c
+++ b/src/held/held.c
@@ -57,6 +57,7 @@
         [FW_HELD_REQUEST] = "kind=\"request\"",
         [FW_HELD_RESPONSE] = "kind=\"response\"",
         [FW_HELD_OUTPUT] = "kind=\"output\"",
+        [FW_HELD_STORE] = "kind=\"store\"",
         [FW_HELD_LOG] = "kind=\"log\"",
     };
 
--- a/src/held/held.h
+++ b/src/held/held.h
@@ -22,6 +22,7 @@
     FW_HELD_REQUEST,    /* not sent to servers, except for bodies */
     FW_HELD_RESPONSE,   /* held back until the response is complete */
     FW_HELD_OUTPUT,     /* not read by callers */
+    FW_HELD_STORE,      /* responses of the store */
     FW_HELD_LOG,        /* log lines, in full from the start */
     FW_HELD_KINDS,
 };
--- a/src/relayd/store_client.c
+++ b/src/relayd/store_client.c
@@ -46,6 +46,19 @@
     struct fw_topic_client *tc = ctx;
 
     g_byte_array_append(tc->body, (const guint8 *)data, (guint)len);
+    Fw_HeldAccount_Set(tc->store->d->own_account, FW_HELD_STORE, &tc->charged,
+                       tc->body->len);
+}
+
+void
+Fw_TopicClient_DropBody(struct fw_topic_client *tc)
+{
+    if (tc->body->len) {
+        g_byte_array_unref(tc->body);
+        tc->body = g_byte_array_new();
+    }
+    Fw_HeldAccount_Set(tc->store->d->own_account, FW_HELD_STORE, &tc->charged,
+                       0);
 }
 
 static void
@@ -109,7 +122,7 @@
 
     tc->sent_us = now;
     tc->deadline_us = now + FW_STORE_TIMEOUT_US;
-    g_byte_array_set_size(tc->body, 0);
+    Fw_TopicClient_DropBody(tc);
     if (tc->peer_addr[0]) {
         request_snapshot(tc);
         return;
@@ -294,6 +307,7 @@
     if (tc->exchange) {
         Fw_Exchange_Abort(tc->exchange);
     }
+    Fw_TopicClient_DropBody(tc);
     g_byte_array_unref(tc->body);
     g_clear_pointer(&tc->snapshot, Fw_PeerSnapshot_Free);
     g_free(tc->append_value);
--- a/src/relayd/store_internal.h
+++ b/src/relayd/store_internal.h
@@ -22,6 +22,7 @@
  * @op: the next request, or the one in flight
  * @exchange: the request in flight, or NULL
  * @status, @body: of the response
+ * @charged: charge of @body
  * @age_us: of a snapshot of the configuration: when its source knew it to be
  *          the newest, before the response; -1 if unknown
  * @sent_us: when the latest request was sent
@@ -50,6 +51,7 @@
     int status;
     int64_t age_us;
     GByteArray *body;
+    size_t charged;
     int64_t sent_us;
     int64_t first_sent_us;
     int64_t deadline_us;
@@ -128,6 +130,9 @@
 /* Handles the response in @tc->status and @tc->body. */
 void
 Fw_TopicClient_OnResponse(struct fw_topic_client *tc);
+/* Frees the body of the response. */
+void
+Fw_TopicClient_DropBody(struct fw_topic_client *tc);
 /* Handles a request that got no response; @why: the reason, for the log. */
 void
 Fw_TopicClient_OnFailure(struct fw_topic_client *tc, const char *why);
--- a/src/relayd/store_response.c
+++ b/src/relayd/store_response.c
@@ -245,7 +245,7 @@
         tc->peer_addr[0] = 0;
     }
     Fw_Platform_ClearStoreResponse(&response);
-    g_byte_array_set_size(tc->body, 0);
+    Fw_TopicClient_DropBody(tc);
     Fw_Relayd_ExecuteActions(tc->store->d, &acts);
 }
 
@@ -362,7 +362,7 @@
         handle_response(tc, &response, &acts);
     }
     Fw_Platform_ClearStoreResponse(&response);
-    g_byte_array_set_size(tc->body, 0);
+    Fw_TopicClient_DropBody(tc);
     Fw_Relayd_ExecuteActions(tc->store->d, &acts);
     Fw_StoreClient_Tick(tc->store, Fw_Conn_NowUs());
 }
--- a/tests/relayd/test_settings.c
+++ b/tests/relayd/test_settings.c
@@ -5,6 +5,7 @@
 #include <unistd.h>
 
 #include "base/hash.h"
+#include "io/machine_limits.h"
 #include "relayd/relayd.h"
 #include "tests/base/suite.h"
 
@@ -83,6 +84,7 @@
 }
 
 #define FW_AT(field) offsetof(struct fw_relayd_opts, relay.field)
+#define FW_MEMORY_AT offsetof(struct fw_relayd_opts, memory_bytes)
 
 /**
  * struct accepted_case - a value, and the resulting option.
@@ -117,6 +119,9 @@
     {{"Bounds.ColdTolerance", NULL}, FW_AT(cold_tolerance), 0},
     {{"Bounds.LeaseMs", "3000.7"}, FW_AT(lease_us), 3000000},
     {{"Bounds.RevocationMs", "5000.9"}, FW_AT(key_stale_us), 4800000},
+    {{"Limits.MemoryMb", "88"}, FW_MEMORY_AT, 44 << 20},
+    {{"Limits.MemoryMb", "96.7"}, FW_MEMORY_AT, 48 << 20},
+    {{"Limits.MemoryMb", "2"}, FW_MEMORY_AT, 4 << 20},
 };
 
 /* Guards against fractions and booleans that prevent the start. */
@@ -153,6 +158,20 @@
 }
 END_TEST
 
+/* Guards against a budget that ignores the limit of the machine. */
+START_TEST(the_memory_limit_is_found)
+{
+    struct placeholder none = {"Limits.MemoryMb", NULL};
+    int64_t limit = Fw_MachineLimits_Memory("");
+    struct fw_relayd_opts opts;
+    char *error;
+
+    ck_assert_int_gt(limit, 0);
+    ck_assert_int_eq(render_and_load(&none, &opts, &error), 0);
+    ck_assert_int_eq(opts.memory_bytes, limit / 2);
+}
+END_TEST
+
 /** struct rejected_case - an invalid value, and the end of the error. */
 struct rejected_case {
     struct placeholder override;
@@ -176,6 +195,8 @@
      "[limits] revocation-ms: is out of bounds from 100 to 600000"},
     {{"Bounds.GracePeriodS", "false"},
      "[limits] grace-s: is out of bounds from 1 to 3600"},
+    {{"Limits.MemoryMb", "-1"},
+     "[memory] limit-mb: is out of bounds from 0 to 1048576"},
     {{"Bounds.RetryBudgetRatio", "0.2x"},
      "[limits] retry-ratio: must be a number from 0 to 10"},
 };
@@ -199,6 +220,7 @@
     TCase *tc = Fw_Suite_New("relay settings");
 
     tcase_add_test(tc, domains_have_regions);
+    tcase_add_test(tc, the_memory_limit_is_found);
     tcase_add_loop_test(tc, numbers_are_accepted_in_any_form, 0,
                         G_N_ELEMENTS(accepted_cases));
     tcase_add_loop_test(tc, invalid_numbers_are_reported, 0,
