Keep connections below the descriptors that the process has

Nothing bounded the connections of callers and to upstreams: a process without descriptors can neither accept callers nor reach servers, and failed connects count against the servers.

Connections with an account are counted against [memory] descriptors (default: the hard limit of the process) less 64. At 3/8 of them requests are rejected with 503 and Retry-After, at 3/4 idle callers are closed for new ones, the last eighth is for upstreams; a request without a descriptor for its upstream goes elsewhere as not sent. Calls that serve no caller may use the reserve.

--- a/src/decide/held_share.c
+++ b/src/decide/held_share.c
@@ -6,6 +6,14 @@
 #define FW_SHARED_QUARTERS 3
 /* Above this part of the budget, new requests are rejected. */
 #define FW_FULL_SIXTEENTHS 15
+/*
+ * Requests that are served may have this part of the connections, as each
+ * needs another one to its upstream. Beyond the second, idle callers are
+ * closed for new ones; what is beyond the third is for upstreams only.
+ */
+#define FW_CALLER_EIGHTHS 3
+#define FW_CROWDED_EIGHTHS 6
+#define FW_ACCEPTED_EIGHTHS 7
 /* The part of what is left until then that any connection may hold. */
 #define FW_SMALL_HOLDERS 128
 
@@ -87,6 +95,30 @@
                : FW_HELD_NO_ROOM;
 }
 
+int
+Fw_HeldShare_MayOpen(const struct fw_held_connections *c)
+{
+    return !c->most || c->open < c->most;
+}
+
+int
+Fw_HeldShare_MayAccept(const struct fw_held_connections *c)
+{
+    return !c->most || c->open < c->most / 8 * FW_ACCEPTED_EIGHTHS;
+}
+
+int
+Fw_HeldShare_IsCrowded(const struct fw_held_connections *c)
+{
+    return c->most && c->open >= c->most / 8 * FW_CROWDED_EIGHTHS;
+}
+
+int
+Fw_HeldShare_MayServe(const struct fw_held_connections *c)
+{
+    return !c->most || c->callers < c->most / 8 * FW_CALLER_EIGHTHS;
+}
+
 size_t
 Fw_HeldShare_ServerLimit(const struct fw_held_use *u)
 {
--- a/src/decide/held_share.h
+++ b/src/decide/held_share.h
@@ -50,6 +50,18 @@
     size_t waiting;
 };
 
+/**
+ * struct fw_held_connections - connections that are open, and their bound.
+ * @most: of all, 0 for no bound
+ * @open: of all
+ * @callers: of callers whose request is served
+ */
+struct fw_held_connections {
+    int most;
+    int open;
+    int callers;
+};
+
 enum fw_held_level
 Fw_HeldShare_Level(const struct fw_held_use *u);
 /* Bytes that one connection may hold; SIZE_MAX without a budget. */
@@ -58,6 +70,18 @@
 /* Whether a connection that holds @own may hold @more for a new request. */
 enum fw_held_admission
 Fw_HeldShare_Admit(const struct fw_held_use *u, size_t own, size_t more);
+/* Whether one more connection to an upstream may be opened. */
+int
+Fw_HeldShare_MayOpen(const struct fw_held_connections *c);
+/* Whether one more may be accepted, if only to reject its request. */
+int
+Fw_HeldShare_MayAccept(const struct fw_held_connections *c);
+/* Whether idle connections of callers should be closed for new ones. */
+int
+Fw_HeldShare_IsCrowded(const struct fw_held_connections *c);
+/* Whether one more request may be served rather than rejected. */
+int
+Fw_HeldShare_MayServe(const struct fw_held_connections *c);
 /* Bytes that may wait for one server; SIZE_MAX without a budget. */
 size_t
 Fw_HeldShare_ServerLimit(const struct fw_held_use *u);
--- a/src/held/held.c
+++ b/src/held/held.c
@@ -10,6 +10,9 @@
  */
 struct fw_held {
     struct fw_held_use use;
+    struct fw_held_connections connections;
+    struct fw_metric open;
+    struct fw_metric most_open;
     struct fw_metric kinds[FW_HELD_KINDS];
     struct fw_metric budget;
     struct fw_metric waiting_bytes;
@@ -71,6 +74,14 @@
     h->budget = (struct fw_metric){.name = "fw_held_budget_bytes",
                                    .help = "Most bytes to be held, 0 for any",
                                    .is_gauge = 1};
+    h->open = (struct fw_metric){.name = "fw_held_connections",
+                                 .help = "Connections of callers, to "
+                                         "upstreams and instances",
+                                 .is_gauge = 1};
+    h->most_open =
+        (struct fw_metric){.name = "fw_held_connections_most",
+                           .help = "Most of these connections, 0 for any",
+                           .is_gauge = 1};
     h->waiting_bytes =
         (struct fw_metric){.name = "fw_held_waiting_bytes",
                            .help = "Bytes of requests not read by servers",
@@ -116,6 +127,36 @@
     h->budget.value = (int64_t)bytes;
 }
 
+void
+Fw_Held_SetMostConnections(struct fw_held *h, int n)
+{
+    h->connections.most = n;
+    h->most_open.value = n;
+}
+
+void
+Fw_Held_CountConnection(struct fw_held *h, int change)
+{
+    if (h) {
+        h->connections.open += change;
+        h->open.value += change;
+    }
+}
+
+void
+Fw_Held_CountCaller(struct fw_held *h, int change)
+{
+    if (h) {
+        h->connections.callers += change;
+    }
+}
+
+const struct fw_held_connections *
+Fw_Held_Connections(const struct fw_held *h)
+{
+    return &h->connections;
+}
+
 void
 Fw_Held_AddMetrics(struct fw_held *h, struct fw_metrics *m)
 {
@@ -123,6 +164,8 @@
         Fw_Metrics_Add(m, &h->kinds[k]);
     }
     Fw_Metrics_Add(m, &h->budget);
+    Fw_Metrics_Add(m, &h->open);
+    Fw_Metrics_Add(m, &h->most_open);
     Fw_Metrics_Add(m, &h->waiting_bytes);
     Fw_Metrics_Add(m, &h->paused);
     Fw_Metrics_Add(m, &h->pauses);
--- a/src/held/held.h
+++ b/src/held/held.h
@@ -55,6 +55,17 @@
 /* @bytes: 0 for no bound */
 void
 Fw_Held_SetBudget(struct fw_held *h, size_t bytes);
+/* @n: most connections with an account, 0 for no bound */
+void
+Fw_Held_SetMostConnections(struct fw_held *h, int n);
+/* Counts a connection that was opened (1) or closed (-1). */
+void
+Fw_Held_CountConnection(struct fw_held *h, int change);
+/* Counts one whose request is served (1), or no longer (-1). */
+void
+Fw_Held_CountCaller(struct fw_held *h, int change);
+const struct fw_held_connections *
+Fw_Held_Connections(const struct fw_held *h);
 void
 Fw_Held_AddMetrics(struct fw_held *h, struct fw_metrics *m);
 const struct fw_held_use *
--- a/src/http/caller.c
+++ b/src/http/caller.c
@@ -32,6 +32,10 @@
     Fw_Http_ClearHead(&c->head);
     charge_head(c, 0);
     Fw_Caller_ReleaseBody(c);
+    if (c->is_served) {
+        c->is_served = 0;
+        Fw_Held_CountCaller(c->server->held, -1);
+    }
     c->server->buffered_bytes -= c->body_buffer.len;
     Fw_BodyBuffer_Clear(&c->body_buffer);
 }
@@ -80,6 +84,23 @@
     }
 }
 
+/* Return: zero if there are no descriptors to serve the request. */
+static int
+count_served(struct fw_http_caller *c)
+{
+    struct fw_http_server *s = c->server;
+
+    if (!s->held || !s->is_bounded) {
+        return 1;
+    }
+    if (!Fw_HeldShare_MayServe(Fw_Held_Connections(s->held))) {
+        return 0;
+    }
+    c->is_served = 1;
+    Fw_Held_CountCaller(s->held, 1);
+    return 1;
+}
+
 static void
 reject_unheld(struct fw_http_caller *c, enum fw_held_admission why)
 {
@@ -125,6 +146,10 @@
         Fw_Caller_Reject(c, 413, "the body is too large");
         return 0;
     }
+    if (!count_served(c)) {
+        reject_unheld(c, FW_HELD_NO_ROOM);
+        return 0;
+    }
     admission = Fw_BodyBuffer_Begin(
         &c->body_buffer, Fw_Conn_Account(c->conn),
         c->head.framing == FW_HTTP_CONTENT_LENGTH ? c->head.length : 0);
--- a/src/http/client.c
+++ b/src/http/client.c
@@ -299,6 +299,25 @@
     .progress = on_progress,
 };
 
+/*
+ * Return: zero if there is no descriptor for one more connection. Calls that
+ * serve no caller use those that are reserved.
+ */
+static int
+may_open(struct fw_conn_pool *p, int is_control)
+{
+    const struct fw_held_connections *c;
+
+    if (!p->held) {
+        return 1;
+    }
+    c = Fw_Held_Connections(p->held);
+    if (!Fw_HeldShare_MayOpen(c)) {
+        Fw_IdleConns_CloseOne(p->idle_conns);
+    }
+    return is_control || Fw_HeldShare_MayOpen(c);
+}
+
 static struct fw_conn *
 obtain_conn(struct fw_exchange *x, int *err)
 {
@@ -310,6 +329,10 @@
         Fw_Conn_SetOwner(conn, &conn_ops, x);
         return conn;
     }
+    if (!may_open(x->pool, x->opts.is_control)) {
+        *err = -EMFILE;
+        return NULL;
+    }
     x->pool->opened.value++;
     conn = Fw_Conn_Open(x->addr, &conn_ops, x, err);
     if (conn) {
--- a/src/http/conn.c
+++ b/src/http/conn.c
@@ -495,6 +495,7 @@
                 enum fw_held_kind out_kind)
 {
     c->account = Fw_HeldAccount_New(held);
+    Fw_Held_CountConnection(held, 1);
     c->out_kind = out_kind;
     if (held && out_kind == FW_HELD_REQUEST) {
         g_socket_set_option(c->sock, IPPROTO_TCP, TCP_NOTSENT_LOWAT,
@@ -660,6 +661,7 @@
     drop_output(c);
     drop_input(c);
     Fw_HeldAccount_Set(c->account, FW_HELD_CONNECTION, &c->charged_conn, 0);
+    Fw_Held_CountConnection(Fw_HeldAccount_Budget(c->account), -1);
     Fw_HeldAccount_Unref(c->account);
     c->account = NULL;
     g_source_destroy(&c->source);
--- a/src/http/http_internal.h
+++ b/src/http/http_internal.h
@@ -46,6 +46,7 @@
  * @sent_bytes: bytes that the kernel had accepted at the last tick
  * @progress_us: time of the last tick at which @sent_bytes had grown or no
  *               complete response was left to send
+ * @is_served: the request is counted as one that is served
  * @charged_self, @charged_head: charges of this struct and of @head
  * @body_buffer: body while it is received
  * @request_body: complete body
@@ -72,6 +73,7 @@
     int chunked;
     int omit_body;
     int close_after;
+    int is_served;
     guint resume_source_id;
 };
 
--- a/src/http/idle_conns.c
+++ b/src/http/idle_conns.c
@@ -147,3 +147,29 @@
         }
     }
 }
+
+/* The first of each list has been idle longest. */
+void
+Fw_IdleConns_CloseOne(GHashTable *conns)
+{
+    struct idle_conn *first = NULL;
+    GHashTableIter it;
+    gpointer l;
+
+    g_hash_table_iter_init(&it, conns);
+    while (g_hash_table_iter_next(&it, NULL, &l)) {
+        struct fw_list *list = l;
+        struct idle_conn *i;
+
+        if (Fw_List_Empty(list)) {
+            continue;
+        }
+        i = FW_LIST_ENTRY(list->next, struct idle_conn, link);
+        if (!first || i->expires_us < first->expires_us) {
+            first = i;
+        }
+    }
+    if (first) {
+        idle_conn_free(first);
+    }
+}
--- a/src/http/idle_conns.h
+++ b/src/http/idle_conns.h
@@ -28,6 +28,9 @@
  */
 struct fw_conn *
 Fw_IdleConns_Take(GHashTable *conns, const char *addr, int64_t idle_limit_us);
+/* Closes the connection that expires first, if any. */
+void
+Fw_IdleConns_CloseOne(GHashTable *conns);
 void
 Fw_IdleConns_CloseExpired(GHashTable *conns, int64_t now_us);
 
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -18,6 +18,14 @@
  */
 #define FW_LINGER_US (500 * FW_MSEC)
 
+/*
+ * Idle time after which a connection may be closed for want of descriptors: a
+ * caller that has just connected, or been answered, may be about to send.
+ */
+#define FW_IDLE_MIN_US (500 * FW_MSEC)
+/* The same after the last response: a round trip across a region and more. */
+#define FW_LINGER_MIN_US (100 * FW_MSEC)
+
 static const struct fw_http_limits default_limits = {
     .header_bytes = 16384,
     .body_bytes = 4 << 20,
@@ -27,6 +35,56 @@
     .keep_alive_timeout_us = 60 * FW_SEC,
 };
 
+/* Whether nothing is lost when the connection is closed. */
+static int
+may_close(const struct fw_http_caller *c, int64_t now_us)
+{
+    int64_t age_us = now_us - c->timer_start_us;
+
+    return (c->state == FW_CALLER_IDLE && !c->resume_source_id &&
+            age_us >= FW_IDLE_MIN_US) ||
+           (c->state == FW_CALLER_LINGER && !Fw_Conn_Unsent(c->conn) &&
+            age_us >= FW_LINGER_MIN_US);
+}
+
+/* Closes the connection that hasn't been used for longest, if any. */
+static void
+close_longest_idle(struct fw_http_server *s)
+{
+    int64_t now = Fw_Conn_NowUs();
+    struct fw_http_caller *longest = NULL;
+    struct fw_list *pos;
+
+    FW_LIST_EACH (pos, &s->callers) {
+        struct fw_http_caller *c =
+            FW_LIST_ENTRY(pos, struct fw_http_caller, link);
+
+        if (may_close(c, now) &&
+            (!longest || c->timer_start_us < longest->timer_start_us)) {
+            longest = c;
+        }
+    }
+    if (longest) {
+        Fw_Caller_Free(longest, 0);
+    }
+}
+
+/* Return: zero if there is no descriptor for one more connection. */
+static int
+make_room(struct fw_http_server *s)
+{
+    const struct fw_held_connections *c;
+
+    if (!s->held || !s->is_bounded) {
+        return 1;
+    }
+    c = Fw_Held_Connections(s->held);
+    if (Fw_HeldShare_IsCrowded(c)) {
+        close_longest_idle(s);
+    }
+    return Fw_HeldShare_MayAccept(c);
+}
+
 static gboolean
 on_accept(GSocket *listener, GIOCondition cond, gpointer data)
 {
@@ -35,7 +93,12 @@
 
     (void)cond;
     while ((sock = g_socket_accept(listener, NULL, NULL))) {
-        Fw_Caller_New(s, sock);
+        if (make_room(s)) {
+            Fw_Caller_New(s, sock);
+        }
+        else {
+            g_object_unref(sock);
+        }
     }
     return G_SOURCE_CONTINUE;
 }
--- a/src/io/machine_limits.c
+++ b/src/io/machine_limits.c
@@ -2,6 +2,7 @@
 
 #include <glib.h>
 #include <string.h>
+#include <sys/resource.h>
 
 static char *
 read_file(const char *root, const char *path)
@@ -102,3 +103,14 @@
     }
     return limit;
 }
+
+int64_t
+Fw_MachineLimits_Files(void)
+{
+    struct rlimit lim;
+
+    if (getrlimit(RLIMIT_NOFILE, &lim) || lim.rlim_max == RLIM_INFINITY) {
+        return 0;
+    }
+    return (int64_t)lim.rlim_max;
+}
--- a/src/io/machine_limits.h
+++ b/src/io/machine_limits.h
@@ -14,5 +14,8 @@
  */
 int64_t
 Fw_MachineLimits_Memory(const char *root);
+/* The most files that this process may open, at its hard limit; 0 for any. */
+int64_t
+Fw_MachineLimits_Files(void);
 
 #endif
--- a/src/relayd/memory.c
+++ b/src/relayd/memory.c
@@ -12,6 +12,9 @@
 #define FW_CALLER_BACKLOG_BYTES (256 * 1024)
 /* Room that resumes a response: what one read may add. */
 #define FW_RESUME_BYTES (16 * 1024)
+/* Open files that are no connections, of the store and of other instances. */
+#define FW_RESERVED_FILES 64
+#define FW_CONNECTIONS_MIN 16
 /* Shortest interval of log lines. */
 #define FW_LOG_INTERVAL_US (1 * FW_SEC)
 /* Retry-After of a request that can't be held: some large holders time out. */
@@ -24,7 +27,13 @@
 void
 Fw_Memory_ApplySettings(struct fw_relayd *d)
 {
+    int64_t connections =
+        d->opts.descriptors
+            ? MAX(d->opts.descriptors - FW_RESERVED_FILES, FW_CONNECTIONS_MIN)
+            : 0;
+
     Fw_Held_SetBudget(d->held, (size_t)d->opts.memory_bytes);
+    Fw_Held_SetMostConnections(d->held, (int)connections);
 }
 
 void
--- a/src/relayd/relayd_internal.h
+++ b/src/relayd/relayd_internal.h
@@ -41,7 +41,8 @@
  * @buffered: hold the response back until it is complete, unless it exceeds
  *            the buffer
  * @is_streaming: the route's responses are event streams
- * @is_refused: not sent, as too much waits to be read by the upstream
+ * @is_refused: not sent, as too much waits to be read by the upstream or no
+ *              descriptor is left
  * @has_no_body: the response has no body, whatever its head says
  * @response_started: the body is no longer buffered: it is forwarded to the
  *                    caller, or dropped when there is none
--- a/src/relayd/upstream.c
+++ b/src/relayd/upstream.c
@@ -332,8 +332,9 @@
 }
 
 /*
- * A server that doesn't read what waits for it is treated as if it had
- * rejected the request, of which nothing was sent: it may go elsewhere.
+ * A server that doesn't read what waits for it, or that there is no descriptor
+ * for, is treated as if it had rejected the request, of which nothing was
+ * sent: it may go elsewhere.
  */
 static void
 report_refused(struct fw_upstream_call *call, struct fw_rl_actions *acts)
@@ -400,6 +401,7 @@
     else {
         call->exchange = Fw_Exchange_Start(d->pool, c->addr, head, body, &opts,
                                            &ops, call, &err);
+        call->is_refused = err == -EMFILE && carries_request(c->kind);
     }
     if (call->exchange) {
         call->account =
--- a/tests/relayd/slow_env.c
+++ b/tests/relayd/slow_env.c
@@ -495,6 +495,15 @@
     return c;
 }
 
+struct slow_caller *
+Fw_SlowEnv_Connect(struct slow_env *env)
+{
+    struct slow_caller *c = add_caller(env, "GET /bulk/x", "");
+
+    c->to_send = 0;
+    return c;
+}
+
 /* Appends what the response head lacks to be a request of chunks. */
 static void
 append_chunks(struct slow_caller *c, size_t bytes)
--- a/tests/relayd/slow_env.h
+++ b/tests/relayd/slow_env.h
@@ -87,6 +87,9 @@
  */
 struct slow_caller *
 Fw_SlowEnv_Post(struct slow_env *env, int64_t length, size_t withheld);
+/* Adds a caller that connects and sends nothing. */
+struct slow_caller *
+Fw_SlowEnv_Connect(struct slow_env *env);
 /*
  * Adds a caller that reads @pause_at bytes of a response and the rest after
  * @pause_us.
--- a/tests/relayd/test_memory.c
+++ b/tests/relayd/test_memory.c
@@ -238,6 +238,55 @@
 }
 END_TEST
 
+static int
+count_open(const struct slow_env *env)
+{
+    return Fw_Held_Connections(env->router.router->held)->open;
+}
+
+#define FW_MOST_CONNECTIONS 80
+/* Connections of this instance itself may use the reserve. */
+#define FW_CONTROL_CONNECTIONS 8
+
+/*
+ * Guards against a process without descriptors, which can neither accept
+ * callers nor reach servers. The callers of the second case await responses.
+ */
+START_TEST(connections_stay_within_the_limit)
+{
+    struct slow_env env;
+    int most = 0;
+
+    Fw_SlowEnv_Init(&env, 4 * FW_SLOW_MB);
+    env.response_bytes = 16 * FW_SLOW_MB;
+    Fw_Held_SetMostConnections(env.router.router->held, FW_MOST_CONNECTIONS);
+    for (int i = 0; i < 100; i++) {
+        if (_i) {
+            Fw_SlowEnv_Get(&env, 1000, 3600 * FW_SEC);
+        }
+        else {
+            Fw_SlowEnv_Connect(&env);
+        }
+        Fw_SlowEnv_Run(&env, 15 * FW_MSEC);
+        most = MAX(most, count_open(&env));
+    }
+    env.sound.n_sent = 0; /* counted from here on */
+    env.sound.n_in_time = 0;
+    Fw_SlowEnv_Run(&env, 1500 * FW_MSEC);
+    ck_assert_int_le(most, FW_MOST_CONNECTIONS + FW_CONTROL_CONNECTIONS);
+    ck_assert_int_ge(most, FW_MOST_CONNECTIONS / 2);
+    if (_i) {
+        ck_assert_int_gt(count_status(&env, 200), 20);
+        ck_assert_int_gt(count_status(&env, 503), 40);
+    }
+    else {
+        ck_assert_int_ge(env.sound.n_in_time, 20);
+        ck_assert_int_ge(env.sound.n_in_time, env.sound.n_sent - 2);
+    }
+    Fw_SlowEnv_Free(&env);
+}
+END_TEST
+
 /* Ends some callers in the middle of what they do. */
 static void
 end_some(struct slow_env *env, GRand *rand)
@@ -306,6 +355,7 @@
     tcase_add_test(tc, callers_that_pause_get_the_whole_response);
     tcase_add_loop_test(tc, requests_pass_servers_that_do_not_read, 0,
                         FW_SLOW_SERVERS + 1);
+    tcase_add_loop_test(tc, connections_stay_within_the_limit, 0, 2);
     tcase_add_loop_test(tc, nothing_is_held_after_random_calls, 0, 3);
     return Fw_Suite_Run(tc);
 }
