--- a/src/decide/plain_admission.c
+++ b/src/decide/plain_admission.c
@@ -137,37 +137,37 @@
     return is_repeat;
 }
 
-/* Number of told retries that are still to come. */
+/* Number of announced retries that are still to come. */
 static int
-told_ahead(const struct fw_plain_admission *a, int64_t now_us)
+retries_ahead(const struct fw_plain_admission *a, int64_t now_us)
 {
-    int64_t slot = now_us / FW_PLAIN_TOLD_SLOT_US;
+    int64_t slot = now_us / FW_PLAIN_RETRY_SLOT_US;
     int n = 0;
 
-    for (int i = 0; i < FW_PLAIN_TOLD_SLOTS; i++) {
-        int64_t at = a->told_slot + i;
+    for (int i = 0; i < FW_PLAIN_RETRY_SLOTS; i++) {
+        int64_t at = a->retry_slot + i;
 
         if (at >= slot) {
-            n += a->told[at % FW_PLAIN_TOLD_SLOTS];
+            n += a->retries[at % FW_PLAIN_RETRY_SLOTS];
         }
     }
     return n;
 }
 
 void
-Fw_PlainAdmission_NoteTold(struct fw_plain_admission *a, int64_t retry_us,
+Fw_PlainAdmission_NoteRetry(struct fw_plain_admission *a, int64_t retry_us,
                            int64_t now_us)
 {
-    int64_t slot = now_us / FW_PLAIN_TOLD_SLOT_US;
-    int64_t at = (now_us + retry_us) / FW_PLAIN_TOLD_SLOT_US;
+    int64_t slot = now_us / FW_PLAIN_RETRY_SLOT_US;
+    int64_t at = (now_us + retry_us) / FW_PLAIN_RETRY_SLOT_US;
 
-    for (int i = 0; a->told_slot < slot && i < FW_PLAIN_TOLD_SLOTS; i++) {
-        a->told[a->told_slot % FW_PLAIN_TOLD_SLOTS] = 0;
-        a->told_slot++;
+    for (int i = 0; a->retry_slot < slot && i < FW_PLAIN_RETRY_SLOTS; i++) {
+        a->retries[a->retry_slot % FW_PLAIN_RETRY_SLOTS] = 0;
+        a->retry_slot++;
     }
-    a->told_slot = slot;
-    at = MIN(at, slot + FW_PLAIN_TOLD_SLOTS - 1);
-    a->told[at % FW_PLAIN_TOLD_SLOTS]++;
+    a->retry_slot = slot;
+    at = MIN(at, slot + FW_PLAIN_RETRY_SLOTS - 1);
+    a->retries[at % FW_PLAIN_RETRY_SLOTS]++;
 }
 
 static double
@@ -216,7 +216,7 @@
 /*
  * Share of calls like @c that fits in @rate after those that go first. A
  * backlog grows only if more is asked than completed: where the rates known
- * say otherwise, some instances don't tell theirs, or servers are slow.
+ * say otherwise, some instances don't report theirs, or servers are slow.
  */
 static double
 admissible_share(const struct fw_plain_servers *all,
@@ -350,7 +350,7 @@
     double free_rate = all->completions - all->asked;
     double others = a->local > 0 ? MAX(all->asked / a->local, 1.0) : 1.0;
     double work = MAX(0, all->running - all->slots) +
-                  told_ahead(a, now_us) * MIN(others, all->instances);
+                  retries_ahead(a, now_us) * MIN(others, all->instances);
     double us = longest;
 
     if (longest <= 0) {
--- a/src/decide/plain_admission.h
+++ b/src/decide/plain_admission.h
@@ -16,9 +16,9 @@
 
 #include <stdint.h>
 
-/* Slots of told retries, FW_PLAIN_TOLD_SLOT_US each. */
-#define FW_PLAIN_TOLD_SLOTS 24
-#define FW_PLAIN_TOLD_SLOT_US 100000
+/* Slots of announced retries, FW_PLAIN_RETRY_SLOT_US each. */
+#define FW_PLAIN_RETRY_SLOTS 24
+#define FW_PLAIN_RETRY_SLOT_US 100000
 
 /** enum fw_plain_verdict - why a call is admitted or rejected. */
 enum fw_plain_verdict {
@@ -104,8 +104,8 @@
  * @n_slot_us: samples of it, up to a limit
  * @credit: calls that may be admitted in isolation
  * @credit_us: when it was updated
- * @told: callers told to retry, by the time of the retry
- * @told_slot: number of the earliest slot in @told
+ * @retries: callers asked to retry, by the time of the retry
+ * @retry_slot: number of the earliest slot in @retries
  */
 struct fw_plain_admission {
     double local;
@@ -114,8 +114,8 @@
     int n_slot_us;
     double credit;
     int64_t credit_us;
-    int told[FW_PLAIN_TOLD_SLOTS];
-    int64_t told_slot;
+    int retries[FW_PLAIN_RETRY_SLOTS];
+    int64_t retry_slot;
 };
 
 /**
@@ -150,9 +150,9 @@
 /* A call was admitted. */
 void
 Fw_PlainAdmission_NoteAdmitted(struct fw_plain_admission *a);
-/* A rejected caller was told to retry after @retry_us. */
+/* A rejected caller was asked to retry after @retry_us. */
 void
-Fw_PlainAdmission_NoteTold(struct fw_plain_admission *a, int64_t retry_us,
+Fw_PlainAdmission_NoteRetry(struct fw_plain_admission *a, int64_t retry_us,
                            int64_t now_us);
 /*
  * Whether to send the call to the server.
@@ -172,7 +172,7 @@
 Fw_PlainAdmission_LongestRetryUs(int64_t left_us);
 /*
  * Retry-After for a rejected call: when the backlog and the retries already
- * told are expected to be worked off, spread, and at most the longest one. 0
+ * announced are expected to be worked off, spread, and at most the longest one. 0
  * if no retry can help.
  */
 int64_t
--- a/src/decide/precedence.h
+++ b/src/decide/precedence.h
@@ -97,7 +97,7 @@
                      struct fw_precedence_decision *out);
 /*
  * What arrives in a second at least, as far as the mean over the last second
- * tells: of few requests it tells nothing.
+ * shows: of few requests it shows nothing.
  */
 double
 Fw_Precedence_SurelyAsked(double asked, double squares);
--- a/src/decide/server_speed.c
+++ b/src/decide/server_speed.c
@@ -8,7 +8,7 @@
 /*
  * Half-lives of the samples' weights. Servers may be slow for less than a
  * second at a time, which only the recent ones show; differences that last
- * need more samples to be told from chance.
+ * need more samples to be distinguished from chance.
  */
 #define FW_RECENT_HALF_LIFE_US (0.3 * FW_SEC)
 #define FW_LASTING_HALF_LIFE_US (6.0 * FW_SEC)
--- a/src/relay/place.c
+++ b/src/relay/place.c
@@ -2,41 +2,12 @@
  * Server selection. Functions here only read the relay's state, apart from
  * drawing random numbers.
  */
-#include <math.h>
 #include <string.h>
 
 #include "decide/memory.h"
 #include "decide/place_engine.h"
 #include "relay/relay_internal.h"
 
-/*
- * Response time assumed for a plain server that has not answered yet. Short,
- * so that a new server is tried early.
- */
-#define FW_DEFAULT_RESPONSE_US (30.0 * FW_MSEC)
-/*
- * Weight of a server's error rate in its score: a failure costs a caller about
- * this many times the wait for a good response.
- */
-#define FW_ERROR_RATE_WEIGHT 8.0
-/* Relative random spread of scores: spreads load over similar servers. */
-#define FW_SCORE_JITTER_FRACTION 0.3
-/*
- * A plain server is given as many requests as it can answer within this
- * fraction of the route's objective; beyond that all its answers are late.
- */
-#define FW_OBJECTIVE_FRACTION 0.8
-/*
- * Lower bound of that limit, for requests that take longer than the objective
- * even on an idle server.
- */
-#define FW_MIN_REQUESTS_PER_SLOT 1.5
-/*
- * Above the limit requests are rejected with a probability that reaches 1 at
- * this fraction over it. Peers' loads are known 75 to 150 ms late, so a hard
- * limit would oscillate between admitting all requests and none.
- */
-#define FW_OVERLOAD_RAMP_FRACTION 0.5
 /* Time for which a prefill engine that rejected a prompt is skipped. */
 #define FW_PREFILL_BACKOFF_US (300 * FW_MSEC)
 /* Fixed-point scale of the baseline policies' scores, per request. */
@@ -99,67 +70,14 @@
     return strcmp(s->entry.service, c->service) == 0 && is_in_regions(r, s, c);
 }
 
-/* Score under the random and least-loaded policies; lower is better. */
-static double
-baseline_score(struct fw_relay *r, int running)
+double
+Fw_Place_BaselineScore(struct fw_relay *r, int running)
 {
     double noise = g_rand_double(r->rand);
 
     return r->opts.policy == FW_RL_POLICY_RANDOM ? noise : running + noise;
 }
 
-static double
-plain_score(struct fw_relay *r, const struct fw_rl_server *s)
-{
-    double response_us =
-        s->latency_us > 0 ? s->latency_us : FW_DEFAULT_RESPONSE_US;
-    double load_factor = 1.0 + (double)s->running / MAX(s->entry.slots, 1);
-
-    if (r->opts.policy != FW_RL_POLICY_FULL) {
-        return 1 + baseline_score(r, s->running);
-    }
-    return response_us * load_factor * load_factor *
-           (1.0 + FW_ERROR_RATE_WEIGHT * s->error_rate) *
-           (1.0 + g_rand_double_range(r->rand, 0, FW_SCORE_JITTER_FRACTION));
-}
-
-/*
- * Servers that this request has tried, or that could not be reached lately,
- * are penalized rather than excluded: they are used when no other is left.
- */
-struct fw_rl_server *
-Fw_Place_Plain(struct fw_relay *r, const struct fw_rl_call *c, int64_t now_us)
-{
-    struct fw_rl_server *best = NULL;
-    struct fw_list *pos;
-    double best_score = 0;
-
-    if (Fw_PlaceSpeed_IsPlainInForce(r, c->service, now_us)) {
-        return Fw_PlaceSpeed_Plain(r, c, now_us);
-    }
-    FW_LIST_EACH (pos, &r->servers) {
-        struct fw_rl_server *s = FW_LIST_ENTRY(pos, struct fw_rl_server, link);
-        double score;
-
-        if (!Fw_Place_MayRun(r, s, c) ||
-            !Fw_Admission_MaySend(r, s, 1, now_us)) {
-            continue;
-        }
-        score = plain_score(r, s);
-        if (Fw_Call_HasTried(c, s)) {
-            score *= 100;
-        }
-        if (now_us < s->backoff_until_us) {
-            score *= 1000;
-        }
-        if (!best || score < best_score) {
-            best = s;
-            best_score = score;
-        }
-    }
-    return best;
-}
-
 int64_t
 Fw_Place_AvailableUs(struct fw_relay *r, const struct fw_rl_call *c, int n,
                      int64_t now_us)
@@ -187,38 +105,6 @@
     return earliest;
 }
 
-/* Concurrent requests that @s can answer within the objective. */
-static double
-max_running(const struct fw_rl_server *s, int64_t objective_us)
-{
-    double response_us =
-        s->service_us > 0 ? s->service_us : FW_DEFAULT_RESPONSE_US;
-    double per_slot =
-        FW_OBJECTIVE_FRACTION * (double)objective_us / response_us;
-
-    return s->entry.slots * MAX(per_slot, FW_MIN_REQUESTS_PER_SLOT);
-}
-
-int
-Fw_Place_IsOverloaded(struct fw_relay *r, const struct fw_rl_call *c,
-                      const struct fw_rl_server *s, int64_t now_us)
-{
-    struct fw_rl_load l;
-    double limit;
-    double reject_probability;
-
-    if (r->opts.policy != FW_RL_POLICY_FULL || c->route.objective_us <= 0 ||
-        s->entry.slots <= 0) {
-        return 0;
-    }
-    Fw_Place_Load(r, s, now_us, &l);
-    limit = max_running(s, c->route.objective_us);
-    reject_probability =
-        (l.running + 1 - limit) / (FW_OVERLOAD_RAMP_FRACTION * limit);
-    return reject_probability > 0 &&
-           g_rand_double(r->rand) < reject_probability;
-}
-
 /*
  * True during a stage change, ordered here or by a peer, that the server list
  * doesn't show yet.
@@ -240,6 +126,15 @@
     return l->n_unreachable >= 2;
 }
 
+int
+Fw_Place_MayDecodeMore(const struct fw_rl_server *s,
+                       const struct fw_rl_load *l,
+                       const struct fw_rl_engine_spec *spec)
+{
+    return l->running < spec->slots && !is_changing_stage(s, l) &&
+           !is_unreachable(l);
+}
+
 /*
  * Room left at @s with @c placed there: tokens of KV cache, or scaled free
  * slots under a baseline policy. Negative when @c must not be placed there.
@@ -257,108 +152,26 @@
         c->kv_tokens >= s->full_tokens) {
         return -1;
     }
-    if (l.running >= spec->slots || is_changing_stage(s, &l) ||
-        is_unreachable(&l)) {
+    if (!Fw_Place_MayDecodeMore(s, &l, spec)) {
         return -1;
     }
     if (r->opts.policy != FW_RL_POLICY_FULL) {
         return (int64_t)(FW_BASELINE_SCORE_SCALE *
-                         (spec->slots - baseline_score(r, l.running)));
+                         (spec->slots - Fw_Place_BaselineScore(r, l.running)));
     }
     return spec->kv_tokens - l.kv_tokens - c->kv_tokens -
            Fw_Memory_Headroom(&c->length, c->info.tokens_out_max,
                               l.running + 1);
 }
 
-static int
-can_decode(const struct fw_rl_server *s, int64_t now_us)
+int
+Fw_Place_CanDecode(const struct fw_rl_server *s, int64_t now_us)
 {
     return s->entry.stage == FW_RL_STAGE_DECODE &&
            !Fw_Servers_IsChangingStage(s, now_us) &&
            Fw_Servers_IsUsable(s, now_us);
 }
 
-/* Memory left at @s for @c beside @n others that use @used tokens. */
-static int64_t
-memory_left(const struct fw_rl_engine_spec *spec, const struct fw_rl_call *c,
-            int64_t used, int n)
-{
-    return spec->kv_tokens - used -
-           Fw_Memory_Headroom(&c->length, c->info.tokens_out_max, n + 1);
-}
-
-static void
-add_decode_engine(struct fw_relay *r, struct fw_rl_server *s,
-                  const struct fw_rl_engine_spec *spec,
-                  const struct fw_rl_call *c, double unit, int64_t now_us,
-                  struct fw_rl_pool *pool)
-{
-    struct fw_rl_load l;
-    double fit;
-
-    Fw_Place_Load(r, s, now_us, &l);
-    pool->used_tokens += (double)l.kv_tokens;
-    pool->running += l.running;
-    if (now_us - s->full_us < r->opts.digest_period_us ||
-        l.running >= spec->slots || is_changing_stage(s, &l) ||
-        is_unreachable(&l) ||
-        !Fw_Admission_MaySend(r, s, FW_RL_REQUESTS_PER_RESERVATION, now_us)) {
-        return;
-    }
-    fit = (double)memory_left(spec, c, l.kv_tokens, l.running) / unit;
-    pool->free_tokens += floor(MAX(fit, 0)) * unit;
-    pool->free_slots += spec->slots - l.running;
-}
-
-void
-Fw_Place_Pool(struct fw_relay *r, const struct fw_rl_call *c, double unit,
-              int64_t now_us, struct fw_rl_pool *out)
-{
-    const struct fw_rl_service_rule *rule =
-        Fw_Rules_Service(r->rules, c->service);
-    struct fw_list *pos;
-    struct fw_rl_load l;
-
-    *out = (struct fw_rl_pool){0};
-    FW_LIST_EACH (pos, &r->servers) {
-        struct fw_rl_server *s = FW_LIST_ENTRY(pos, struct fw_rl_server, link);
-
-        if (!rule || !Fw_Place_MayRun(r, s, c) ||
-            !Fw_Servers_IsUsable(s, now_us)) {
-            continue;
-        }
-        if (can_decode(s, now_us)) {
-            add_decode_engine(r, s, &rule->engine, c, MAX(unit, 1), now_us,
-                              out);
-        }
-        else if (s->entry.stage == FW_RL_STAGE_PREFILL &&
-                 !Fw_Servers_IsChangingStage(s, now_us)) {
-            Fw_Place_Load(r, s, now_us, &l);
-            out->prefill_engines++;
-            out->queued_tokens += (double)l.prefill_tokens;
-        }
-    }
-}
-
-int
-Fw_Place_FitsInstead(struct fw_relay *r, const struct fw_rl_call *other,
-                     const struct fw_rl_call *c, int64_t now_us)
-{
-    const struct fw_rl_service_rule *rule =
-        Fw_Rules_Service(r->rules, c->service);
-    const struct fw_rl_server *s = other->server;
-    struct fw_rl_load l;
-
-    if (!rule || !s || !Fw_Place_MayRun(r, s, c) || !can_decode(s, now_us) ||
-        Fw_Call_HasTried(c, s)) {
-        return 0;
-    }
-    Fw_Place_Load(r, s, now_us, &l);
-    return l.running <= rule->engine.slots &&
-           memory_left(&rule->engine, c, l.kv_tokens - other->kv_tokens,
-                       l.running - 1) >= c->kv_tokens;
-}
-
 /** struct sample - two engines drawn at random from @n, with their scores. */
 struct sample {
     int n;
@@ -453,7 +266,7 @@
         struct fw_rl_server *s = FW_LIST_ENTRY(pos, struct fw_rl_server, link);
         int64_t left;
 
-        if (!Fw_Place_MayRun(r, s, c) || !can_decode(s, now_us) ||
+        if (!Fw_Place_MayRun(r, s, c) || !Fw_Place_CanDecode(s, now_us) ||
             Fw_Call_HasTried(c, s) ||
             !Fw_Admission_MaySend(r, s, FW_RL_REQUESTS_PER_RESERVATION,
                                   now_us)) {
@@ -477,7 +290,7 @@
         const struct fw_rl_server *s =
             FW_LIST_ENTRY(pos, struct fw_rl_server, link);
 
-        if (Fw_Place_MayRun(r, s, c) && can_decode(s, now_us) &&
+        if (Fw_Place_MayRun(r, s, c) && Fw_Place_CanDecode(s, now_us) &&
             !Fw_Call_HasTried(c, s)) {
             return 1;
         }
--- a/src/relay/plain.c
+++ b/src/relay/plain.c
@@ -45,8 +45,8 @@
 }
 
 /*
- * Rejects @c, which can be served after @least_us. By forecast callers are
- * told when there is room for them as well, and keep time for the retry.
+ * Rejects @c, which can be served after @least_us. By forecast the
+ * delay also covers the backlog, and leaves callers time for the retry.
  */
 static void
 reject_until(struct fw_relay *r, struct fw_rl_call *c, int64_t least_us,
--- a/src/relay/plain_admission.c
+++ b/src/relay/plain_admission.c
@@ -89,16 +89,16 @@
            !(s && s->has_engines);
 }
 
-/* Whether a request with the id of @c was told to retry here. */
+/* Whether a request with the id of @c was asked to retry here. */
 static int
-was_told(const struct fw_relay *r, const struct fw_rl_call *c)
+was_rejected(const struct fw_relay *r, const struct fw_rl_call *c)
 {
     const struct fw_rl_plain_admission *p = &r->plain_admission;
     uint64_t id = Fw_Hash_Str(c->info.id);
 
     for (uint64_t i = 0;
-         c->info.id[0] && i < MIN(p->n_told_calls, FW_RL_TOLD_CALLS); i++) {
-        if (p->told_calls[i] == id) {
+         c->info.id[0] && i < MIN(p->n_rejected_calls, FW_RL_REJECTED_CALLS); i++) {
+        if (p->rejected_calls[i] == id) {
             return 1;
         }
     }
@@ -115,7 +115,7 @@
     struct fw_declared_time *d = find_or_add(
         r->plain_admission.declared, Fw_Hash_Str(c->route.name), sizeof(*d));
 
-    c->is_repeat = was_told(r, c);
+    c->is_repeat = was_rejected(r, c);
     if (!c->info.is_handed_over &&
         Fw_DeclaredTime_Note(d, c->info.timeout_us)) {
         c->is_repeat = 1;
@@ -279,8 +279,8 @@
     }
     retry_us = MIN(MAX(retry_us, least_us),
                    Fw_PlainAdmission_LongestRetryUs(call.left_us));
-    Fw_PlainAdmission_NoteTold(&p->admission, retry_us, now_us);
-    a->told_calls[a->n_told_calls++ % FW_RL_TOLD_CALLS] =
+    Fw_PlainAdmission_NoteRetry(&p->admission, retry_us, now_us);
+    a->rejected_calls[a->n_rejected_calls++ % FW_RL_REJECTED_CALLS] =
         Fw_Hash_Str(c->info.id);
     return retry_us;
 }
--- a/src/relay/plain_admission.h
+++ b/src/relay/plain_admission.h
@@ -15,20 +15,20 @@
 struct fw_rl_server;
 
 /* Rejected requests that are remembered by their ids. */
-#define FW_RL_TOLD_CALLS 256
+#define FW_RL_REJECTED_CALLS 256
 
 /**
  * struct fw_rl_plain_admission - what is remembered for the decision.
  * @services: hash of a service's name to struct plain_service
  * @declared: hash of a route's name to struct fw_declared_time
- * @told_calls: hashes of the ids of requests told to retry, a ring
- * @n_told_calls: number of requests added to it
+ * @rejected_calls: hashes of the ids of requests asked to retry, a ring
+ * @n_rejected_calls: number of requests added to it
  */
 struct fw_rl_plain_admission {
     GHashTable *services;
     GHashTable *declared;
-    uint64_t told_calls[FW_RL_TOLD_CALLS];
-    uint64_t n_told_calls;
+    uint64_t rejected_calls[FW_RL_REJECTED_CALLS];
+    uint64_t n_rejected_calls;
 };
 
 void
--- a/src/relay/servers.h
+++ b/src/relay/servers.h
@@ -270,6 +270,17 @@
 Fw_Admission_EndReservation(struct fw_rl_call *c);
 
 /* place.c */
+/* Whether @s can decode streams, now or after its present ones. */
+int
+Fw_Place_CanDecode(const struct fw_rl_server *s, int64_t now_us);
+/* Whether a slot is free there, by the load @l of all instances. */
+int
+Fw_Place_MayDecodeMore(const struct fw_rl_server *s,
+                       const struct fw_rl_load *l,
+                       const struct fw_rl_engine_spec *spec);
+/* Score under the random and least-loaded policies; lower is better. */
+double
+Fw_Place_BaselineScore(struct fw_relay *r, int running);
 /* Whether @s runs the service of @c in a region that @c may use. */
 int
 Fw_Place_MayRun(const struct fw_relay *r, const struct fw_rl_server *s,
--- a/src/relay/service_demand.h
+++ b/src/relay/service_demand.h
@@ -1,4 +1,4 @@
-/* Demand for services by rank: what the relay notes and tells its peers. */
+/* Demand for services by rank: what the relay notes and sends its peers. */
 #ifndef FW_RELAY_SERVICE_DEMAND_H
 #define FW_RELAY_SERVICE_DEMAND_H
 
@@ -12,7 +12,7 @@
 /**
  * struct fw_rl_service_demand - demand for services, and its exchange.
  * @demand: demand at this instance and at the others
- * @shared: hashes of the services whose demand other instances are told
+ * @shared: hashes of the services whose demand other instances are sent
  * @ranked: hash of a service with engines whose requests have several ranks to
  *     the bits of these ranks
  * @seq: number of messages sent
@@ -39,7 +39,7 @@
 /* The configuration has changed. */
 void
 Fw_ServiceDemand_ApplyRules(struct fw_relay *r);
-/* Whether the demand for the service is told to other instances. */
+/* Whether the demand for the service is sent to other instances. */
 int
 Fw_ServiceDemand_IsShared(const struct fw_relay *r, uint64_t service);
 /*
--- a/src/relay/speed_message.c
+++ b/src/relay/speed_message.c
@@ -76,7 +76,7 @@
     msgpack_pack_int64(pk, (int64_t)lround(value * scale));
 }
 
-/* Half of a hash is enough to tell the servers of a fleet apart. */
+/* Half of a hash is enough to distinguish the servers of a fleet. */
 static void
 pack_name(msgpack_packer *pk, uint64_t hash, enum fw_speed_use use)
 {
--- a/tests/decide/test_plain_admission.c
+++ b/tests/decide/test_plain_admission.c
@@ -327,7 +327,7 @@
     Fw_PlainAdmission_NoteCall(&a, FW_SEC);
     soon = Fw_PlainAdmission_RetryUs(&a, &all, &call, 0.5, FW_SEC);
     ck_assert_int_lt(soon, 200 * FW_MSEC);
-    Fw_PlainAdmission_NoteTold(&a, 300 * FW_MSEC, FW_SEC);
+    Fw_PlainAdmission_NoteRetry(&a, 300 * FW_MSEC, FW_SEC);
     later = Fw_PlainAdmission_RetryUs(&a, &all, &call, 0.5, FW_SEC);
     ck_assert_int_gt(later, soon);
     ck_assert_int_eq(
--- a/tests/decide/test_server_speed.c
+++ b/tests/decide/test_server_speed.c
@@ -219,7 +219,7 @@
 END_TEST
 
 /* Guards against lasting differences that take effect only now and then. */
-START_TEST(uneven_servers_are_told_apart)
+START_TEST(uneven_servers_are_distinguished)
 {
     static const double speeds[] = {0.7, 0.7, 1.7};
     struct pool p;
@@ -273,7 +273,7 @@
     tcase_add_test(tc, one_of_many_instances_does_not_prevail);
     tcase_add_loop_test(tc, equal_servers_do_not_seem_uneven, 0,
                         G_N_ELEMENTS(pools));
-    tcase_add_loop_test(tc, uneven_servers_are_told_apart, 0, 3);
+    tcase_add_loop_test(tc, uneven_servers_are_distinguished, 0, 3);
     tcase_add_test(tc, invalid_rates_are_ignored);
     return Fw_Suite_Run(tc);
 }
--- a/tests/relay/plain_fleet.c
+++ b/tests/relay/plain_fleet.c
@@ -193,7 +193,7 @@
     ck_assert(rej->status != 503 || !who->runs);
     if (f->plan->forecast && rej->status == 503 &&
         rej->retry_us * 3 > left_us) {
-        f->res->told_too_late++;
+        f->res->too_late++;
     }
     if (who->attempts > 1 || !rej->retry_us || rej->retry_us > left_us) {
         f->res->rejected_twice[who->urgent]++;
--- a/tests/relay/plain_fleet.h
+++ b/tests/relay/plain_fleet.h
@@ -31,7 +31,7 @@
 /**
  * struct fw_fleet_result - callers by outcome, of the less urgent rank and of
  * the more urgent one.
- * @told_too_late: rejected with a Retry-After beyond a third of their time
+ * @too_late: rejected with a Retry-After beyond a third of their time
  * @ran_twice: calls that two servers ran
  */
 struct fw_fleet_result {
@@ -40,7 +40,7 @@
     int late[2];
     int rejected[2];
     int rejected_twice[2];
-    int told_too_late;
+    int too_late;
     int ran_twice;
 };
 
--- a/tests/relay/test_plain_admission.c
+++ b/tests/relay/test_plain_admission.c
@@ -76,7 +76,7 @@
         now.asked[0], now.in_time[0], old.in_time[0], now.late[0], old.late[0],
         now.rejected[0], old.rejected[0], now.rejected_twice[0],
         old.rejected_twice[0]);
-    ck_assert_int_eq(now.told_too_late, 0);
+    ck_assert_int_eq(now.too_late, 0);
     ck_assert_int_eq(now.ran_twice, 0);
 }
 END_TEST
@@ -154,7 +154,7 @@
              "  ask 1 run s1 for 1 team=a left=10000\n"
              "fail 1 104 sent\n"
              "  refuse 1 502 upstream_lost ran=maybe\n"},
-    /* Guards against a stream's caller who is told to retry too late. */
+    /* Guards against a stream's caller who is asked to retry too late. */
     {.name = "a stream's Retry-After is a third of its time at most",
      .text = "options forecast=1 queue_ms=1\n"
              "rules 1\n"
