Bound the bodies that one server holds from all instances, by a setting

Nothing on the wire tells how much a server holds or may hold, and a server crashes if the requests that it holds exceed its memory. [memory] server-request-mb, 0 for none, is divided by the number of instances; each counts the bodies that it has given to a server until the response has ended. A body beyond the share isn't sent and goes elsewhere, or is rejected as not run.

--- a/src/held/held.c
+++ b/src/held/held.c
@@ -6,7 +6,8 @@
  * struct fw_held - a budget.
  * @kinds: gauges of what is held, by kind
  * @waits: struct fw_held_wait, those that have waited longest first
- * @waiting: server's address to struct server_waiting
+ * @servers: server's address to struct server_bytes
+ * @server_bound: see Fw_Held_SetServerBound
  */
 struct fw_held {
     struct fw_held_use use;
@@ -20,13 +21,19 @@
     struct fw_metric pauses;
     struct fw_metric rejected;
     struct fw_list waits;
-    GHashTable *waiting;
+    GHashTable *servers;
+    size_t server_bound;
     int n_accounts;
 };
 
-/** struct server_waiting - bytes that wait for one server. */
-struct server_waiting {
-    size_t bytes;
+/**
+ * struct server_bytes - requests of this instance to one server.
+ * @waiting: not read by it yet
+ * @given: bodies of those that it has not answered
+ */
+struct server_bytes {
+    size_t waiting;
+    size_t given;
 };
 
 /**
@@ -104,7 +111,7 @@
 
     init_metrics(h);
     Fw_List_Init(&h->waits);
-    h->waiting =
+    h->servers =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     return h;
 }
@@ -116,7 +123,7 @@
         return;
     }
     g_warn_if_fail(h->n_accounts == 0 && h->use.used == 0);
-    g_hash_table_destroy(h->waiting);
+    g_hash_table_destroy(h->servers);
     g_free(h);
 }
 
@@ -217,9 +224,9 @@
 size_t
 Fw_Held_Waiting(const struct fw_held *h, const char *addr)
 {
-    const struct server_waiting *s = g_hash_table_lookup(h->waiting, addr);
+    const struct server_bytes *s = g_hash_table_lookup(h->servers, addr);
 
-    return s ? s->bytes : 0;
+    return s ? s->waiting : 0;
 }
 
 int
@@ -230,27 +237,76 @@
     return !h || (more <= limit && Fw_Held_Waiting(h, addr) <= limit - more);
 }
 
+static struct server_bytes *
+get_or_add_server(struct fw_held *h, const char *addr)
+{
+    struct server_bytes *s = g_hash_table_lookup(h->servers, addr);
+
+    if (!s) {
+        s = g_new0(struct server_bytes, 1);
+        g_hash_table_insert(h->servers, g_strdup(addr), s);
+    }
+    return s;
+}
+
+static void
+remove_if_empty(struct fw_held *h, const char *addr,
+                const struct server_bytes *s)
+{
+    if (!s->waiting && !s->given) {
+        g_hash_table_remove(h->servers, addr);
+    }
+}
+
 void
 Fw_Held_SetWaiting(struct fw_held *h, const char *addr, size_t *counted,
                    size_t now)
 {
-    struct server_waiting *s;
+    struct server_bytes *s;
 
     if (!h || now == *counted) {
         return;
     }
-    s = g_hash_table_lookup(h->waiting, addr);
-    if (!s) {
-        s = g_new0(struct server_waiting, 1);
-        g_hash_table_insert(h->waiting, g_strdup(addr), s);
-    }
-    s->bytes = s->bytes - *counted + now;
+    s = get_or_add_server(h, addr);
+    s->waiting = s->waiting - *counted + now;
     h->use.waiting = h->use.waiting - *counted + now;
     h->waiting_bytes.value = (int64_t)h->use.waiting;
     *counted = now;
-    if (!s->bytes) {
-        g_hash_table_remove(h->waiting, addr);
+    remove_if_empty(h, addr, s);
+}
+
+void
+Fw_Held_SetServerBound(struct fw_held *h, size_t bytes)
+{
+    h->server_bound = bytes;
+}
+
+int
+Fw_Held_MayGive(const struct fw_held *h, const char *addr, size_t bytes)
+{
+    const struct server_bytes *s;
+
+    if (!h || !h->server_bound || !bytes) {
+        return 1;
+    }
+    s = g_hash_table_lookup(h->servers, addr);
+    return bytes <= h->server_bound &&
+           (!s || s->given <= h->server_bound - bytes);
+}
+
+void
+Fw_Held_SetGiven(struct fw_held *h, const char *addr, size_t *counted,
+                 size_t now)
+{
+    struct server_bytes *s;
+
+    if (!h || now == *counted) {
+        return;
     }
+    s = get_or_add_server(h, addr);
+    s->given = s->given - *counted + now;
+    *counted = now;
+    remove_if_empty(h, addr, s);
 }
 
 struct fw_held_account *
--- a/src/held/held.h
+++ b/src/held/held.h
@@ -93,6 +93,17 @@
 Fw_Held_SetWaiting(struct fw_held *h, const char *addr, size_t *counted,
                    size_t now);
 
+/* @bytes: of bodies that one server may hold from here, 0 for no bound */
+void
+Fw_Held_SetServerBound(struct fw_held *h, size_t bytes);
+/* Whether the server at @addr may get a body of @bytes. @h may be NULL. */
+int
+Fw_Held_MayGive(const struct fw_held *h, const char *addr, size_t bytes);
+/* Changes a part of the bytes that the server holds from *@counted to @now. */
+void
+Fw_Held_SetGiven(struct fw_held *h, const char *addr, size_t *counted,
+                 size_t now);
+
 /* Return: a new account, NULL if @h is. */
 struct fw_held_account *
 Fw_HeldAccount_New(struct fw_held *h);
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -384,6 +384,12 @@
                         g_hash_table_size(r->calls));
 }
 
+int
+Fw_Relay_CountInstances(struct fw_relay *r, int64_t now_us)
+{
+    return MAX(Fw_Members_Count(r, now_us, NULL), 1);
+}
+
 int
 Fw_Relay_IsReady(const struct fw_relay *r, int64_t now_us)
 {
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -501,6 +501,9 @@
 /* Time of the next call of Fw_Relay_Tick(). */
 int64_t
 Fw_Relay_NextTickUs(const struct fw_relay *r, int64_t now_us);
+/* Instances of the fleet, this one included; at least 1. */
+int
+Fw_Relay_CountInstances(struct fw_relay *r, int64_t now_us);
 int
 Fw_Relay_IsReady(const struct fw_relay *r, int64_t now_us);
 /* Whether to close callers' connections so that they reconnect elsewhere. */
--- a/src/relayd/memory.c
+++ b/src/relayd/memory.c
@@ -92,9 +92,20 @@
     }
 }
 
+/* All instances together keep the bound, without messages. */
+static void
+apply_server_bound(struct fw_relayd *d, int64_t now_us)
+{
+    int64_t bound = d->opts.server_request_bytes;
+    int64_t share = bound / Fw_Relay_CountInstances(d->relay, now_us);
+
+    Fw_Held_SetServerBound(d->held, bound ? (size_t)MAX(share, 1) : 0);
+}
+
 void
 Fw_Memory_Tick(struct fw_relayd *d, int64_t now_us)
 {
+    apply_server_bound(d, now_us);
     Fw_Held_Resume(d->held);
     note_level(d, now_us);
 }
--- a/src/relayd/relayd.c
+++ b/src/relayd/relayd.c
@@ -162,6 +162,7 @@
     d->opts.servers_interval_us = o->servers_interval_us;
     d->opts.memory_bytes = o->memory_bytes;
     d->opts.descriptors = o->descriptors;
+    d->opts.server_request_bytes = o->server_request_bytes;
     Fw_Memory_ApplySettings(d);
     g_strlcpy(d->opts.store_addr, o->store_addr, sizeof(d->opts.store_addr));
     Fw_Relay_SetOpts(d->relay, &d->opts.relay);
--- a/src/relayd/relayd.h
+++ b/src/relayd/relayd.h
@@ -19,6 +19,8 @@
  * @config_wait_us: how long a read of the configuration may wait for a change
  * @servers_interval_us: time between reads of the server registrations
  * @memory_bytes: most bytes to be held for callers and servers, 0 for any
+ * @server_request_bytes: of requests' bodies that one server may hold from all
+ *                        instances, 0 for any
  * @descriptors: most open files, 0 for any
  * @log_buffer_bytes: size of the queue of log lines not yet written
  */
@@ -33,6 +35,7 @@
     int64_t config_wait_us;
     int64_t servers_interval_us;
     int64_t memory_bytes;
+    int64_t server_request_bytes;
     int64_t descriptors;
     int64_t log_buffer_bytes;
 };
--- a/src/relayd/relayd_internal.h
+++ b/src/relayd/relayd_internal.h
@@ -50,6 +50,8 @@
  * @framing: how the server marks the end of the response
  * @response_body: follows a response that is sent to the caller
  * @last_chunk_us: arrival of the last forwarded chunk, 0 for none
+ * @addr: address of the upstream
+ * @given: bytes of the request's body that the upstream holds
  * @account: what @fields and @body are charged to
  * @wait: pause until the caller's connection may hold more
  */
@@ -74,6 +76,8 @@
     enum fw_http_framing framing;
     struct fw_response_body response_body;
     int64_t last_chunk_us;
+    char addr[FW_URL_MAX];
+    size_t given;
     struct fw_held_account *account;
     size_t charged;
     struct fw_held_wait wait;
--- a/src/relayd/settings.c
+++ b/src/relayd/settings.c
@@ -31,6 +31,7 @@
     int64_t budget_mb;
     int64_t limit_mb;
     int64_t descriptors;
+    int64_t server_request_mb;
 };
 
 /*
@@ -108,6 +109,7 @@
     FW_INT("memory", "budget-mb", "0", 0, 1048576, budget_mb),
     FW_FLOOR("memory", "limit-mb", "0", 0, 1048576, limit_mb),
     FW_FLOOR("memory", "descriptors", "0", 0, 100000000, descriptors),
+    FW_INT("memory", "server-request-mb", "0", 0, 1048576, server_request_mb),
     {"log", "level", FW_INI_CHOICE, "info", 0, 0, FW_AT(log_level), levels},
     FW_INT("log", "sample", "1", 1, 1000000, log_sample),
     FW_INT("log", "buffer-kb", "256", 16, 65536, log_buffer_kb),
@@ -157,6 +159,7 @@
     out->servers_interval_us = v->servers_interval_ms * FW_MSEC;
     r->digest_period_us = v->digest_every_ms * FW_MSEC;
     out->memory_bytes = memory_bytes(v);
+    out->server_request_bytes = v->server_request_mb * FW_MB;
     out->descriptors =
         v->descriptors ? v->descriptors : Fw_MachineLimits_Files();
     out->log_buffer_bytes = v->log_buffer_kb * 1024;
--- a/src/relayd/upstream.c
+++ b/src/relayd/upstream.c
@@ -78,6 +78,7 @@
     struct fw_upstream_call *call = data;
 
     Fw_HeldWait_Cancel(&call->wait);
+    Fw_Held_SetGiven(call->d->held, call->addr, &call->given, 0);
     Fw_HeldAccount_Set(call->account, FW_HELD_RESPONSE, &call->charged, 0);
     Fw_HeldAccount_Unref(call->account);
 
@@ -326,9 +327,11 @@
 may_wait(const struct fw_relayd *d, const struct fw_rl_upstream_call *c,
          const GString *head, GBytes *body)
 {
+    size_t body_bytes = body ? g_bytes_get_size(body) : 0;
+
     return !carries_request(c->kind) ||
-           Fw_Held_MayWait(d->held, c->addr,
-                           head->len + (body ? g_bytes_get_size(body) : 0));
+           (Fw_Held_MayWait(d->held, c->addr, head->len + body_bytes) &&
+            Fw_Held_MayGive(d->held, c->addr, body_bytes));
 }
 
 /*
@@ -406,6 +409,10 @@
     if (call->exchange) {
         call->account =
             Fw_HeldAccount_Ref(Fw_Exchange_Account(call->exchange));
+        g_strlcpy(call->addr, c->addr, sizeof(call->addr));
+        Fw_Held_SetGiven(
+            d->held, c->addr, &call->given,
+            carries_request(c->kind) && body ? g_bytes_get_size(body) : 0);
     }
     else {
         /* Reported after the current actions; see Fw_Relayd_ExecuteActions. */
--- a/tests/held/test_held.c
+++ b/tests/held/test_held.c
@@ -196,6 +196,7 @@
 
 #define FW_OWNERS 40
 #define FW_SERVERS 5
+#define FW_SERVER_BOUND ((size_t)64 * FW_MB)
 #define FW_STEPS 20000
 #define FW_CHECK_STEPS 29
 
@@ -207,6 +208,7 @@
     size_t body_bytes;
     struct fw_held_wait wait;
     size_t waiting[FW_SERVERS];
+    size_t given[FW_SERVERS];
 };
 
 static const char *const servers[FW_SERVERS] = {"a:1", "b:1", "c:1", "d:1",
@@ -221,6 +223,7 @@
     }
     for (int s = 0; s < FW_SERVERS; s++) {
         Fw_Held_SetWaiting(h, servers[s], &o->waiting[s], 0);
+        Fw_Held_SetGiven(h, servers[s], &o->given[s], 0);
     }
     Fw_HeldAccount_Unref(o->account);
     o->account = NULL; /* the body may outlive the connection */
@@ -256,7 +259,7 @@
         o->account = Fw_HeldAccount_New(h);
         return;
     }
-    switch (g_rand_int_range(rand, 0, 8)) {
+    switch (g_rand_int_range(rand, 0, 9)) {
     case 0:
         owner_end(h, o);
         break;
@@ -272,6 +275,9 @@
     case 4:
         Fw_Held_SetWaiting(h, servers[server], &o->waiting[server], bytes);
         break;
+    case 5:
+        Fw_Held_SetGiven(h, servers[server], &o->given[server], bytes);
+        break;
     default:
         Fw_HeldAccount_Set(o->account, kind, &o->charged[kind],
                            bytes % 3 ? bytes : 0);
@@ -284,6 +290,7 @@
 {
     size_t kinds[FW_HELD_KINDS] = {0};
     size_t waiting[FW_SERVERS] = {0};
+    size_t given[FW_SERVERS] = {0};
     size_t used = 0;
     size_t all_waiting = 0;
     int waits = 0;
@@ -296,6 +303,7 @@
         }
         for (int s = 0; s < FW_SERVERS; s++) {
             waiting[s] += o->waiting[s];
+            given[s] += o->given[s];
         }
         kinds[FW_HELD_BODY] += o->body_bytes;
         waits += o->wait.account != NULL;
@@ -306,6 +314,10 @@
     }
     for (int s = 0; s < FW_SERVERS; s++) {
         ck_assert_uint_eq(Fw_Held_Waiting(h, servers[s]), waiting[s]);
+        ck_assert_int_eq(
+            Fw_Held_MayGive(h, servers[s], FW_SERVER_BOUND - given[s]), 1);
+        ck_assert_int_eq(
+            Fw_Held_MayGive(h, servers[s], FW_SERVER_BOUND - given[s] + 1), 0);
         all_waiting += waiting[s];
     }
     ck_assert_uint_eq(Fw_Held_Use(h)->used, used);
@@ -322,6 +334,7 @@
     struct resumed resumed = {0};
 
     Fw_Held_SetBudget(h, FW_MB);
+    Fw_Held_SetServerBound(h, FW_SERVER_BOUND);
     for (int i = 0; i < FW_OWNERS; i++) {
         owners[i].wait = (struct fw_held_wait){
             .need = FW_READ, .resume = on_resume, .ctx = &resumed};
--- a/tests/relayd/test_memory.c
+++ b/tests/relayd/test_memory.c
@@ -238,6 +238,24 @@
 }
 END_TEST
 
+/* Guards against a server that crashes of the bodies that it holds. */
+START_TEST(a_server_is_given_no_more_bodies_than_it_may_hold)
+{
+    struct slow_env env;
+
+    Fw_SlowEnv_Init(&env, 4 * FW_SLOW_MB);
+    env.router.router->opts.server_request_bytes = FW_SLOW_MB;
+    for (int i = 0; i < 20; i++) {
+        Fw_SlowEnv_Post(&env, FW_SLOW_MB / 3, 0);
+        Fw_SlowEnv_Run(&env, 20 * FW_MSEC);
+    }
+    Fw_SlowEnv_Run(&env, 200 * FW_MSEC);
+    ck_assert_int_eq(count_status(&env, 0), 3 * FW_SLOW_SERVERS);
+    ck_assert_int_eq(count_status(&env, 503), 20 - 3 * FW_SLOW_SERVERS);
+    Fw_SlowEnv_Free(&env);
+}
+END_TEST
+
 static int
 count_open(const struct slow_env *env)
 {
@@ -355,6 +373,7 @@
     tcase_add_test(tc, callers_that_pause_get_the_whole_response);
     tcase_add_loop_test(tc, requests_pass_servers_that_do_not_read, 0,
                         FW_SLOW_SERVERS + 1);
+    tcase_add_test(tc, a_server_is_given_no_more_bodies_than_it_may_hold);
     tcase_add_loop_test(tc, connections_stay_within_the_limit, 0, 2);
     tcase_add_loop_test(tc, nothing_is_held_after_random_calls, 0, 3);
     return Fw_Suite_Run(tc);
