Log one request a second that can't be held

Each request that was rejected as it could not be held wrote a warning, so a full instance filled its log. fw_held_rejected_total counts all of them.

--- a/src/relayd/memory.c
+++ b/src/relayd/memory.c
@@ -110,6 +110,18 @@
     note_level(d, now_us);
 }
 
+int
+Fw_Memory_MayLogRejection(struct fw_relayd *d)
+{
+    int64_t now = Fw_Conn_NowUs();
+
+    if (now - d->rejection_logged_us < FW_LOG_INTERVAL_US) {
+        return 0;
+    }
+    d->rejection_logged_us = now;
+    return 1;
+}
+
 static int
 is_behind(const struct fw_relayd *d, const struct fw_http_caller *caller)
 {
--- a/src/relayd/relayd.c
+++ b/src/relayd/relayd.c
@@ -93,7 +93,9 @@
 {
     char text[16];
 
-    (void)ctx;
+    if (status == 503 && !Fw_Memory_MayLogRejection(ctx)) {
+        return;
+    }
     g_snprintf(text, sizeof(text), "%d", status);
     Fw_Logger_Log(LOG_WARNING, "request_malformed", "status", text, "why", why,
                   NULL);
--- a/src/relayd/relayd_internal.h
+++ b/src/relayd/relayd_internal.h
@@ -87,6 +87,7 @@
  * struct fw_relayd - @outbox: messages to be sent to other instances.
  * @own_account: what is held for no connection
  * @held_level, @held_logged_us: the last level that was logged
+ * @rejection_logged_us: when a request that can't be held was last logged
  */
 struct fw_relayd {
     struct fw_relayd_opts opts;
@@ -99,6 +100,7 @@
     size_t charged_log;
     enum fw_held_level held_level;
     int64_t held_logged_us;
+    int64_t rejection_logged_us;
     struct fw_conn_pool *pool;
     struct fw_http_server *caller_server;
     struct fw_http_server *ready_server;
@@ -155,6 +157,12 @@
 /* Ends pauses and logs a change of what is free. */
 void
 Fw_Memory_Tick(struct fw_relayd *d, int64_t now_us);
+/*
+ * Whether a request that can't be held is logged: one a second is, the metric
+ * counts all.
+ */
+int
+Fw_Memory_MayLogRejection(struct fw_relayd *d);
 /* Pauses the upstream if the response's reader has too much to read. */
 void
 Fw_Memory_PauseIfBehind(struct fw_upstream_call *call,
