--- a/src/decide/plain_admission.c
+++ b/src/decide/plain_admission.c
@@ -156,7 +156,7 @@
 
 void
 Fw_PlainAdmission_NoteRetry(struct fw_plain_admission *a, int64_t retry_us,
-                           int64_t now_us)
+                            int64_t now_us)
 {
     int64_t slot = now_us / FW_PLAIN_RETRY_SLOT_US;
     int64_t at = (now_us + retry_us) / FW_PLAIN_RETRY_SLOT_US;
--- a/src/decide/plain_admission.h
+++ b/src/decide/plain_admission.h
@@ -153,7 +153,7 @@
 /* A rejected caller was asked to retry after @retry_us. */
 void
 Fw_PlainAdmission_NoteRetry(struct fw_plain_admission *a, int64_t retry_us,
-                           int64_t now_us);
+                            int64_t now_us);
 /*
  * Whether to send the call to the server.
  * @chance: uniform in [0, 1)
@@ -172,8 +172,8 @@
 Fw_PlainAdmission_LongestRetryUs(int64_t left_us);
 /*
  * Retry-After for a rejected call: when the backlog and the retries already
- * announced are expected to be worked off, spread, and at most the longest one. 0
- * if no retry can help.
+ * announced are expected to be worked off, spread, and at most the longest
+ * one. 0 if no retry can help.
  */
 int64_t
 Fw_PlainAdmission_RetryUs(const struct fw_plain_admission *a,
--- a/src/relay/plain_admission.c
+++ b/src/relay/plain_admission.c
@@ -97,7 +97,8 @@
     uint64_t id = Fw_Hash_Str(c->info.id);
 
     for (uint64_t i = 0;
-         c->info.id[0] && i < MIN(p->n_rejected_calls, FW_RL_REJECTED_CALLS); i++) {
+         c->info.id[0] && i < MIN(p->n_rejected_calls, FW_RL_REJECTED_CALLS);
+         i++) {
         if (p->rejected_calls[i] == id) {
             return 1;
         }
