--- a/src/relay/metrics.c
+++ b/src/relay/metrics.c
@@ -2,6 +2,31 @@
 
 #include "relay/relay_internal.h"
 
+static void
+register_histograms(struct fw_relay *r)
+{
+    struct {
+        struct fw_histogram *h;
+        const char *name;
+        const char *help;
+    } times[] = {
+        {&r->relay_metrics.queued_s, "fw_phase_queue_seconds",
+         "From a generation's arrival until an engine has room"},
+        {&r->relay_metrics.prefill_s, "fw_phase_prefill_seconds",
+         "From then until its prompt is read"},
+        {&r->relay_metrics.response_s, "fw_phase_first_seconds",
+         "From a request's arrival until its answer begins"},
+        {&r->relay_metrics.total_s, "fw_phase_whole_seconds",
+         "From a request's arrival until its answer is whole"},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(times); i++) {
+        times[i].h->name = times[i].name;
+        times[i].h->help = times[i].help;
+        Fw_Metrics_AddHistogram(&r->metrics, times[i].h);
+    }
+}
+
 void
 Fw_Relay_RegisterMetrics(struct fw_relay *r)
 {
@@ -71,20 +96,6 @@
         {&r->relay_metrics.role_held, "fw_order_role_held",
          "1 while this instance may order engines", 1},
     };
-    struct {
-        struct fw_histogram *h;
-        const char *name;
-        const char *help;
-    } times[] = {
-        {&r->relay_metrics.queued_s, "fw_phase_queue_seconds",
-         "From a generation's arrival until an engine has room"},
-        {&r->relay_metrics.prefill_s, "fw_phase_prefill_seconds",
-         "From then until its prompt is read"},
-        {&r->relay_metrics.response_s, "fw_phase_first_seconds",
-         "From a request's arrival until its answer begins"},
-        {&r->relay_metrics.total_s, "fw_phase_whole_seconds",
-         "From a request's arrival until its answer is whole"},
-    };
 
     for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
         *rows[i].m = (struct fw_metric){.name = rows[i].name,
@@ -92,11 +103,7 @@
                                         .is_gauge = rows[i].gauge};
         Fw_Metrics_Add(&r->metrics, rows[i].m);
     }
-    for (size_t i = 0; i < G_N_ELEMENTS(times); i++) {
-        times[i].h->name = times[i].name;
-        times[i].h->help = times[i].help;
-        Fw_Metrics_AddHistogram(&r->metrics, times[i].h);
-    }
+    register_histograms(r);
 }
 
 void
