--- a/src/relayd/relayd.c
+++ b/src/relayd/relayd.c
@@ -93,7 +93,9 @@
 {
     char text[16];
 
-    (void)ctx;
+    if (status == 503 && !Fw_Memory_MayLogRejection(ctx)) {
+        return;
+    }
     g_snprintf(text, sizeof(text), "%d", status);
     Fw_Logger_Log(LOG_WARNING, "request_malformed", "status", text, "why", why,
                   NULL);
@@ -162,6 +164,7 @@
     d->opts.servers_interval_us = o->servers_interval_us;
     d->opts.memory_bytes = o->memory_bytes;
     d->opts.descriptors = o->descriptors;
+    d->opts.server_request_bytes = o->server_request_bytes;
     Fw_Memory_ApplySettings(d);
     g_strlcpy(d->opts.store_addr, o->store_addr, sizeof(d->opts.store_addr));
     Fw_Relay_SetOpts(d->relay, &d->opts.relay);
