--- a/src/relay/calls.h
+++ b/src/relay/calls.h
@@ -93,7 +93,7 @@
  * @is_repeat: its caller has been rejected before
  * @spent_before_us: time that its caller had spent before, 0 if unknown
  * @is_wait_known: @expected_wait_us is set
- * @expected_wait_us: wait for a slot expected at the server that was chosen
+ * @expected_wait_us: expected wait for a slot at its server
  */
 struct fw_rl_call {
     struct fw_list link;
--- a/src/relay/service_demand.c
+++ b/src/relay/service_demand.c
@@ -1,6 +1,6 @@
 /*
  * What the relay's requests add to the demand for their services, and the
- * services whose demand instances tell each other.
+ * services whose demand instances exchange.
  */
 #include <string.h>
 
