Log which responses of servers count as not run, and their status

The log could not tell a server's own 503 that was passed on from a 200: `answered` and `cut` had no status, and nothing said why a response was taken for "not run". No logic changes.

--- a/src/relay/admission.c
+++ b/src/relay/admission.c
@@ -120,6 +120,27 @@
     }
 }
 
+/*
+ * Logs a server's response with a status that says, as one of our own, that
+ * the request has not run: whether it has is decided by the response.
+ */
+static void
+log_refusal(struct fw_relay *r, const struct fw_rl_op *op,
+            const struct fw_rl_upstream_response *ans,
+            struct fw_rl_actions *out)
+{
+    if (op->kind != FW_RL_UP_RUN || !Fw_Call_IsPromise(ans->status)) {
+        return;
+    }
+    Fw_RelayActions_Log(
+        out, r, ans->not_run ? Fw_Call_LogSeverity(r, op->call) : LOG_NOTICE,
+        "server_refused",
+        "\"id\":\"%s\",\"server\":\"%s\",\"status\":%d,\"not_run\":%d,"
+        "\"wrong_server\":%d",
+        op->call->info.id, op->server->entry.id, ans->status, ans->not_run,
+        ans->wrong_server);
+}
+
 /* A response from another server says nothing about the one called. */
 void
 Fw_Relay_ResponseHead(struct fw_relay *r, uint64_t xid,
@@ -132,6 +153,7 @@
         return;
     }
     Fw_Links_NoteResponse(r, op->server, now_us);
+    log_refusal(r, op, ans, out);
     if (!ans->wrong_server) {
         Fw_Crashes_ServerResponded(r, op->server, op->sent_us, now_us);
         note_limit(r, op->server, ans, now_us, out);
--- a/src/relay/call.c
+++ b/src/relay/call.c
@@ -213,6 +213,12 @@
                Fw_PlainAdmission_LongestRetryUs(Fw_Call_LeftUs(c, now_us)));
 }
 
+int
+Fw_Call_IsPromise(int status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 void
 Fw_Call_Reject(struct fw_relay *r, struct fw_rl_call *c, int status,
                int64_t retry_us, const char *reason, int64_t now_us,
@@ -306,12 +312,12 @@
     }
     Fw_RelayActions_Log(
         out, r, whole ? LOG_INFO : LOG_WARNING, whole ? "answered" : "cut",
-        "\"id\":\"%s\",\"route\":\"%s\",\"server\":\"%s\","
+        "\"id\":\"%s\",\"route\":\"%s\",\"server\":\"%s\",\"status\":%d,"
         "\"tries\":%d,\"room_ms\":%" G_GINT64_FORMAT
         ",\"sent_ms\":%" G_GINT64_FORMAT ",\"first_ms\":%" G_GINT64_FORMAT
         ",\"took_ms\":%" G_GINT64_FORMAT,
         c->info.id, c->route.name, c->server ? c->server->entry.id : "",
-        c->attempts, ms_since_arrival(c, c->reserved_us),
+        c->status, c->attempts, ms_since_arrival(c, c->reserved_us),
         ms_since_arrival(c, c->sent_us), ms_since_arrival(c, c->response_us),
         Fw_Relay_UsToMs(now_us - c->opened_us));
     Fw_RelayActions_Add(out, whole ? FW_RL_DO_FINISH : FW_RL_DO_ABORT)
--- a/src/relay/calls.h
+++ b/src/relay/calls.h
@@ -73,7 +73,8 @@
  * @gives_up: the reason for which it is rejected if no other instance takes
  *     it, NULL for none
  * @is_forwarded: its response has begun
- * @is_response_good: the status of its response says that it was served
+ * @status: status of the server's response, 0 if it has none
+ * @is_response_good: that status says that it was served
  * @lasting_us: tick at which its response had first lasted so long that it has
  *     not crashed its server, 0 for none
  * @has_lasted: it still did at a later tick
@@ -137,6 +138,7 @@
     int resumes;
     const char *gives_up;
     int is_forwarded;
+    int status;
     int is_response_good;
     int64_t lasting_us;
     int has_lasted;
@@ -216,6 +218,9 @@
 /* Time that the caller will wait, which may be more than to the deadline. */
 int64_t
 Fw_Call_LeftUs(const struct fw_rl_call *c, int64_t now_us);
+/* Whether @status says that the request has not run and will not. */
+int
+Fw_Call_IsPromise(int status);
 /*
  * Ends @c with an error response. A status that says that the request was not
  * run is replaced by 502 if it may have run.
--- a/src/relay/handover.c
+++ b/src/relay/handover.c
@@ -295,6 +295,7 @@
     }
     note_taker(r, op->instance, now_us);
     if (!c->is_forwarded) {
+        c->status = ans->status;
         Fw_Call_Forward(r, c, now_us, out);
     }
     Fw_Call_Finish(r, c, 1, now_us, out);
--- a/src/relay/plain.c
+++ b/src/relay/plain.c
@@ -286,6 +286,7 @@
         return;
     }
     c->ran = FW_RAN_YES;
+    c->status = ans->status;
     c->is_response_good = ans->status / 100 == 2;
     Fw_Servers_NoteResponse(op->server, ans->status >= 500, took_us);
     if (c->is_response_good) {
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -194,12 +194,14 @@
     struct fw_rl_op *op = Fw_Relay_FindOp(r, xid);
 
     if (op && op->kind == FW_RL_UP_HANDOVER) {
+        op->call->status = ans->status;
         Fw_Call_Forward(r, op->call, now_us, out);
         return;
     }
     if (!op || !op->call || op->kind != FW_RL_UP_RUN || ans->not_run) {
         return;
     }
+    op->call->status = ans->status;
     op->call->is_response_good = ans->status / 100 == 2;
     /* The server has consumed the reservation and the KV cache. */
     op->call->reservation[0] = 0;
--- a/src/relay/servers.c
+++ b/src/relay/servers.c
@@ -318,6 +318,10 @@
     if (is_in_relist_grace(r, now_us)) {
         if (!s->removal_us) {
             set_removal(r, s, r->store_recovered_us + FW_RL_RELIST_GRACE_US);
+            Fw_RelayActions_Log(
+                out, r, LOG_NOTICE, "server_unlisted",
+                "\"server\":\"%s\",\"kept_ms\":%" G_GINT64_FORMAT, s->entry.id,
+                Fw_Relay_UsToMs(s->removal_us - now_us));
         }
         return;
     }
