Show that refusals of servers are passed on as promises, and sent again

A server may answer 408, 421, 429 or 503 after it has run a request; only the field Not-Executed states that it has not. The stand-ins set that field on each of their 503, so no test or soak ever met the other case.

Its check of REFUSED takes 408 and 421 as well, and that of DRAIN counts from when a request reaches the server, not from when its caller sent it: stricter.

--- a/soak/check.c
+++ b/soak/check.c
@@ -51,12 +51,15 @@
 static void
 check_draining(struct soak_server *v, const struct soak_request *q)
 {
+    const struct soak_relay *r = &v->soak->relays[q->relay];
+    int64_t now = Fw_Soak_NowUs();
+
     if (v->draining_us &&
-        q->sent_us > v->draining_us + FW_DRAIN_US + FW_DRAIN_SLACK_US &&
-        Fw_SoakRelay_IsCalm(&v->soak->relays[q->relay], q->sent_us)) {
+        now > v->draining_us + FW_DRAIN_US + FW_DRAIN_SLACK_US &&
+        Fw_SoakRelay_IsCalm(r, q->sent_us) && Fw_SoakRelay_IsCalm(r, now)) {
         Fw_SoakCheck_Violation(
             v->soak, "DRAIN", "%s reaches %s %d ms after its entry", q->id,
-            v->opts->id, (int)((q->sent_us - v->draining_us) / FW_MSEC));
+            v->opts->id, (int)((now - v->draining_us) / FW_MSEC));
     }
 }
 
@@ -129,6 +132,13 @@
     }
 }
 
+/* Whether the status says that the request has not run and never will. */
+static int
+is_promise(int status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 static void
 started(struct soak_server *v, struct soak_request *q)
 {
@@ -141,7 +151,7 @@
         Fw_SoakCheck_Violation(s, "ONCE", "%s runs again, at %s", q->id,
                                v->opts->id);
     }
-    if (q->is_ended && q->is_whole && (q->status == 503 || q->status == 429)) {
+    if (q->is_ended && q->is_whole && is_promise(q->status)) {
         Fw_SoakCheck_Violation(s, "REFUSED", "%s runs after status %d", q->id,
                                q->status);
     }
@@ -268,7 +278,7 @@
         Fw_SoakCheck_Violation(s, "MIXED", "%s gets a body that isn't whole",
                                q->id);
     }
-    if ((q->status == 503 || q->status == 429) && q->runs) {
+    if (is_promise(q->status) && q->runs) {
         Fw_SoakCheck_Violation(s, "REFUSED", "%s has run, status %d", q->id,
                                q->status);
     }
--- a/soak/plan.c
+++ b/soak/plan.c
@@ -10,6 +10,9 @@
 #define FW_GAP_MAX_MS 1500
 #define FW_SHORTEST_MS 200
 #define FW_LONGEST_MS 5000
+/* Between two servers that refuse without a mark, or whose entry goes. */
+#define FW_REFUSAL_GAP_MIN_MS 500
+#define FW_REFUSAL_GAP_MAX_MS 4000
 /* Time that a server serves on after it has said that it leaves. */
 #define FW_LEAVING_MS 4500
 #define FW_FAULTED_REQUESTS 20
@@ -55,6 +58,8 @@
     FW_SERVER_LIMIT,
     FW_SERVER_REST,
     FW_SERVER_LEAVES,
+    FW_SERVER_UNMARKED,
+    FW_SERVER_REMOVED,
     FW_KEY_WITHDRAWN,
     FW_CRASHING_PART,
     FW_CROWD,
@@ -71,8 +76,8 @@
     "server resets", "server full",     "server errors",
     "server stalls", "server partial",  "server empty",
     "server breaks", "server limit",    "server rest",
-    "server leaves", "key withdrawn",   "crashing part",
-    "crowd"};
+    "server leaves", "server unmarked", "server removed",
+    "key withdrawn", "crashing part",   "crowd"};
 
 /**
  * struct entry - a fault.
@@ -104,6 +109,8 @@
         return FW_WIRE_FAULT_TRUNCATE;
     case FW_SERVER_EMPTY:
         return FW_WIRE_FAULT_EMPTY;
+    case FW_SERVER_UNMARKED:
+        return FW_WIRE_FAULT_UNMARKED;
     default:
         return FW_WIRE_FAULT_PARTIAL;
     }
@@ -239,6 +246,10 @@
         v->draining_us = now;
         Fw_WireServer_SetDraining(v->stand);
         break;
+    case FW_SERVER_REMOVED:
+        v->draining_us = now;
+        Fw_WireServer_Unregister(v->stand);
+        break;
     case FW_SERVER_LIMIT:
         v->limit_us = now;
         v->limit = 0.5 + (double)(e->for_ms % 60) / 10;
@@ -257,6 +268,7 @@
     case FW_SERVER_PARTIAL:
     case FW_SERVER_EMPTY:
     case FW_SERVER_BREAKS:
+    case FW_SERVER_UNMARKED:
         v->disturbed_us = FW_SOAK_ONGOING;
         Fw_WireServer_SetFault(v->stand, wire_fault(e->fault),
                                FW_FAULTED_REQUESTS);
@@ -291,6 +303,7 @@
 
     switch (e->fault) {
     case FW_SERVER_DRAIN:
+    case FW_SERVER_REMOVED:
     case FW_SERVER_LEAVES:
         v->disturbed_us = Fw_Soak_NowUs();
         Fw_SoakWorld_RestartServer(v);
@@ -323,7 +336,7 @@
 static int
 is_server_fault(enum fault f)
 {
-    return f >= FW_SERVER_KILL && f <= FW_SERVER_LEAVES;
+    return f >= FW_SERVER_KILL && f <= FW_SERVER_REMOVED;
 }
 
 static gboolean
@@ -429,6 +442,7 @@
     case FW_CROWD:
         return (guint)g_rand_int_range(s->rand, 6000, 9000);
     case FW_SERVER_DRAIN:
+    case FW_SERVER_REMOVED:
     case FW_SERVER_LEAVES:
         return FW_LEAVING_MS;
     default:
@@ -473,11 +487,40 @@
         s->rand, 0, is_server_fault(f) ? FW_SOAK_SERVERS : s->n_relays);
 }
 
+/*
+ * A series of its own, so that the faults above are those that a seed has
+ * always had.
+ */
+static void
+plan_refusals_and_removals(struct soak *s, int64_t ms)
+{
+    GRand *rand = g_rand_new_with_seed(s->seed);
+    int64_t at = FW_FIRST_MS;
+
+    while (at < ms - FW_QUIET_MS) {
+        struct entry *e = g_new0(struct entry, 1);
+
+        e->soak = s;
+        e->fault =
+            g_rand_boolean(rand) ? FW_SERVER_UNMARKED : FW_SERVER_REMOVED;
+        e->target = g_rand_int_range(rand, FW_SOAK_PREFILL, FW_SOAK_SERVERS);
+        e->for_ms =
+            e->fault == FW_SERVER_REMOVED
+                ? FW_LEAVING_MS
+                : (guint)g_rand_int_range(rand, FW_SHORTEST_MS, FW_LONGEST_MS);
+        g_timeout_add((guint)at, begin_fault, e);
+        at += g_rand_int_range(rand, FW_REFUSAL_GAP_MIN_MS,
+                               FW_REFUSAL_GAP_MAX_MS);
+    }
+    g_rand_free(rand);
+}
+
 void
 Fw_SoakPlan_Start(struct soak *s, int64_t ms)
 {
     int64_t at = FW_FIRST_MS;
 
+    plan_refusals_and_removals(s, ms);
     while (at < ms - FW_QUIET_MS) {
         struct entry *e = g_new0(struct entry, 1);
 
--- a/stand/wire/internal.h
+++ b/stand/wire/internal.h
@@ -42,6 +42,7 @@
  * @kv_handles: name to struct kv_lease: prefilled KV caches
  * @last_head: head of the request started last
  * @faults_left: requests that @fault is still injected into
+ * @n_unmarked: answers by FW_WIRE_FAULT_UNMARKED so far
  * @active_tokens: KV tokens of @runs
  * @order_sequence: number of orders executed
  * @highest_fence: highest fencing token of an order
@@ -71,6 +72,7 @@
     enum fw_wire_framing framing;
     int faults_left;
     int fault_triggered;
+    int n_unmarked;
     int started_count;
     int64_t active_tokens;
     int64_t order_sequence;
--- a/stand/wire/run.c
+++ b/stand/wire/run.c
@@ -121,6 +121,19 @@
         g_timeout_add((guint)r->server->opts.event_interval_ms, send_event, r);
 }
 
+static void
+answer_unmarked(struct run *r)
+{
+    static const int statuses[] = {503, 429, 421, 408};
+    char *fields = response_fields(r, "text/plain");
+
+    Fw_Caller_Respond(
+        r->caller,
+        statuses[r->server->n_unmarked++ % (int)G_N_ELEMENTS(statuses)],
+        fields, "");
+    g_free(fields);
+}
+
 static void
 answer_text(struct run *r)
 {
@@ -158,6 +171,11 @@
         Fw_Wire_EndRun(r);
         return G_SOURCE_REMOVE;
     }
+    if (r->fault == FW_WIRE_FAULT_UNMARKED) {
+        answer_unmarked(r);
+        Fw_Wire_EndRun(r);
+        return G_SOURCE_REMOVE;
+    }
     if (r->event_count) {
         start_stream(r);
         return G_SOURCE_REMOVE;
--- a/stand/wire/server.c
+++ b/stand/wire/server.c
@@ -334,6 +334,12 @@
     Fw_Wire_Register(s);
 }
 
+void
+Fw_WireServer_Unregister(struct fw_wire_server *s)
+{
+    Fw_WireStore_Put(s->store, "keyed.servers", s->id, NULL);
+}
+
 int
 Fw_WireServer_StartedCount(const struct fw_wire_server *s)
 {
--- a/stand/wire/wire.h
+++ b/stand/wire/wire.h
@@ -59,6 +59,8 @@
     FW_WIRE_FAULT_MOVED,    /* rejects it with 421 and Not-Executed */
     FW_WIRE_FAULT_STALL,    /* starts it and never answers */
     FW_WIRE_FAULT_PARTIAL,  /* ends the response inside the fourth event */
+    FW_WIRE_FAULT_UNMARKED, /* runs it and answers 408, 421, 429 or 503 in
+                               turn, without Not-Executed */
     FW_WIRE_FAULT_EMPTY,    /* ends an unframed stream before its first event,
                                and others like FW_WIRE_FAULT_PARTIAL */
 };
@@ -160,6 +162,9 @@
 /* Registers the server as draining; it still accepts requests. */
 void
 Fw_WireServer_SetDraining(struct fw_wire_server *s);
+/* Deletes the server's entry; it still accepts requests. */
+void
+Fw_WireServer_Unregister(struct fw_wire_server *s);
 /* Requests started so far. */
 int
 Fw_WireServer_StartedCount(const struct fw_wire_server *s);
