Believe that a request has not run only if its server states it

Any 421 counted as "not run", and the instance sent the request to the next server. A 421 is what another server at a reused address answers; it says so by its Instance-Id, or by Not-Executed. A server that has run the request may answer 421 too, and states neither.

A response now states that the request has not run if it is an error, bears the request's id, and has Not-Executed or is a 421 of a server other than the one that was meant. The id is asked for because bytes of an earlier response on a kept connection belong to no request.

--- a/src/relayd/relayd_internal.h
+++ b/src/relayd/relayd_internal.h
@@ -34,6 +34,7 @@
  * @xid: id of the call
  * @caller_request_id: id in struct fw_caller_request, 0 when the call serves
  *                     no caller
+ * @server: id of the server that it is meant for, empty for another instance
  * @fields: header lines to forward to the caller
  * @content_length: bytes of the response's body, -1 if unknown
  * @body: part of the response that is buffered
@@ -61,6 +62,7 @@
     uint64_t caller_request_id;
     enum fw_rl_upstream_kind kind;
     char request_id[FW_ID_MAX];
+    char server[FW_NAME_MAX];
     struct fw_exchange *exchange;
     struct fw_rl_upstream_response answer;
     GString *fields;
--- a/src/relayd/upstream.c
+++ b/src/relayd/upstream.c
@@ -34,6 +34,14 @@
     call->last_chunk_us = now;
 }
 
+/* Whether the request of a caller is sent. */
+static int
+carries_request(enum fw_rl_upstream_kind kind)
+{
+    return kind == FW_RL_UP_RUN || kind == FW_RL_UP_PREFILL ||
+           kind == FW_RL_UP_HANDOVER;
+}
+
 /* Whether the caller is sent the response. */
 static int
 answers_caller(const struct fw_upstream_call *call)
@@ -217,7 +225,9 @@
         !Fw_Platform_ResponseMatches(h, call->request_id)) {
         return FW_HEAD_DISCARD;
     }
-    Fw_Platform_ParseResponseHead(h, &call->answer);
+    Fw_Platform_ParseResponseHead(
+        h, carries_request(call->kind) ? call->request_id : "", call->server,
+        &call->answer);
     notify_head(call);
     call->fields = forwarded_fields(h);
     charge_response(call);
@@ -315,14 +325,6 @@
     .fail = on_fail,
 };
 
-/* Whether the request of a caller is sent. */
-static int
-carries_request(enum fw_rl_upstream_kind kind)
-{
-    return kind == FW_RL_UP_RUN || kind == FW_RL_UP_PREFILL ||
-           kind == FW_RL_UP_HANDOVER;
-}
-
 static int
 may_wait(const struct fw_relayd *d, const struct fw_rl_upstream_call *c,
          const GString *head, GBytes *body)
@@ -384,6 +386,7 @@
     call->xid = c->xid;
     call->caller_request_id = c->call;
     call->kind = c->kind;
+    g_strlcpy(call->server, c->server, sizeof(call->server));
     call->buffered = c->buffer_response;
     call->is_streaming = c->is_streaming;
     call->content_length = -1;
--- a/stand/wire/internal.h
+++ b/stand/wire/internal.h
@@ -102,6 +102,9 @@
 void
 Fw_Wire_Notify(const struct fw_wire_server *s, enum fw_wire_event event,
                const struct fw_http_head *h);
+/* Appends the id of the request with the head @h, if it has one. */
+void
+Fw_Wire_AppendRequestId(const struct fw_http_head *h, GString *fields);
 /* Appends the fields that all responses of the server have. */
 void
 Fw_Wire_AppendOwnFields(const struct fw_wire_server *s, GString *fields);
--- a/stand/wire/run.c
+++ b/stand/wire/run.c
@@ -24,7 +24,7 @@
     GString *fields = g_string_new("Not-Executed: 1\r\n");
 
     Fw_Wire_Notify(s, FW_WIRE_REJECTED, h);
-
+    Fw_Wire_AppendRequestId(h, fields);
     Fw_Wire_AppendOwnFields(s, fields);
     Fw_Caller_Respond(c, status, fields->str, "");
     g_string_free(fields, TRUE);
--- a/stand/wire/server.c
+++ b/stand/wire/server.c
@@ -80,6 +80,17 @@
     return name;
 }
 
+void
+Fw_Wire_AppendRequestId(const struct fw_http_head *h, GString *fields)
+{
+    char *id = Fw_Wire_CopyField(h, "Request-Id");
+
+    if (id[0]) {
+        g_string_append_printf(fields, "Request-Id: %s\r\n", id);
+    }
+    g_free(id);
+}
+
 void
 Fw_Wire_AppendOwnFields(const struct fw_wire_server *s, GString *fields)
 {
@@ -116,7 +127,11 @@
 
     g_free(wanted);
     if (other) {
-        Fw_Caller_Respond(c, 421, "Instance-Id: other\r\n", "");
+        GString *fields = g_string_new("Instance-Id: other\r\n");
+
+        Fw_Wire_AppendRequestId(h, fields);
+        Fw_Caller_Respond(c, 421, fields->str, "");
+        g_string_free(fields, TRUE);
     }
     else {
         int64_t now = Fw_Conn_NowUs();
--- a/tests/platform/test_server_fields.c
+++ b/tests/platform/test_server_fields.c
@@ -41,7 +41,7 @@
 
     ck_assert_int_gt(
         Fw_Http_ParseHead(FW_HTTP_RESPONSE, text, strlen(text), &h), 0);
-    Fw_Platform_ParseResponseHead(&h, &ans);
+    Fw_Platform_ParseResponseHead(&h, "", "", &ans);
     ck_assert_int_eq(ans.limit_milli, t->want_milli);
     ck_assert_int_eq(ans.invalid_limit, t->invalid);
     Fw_Http_ClearHead(&h);
@@ -84,7 +84,7 @@
 
     ck_assert_int_gt(
         Fw_Http_ParseHead(FW_HTTP_RESPONSE, text, strlen(text), &h), 0);
-    Fw_Platform_ParseResponseHead(&h, &ans);
+    Fw_Platform_ParseResponseHead(&h, "", "", &ans);
     ck_assert_int_eq(ans.rest_us, t->want_ms * FW_MSEC);
     ck_assert_int_eq(ans.invalid_rest, t->invalid);
     Fw_Http_ClearHead(&h);
@@ -116,7 +116,7 @@
 
     ck_assert_int_gt(
         Fw_Http_ParseHead(FW_HTTP_RESPONSE, text, strlen(text), &h), 0);
-    Fw_Platform_ParseResponseHead(&h, &ans);
+    Fw_Platform_ParseResponseHead(&h, "", "", &ans);
     ck_assert_int_eq(ans.leaving, t->want);
     ck_assert_int_eq(ans.invalid_leaving, t->invalid);
     Fw_Http_ClearHead(&h);
@@ -124,6 +124,45 @@
 }
 END_TEST
 
+/** struct refusal_case - a response to request "r1" for server "s1". */
+struct refusal_case {
+    int status;
+    const char *fields;
+    int want;
+};
+
+static const struct refusal_case refusal_cases[] = {
+    {503, "Request-Id: r1\r\nNot-Executed: 1\r\n", 1},
+    {429, "request-id: r1\r\nnot-executed: 1\r\n", 1},
+    {421, "Request-Id: r1\r\nInstance-Id: s2\r\n", 1},
+    {421, "Request-Id: r1\r\nInstance-Id: s1\r\n", 0},
+    {421, "Request-Id: r1\r\nInstance-Id:\r\n", 0},
+    {421, "Request-Id: r1\r\n", 0},
+    {503, "Request-Id: r1\r\nInstance-Id: s2\r\n", 0},
+    {503, "Request-Id: r1\r\nRetry-After: 1\r\n", 0},
+    {503, "Request-Id: r2\r\nNot-Executed: 1\r\n", 0},
+    {503, "Not-Executed: 1\r\n", 0},
+    {200, "Request-Id: r1\r\nNot-Executed: 1\r\n", 0},
+};
+
+/* Guards against a request that is sent again although it has run. */
+START_TEST(only_a_server_that_states_it_has_not_run_a_request)
+{
+    const struct refusal_case *t = &refusal_cases[_i];
+    char *text =
+        g_strdup_printf("HTTP/1.1 %d X\r\n%s\r\n", t->status, t->fields);
+    struct fw_rl_upstream_response ans;
+    struct fw_http_head h;
+
+    ck_assert_int_gt(
+        Fw_Http_ParseHead(FW_HTTP_RESPONSE, text, strlen(text), &h), 0);
+    Fw_Platform_ParseResponseHead(&h, "r1", "s1", &ans);
+    ck_assert_int_eq(ans.not_run, t->want);
+    Fw_Http_ClearHead(&h);
+    g_free(text);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -133,6 +172,8 @@
                         G_N_ELEMENTS(limit_cases));
     tcase_add_loop_test(tc, times_of_rest_are_parsed, 0,
                         G_N_ELEMENTS(rest_cases));
+    tcase_add_loop_test(tc, only_a_server_that_states_it_has_not_run_a_request,
+                        0, G_N_ELEMENTS(refusal_cases));
     tcase_add_loop_test(tc, servers_that_leave_are_recognized, 0,
                         G_N_ELEMENTS(leaving_cases));
     return Fw_Suite_Run(tc);
--- a/tests/relayd/test_server_refusals.c
+++ b/tests/relayd/test_server_refusals.c
@@ -33,6 +33,8 @@
     {"POST /order/x", "421 Misdirected Request", "Not-Executed: 1\r\n", "503"},
     {"POST /order/x", "421 Misdirected Request", "Instance-Id: other\r\n",
      "503"},
+    {"POST /order/x", "421 Misdirected Request",
+     "Not-Executed: 1\r\nInstance-Id: raw\r\n", "503"},
     {"POST /order/x", "500 Error", FW_STAMP, "500"},
     {"POST /order/x", "504 Timeout", FW_STAMP, "504"},
     {"POST /order/x", "200 OK", FW_STAMP "Not-Executed: 1\r\n", "200"},
