Answer 502 when a server refuses a request that it may have run

To a caller these statuses are a promise, and callers repeat after them, so that each can give one more run under a new id.

What a status promises, and whether it is true of what is known of the request, is now decided in one place (decide/refusal). A server's refusal that doesn't state that the request has not run counts as an attempt of unknown outcome: what may be repeated goes to another server, all else ends with 502, without the server's stamp. The router's own rejections go through the same check, which now knows 408 and 421 too and takes a call that is still at its server into account; and so does the answer of an instance that a request was handed over to after another one was lost with it.

--- a/src/relay/admission.c
+++ b/src/relay/admission.c
@@ -4,6 +4,7 @@
  * depends on what the servers say about themselves in their responses.
  */
 #include "base/fault.h"
+#include "decide/refusal.h"
 #include "relay/relay_internal.h"
 
 int
@@ -129,7 +130,7 @@
             const struct fw_rl_upstream_response *ans,
             struct fw_rl_actions *out)
 {
-    if (op->kind != FW_RL_UP_RUN || !Fw_Call_IsPromise(ans->status)) {
+    if (op->kind != FW_RL_UP_RUN || !Fw_Refusal_IsPromise(ans->status)) {
         return;
     }
     Fw_RelayActions_Log(
--- a/src/relay/call.c
+++ b/src/relay/call.c
@@ -6,6 +6,7 @@
 
 #include "base/hash.h"
 #include "decide/plain_admission.h"
+#include "decide/refusal.h"
 #include "relay/relay_internal.h"
 
 static struct fw_rl_op *
@@ -213,10 +214,12 @@
                Fw_PlainAdmission_LongestRetryUs(Fw_Call_LeftUs(c, now_us)));
 }
 
-int
-Fw_Call_IsPromise(int status)
+/* Whether @c has been sent to where it runs, and has no response yet. */
+static int
+is_at_server(const struct fw_rl_call *c)
 {
-    return status == 408 || status == 421 || status == 429 || status == 503;
+    return c->op &&
+           (c->op->kind == FW_RL_UP_RUN || c->op->kind == FW_RL_UP_HANDOVER);
 }
 
 void
@@ -227,8 +230,10 @@
     struct fw_rl_action *a;
     char wait[32] = "";
 
-    /* 429 and 503 guarantee that the request has not run and will not. */
-    if (c->ran != FW_RAN_NO && (status == 503 || status == 429)) {
+    if (is_at_server(c)) {
+        c->ran = MAX(c->ran, FW_RAN_MAYBE);
+    }
+    if (!Fw_Refusal_IsTrue(status, c->ran)) {
         status = 502;
     }
     Fw_Relay_CountRejection(r, reason);
--- a/src/relay/calls.h
+++ b/src/relay/calls.h
@@ -218,9 +218,6 @@
 /* Time that the caller will wait, which may be more than to the deadline. */
 int64_t
 Fw_Call_LeftUs(const struct fw_rl_call *c, int64_t now_us);
-/* Whether @status says that the request has not run and will not. */
-int
-Fw_Call_IsPromise(int status);
 /*
  * Ends @c with an error response. A status that says that the request was not
  * run is replaced by 502 if it may have run.
@@ -316,6 +313,10 @@
 Fw_Plain_HandleResponse(struct fw_relay *r, struct fw_rl_op *op,
                         const struct fw_rl_upstream_response *ans,
                         int64_t now_us, struct fw_rl_actions *out);
+/* Ends @op, whose server refused the request, but may have run it. */
+void
+Fw_Plain_HandleRefusal(struct fw_relay *r, struct fw_rl_op *op, int64_t now_us,
+                       struct fw_rl_actions *out);
 void
 Fw_Plain_HandleFailure(struct fw_relay *r, struct fw_rl_op *op, int err,
                        int sent, int64_t now_us, struct fw_rl_actions *out);
@@ -344,6 +345,10 @@
 Fw_Stream_HandleResponse(struct fw_relay *r, struct fw_rl_op *op,
                          const struct fw_rl_upstream_response *ans,
                          int64_t now_us, struct fw_rl_actions *out);
+/* Ends @op, whose engine refused the run, but may have begun it. */
+void
+Fw_Stream_HandleRefusal(struct fw_relay *r, struct fw_rl_op *op,
+                        int64_t now_us, struct fw_rl_actions *out);
 void
 Fw_Stream_HandleFailure(struct fw_relay *r, struct fw_rl_op *op, int err,
                         int sent, int64_t now_us, struct fw_rl_actions *out);
@@ -415,6 +420,11 @@
 Fw_Handover_Rescue(struct fw_relay *r, struct fw_rl_call *c,
                    const char *gives_up, int64_t now_us,
                    struct fw_rl_actions *out);
+/* The other instance's response is passed on from now on. */
+void
+Fw_Handover_BeginResponse(struct fw_relay *r, struct fw_rl_op *op,
+                          const struct fw_rl_upstream_response *ans,
+                          int64_t now_us, struct fw_rl_actions *out);
 void
 Fw_Handover_HandleResponse(struct fw_relay *r, struct fw_rl_op *op,
                            const struct fw_rl_upstream_response *ans,
--- a/src/relay/handover.c
+++ b/src/relay/handover.c
@@ -10,6 +10,7 @@
 
 #include "base/fault.h"
 #include "base/hash.h"
+#include "decide/refusal.h"
 #include "relay/relay_internal.h"
 
 /* Instances that one request is handed to, one after the other. */
@@ -280,6 +281,26 @@
     }
 }
 
+/*
+ * The other instance's promise holds for what it has done itself: an instance
+ * that was lost with the request before may have had it run.
+ */
+void
+Fw_Handover_BeginResponse(struct fw_relay *r, struct fw_rl_op *op,
+                          const struct fw_rl_upstream_response *ans,
+                          int64_t now_us, struct fw_rl_actions *out)
+{
+    struct fw_rl_call *c = op->call;
+
+    c->status = ans->status;
+    if (Fw_Refusal_IsTrue(ans->status, c->ran)) {
+        Fw_Call_Forward(r, c, now_us, out);
+    }
+    else {
+        Fw_Call_Reject(r, c, 502, 0, "instance_refused", now_us, out);
+    }
+}
+
 void
 Fw_Handover_HandleResponse(struct fw_relay *r, struct fw_rl_op *op,
                            const struct fw_rl_upstream_response *ans,
@@ -295,8 +316,12 @@
     }
     note_taker(r, op->instance, now_us);
     if (!c->is_forwarded) {
-        c->status = ans->status;
-        Fw_Call_Forward(r, c, now_us, out);
+        uint64_t xid = op->xid;
+
+        Fw_Handover_BeginResponse(r, op, ans, now_us, out);
+        if (!Fw_Relay_FindOp(r, xid)) {
+            return; /* @c was rejected */
+        }
     }
     Fw_Call_Finish(r, c, 1, now_us, out);
 }
--- a/src/relay/plain.c
+++ b/src/relay/plain.c
@@ -311,6 +311,24 @@
     Fw_Call_Finish(r, c, 1, now_us, out);
 }
 
+void
+Fw_Plain_HandleRefusal(struct fw_relay *r, struct fw_rl_op *op, int64_t now_us,
+                       struct fw_rl_actions *out)
+{
+    struct fw_rl_call *c = op->call;
+    struct fw_rl_server *next;
+
+    Fw_Op_End(r, op);
+    c->ran = MAX(c->ran, FW_RAN_MAYBE);
+    next = may_retry(c) ? take_retry_server(r, c, now_us, out) : NULL;
+    if (next) {
+        retry(r, c, next, "server refused", now_us, out);
+    }
+    else {
+        Fw_Call_Reject(r, c, 502, 0, "server_refused", now_us, out);
+    }
+}
+
 void
 Fw_Plain_HandleFailure(struct fw_relay *r, struct fw_rl_op *op, int err,
                        int sent, int64_t now_us, struct fw_rl_actions *out)
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -4,6 +4,7 @@
 
 #include "base/fault.h"
 #include "base/hash.h"
+#include "decide/refusal.h"
 #include "relay/relay_internal.h"
 
 /* Default interval between digests, and between reports. */
@@ -186,6 +187,38 @@
     return op->call->kv_tokens > 0;
 }
 
+/*
+ * A server's response whose status promises that the request has not run,
+ * which the server doesn't state. Passed on, it would be taken for a promise.
+ */
+static int
+is_unstated_refusal(const struct fw_rl_op *op,
+                    const struct fw_rl_upstream_response *ans)
+{
+    return op->kind == FW_RL_UP_RUN && op->call && !op->call->is_forwarded &&
+           !ans->not_run && Fw_Refusal_IsPromise(ans->status) &&
+           !FW_FAULT("refusals-believed");
+}
+
+static void
+handle_unstated_refusal(struct fw_relay *r, struct fw_rl_op *op,
+                        const struct fw_rl_upstream_response *ans,
+                        int64_t now_us, struct fw_rl_actions *out)
+{
+    op->call->status = ans->status;
+    Fw_Servers_NoteResponse(op->server, 1, -1);
+    if (ans->wrong_server) {
+        Fw_Servers_NoteUnreachable(op->server, now_us);
+    }
+    Fw_RelayActions_Add(out, FW_RL_DO_CANCEL_CALL)->u.xid = op->xid;
+    if (is_stream(op)) {
+        Fw_Stream_HandleRefusal(r, op, now_us, out);
+    }
+    else {
+        Fw_Plain_HandleRefusal(r, op, now_us, out);
+    }
+}
+
 void
 Fw_Relay_ResponseBegan(struct fw_relay *r, uint64_t xid,
                        const struct fw_rl_upstream_response *ans,
@@ -194,13 +227,16 @@
     struct fw_rl_op *op = Fw_Relay_FindOp(r, xid);
 
     if (op && op->kind == FW_RL_UP_HANDOVER) {
-        op->call->status = ans->status;
-        Fw_Call_Forward(r, op->call, now_us, out);
+        Fw_Handover_BeginResponse(r, op, ans, now_us, out);
         return;
     }
     if (!op || !op->call || op->kind != FW_RL_UP_RUN || ans->not_run) {
         return;
     }
+    if (is_unstated_refusal(op, ans)) {
+        handle_unstated_refusal(r, op, ans, now_us, out);
+        return;
+    }
     op->call->status = ans->status;
     op->call->is_response_good = ans->status / 100 == 2;
     /* The server has consumed the reservation and the KV cache. */
@@ -235,6 +271,9 @@
     if (!op->call) {
         Fw_StageOrder_HandleResponse(r, op, ans, now_us, out);
     }
+    else if (is_unstated_refusal(op, ans)) {
+        handle_unstated_refusal(r, op, ans, now_us, out);
+    }
     else if (is_stream(op)) {
         Fw_Stream_HandleResponse(r, op, ans, now_us, out);
     }
--- a/src/relay/stream_outcome.c
+++ b/src/relay/stream_outcome.c
@@ -102,33 +102,52 @@
     Fw_Servers_Unref(s);
 }
 
+/* @c may have run at its engine, of which nothing has reached the caller. */
+static void
+run_lost(struct fw_relay *r, struct fw_rl_call *c, const char *reason,
+         int64_t now_us, struct fw_rl_actions *out)
+{
+    c->ran = MAX(c->ran, FW_RAN_MAYBE);
+    c->reservation[0] = 0;
+    c->kv_handle[0] = 0;
+    if (now_us >= c->deadline_us) {
+        Fw_Call_Reject(r, c, 504, 0, "timeout", now_us, out);
+    }
+    else if (c->route.resumable && c->attempts < c->route.attempts) {
+        Fw_Stream_Restart(r, c, reason, now_us, out);
+    }
+    else {
+        Fw_Call_Reject(r, c, 502, 0, reason, now_us, out);
+    }
+}
+
 static void
 run_failed(struct fw_relay *r, struct fw_rl_call *c, int sent, int64_t now_us,
            struct fw_rl_actions *out)
 {
     if (c->is_forwarded) {
         Fw_Call_Finish(r, c, 0, now_us, out);
-        return;
     }
-    if (!sent) {
+    else if (!sent) {
         c->attempts--;
         Fw_Stream_Restart(r, c, "engine_unreachable", now_us, out);
-        return;
-    }
-    c->ran = FW_RAN_MAYBE;
-    c->reservation[0] = 0;
-    c->kv_handle[0] = 0;
-    if (now_us >= c->deadline_us) {
-        Fw_Call_Reject(r, c, 504, 0, "timeout", now_us, out);
-    }
-    else if (c->route.resumable && c->attempts < c->route.attempts) {
-        Fw_Stream_Restart(r, c, "engine_lost", now_us, out);
     }
     else {
-        Fw_Call_Reject(r, c, 502, 0, "engine_lost", now_us, out);
+        run_lost(r, c, "engine_lost", now_us, out);
     }
 }
 
+void
+Fw_Stream_HandleRefusal(struct fw_relay *r, struct fw_rl_op *op,
+                        int64_t now_us, struct fw_rl_actions *out)
+{
+    struct fw_rl_call *c = op->call;
+
+    Fw_Op_End(r, op);
+    c->calls_received++;
+    run_lost(r, c, "engine_refused", now_us, out);
+}
+
 void
 Fw_Stream_HandleFailure(struct fw_relay *r, struct fw_rl_op *op, int err,
                         int sent, int64_t now_us, struct fw_rl_actions *out)
