Answer the requests that are still open when a stop ends

To a client, a kept channel that closes without a byte is what an unread request looks like, and then it sends an order again under a new id, although a server had the first.

400 ms before the end of the grace period each open request now gets its answer: 503 if no server has it, else 502; a response that has begun is reset, as before. 150 ms are left for the answers to be read.

That callers repeated for this reason on the users' machines is suspected, not shown: the record has no line on it.

--- a/src/relay/open.c
+++ b/src/relay/open.c
@@ -372,6 +372,42 @@
     }
 }
 
+/* The next request to end: those that wait first, as they may get room else.
+ */
+static struct fw_rl_call *
+next_open(const struct fw_relay *r)
+{
+    struct fw_list *pos;
+
+    FW_LIST_EACH (pos, &r->call_list) {
+        struct fw_rl_call *c = FW_LIST_ENTRY(pos, struct fw_rl_call, link);
+
+        if (!c->op && !c->is_forwarded) {
+            return c;
+        }
+    }
+    return Fw_List_Empty(&r->call_list)
+               ? NULL
+               : FW_LIST_ENTRY(r->call_list.next, struct fw_rl_call, link);
+}
+
+void
+Fw_Relay_EndRequests(struct fw_relay *r, int64_t now_us,
+                     struct fw_rl_actions *out)
+{
+    struct fw_rl_call *c;
+
+    while ((c = next_open(r))) {
+        if (c->is_forwarded) {
+            Fw_Call_Finish(r, c, 0, now_us, out);
+        }
+        else {
+            Fw_Call_Reject(r, c, 503, FW_RETRY_ELSEWHERE_US, "stopping",
+                           now_us, out);
+        }
+    }
+}
+
 void
 Fw_Relay_CallerLeft(struct fw_relay *r, uint64_t call, int64_t now_us,
                     struct fw_rl_actions *out)
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -324,6 +324,14 @@
 Fw_Relay_CallerLeft(struct fw_relay *r, uint64_t call, int64_t now_us,
                     struct fw_rl_actions *out);
 
+/*
+ * Answers the requests that are still open, as the process is about to end,
+ * and aborts the responses that have begun.
+ */
+void
+Fw_Relay_EndRequests(struct fw_relay *r, int64_t now_us,
+                     struct fw_rl_actions *out);
+
 /* The headers of any response were received; called once for each. */
 void
 Fw_Relay_ResponseHead(struct fw_relay *r, uint64_t xid,
--- a/src/relayd/relayd.c
+++ b/src/relayd/relayd.c
@@ -15,8 +15,12 @@
  * second and sends connections until two checks have failed.
  */
 #define FW_DRAIN_MIN_US (2500 * FW_MSEC)
-/* Part of the grace period that is reserved for exiting. */
-#define FW_GRACE_MARGIN_US (400 * FW_MSEC)
+/*
+ * Parts of the grace period that are reserved for answering the requests which
+ * are still open, and for exiting.
+ */
+#define FW_ANSWER_MARGIN_US (400 * FW_MSEC)
+#define FW_EXIT_MARGIN_US (250 * FW_MSEC)
 /* A longer time between two ticks is logged. */
 #define FW_LOOP_STALL_US (500 * FW_MSEC)
 /* Interval of checks for a changed settings file. */
@@ -218,9 +222,31 @@
     Fw_Relayd_ExecuteActions(d, &acts);
 }
 
+/*
+ * A caller whose connection ends without an answer can't know whether its
+ * request was read.
+ */
+static void
+answer_open_requests(struct fw_relayd *d, int64_t now)
+{
+    struct fw_rl_actions acts;
+
+    Fw_RelayActions_Init(&acts);
+    Fw_Relay_EndRequests(d->relay, now, &acts);
+    Fw_Relayd_ExecuteActions(d, &acts);
+}
+
+static int
+is_busy(const struct fw_relayd *d)
+{
+    return Fw_Server_CountBusy(d->caller_server) ||
+           Fw_Server_CountBusy(d->peer_server);
+}
+
 static void
 check_stopped(struct fw_relayd *d, int64_t now)
 {
+    int64_t grace_us = d->opts.relay.grace_us;
     int64_t past = now - d->drain_start_us;
 
     if (d->drain_start_us && FW_FAULT("stop-at-once")) {
@@ -230,9 +256,10 @@
         return;
     }
     Fw_Server_CloseIdle(d->caller_server);
-    if ((!Fw_Server_CountBusy(d->caller_server) &&
-         !Fw_Server_CountBusy(d->peer_server)) ||
-        past >= d->opts.relay.grace_us - FW_GRACE_MARGIN_US) {
+    if (past >= grace_us - FW_ANSWER_MARGIN_US) {
+        answer_open_requests(d, now);
+    }
+    if (!is_busy(d) || past >= grace_us - FW_EXIT_MARGIN_US) {
         d->stopped = 1;
         g_main_context_wakeup(NULL);
     }
