Reuse a kept connection only if nothing waits on it

A kept connection to a server was taken for the next request without a look at the kernel.

The pool now asks the kernel, and drops connections that are readable or closed. One system call for each reuse.

test_client: three of three cases timed out before and hold now; a response cut at each byte of its head fails as it must, before and after. That this caused what the users saw is suspected, not shown.

--- a/src/http/conn.c
+++ b/src/http/conn.c
@@ -631,6 +631,13 @@
     return c->connected;
 }
 
+int
+Fw_Conn_IsQuiet(const struct fw_conn *c)
+{
+    return !c->in_len &&
+           !g_socket_condition_check(c->sock, G_IO_IN | G_IO_HUP | G_IO_ERR);
+}
+
 void
 Fw_Conn_SetReading(struct fw_conn *c, int on)
 {
--- a/src/http/idle_conns.c
+++ b/src/http/idle_conns.c
@@ -102,26 +102,33 @@
     Fw_List_Append(l, &i->link);
 }
 
-/* The connection used last is the least likely to be stale. */
+/*
+ * The connection used last is the least likely to be stale. What the kernel
+ * holds for one belongs to no request, or says that the upstream has closed
+ * it: a loop that was held up has not read that yet.
+ */
 struct fw_conn *
 Fw_IdleConns_Take(GHashTable *conns, const char *addr, int64_t idle_limit_us)
 {
     struct fw_list *l = g_hash_table_lookup(conns, addr);
     int64_t now = Fw_Conn_NowUs();
-    struct fw_conn *conn;
-    struct idle_conn *i;
 
-    if (!l || Fw_List_Empty(l)) {
-        return NULL;
-    }
-    i = FW_LIST_ENTRY(l->prev, struct idle_conn, link);
-    if (now - i->idle_since_us >= idle_limit_us || now >= i->expires_us) {
-        return NULL;
+    while (l && !Fw_List_Empty(l)) {
+        struct idle_conn *i = FW_LIST_ENTRY(l->prev, struct idle_conn, link);
+        struct fw_conn *conn = i->conn;
+
+        if (now - i->idle_since_us >= idle_limit_us || now >= i->expires_us) {
+            return NULL;
+        }
+        if (!Fw_Conn_IsQuiet(conn)) {
+            idle_conn_free(i);
+            continue;
+        }
+        Fw_List_Remove(&i->link);
+        g_free(i);
+        return conn;
     }
-    conn = i->conn;
-    Fw_List_Remove(&i->link);
-    g_free(i);
-    return conn;
+    return NULL;
 }
 
 void
--- a/tests/http/test_client.c
+++ b/tests/http/test_client.c
@@ -217,6 +217,74 @@
 }
 END_TEST
 
+/* What an upstream has done to a kept connection, as yet unseen. */
+static const char *const unseen[] = {
+    "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", "x", "", /* closed it */
+};
+
+/* Guards against a response that was there before its request. */
+START_TEST(a_kept_connection_that_was_written_to_is_not_reused)
+{
+    struct fw_conn_pool *p = Fw_ConnPool_New();
+    struct rig_server *s = Fw_RigServer_New();
+    struct rig_conn *first;
+    struct call a;
+    struct call b;
+
+    start_call(p, s->url, &a, &reuse_opts);
+    first = Fw_RigServer_Conn(s, 0);
+    Fw_RigConn_Send(first, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+                    -1);
+    Fw_Rig_RunUntil(has_ended, &a);
+    if (unseen[_i][0]) {
+        g_socket_send(first->sock, unseen[_i], strlen(unseen[_i]), NULL, NULL);
+    }
+    else {
+        g_socket_shutdown(first->sock, FALSE, TRUE, NULL);
+    }
+    start_call(p, s->url, &b, &reuse_opts);
+    Fw_RigConn_Expect(Fw_RigServer_Conn(s, 1), "\r\n\r\nhi");
+    Fw_RigConn_Send(Fw_RigServer_Conn(s, 1),
+                    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nme", -1);
+    Fw_Rig_RunUntil(has_ended, &b);
+    ck_assert_str_eq(b.body->str, "me");
+    call_free(&a);
+    call_free(&b);
+    Fw_ConnPool_Free(p);
+    Fw_RigServer_Free(s);
+}
+END_TEST
+
+static const char whole_response[] =
+    "HTTP/1.1 200 OK\r\nServer-Stamp: s.1\r\nContent-Type: text/plain\r\n"
+    "Content-Length: 2\r\n\r\nok";
+
+/* Guards against a response cut within its head that looks complete. */
+START_TEST(a_response_cut_in_its_head_fails)
+{
+    for (size_t n = 0; n < strlen(whole_response); n++) {
+        struct fw_conn_pool *p = Fw_ConnPool_New();
+        struct rig_server *s = Fw_RigServer_New();
+        struct rig_conn *up;
+        struct call c;
+
+        start_call(p, s->url, &c, &reuse_opts);
+        up = Fw_RigServer_Conn(s, 0);
+        Fw_RigConn_Expect(up, "\r\n\r\nhi");
+        if (n) {
+            g_socket_send(up->sock, whole_response, n, NULL, NULL);
+        }
+        g_socket_shutdown(up->sock, FALSE, TRUE, NULL);
+        Fw_Rig_RunUntil(has_ended, &c);
+        ck_assert_int_eq(c.err, -EPIPE);
+        ck_assert_int_eq(c.sent, FW_SENT_SOME);
+        call_free(&c);
+        Fw_ConnPool_Free(p);
+        Fw_RigServer_Free(s);
+    }
+}
+END_TEST
+
 /*
  * Guards against sending a request that must not be retried on an idle
  * connection that the upstream may have dropped.
@@ -290,6 +358,10 @@
     tcase_add_loop_test(tc, connection_with_leftover_data_is_not_reused, 0,
                         G_N_ELEMENTS(reuse_cases));
     tcase_add_test(tc, data_on_idle_connection_closes_it);
+    tcase_add_loop_test(tc,
+                        a_kept_connection_that_was_written_to_is_not_reused, 0,
+                        G_N_ELEMENTS(unseen));
+    tcase_add_test(tc, a_response_cut_in_its_head_fails);
     tcase_add_test(tc, connection_idle_too_long_is_not_reused);
     tcase_add_test(tc, refused_connection_reports_nothing_sent);
     tcase_add_test(tc, aborted_exchange_closes_its_connection);
