Bound the responses to the router's own requests

A response that is passed on is bounded by its caller's reading, but those to reservations, prefills, reports, probes and orders, and those of the store, were kept in memory until their deadline, and reading them does not pause for the memory budget: an engine could have the router killed.

--- a/src/relayd/store_client.c
+++ b/src/relayd/store_client.c
@@ -16,6 +16,12 @@
 /* Shorter than FW_STORE_TIMEOUT_US, to leave time for the response. */
 #define FW_STORE_CONNECT_US (400 * FW_MSEC)
 
+/*
+ * Largest response of the store, or of an instance: one page or one read has
+ * at most 1 MB of records, which a page encodes in base64.
+ */
+#define FW_STORE_RESPONSE_MAX_BYTES (8 * 1024 * 1024)
+
 /* The age of a snapshot's records; -1 if there is none or it is invalid. */
 static int64_t
 read_age(const struct fw_http_head *h)
@@ -45,6 +51,13 @@
 {
     struct fw_topic_client *tc = ctx;
 
+    if (tc->body->len + len > FW_STORE_RESPONSE_MAX_BYTES) {
+        Fw_Exchange_Abort(tc->exchange);
+        tc->exchange = NULL;
+        Fw_TopicClient_DropBody(tc);
+        Fw_TopicClient_OnFailure(tc, "response too large");
+        return;
+    }
     g_byte_array_append(tc->body, (const guint8 *)data, (guint)len);
     Fw_HeldAccount_Set(tc->store->d->own_account, FW_HELD_STORE, &tc->charged,
                        tc->body->len);
--- a/src/relayd/upstream.c
+++ b/src/relayd/upstream.c
@@ -14,6 +14,9 @@
  */
 #define FW_BUFFERED_RESPONSE_BYTES (64 * 1024)
 
+/* Largest response to a call that the router makes for itself. */
+#define FW_OWN_RESPONSE_MAX_BYTES (1024 * 1024)
+
 void
 Fw_UpstreamCall_AddMetrics(struct fw_relayd *d)
 {
@@ -249,12 +252,32 @@
     return FW_HEAD_ACCEPT;
 }
 
+/* Ends a call whose response is larger than any that it may get. */
+static void
+fail_oversized(struct fw_upstream_call *call)
+{
+    struct fw_relayd *d = call->d;
+    uint64_t xid = call->xid;
+    struct fw_rl_actions acts;
+
+    Fw_RelayActions_Init(&acts);
+    Fw_Relay_UpstreamFailed(d->relay, xid, -EMSGSIZE, 1, Fw_Conn_NowUs(),
+                            &acts);
+    Fw_Relayd_ExecuteActions(d, &acts);
+    Fw_UpstreamCall_Remove(d, xid);
+}
+
 static void
 on_body(void *ctx, const char *data, size_t len)
 {
     struct fw_upstream_call *call = ctx;
     struct fw_caller_request *to = forward_target(call);
 
+    if (!answers_caller(call) &&
+        call->body->len + len > FW_OWN_RESPONSE_MAX_BYTES) {
+        fail_oversized(call);
+        return;
+    }
     Fw_ResponseBody_Add(&call->response_body, data, len);
     if (to) {
         observe_chunk_gap(call);
