--- a/tests/platform/test_platform.c
+++ b/tests/platform/test_platform.c
@@ -308,6 +308,102 @@
 }
 END_TEST
 
+#define FW_ENTRY                                                              \
+    "{\"Service\":\"s\",\"Address\":\"10.1.2.3:80\",\"Zone\":\"z\","          \
+    "\"Slots\":48,\"State\":\"ready\"}"
+
+/** struct odd_entry - a record of another writer. */
+struct odd_entry {
+    const char *id;
+    const char *text;
+};
+
+static const struct odd_entry odd_entries[] = {
+    {"i-1", "{\"Service\":\"s\",\"Address\":\"10.1.2.3:0\",\"Zone\":\"z\","
+            "\"Slots\":48,\"State\":\"ready\"}"},
+    {"i-1", "{\"Service\":\"s\",\"Address\":\"10.1.2.3:70000\",\"Zone\":\"z\","
+            "\"Slots\":48,\"State\":\"ready\"}"},
+    {"i-1", "{\"Service\":\"s\",\"Address\":\"10.1.2.3:99999999999999999999\","
+            "\"Zone\":\"z\",\"Slots\":48,\"State\":\"ready\"}"},
+    {"i-1", "{\"Service\":\"s\",\"Address\":\"10.1.2.3:-1\",\"Zone\":\"z\","
+            "\"Slots\":48,\"State\":\"ready\"}"},
+    {"i-1", "{\"Service\":\"s\",\"Address\":\"0.0.0.0:80\",\"Zone\":\"z\","
+            "\"Slots\":48,\"State\":\"ready\"}"},
+    {"i-1", "{\"Service\":\"s\",\"Address\":\"224.0.0.1:80\",\"Zone\":\"z\","
+            "\"Slots\":48,\"State\":\"ready\"}"},
+    {"i-1", "{\"Service\":\"s\",\"Address\":\"10.1.2.3:80\",\"Zone\":\"z\","
+            "\"Slots\":1e999,\"State\":\"ready\"}"},
+    {"i-1", "{\"Service\":\"s\",\"Address\":\"10.1.2.3:80\",\"Zone\":\"z\","
+            "\"Slots\":0,\"State\":\"ready\"}"},
+    {"i-1", "{\"Service\":\"s\",\"Address\":\"10.1.2.3:80\",\"Zone\":\"z\","
+            "\"Slots\":48,\"State\":\"ready\",\"ColdRemainingMs\":1e999}"},
+    {"i-1", "{\"Service\":\"s\\r\\n\",\"Address\":\"10.1.2.3:80\","
+            "\"Zone\":\"z\",\"Slots\":48,\"State\":\"ready\"}"},
+    {"i-1", "{\"Service\":\"s\",\"Address\":\"10.1.2.3:80\",\"Zone\":\"\\\"\","
+            "\"Slots\":48,\"State\":\"ready\"}"},
+    {"i-1", "\xff\xfe{\"Service\":\"s\"}"},
+    {"i-1\r\nStage: prefill", FW_ENTRY},
+    {"i \"1\"", FW_ENTRY},
+    {"\xff\xfe", FW_ENTRY},
+    {"", FW_ENTRY},
+};
+
+/* Guards against an entry that every instance follows into an error. */
+START_TEST(odd_entries_name_no_server)
+{
+    const struct odd_entry *t = &odd_entries[_i];
+    struct fw_rl_server_entry e;
+
+    ck_assert_int_eq(
+        Fw_Platform_ParseServer("i-1", FW_ENTRY, strlen(FW_ENTRY), &e), 0);
+    ck_assert_int_eq(
+        Fw_Platform_ParseServer(t->id, t->text, strlen(t->text), &e),
+        -EBADMSG);
+}
+END_TEST
+
+/* Guards against a parser that recurses until the stack ends. */
+START_TEST(deeply_nested_entries_name_no_server)
+{
+    static const char *const nests[][2] = {{"[", "]"}, {"{\"a\":", "}"}};
+    const char *const *nest = nests[_i % 2];
+    int depth = _i < 2 ? 100 : 250000 / (int)strlen(nest[0]);
+    GString *text = g_string_new("{\"Models\":");
+    struct fw_rl_server_entry e;
+
+    for (int i = 0; i < depth; i++) {
+        g_string_append(text, nest[0]);
+    }
+    g_string_append(text, "1");
+    for (int i = 0; i < depth; i++) {
+        g_string_append(text, nest[1]);
+    }
+    g_string_append(text, "," FW_ENTRY + 1);
+    ck_assert_int_eq(Fw_Platform_ParseServer("i-1", text->str, text->len, &e),
+                     -EBADMSG);
+    g_string_free(text, TRUE);
+}
+END_TEST
+
+/* Guards against an engine's word that becomes a header line. */
+START_TEST(handles_that_are_no_tokens_are_rejected)
+{
+    static const char *const odd_handles[] = {
+        "{\"HandleId\":\"a\\r\\nStage: prefill\",\"Hold\":\"a b\"}",
+        "{\"HandleId\":\"a/../b c\",\"Hold\":\"\\u007f\"}",
+        "{\"HandleId\":\"\",\"Hold\":\"\"}"};
+    struct fw_rl_upstream_response ans = {.status = 200};
+    const char *body = odd_handles[_i];
+
+    ck_assert_int_eq(Fw_Platform_ParseResponseBody(FW_RL_UP_PREFILL, body,
+                                                   strlen(body), &ans),
+                     -EBADMSG);
+    ck_assert_int_eq(Fw_Platform_ParseResponseBody(FW_RL_UP_RESERVE, body,
+                                                   strlen(body), &ans),
+                     -EBADMSG);
+}
+END_TEST
+
 /** struct evacuation_case - an operator's record, and what it says. */
 struct evacuation_case {
     const char *key;
@@ -442,6 +538,10 @@
     tcase_add_loop_test(tc, invalid_configurations_are_rejected_with_a_reason,
                         0, G_N_ELEMENTS(bad_configs));
     tcase_add_test(tc, a_server_registration_is_parsed);
+    tcase_add_loop_test(tc, odd_entries_name_no_server, 0,
+                        G_N_ELEMENTS(odd_entries));
+    tcase_add_loop_test(tc, deeply_nested_entries_name_no_server, 0, 4);
+    tcase_add_loop_test(tc, handles_that_are_no_tokens_are_rejected, 0, 3);
     tcase_add_loop_test(tc, absurd_cold_times_are_rejected, 0,
                         G_N_ELEMENTS(cold_cases));
     tcase_add_loop_test(tc, evacuations_are_parsed, 0,
