Pause most instances while an entry goes, and count overlapping faults

The soak plays what the users' record can't show: all instances but one stand still from 100 ms before a server's entry is deleted. It also logs how long after its entry a server got its last request.

Faults of an instance are counted now; it is calm 3 s after the last one ends.

--- a/soak/check.c
+++ b/soak/check.c
@@ -54,6 +54,9 @@
     const struct soak_relay *r = &v->soak->relays[q->relay];
     int64_t now = Fw_Soak_NowUs();
 
+    if (v->draining_us) {
+        v->last_after_us = now - v->draining_us;
+    }
     if (v->draining_us &&
         now > v->draining_us + FW_DRAIN_US + FW_DRAIN_SLACK_US &&
         Fw_SoakRelay_IsCalm(r, q->sent_us) && Fw_SoakRelay_IsCalm(r, now)) {
@@ -322,8 +325,8 @@
 {
     const struct soak_relay *r = &q->soak->relays[q->relay];
 
-    if (q->life == r->life && r->pid && r->disturbed_us != FW_SOAK_ONGOING &&
-        r->disturbed_us <= q->sent_us) {
+    if (q->life == r->life && r->pid && !r->n_faults &&
+        r->disturbed_us != FW_SOAK_ONGOING && r->disturbed_us <= q->sent_us) {
         Fw_SoakCheck_Violation(q->soak, "DEADLINE",
                                "%s has no answer at its deadline", q->id);
     }
--- a/soak/plan.c
+++ b/soak/plan.c
@@ -13,6 +13,9 @@
 /* Between two servers that refuse without a mark, or whose entry goes. */
 #define FW_REFUSAL_GAP_MIN_MS 500
 #define FW_REFUSAL_GAP_MAX_MS 4000
+/* All instances but one pause, from just before an entry goes. */
+#define FW_PAUSE_BEFORE_MS 100
+#define FW_MOST_PAUSE_MS 3500
 /* Time that a server serves on after it has said that it leaves. */
 #define FW_LEAVING_MS 4500
 #define FW_FAULTED_REQUESTS 20
@@ -35,6 +38,7 @@
     FW_RELAY_KILL,
     FW_RELAY_PAUSE,
     FW_RELAY_RELOAD,
+    FW_RELAYS_PAUSE,
     FW_RELAY_STORE_SILENT,
     FW_RELAY_STORE_ONE_WAY,
     FW_RELAY_STORE_DELAY,
@@ -66,18 +70,40 @@
     FW_FAULTS,
 };
 
-static const char *const names[FW_FAULTS] = {
-    "stop",          "series of stops", "kill",
-    "pause",         "reload",          "store silent",
-    "store one way", "store delayed",   "store reset",
-    "store down",    "store mute",      "store loses answers",
-    "store forgets", "server killed",   "server drains",
-    "server silent", "server one way",  "server delayed",
-    "server resets", "server full",     "server errors",
-    "server stalls", "server partial",  "server empty",
-    "server breaks", "server limit",    "server rest",
-    "server leaves", "server unmarked", "server removed",
-    "key withdrawn", "crashing part",   "crowd"};
+static const char *const names[FW_FAULTS] = {"stop",
+                                             "series of stops",
+                                             "kill",
+                                             "pause",
+                                             "reload",
+                                             "most pause",
+                                             "store silent",
+                                             "store one way",
+                                             "store delayed",
+                                             "store reset",
+                                             "store down",
+                                             "store mute",
+                                             "store loses answers",
+                                             "store forgets",
+                                             "server killed",
+                                             "server drains",
+                                             "server silent",
+                                             "server one way",
+                                             "server delayed",
+                                             "server resets",
+                                             "server full",
+                                             "server errors",
+                                             "server stalls",
+                                             "server partial",
+                                             "server empty",
+                                             "server breaks",
+                                             "server limit",
+                                             "server rest",
+                                             "server leaves",
+                                             "server unmarked",
+                                             "server removed",
+                                             "key withdrawn",
+                                             "crashing part",
+                                             "crowd"};
 
 /**
  * struct entry - a fault.
@@ -154,6 +180,28 @@
     }
 }
 
+/* Pauses, or continues, all instances but the target. */
+static void
+signal_all_but(struct entry *e, int signal)
+{
+    struct soak *s = e->soak;
+    int64_t now = Fw_Soak_NowUs();
+
+    for (int i = 0; i < s->n_relays; i++) {
+        struct soak_relay *r = &s->relays[i];
+
+        if (i == e->target % s->n_relays) {
+            continue;
+        }
+        r->n_faults += signal == SIGSTOP ? 1 : -1;
+        r->disturbed_us = now;
+        Fw_SoakRelay_Signal(r, signal);
+        if (signal == SIGCONT && r->term_us) {
+            r->term_us = now; /* it gets the signal now */
+        }
+    }
+}
+
 static void
 begin_relay_fault(struct entry *e)
 {
@@ -174,9 +222,12 @@
         Fw_SoakRelay_Signal(r, SIGKILL);
         break;
     case FW_RELAY_PAUSE:
-        r->disturbed_us = FW_SOAK_ONGOING;
+        r->n_faults++;
         Fw_SoakRelay_Signal(r, SIGSTOP);
         break;
+    case FW_RELAYS_PAUSE:
+        signal_all_but(e, SIGSTOP);
+        break;
     case FW_RELAY_RELOAD:
         Fw_SoakRelay_WriteSettings(r, e->for_ms % 2 ? "debug" : "info");
         Fw_SoakRelay_Signal(r, SIGHUP);
@@ -186,17 +237,33 @@
         Fw_Proxy_ResetAll(r->store_proxy);
         break;
     default:
-        r->disturbed_us = FW_SOAK_ONGOING;
+        r->n_faults++;
         Fw_Proxy_SetMode(r->store_proxy, proxy_mode(e->fault));
         break;
     }
 }
 
+/* Whether the fault affects its instance until it ends. */
+static int
+lasts(enum fault f)
+{
+    return f == FW_RELAY_PAUSE ||
+           (f >= FW_RELAY_STORE_SILENT && f <= FW_RELAY_STORE_DELAY);
+}
+
 static void
 end_relay_fault(struct entry *e)
 {
     struct soak_relay *r = &e->soak->relays[e->target % e->soak->n_relays];
 
+    if (e->fault == FW_RELAYS_PAUSE) {
+        signal_all_but(e, SIGCONT);
+        return;
+    }
+    if (lasts(e->fault)) {
+        r->n_faults--;
+        r->disturbed_us = Fw_Soak_NowUs();
+    }
     if (e->fault == FW_RELAY_PAUSE) {
         Fw_SoakRelay_Signal(r, SIGCONT);
         if (r->term_us) {
@@ -207,9 +274,6 @@
              e->fault <= FW_RELAY_STORE_DELAY) {
         Fw_Proxy_SetMode(r->store_proxy, FW_PROXY_PASS);
     }
-    if (r->disturbed_us == FW_SOAK_ONGOING) {
-        r->disturbed_us = Fw_Soak_NowUs();
-    }
 }
 
 static void
@@ -487,6 +551,18 @@
         s->rand, 0, is_server_fault(f) ? FW_SOAK_SERVERS : s->n_relays);
 }
 
+static void
+add_entry(struct soak *s, enum fault fault, int target, guint at, guint for_ms)
+{
+    struct entry *e = g_new0(struct entry, 1);
+
+    e->soak = s;
+    e->fault = fault;
+    e->target = target;
+    e->for_ms = for_ms;
+    g_timeout_add(at, begin_fault, e);
+}
+
 /*
  * A series of its own, so that the faults above are those that a seed has
  * always had.
@@ -498,17 +574,19 @@
     int64_t at = FW_FIRST_MS;
 
     while (at < ms - FW_QUIET_MS) {
-        struct entry *e = g_new0(struct entry, 1);
-
-        e->soak = s;
-        e->fault =
+        enum fault f =
             g_rand_boolean(rand) ? FW_SERVER_UNMARKED : FW_SERVER_REMOVED;
-        e->target = g_rand_int_range(rand, FW_SOAK_PREFILL, FW_SOAK_SERVERS);
-        e->for_ms =
-            e->fault == FW_SERVER_REMOVED
+        int target = g_rand_int_range(rand, FW_SOAK_PREFILL, FW_SOAK_SERVERS);
+        guint for_ms =
+            f == FW_SERVER_REMOVED
                 ? FW_LEAVING_MS
                 : (guint)g_rand_int_range(rand, FW_SHORTEST_MS, FW_LONGEST_MS);
-        g_timeout_add((guint)at, begin_fault, e);
+
+        add_entry(s, f, target, (guint)at, for_ms);
+        if (f == FW_SERVER_REMOVED && g_rand_int_range(rand, 0, 3) == 0) {
+            add_entry(s, FW_RELAYS_PAUSE, g_rand_int_range(rand, 0, 1000),
+                      (guint)at - FW_PAUSE_BEFORE_MS, FW_MOST_PAUSE_MS);
+        }
         at += g_rand_int_range(rand, FW_REFUSAL_GAP_MIN_MS,
                                FW_REFUSAL_GAP_MAX_MS);
     }
--- a/soak/relays.c
+++ b/soak/relays.c
@@ -79,7 +79,7 @@
 {
     int64_t store_us = r->soak->store_disturbed_us;
 
-    return r->pid && r->disturbed_us != FW_SOAK_ONGOING &&
+    return r->pid && !r->n_faults && r->disturbed_us != FW_SOAK_ONGOING &&
            at_us - r->disturbed_us >= FW_SOAK_CALM_US &&
            store_us != FW_SOAK_ONGOING && at_us - store_us >= FW_SOAK_CALM_US;
 }
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -31,7 +31,8 @@
  * @pid: 0 while it does not run
  * @life: number of its process
  * @disturbed_us: end of the last fault that affected it, FW_SOAK_ONGOING
- *     during one
+ *     while it is killed
+ * @n_faults: faults that affect it now
  * @term_us: when it was sent SIGTERM, 0 for not
  * @planned_stop: nothing else had affected it when it was
  * @store_proxy: between it and the store
@@ -47,6 +48,7 @@
     char settings[256];
     int64_t started_us;
     int64_t disturbed_us;
+    int n_faults;
     int64_t term_us;
     int planned_stop;
     int expects_exit;
@@ -56,6 +58,7 @@
 /**
  * struct soak_server - a stand-in server.
  * @draining_us: since when its entry says that it drains, 0 if it does not
+ * @last_after_us: time from then to the last request that has reached it
  * @limit_us: since when it names a limit, 0 if it does not
  * @limit: requests a second
  * @rests: it rejects all requests and asks for rest
@@ -74,6 +77,7 @@
     struct fw_proxy *proxy;
     int64_t disturbed_us;
     int64_t draining_us;
+    int64_t last_after_us;
     int64_t limit_us;
     double limit;
     int rests;
--- a/soak/world.c
+++ b/soak/world.c
@@ -45,7 +45,12 @@
     }
     Fw_Proxy_ResetAll(v->proxy);
     Fw_WireServer_Free(v->stand);
+    if (v->draining_us) {
+        Fw_Soak_Log(v->soak, "%s: last request %d ms after its entry",
+                    v->opts->id, (int)(v->last_after_us / FW_MSEC));
+    }
     v->draining_us = 0;
+    v->last_after_us = 0;
     v->limit_us = 0;
     v->rests = 0;
     memset(v->told_us, 0, sizeof(v->told_us));
