Read the store soon after the instances that did have fallen silent

Two hubs read the store for all others, which took them to be at it for 2.5 s after their last digest: with both stopped, paused or cut off at once nobody read the store for so long.

A hub that has sent no digest for 0.7 s (digests are due every 0.15 s) no longer counts as reading. A false alarm costs one more reader until the next digest.

test_pollers failed before. This is one cause that can explain the users' case; that it was theirs is suspected, as their record has no line on who read the store.

--- a/src/relay/store_sync.c
+++ b/src/relay/store_sync.c
@@ -41,17 +41,20 @@
 /* Time after the start to wait for the list of members, and for a hub. */
 #define FW_MEMBER_LIST_WAIT_US (300 * FW_MSEC)
 #define FW_HUB_WAIT_US (1 * FW_SEC)
+/* A member that sent no message for this long isn't queried. */
+#define FW_QUERY_SILENCE_US (2500 * FW_MSEC)
 /*
- * A member that sent no message for this long isn't queried, and a hub that
- * sent no digest for this long isn't counted among those that poll.
+ * A hub that sent no digest for this long isn't counted among those that poll.
+ * A server that leaves gets no new requests after two seconds, in which the
+ * hubs have to notice this silence and to read the store.
  */
-#define FW_POLLER_TIMEOUT_US (2500 * FW_MSEC)
+#define FW_POLLER_SILENCE_US (700 * FW_MSEC)
 
 static int
 sent_recently(const struct fw_rl_member *m, int64_t now_us)
 {
     return m->last_message_us &&
-           now_us - m->last_message_us < FW_POLLER_TIMEOUT_US;
+           now_us - m->last_message_us < FW_QUERY_SILENCE_US;
 }
 
 /*
@@ -89,7 +92,7 @@
             FW_LIST_ENTRY(pos, struct fw_rl_member, link);
 
         pollers_before += m->last_digest_us &&
-                          now_us - m->last_digest_us < FW_POLLER_TIMEOUT_US &&
+                          now_us - m->last_digest_us < FW_POLLER_SILENCE_US &&
                           !m->store_unreachable && m->hash < r->hash;
     }
     return pollers_before < FW_STORE_POLLERS;
