Send no run after its reservation to an engine that has left

The decode engine is chosen when the reservation is requested; the run follows when the prompt has been read, up to seconds later on a loaded pool, and then only an evacuation, a limit or a rest was looked at: a run went to an engine whose entry said draining, or was gone, however long ago.

Each server now keeps since when it is known to be leaving. A run follows its reservation within 0.5 s of that, as the prefill would be lost and the engine serves on; later the request starts over at another engine, within the retry budget, and before its prefill it does so at once.

The script "a run does not follow its reservation to an engine that left" failed before: the run went to an engine that had left 0.9 s before.

--- a/src/relay/admission.c
+++ b/src/relay/admission.c
@@ -112,12 +112,12 @@
 
 static void
 note_leaving(struct fw_relay *r, struct fw_rl_server *s,
-             const struct fw_rl_upstream_response *ans,
+             const struct fw_rl_upstream_response *ans, int64_t now_us,
              struct fw_rl_actions *out)
 {
     log_if_invalid(r, s, ans->invalid_leaving, "leaving", out);
     if (ans->leaving) {
-        Fw_Servers_NoteLeaving(r, s, out);
+        Fw_Servers_NoteLeaving(r, s, now_us, out);
     }
 }
 
@@ -159,6 +159,6 @@
         Fw_Crashes_ServerResponded(r, op->server, op->sent_us, now_us);
         note_limit(r, op->server, ans, now_us, out);
         note_rest(r, op->server, ans, now_us, out);
-        note_leaving(r, op->server, ans, out);
+        note_leaving(r, op->server, ans, now_us, out);
     }
 }
--- a/src/relay/servers.c
+++ b/src/relay/servers.c
@@ -26,6 +26,12 @@
 #define FW_TIMEOUTS_MAX 2
 /* Consecutive rejected runs that start a backoff. */
 #define FW_REJECTED_RUNS_MAX 2
+/*
+ * Time for which a run may follow its reservation to a server that leaves. It
+ * must reach the server within two seconds of the entry's change, most of
+ * which may have passed when this instance learns of it.
+ */
+#define FW_FOLLOW_US (500 * FW_MSEC)
 /* Weight of the newest response in the moving means. */
 #define FW_MEAN_WEIGHT 0.15
 
@@ -213,14 +219,29 @@
               s->entry.addr, FW_URL_MAX);
 }
 
+static void
+note_left(struct fw_rl_server *s, int64_t now_us)
+{
+    if (!s->left_us && !FW_FAULT("draining-ignored")) {
+        s->left_us = now_us;
+    }
+}
+
+int
+Fw_Servers_HasLeft(const struct fw_rl_server *s, int64_t now_us)
+{
+    return s->left_us && now_us - s->left_us >= FW_FOLLOW_US;
+}
+
 void
 Fw_Servers_NoteLeaving(struct fw_relay *r, struct fw_rl_server *s,
-                       struct fw_rl_actions *out)
+                       int64_t now_us, struct fw_rl_actions *out)
 {
     if (s->is_leaving || FW_FAULT("leaving-ignored")) {
         return;
     }
     s->is_leaving = 1;
+    note_left(s, now_us);
     Fw_RelayActions_Log(out, r, LOG_NOTICE, "server_leaving",
                         "\"server\":\"%s\"", s->entry.id);
     close_idle_connections(s, out);
@@ -233,6 +254,7 @@
     Fw_RelayActions_Log(out, r, LOG_NOTICE, "server_gone",
                         "\"server\":\"%s\",\"addr\":\"%s\",\"why\":\"%s\"",
                         s->entry.id, s->entry.addr, why);
+    note_left(s, now_us);
     Fw_Crashes_ServerLost(r, s, now_us, out);
     close_idle_connections(s, out);
     set_removal(r, s, 0);
@@ -296,8 +318,12 @@
                             e->id, e->draining, (int)e->stage);
     }
     if (e->draining && !s->entry.draining) {
+        note_left(s, now_us);
         close_idle_connections(s, out);
     }
+    else if (!e->draining && !s->is_leaving) {
+        s->left_us = 0;
+    }
     set_entry(r, s, e, now_us);
     s->listed = 1;
     set_removal(r, s, 0);
--- a/src/relay/servers.h
+++ b/src/relay/servers.h
@@ -29,6 +29,8 @@
  * @gone: removed from the list
  * @listed: named since the current listing began
  * @removal_us: time to remove it unless it is listed again; 0 for none
+ * @left_us: since when this instance knows that it is leaving or gone, 0 if it
+ *     is not
  * @running: requests of this instance there
  * @kv_tokens: expected KV cache use of these, tokens
  * @prefill_tokens: prompt tokens sent there by this instance that have not
@@ -81,6 +83,7 @@
     int gone;
     int listed;
     int64_t removal_us;
+    int64_t left_us;
     int running;
     int64_t kv_tokens;
     int64_t prefill_tokens;
@@ -153,10 +156,16 @@
 /* Whether the server is changing its stage. */
 int
 Fw_Servers_IsChangingStage(const struct fw_rl_server *s, int64_t now_us);
+/*
+ * Whether it has been leaving, or gone, for so long that not even the run of a
+ * request with a reservation may be sent to it.
+ */
+int
+Fw_Servers_HasLeft(const struct fw_rl_server *s, int64_t now_us);
 /* The server has said that it is about to shut down: for its lifetime. */
 void
 Fw_Servers_NoteLeaving(struct fw_relay *r, struct fw_rl_server *s,
-                       struct fw_rl_actions *out);
+                       int64_t now_us, struct fw_rl_actions *out);
 /* Starts a backoff, longer each time until the server responds. */
 void
 Fw_Servers_NoteUnreachable(struct fw_rl_server *s, int64_t now_us);
--- a/src/relay/stream.c
+++ b/src/relay/stream.c
@@ -332,6 +332,10 @@
         Fw_Stream_Restart(r, c, "engine_evacuated", now_us, out);
         return;
     }
+    if (Fw_Servers_HasLeft(c->server, now_us)) {
+        Fw_Stream_Restart(r, c, "engine_left", now_us, out);
+        return;
+    }
     if (!Fw_Admission_MayFollow(r, c->server, now_us)) {
         Fw_Stream_Restart(r, c, "engine_limited", now_us, out);
         return;
@@ -376,6 +380,10 @@
         .connect_us = FW_RL_CONNECT_TIMEOUT_US,
     };
 
+    if (c->server->left_us) {
+        Fw_Stream_Restart(r, c, "engine_left", now_us, out);
+        return;
+    }
     if (!s || wait_us > r->opts.local_prefill_us) {
         Fw_Stream_SendRun(r, c, now_us,
                           out); /* prefill at the decode engine */
--- a/tests/relay/test_leaving.c
+++ b/tests/relay/test_leaving.c
@@ -65,6 +65,45 @@
              "  ask 1 run s1 for 1 team=a left=10000\n"
              "answer 1 421 moved leaving\n"
              "  ask 2 run s1 for 1 team=a left=10000\n"},
+    /* Guards against a run that waits for its prefill longer than its engine.
+     */
+    {.name = "a run does not follow its reservation to an engine that left",
+     .text = "rules 1\n"
+             "registered\n"
+             "fresh 0\n"
+             "server d1 llm decode\n"
+             "server p1 llm prefill\n"
+             "list\n"
+             "open 1 /gen/x key=ka in=500 out=70\n"
+             "  ask 1 hold d1 for 1 tokens=570\n"
+             "answer 1 200 name=h1\n"
+             "  ask 2 prefill p1 for 1 team=a\n"
+             "at 200\n"
+             "server d1 llm decode draining\n"
+             "  forget d1:1\n"
+             "server d2 llm decode\n"
+             "at 1100\n"
+             "answer 2 200 name=k1\n"
+             "  ask 3 drop-kv p1 kv=k1\n"
+             "  ask 4 drop-hold d1 hold=h1\n"
+             "  ask 5 hold d2 for 1 tokens=570\n"},
+    {.name = "a run follows its reservation to an engine that leaves just now",
+     .text = "rules 1\n"
+             "registered\n"
+             "fresh 0\n"
+             "server d1 llm decode\n"
+             "server p1 llm prefill\n"
+             "list\n"
+             "open 1 /gen/x key=ka in=500 out=70\n"
+             "  ask 1 hold d1 for 1 tokens=570\n"
+             "answer 1 200 name=h1\n"
+             "  ask 2 prefill p1 for 1 team=a\n"
+             "at 200\n"
+             "unlisted d1\n"
+             "  forget d1:1\n"
+             "at 400\n"
+             "answer 2 200 name=k1\n"
+             "  ask 3 run d1 for 1 hold=h1 kv=k1 team=a left=9600\n"},
     {.name = "a stream ends undisturbed on an engine that leaves",
      .text = "rules 1\n"
              "registered\n"
