Take a server that alone is unlisted after an outage for gone

After an outage entries of live servers may be missing, and each unlisted server was kept, and used, until they must be back.

An outage hits the entries of all servers. If at most a quarter of them are unlisted, and a listed one can take a server's place, that server is not used; it is removed when the others would be, and used again if it returns. If more are unlisted, or it is the last of its service and stage, nothing changes.

--- a/src/relay/servers.h
+++ b/src/relay/servers.h
@@ -29,6 +29,7 @@
  * @gone: removed from the list
  * @listed: named since the current listing began
  * @removal_us: time to remove it unless it is listed again; 0 for none
+ * @is_presumed_gone: it is unlisted, and few others are
  * @left_us: since when this instance knows that it is leaving or gone, 0 if it
  *     is not
  * @running: requests of this instance there
@@ -83,6 +84,7 @@
     int gone;
     int listed;
     int64_t removal_us;
+    int is_presumed_gone;
     int64_t left_us;
     int running;
     int64_t kv_tokens;
--- a/tests/relay/test_events.c
+++ b/tests/relay/test_events.c
@@ -328,7 +328,7 @@
          "\"server\":\"s2\",\"addr\":\"s2:1\",\"service\":\"plain\","
          "\"domain\":\"\",\"stage\":0\n"
          "unlisted s2\n"
-         "  5 server_unlisted \"server\":\"s2\",\"kept_ms\":2200\n"
+         "  5 server_unlisted \"server\":\"s2\",\"kept_ms\":2200,\"used\":1\n"
          "at 2300\n"
          "tick\n"
          "  5 server_gone \"server\":\"s2\",\"addr\":\"s2:1\",\"why\":\"not "
--- a/tests/relay/test_world.c
+++ b/tests/relay/test_world.c
@@ -87,6 +87,32 @@
              "  ask 3 run s1 for 2 team=a left=10000\n"
              "open 3 /read/x key=ka\n"
              "  ask 4 run s1 for 3 team=a left=10000\n"},
+    /* Guards against an outage's grace for a server that left before it. */
+    {.name = "a server that alone is unlisted after an outage gets nothing",
+     .text = "rules 1\n"
+             "fresh 0\n"
+             "server s1 plain none\n"
+             "server s2 plain none\n"
+             "at 1000\n"
+             "store-back\n"
+             "unlisted s1\n"
+             "open 1 /read/x key=ka\n"
+             "  ask 1 run s2 for 1 team=a left=10000\n"
+             "open 2 /read/x key=ka\n"
+             "  ask 2 run s2 for 2 team=a left=10000\n"
+             "server s1 plain none\n"
+             "open 3 /read/x key=ka\n"
+             "  ask 3 run s1 for 3 team=a left=10000\n"},
+    {.name = "the last server is used though it is unlisted after an outage",
+     .text = "rules 1\n"
+             "fresh 0\n"
+             "server s1 plain none\n"
+             "server d1 llm decode\n"
+             "at 1000\n"
+             "store-back\n"
+             "unlisted s1\n"
+             "open 1 /read/x key=ka\n"
+             "  ask 1 run s1 for 1 team=a left=10000\n"},
     {.name = "a restarted server with the same id is a new server",
      .text = "rules 1\n"
              "fresh 0\n"
