Give no grace to removals after a store that was missed for a moment

An entry can lapse only after three missed heartbeats of its server: an outage that was noticed for less than 0.5 s gives no grace now, an instance's own or another's.

Two scripts of test_world failed before: two of three servers whose entries go during a release stay in use for 2.2 s.

--- a/src/relay/message.c
+++ b/src/relay/message.c
@@ -311,9 +311,13 @@
 {
     int unreachable = Fw_Rows_Cell(rows, 0, 1) != 0;
 
-    if (m->store_unreachable && !unreachable) {
+    if (m->store_unreachable && !unreachable &&
+        now_us - m->store_lost_us >= FW_RL_OUTAGE_MIN_US) {
         note_recovery(r, m, Fw_Rows_Cell(rows, 0, 6), now_us);
     }
+    if (unreachable && !m->store_unreachable) {
+        m->store_lost_us = now_us;
+    }
     m->store_unreachable = unreachable;
     m->reads_store = (int)Fw_Rows_Cell(rows, 0, 0);
     m->rules_end = (uint64_t)Fw_Rows_Cell(rows, 0, 2);
--- a/src/relay/peers.h
+++ b/src/relay/peers.h
@@ -95,6 +95,7 @@
  * @demand_boot, @demand_seq: of its last message about demand
  * @reads_store: reads the platform's store itself
  * @store_unreachable: it gets no answer from the store
+ * @store_lost_us: when it first reported that
  * @rules_end: offset after the configuration that it uses, 0 for none
  * @list_offset: offset up to which it has read the list of servers
  * @list_hash: hash of the servers that it knows
@@ -133,6 +134,7 @@
     uint64_t demand_seq;
     int reads_store;
     int store_unreachable;
+    int64_t store_lost_us;
     uint64_t rules_end;
     uint64_t list_offset;
     uint64_t list_hash;
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -411,7 +411,7 @@
                        struct fw_rl_actions *out);
 /* The store has stopped answering. */
 void
-Fw_Relay_StoreUnreachable(struct fw_relay *r);
+Fw_Relay_StoreUnreachable(struct fw_relay *r, int64_t now_us);
 /* The store answers again. */
 void
 Fw_Relay_StoreRecovered(struct fw_relay *r, int64_t now_us);
--- a/src/relay/relay_internal.h
+++ b/src/relay/relay_internal.h
@@ -33,6 +33,7 @@
  * @rules_source: address of an instance with a newer configuration, or empty
  * @list_source: address of an instance with newer servers, or empty
  * @store_lost: the store does not answer this instance
+ * @lost_us: when it stopped to do so
  * @recovered_us: when it last answered this instance again, 0 for never
  * @members_known: the registered instances were read from the store
  */
@@ -45,6 +46,7 @@
     char rules_source[FW_URL_MAX];
     char list_source[FW_URL_MAX];
     int store_lost;
+    int64_t lost_us;
     int64_t recovered_us;
     int members_known;
 };
--- a/src/relay/servers.c
+++ b/src/relay/servers.c
@@ -490,15 +490,22 @@
 }
 
 void
-Fw_Relay_StoreUnreachable(struct fw_relay *r)
+Fw_Relay_StoreUnreachable(struct fw_relay *r, int64_t now_us)
 {
     r->store_sync.store_lost = 1;
+    r->store_sync.lost_us = now_us;
 }
 
 void
 Fw_Relay_StoreRecovered(struct fw_relay *r, int64_t now_us)
 {
+    int64_t lost_us = r->store_sync.lost_us;
+
     r->store_sync.store_lost = 0;
+    r->store_sync.lost_us = 0;
+    if (lost_us && now_us - lost_us < FW_RL_OUTAGE_MIN_US) {
+        return;
+    }
     r->store_sync.recovered_us = now_us;
     r->store_recovered_us = now_us;
 }
--- a/src/relay/servers.h
+++ b/src/relay/servers.h
@@ -13,6 +13,12 @@
  * that live ones can renew their entries. See servers.c.
  */
 #define FW_RL_RELIST_GRACE_US (2200 * FW_MSEC)
+/*
+ * A store that was missed for less has only been late, or has closed a
+ * connection. An entry lapses after three missed heartbeats, of which one may
+ * be due just before the outage is noticed.
+ */
+#define FW_RL_OUTAGE_MIN_US (500 * FW_MSEC)
 
 /* The longest backoff of a server that could not be reached. */
 #define FW_RL_BACKOFF_MAX_US (2800 * FW_MSEC)
--- a/src/relayd/store_response.c
+++ b/src/relayd/store_response.c
@@ -55,7 +55,7 @@
     if (!s->unreachable_since_us) {
         s->unreachable_since_us = now;
         Fw_Logger_Log(LOG_WARNING, "store_lost", "why", why, NULL);
-        Fw_Relay_StoreUnreachable(s->d->relay);
+        Fw_Relay_StoreUnreachable(s->d->relay, now);
     }
     tc->next_request_us = now + delay_us;
 }
--- a/tests/relay/script.c
+++ b/tests/relay/script.c
@@ -24,6 +24,7 @@
  *   evacuations END [DOMAIN=OFFSET] ...
  *                               a complete listing of the evacuations
  *   registered                  all instances were read from the store
+ *   store-lost                  the store does not answer
  *   store-back                  the store is reachable again
  *   list                        the server list was read completely
  *   open N PATH [key=K] [in=N] [out=N] [digest=N] [left_ms=N] [id=S]
@@ -296,6 +297,12 @@
     Fw_Relay_EndMemberList(run->r, run->now_us);
 }
 
+static void
+do_store_lost(struct relay_script_run *run)
+{
+    Fw_Relay_StoreUnreachable(run->r, run->now_us);
+}
+
 static void
 do_store_back(struct relay_script_run *run)
 {
@@ -386,6 +393,7 @@
     {"evacuations", do_evacuations},
     {"started", do_started},
     {"registered", do_registered},
+    {"store-lost", do_store_lost},
     {"store-back", do_store_back},
     {"list", do_list},
     {"member", Fw_RelayScript_DoMember},
--- a/tests/relay/test_world.c
+++ b/tests/relay/test_world.c
@@ -103,6 +103,38 @@
              "server s1 plain none\n"
              "open 3 /read/x key=ka\n"
              "  ask 3 run s1 for 3 team=a left=10000\n"},
+    /* Guards against one lost response of the store that hides removals. */
+    {.name = "a store that did not answer for a moment gives no grace",
+     .text = "rules 1\n"
+             "fresh 0\n"
+             "server s1 plain none\n"
+             "server s2 plain none\n"
+             "server s3 plain none\n"
+             "at 1000\n"
+             "store-lost\n"
+             "at 1300\n"
+             "store-back\n"
+             "unlisted s1\n"
+             "  forget s1:1\n"
+             "unlisted s2\n"
+             "  forget s2:1\n"
+             "open 1 /read/x key=ka\n"
+             "  ask 1 run s3 for 1 team=a left=10000\n"},
+    {.name = "a peer that missed the store for a moment gives no grace",
+     .text = "rules 1\n"
+             "fresh 0\n"
+             "server s1 plain none\n"
+             "server s2 plain none\n"
+             "server s3 plain none\n"
+             "member n2 store-lost\n"
+             "at 200\n"
+             "member n2 store_back_ms=0\n"
+             "unlisted s1\n"
+             "  forget s1:1\n"
+             "unlisted s2\n"
+             "  forget s2:1\n"
+             "open 1 /read/x key=ka\n"
+             "  ask 1 run s3 for 1 team=a left=10000\n"},
     {.name = "the last server is used though it is unlisted after an outage",
      .text = "rules 1\n"
              "fresh 0\n"
