Check the retry budget in the soak

Arrivals beyond the first of each request are counted by service over any 10 s of all instances, and the instances get retry-extra = 58 instead of 200. A stream's first rejected prefill passes for its first, so that the check is lenient by one for each such stream.

--- a/soak/callers.c
+++ b/soak/callers.c
@@ -152,6 +152,7 @@
     }
     g_string_append(head, "\r\n");
     g_hash_table_insert(s->requests, q->id, q);
+    Fw_SoakBudget_NoteSent(q);
     s->n_total++;
     s->n_sent += s->is_final;
     q->exchange = Fw_Exchange_Start(s->pool, s->relays[relay].callers, head,
--- a/soak/check.c
+++ b/soak/check.c
@@ -125,6 +125,7 @@
 {
     int64_t now = Fw_Soak_NowUs();
 
+    Fw_SoakBudget_NoteArrival(q);
     check_draining(v, q);
     check_leaving(v, q);
     Fw_SoakCrashes_NoteArrival(v, q);
--- a/soak/main.c
+++ b/soak/main.c
@@ -181,6 +181,7 @@
 {
     char *path = g_strdup_printf("%s/soak.log", s->dir);
 
+    Fw_SoakBudget_Report(s);
     g_file_set_contents(path, s->log->str, -1, NULL);
     if (s->n_violations) {
         char **lines = g_strsplit(s->log->str, "\n", 0);
--- a/soak/relays.c
+++ b/soak/relays.c
@@ -63,10 +63,11 @@
         "[listen]\ncallers = 127.0.0.1:%d\nready = 127.0.0.1:%d\n"
         "metrics = 127.0.0.1:%d\npeers = 127.0.0.1:%d\n"
         "[store]\naddress = 127.0.0.1:%d\n"
-        "[limits]\nretry-extra = 200\ngrace-s = %d\n"
+        "[limits]\nretry-extra = %d\ngrace-s = %d\n"
         "[log]\nlevel = %s\n",
         r->name, 'a' + r->index % 3, r->ports[0], r->ports[1], r->ports[2],
-        r->ports[3], Fw_Proxy_Port(r->store_proxy), FW_GRACE_S, log_level);
+        r->ports[3], Fw_Proxy_Port(r->store_proxy), FW_SOAK_RETRY_EXTRA,
+        FW_GRACE_S, log_level);
 
     if (!g_file_set_contents(r->settings, text, -1, NULL)) {
         g_error("cannot write %s", r->settings);
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -19,6 +19,8 @@
 #define FW_SOAK_ENGINES 5
 #define FW_SOAK_PLAIN 4
 #define FW_SOAK_SERVERS (FW_SOAK_ENGINES + FW_SOAK_PLAIN)
+/* Setting retry-extra of the instances. */
+#define FW_SOAK_RETRY_EXTRA 58
 /* Value of struct soak.crowded_relay for none. */
 #define FW_SOAK_NOBODY (-1)
 /* A fault may have effects for this long after its end. */
@@ -111,6 +113,7 @@
  * @key: number of the key that it was sent with
  * @status: of its response, 0 for none
  * @runs: times that a server began to run it, other than prefills
+ * @arrivals: times that it has reached a server, prefills included
  * @server: the last one that did, NULL for none
  * @culprit: number of a part in it that crashes engines, 0 for none
  * @has_reached: it has reached an engine after that was known
@@ -133,6 +136,7 @@
     int is_whole;
     int is_ended;
     int runs;
+    int arrivals;
     int culprit;
     int has_reached;
     struct soak_server *server;
@@ -281,6 +285,17 @@
 void
 Fw_SoakCrashes_NoteStart(struct soak_server *v, const struct soak_request *q);
 
+/* budget.c */
+/* A caller has sent the request. */
+void
+Fw_SoakBudget_NoteSent(const struct soak_request *q);
+/* The request has reached a server. */
+void
+Fw_SoakBudget_NoteArrival(struct soak_request *q);
+/* Logs the most retries of a window; ends the counts. */
+void
+Fw_SoakBudget_Report(struct soak *s);
+
 /* plan.c */
 /* Schedules the faults of a run of @ms. */
 void
