Do not run requests whose callers had closed when they were read

The end is in the socket by then; it is looked for when a whole request has been read, at the price of one system call a request.

--- a/src/http/caller.c
+++ b/src/http/caller.c
@@ -4,6 +4,8 @@
 
 #include "http/http_internal.h"
 
+/* In the log, for a request whose caller has closed before it was read. */
+#define FW_STATUS_CALLER_GONE 499
 /* Pipelined data during a request beyond which the connection is reset. */
 #define FW_PIPELINED_MAX_BYTES (128 * 1024)
 
@@ -190,11 +192,21 @@
     return 0;
 }
 
+/*
+ * A caller that has closed its connection by now is gone: after a pause of the
+ * process, requests are read long after that.
+ */
 static void
 deliver_request(struct fw_http_caller *c)
 {
     struct fw_http_server *s = c->server;
 
+    if (Fw_Conn_IsAtEnd(c->conn)) {
+        s->ops->rejected(s->ctx, FW_STATUS_CALLER_GONE,
+                         "its caller has closed");
+        Fw_Caller_Free(c, 0);
+        return;
+    }
     c->request_body = Fw_BodyBuffer_Take(&c->body_buffer);
     c->close_after = s->draining || !c->head.keep_alive;
     set_state(c, FW_CALLER_RESPONSE);
--- a/src/http/conn.c
+++ b/src/http/conn.c
@@ -631,6 +631,15 @@
     return c->connected;
 }
 
+int
+Fw_Conn_IsAtEnd(const struct fw_conn *c)
+{
+    char next;
+
+    return !c->in_len && recv(g_socket_get_fd(c->sock), &next, 1,
+                              MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 int
 Fw_Conn_IsQuiet(const struct fw_conn *c)
 {
--- a/src/http/conn.h
+++ b/src/http/conn.h
@@ -96,6 +96,9 @@
 Fw_Conn_SentBytes(const struct fw_conn *c);
 int
 Fw_Conn_Connected(const struct fw_conn *c);
+/* Whether all that the peer sent before it closed has been consumed. */
+int
+Fw_Conn_IsAtEnd(const struct fw_conn *c);
 /* Whether nothing waits to be read and the peer has not closed. */
 int
 Fw_Conn_IsQuiet(const struct fw_conn *c);
