Hear a process that was started after the time of day was moved back

An instance's start number is the time of day; the others dropped digests and reports with a number below the last one as messages of its former process. Started anew after its clock was set back, an instance was not heard until its clock passed its former start, for seconds or, if that clock had been far ahead, for hours: what it spent of the allowances, and which servers it had filled, nobody counted, and it seemed to be gone.

A lower number is that of a new process if the former one has been silent for a second.

test_restarts: the first of two cases failed before.

--- a/src/relay/demand_message.c
+++ b/src/relay/demand_message.c
@@ -168,11 +168,15 @@
     return scope == FW_DEMAND_REST && from == r->exchange.hub;
 }
 
-/* Datagrams may be reordered or duplicated. */
+/*
+ * Datagrams may be reordered or duplicated. The number of a new process may be
+ * lower than that of the one before.
+ */
 static int
 is_newer(const struct fw_rl_member *m, uint64_t boot, uint64_t seq)
 {
     return boot > m->demand_boot ||
+           (boot == m->boot && boot != m->demand_boot) ||
            (boot == m->demand_boot && seq > m->demand_seq);
 }
 
--- a/src/relay/digest.c
+++ b/src/relay/digest.c
@@ -84,9 +84,9 @@
 
 /* Datagrams may be reordered or duplicated. */
 static int
-is_stale(const struct fw_rl_member *m, const struct digest *d)
+is_stale(const struct fw_rl_member *m, const struct digest *d, int64_t now_us)
 {
-    return d->from.boot < m->boot ||
+    return Fw_Message_IsFromFormerProcess(m, d->from.boot, now_us) ||
            (d->from.boot == m->boot && d->seq <= m->digest_seq);
 }
 
@@ -128,7 +128,7 @@
     int is_first;
     int is_new;
 
-    if (!m || (m->last_message_us && is_stale(m, d))) {
+    if (!m || (m->last_message_us && is_stale(m, d, now_us))) {
         return 0;
     }
     is_first = !m->last_digest_us ||
--- a/src/relay/message.c
+++ b/src/relay/message.c
@@ -6,6 +6,13 @@
 #include "core/pack.h"
 #include "relay/relay_internal.h"
 
+/*
+ * The numbers of an instance's processes are times of day. One that was
+ * started after the time of day was moved back has a lower number than the
+ * one before, which has been silent for at least this long by then.
+ */
+#define FW_FORMER_PROCESS_US (1 * FW_SEC)
+
 /* Time since the store's recovery if it was never lost. */
 #define FW_NEVER_RECOVERED (-1)
 
@@ -29,6 +36,13 @@
                : 0;
 }
 
+int
+Fw_Message_IsFromFormerProcess(const struct fw_rl_member *m, uint64_t boot,
+                               int64_t now_us)
+{
+    return boot < m->boot && now_us - m->boot_heard_us < FW_FORMER_PROCESS_US;
+}
+
 struct fw_rl_member *
 Fw_Message_FindOrAddSender(struct fw_relay *r, const struct fw_rl_sender *from,
                            int64_t now_us)
@@ -48,6 +62,7 @@
                        int64_t now_us)
 {
     m->boot = from->boot;
+    m->boot_heard_us = now_us;
     m->domain = from->domain;
     m->cpu_ppm = from->cpu_ppm;
     g_strlcpy(m->addr, addr, sizeof(m->addr));
--- a/src/relay/peers.h
+++ b/src/relay/peers.h
@@ -66,7 +66,8 @@
  * @hash: of its name
  * @domain: hash of its failure domain, 0 while unknown
  * @cpu_ppm: CPU it may use, in millionths of a core
- * @boot: number of its process lifetime; a restart raises it
+ * @boot: number of its process: the time of day at its start
+ * @boot_heard_us: when the last digest or report of that process came
  * @digest_seq: sequence number of its last digest or delta
  * @last_message_us, @last_digest_us, @last_report_us: when the last message of
  *     any kind, digest and report was received, 0 for never; of a digest and a
@@ -108,6 +109,7 @@
     uint64_t domain;
     int64_t cpu_ppm;
     uint64_t boot;
+    int64_t boot_heard_us;
     uint64_t digest_seq;
     int64_t added_us;
     int64_t last_message_us;
@@ -379,7 +381,7 @@
  * struct fw_rl_sender - sender of a message.
  * @domain: hash of its failure domain
  * @cpu_ppm: CPU it may use, in millionths of a core
- * @boot: number of its process lifetime; a restart raises it
+ * @boot: number of its process: the time of day at its start
  */
 struct fw_rl_sender {
     char name[FW_NAME_MAX];
@@ -412,6 +414,13 @@
 /* Return: 0, or -EBADMSG if elements 1 to 4 aren't a valid sender. */
 int
 Fw_Message_ReadSender(const msgpack_object *o, struct fw_rl_sender *out);
+/*
+ * Whether a message of the process with the number @boot comes from one that
+ * ran before the one that was last heard.
+ */
+int
+Fw_Message_IsFromFormerProcess(const struct fw_rl_member *m, uint64_t boot,
+                               int64_t now_us);
 /* The member named by @from, added if new; NULL for this instance. */
 struct fw_rl_member *
 Fw_Message_FindOrAddSender(struct fw_relay *r, const struct fw_rl_sender *from,
--- a/src/relay/report.c
+++ b/src/relay/report.c
@@ -110,9 +110,9 @@
 }
 
 static int
-is_stale(const struct fw_rl_member *m, const struct report *p)
+is_stale(const struct fw_rl_member *m, const struct report *p, int64_t now_us)
 {
-    return p->from.boot < m->boot ||
+    return Fw_Message_IsFromFormerProcess(m, p->from.boot, now_us) ||
            (p->from.boot == m->boot &&
             (p->session < m->report_session ||
              (p->session == m->report_session && m->last_report_us &&
@@ -153,7 +153,7 @@
         return -EBADMSG;
     }
     m = Fw_Message_FindOrAddSender(r, &p.from, now_us);
-    if (!m || is_stale(m, &p)) {
+    if (!m || is_stale(m, &p, now_us)) {
         return 0;
     }
     is_new = apply_report(r, m, &p, addr, now_us);
