Draw the random values of explored runs one at a time

Three runs drew several values in the arguments of one call. C evaluates these in no order, and the compilers of x86-64 and arm64 choose different ones, so that a seed named two courses.

The draws stand one after the other now, in the order in which x86-64 made them; bounds, seeds and checks are unchanged.

--- a/explore/p_limit.c
+++ b/explore/p_limit.c
@@ -41,9 +41,12 @@
         for (int i = 0; i < n_requests; i++) {
             int64_t max_tokens =
                 checker.accounts[team].team.burst / (in_burst ? 100 : 4);
-            Fw_LimitCheck_Request(
-                &checker, &env, Fw_FleetEnv_RandBelow(&env, INSTANCES), team,
-                1 + Fw_FleetEnv_RandBelow(&env, (gint32)max_tokens));
+            int64_t tokens =
+                1 + Fw_FleetEnv_RandBelow(&env, (gint32)max_tokens);
+
+            Fw_LimitCheck_Request(&checker, &env,
+                                  Fw_FleetEnv_RandBelow(&env, INSTANCES), team,
+                                  tokens);
         }
         if (refunds && Fw_FleetEnv_RandBelow(&env, 100) < 20) {
             Fw_LimitCheck_RefundRandom(&checker, &env);
--- a/explore/p_order.c
+++ b/explore/p_order.c
@@ -26,13 +26,16 @@
 add_engines(struct fw_run *run, struct fw_order_env *env)
 {
     for (int i = 0; i < FW_ORDER_ENV_ENGINES; i++) {
+        /* One at a time: arguments are evaluated in no order. */
+        int checks_fence = rand_below(run, 2);
+        const char *model = rand_below(run, 2) ? "m@1" : "m@0";
+        const char *role = draw_role(run);
         char name[8];
 
         g_snprintf(name, sizeof(name), "e%d", i);
-        Fw_OrderEnv_AddEngine(env, name, draw_role(run),
-                              i % 2 ? "prefill" : "decode",
-                              rand_below(run, 2) ? "m@1" : "m@0")
-            ->checks_fence = rand_below(run, 2);
+        Fw_OrderEnv_AddEngine(env, name, role, i % 2 ? "prefill" : "decode",
+                              model)
+            ->checks_fence = checks_fence;
     }
 }
 
--- a/explore/relay_requests.c
+++ b/explore/relay_requests.c
@@ -377,8 +377,9 @@
         apply_actions(env);
     }
     if (random_below(env, 120) == 0) {
-        update_server(env, random_below(env, FW_SERVERS),
-                      random_below(env, 1000));
+        int change = random_below(env, 1000);
+
+        update_server(env, random_below(env, FW_SERVERS), change);
         apply_actions(env);
     }
     if (env->pending->len) {
