Count requests for the retry budget from when they may have been sent

Each instance may repeat a fifth of the requests that it has counted in a window. One that stands still reads what callers sent meanwhile all at once when it goes on, and counted it then: with several that pause in turn, requests of up to 3.5 s before the window were counted in it, and all that had timed out meanwhile was sent again at once.

Requests that are read within 0.3 s of a pause of 0.5 s or more count as of its beginning, and leave the window with it.

--- a/src/relay/calls.h
+++ b/src/relay/calls.h
@@ -66,6 +66,7 @@
  * @is_declined: a server has received it and said that it does not run it
  * @counted_us: when it was counted as a request of its service, 0 if it is
  *     not
+ * @sent_by_us: when its caller has sent it at the earliest, as counted then
  * @retries_charged: retries of a plain request that the retry budget was
  *     charged for
  * @handovers: instances that it was handed over to
@@ -133,6 +134,7 @@
     int n_unconnected;
     int is_declined;
     int64_t counted_us;
+    int64_t sent_by_us;
     int retries_charged;
     int handovers;
     int resumes;
@@ -356,6 +358,14 @@
 int64_t
 Fw_Stream_RetryAfter(struct fw_relay *r, const struct fw_rl_call *c);
 
+/* pause.c */
+/* To be called at the beginning of each tick. */
+void
+Fw_Pause_NoteTick(struct fw_relay *r, int64_t now_us);
+/* When a request that is read now has been sent at the earliest. */
+int64_t
+Fw_Pause_EarliestSentUs(const struct fw_relay *r, int64_t now_us);
+
 /* links.c */
 /* The links to the servers of @service at @stage, added if new. */
 struct fw_rl_stage_links *
--- a/src/relay/limits.h
+++ b/src/relay/limits.h
@@ -118,10 +118,13 @@
                     int64_t now_us);
 
 /* retry_budget.c */
-/* Counts a request, which adds to the budget of its service. */
+/*
+ * Counts a request, which adds to the budget of its service. @sent_us: when
+ * its caller has sent it at the earliest
+ */
 void
 Fw_RetryBudget_NoteRequest(struct fw_relay *r, const char *service,
-                           int64_t now_us);
+                           int64_t sent_us, int64_t now_us);
 /*
  * Takes back a request that was counted at @counted_us, and @retries that were
  * charged since.
--- a/src/relay/open.c
+++ b/src/relay/open.c
@@ -237,8 +237,9 @@
 static void
 count_request(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us)
 {
-    Fw_RetryBudget_NoteRequest(r, c->service, now_us);
     c->counted_us = now_us;
+    c->sent_by_us = Fw_Pause_EarliestSentUs(r, now_us);
+    Fw_RetryBudget_NoteRequest(r, c->service, c->sent_by_us, now_us);
 }
 
 void
@@ -251,7 +252,7 @@
     if (!c->counted_us) {
         return;
     }
-    Fw_RetryBudget_TakeBack(r, c->service, c->counted_us,
+    Fw_RetryBudget_TakeBack(r, c->service, c->sent_by_us,
                             c->is_declined ? 0 : c->retries_charged, now_us);
     if (c->kv_tokens) {
         Fw_PrefillLoad_TakeBack(
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -396,6 +396,7 @@
     struct fw_list *pos;
     struct fw_list *tmp;
 
+    Fw_Pause_NoteTick(r, now_us);
     Fw_Servers_Tick(r, now_us, out);
     tick_ops(r, now_us, out);
     FW_LIST_EACH_SAFE (pos, tmp, &r->call_list) {
--- a/src/relay/relay_internal.h
+++ b/src/relay/relay_internal.h
@@ -68,8 +68,20 @@
     return us / FW_MSEC;
 }
 
+/**
+ * struct fw_rl_pause - pauses of this process.
+ * @tick_us: the last tick, 0 for none
+ * @began_us, @ended_us: the last pause, 0 for none
+ */
+struct fw_rl_pause {
+    int64_t tick_us;
+    int64_t began_us;
+    int64_t ended_us;
+};
+
 /**
  * struct fw_relay - state of the relay core.
+ * @pause: pauses of this process
  * @metrics: registry of all metrics
  * @relay_metrics: the relay's own metrics
  * @rules: current configuration, NULL for none
@@ -116,6 +128,7 @@
     struct fw_relay_opts opts;
     GRand *rand;
     int64_t start_us;
+    struct fw_rl_pause pause;
     struct fw_metrics metrics;
     struct fw_rl_metrics relay_metrics;
     struct fw_rl_rules *rules;
--- a/src/relay/retry_budget.c
+++ b/src/relay/retry_budget.c
@@ -65,11 +65,14 @@
 
 void
 Fw_RetryBudget_NoteRequest(struct fw_relay *r, const char *service,
-                           int64_t now_us)
+                           int64_t sent_us, int64_t now_us)
 {
     struct fw_rl_retry_budget *b = find_or_add_budget(r, service, now_us);
+    int64_t slot = MIN(slot_at(r, sent_us), b->slot);
 
-    b->requests[b->slot % FW_RL_RETRY_BUDGET_SLOTS]++;
+    if (slot > b->slot - FW_RL_RETRY_BUDGET_SLOTS) {
+        b->requests[slot % FW_RL_RETRY_BUDGET_SLOTS]++;
+    }
 }
 
 /*
