Keep the soak's checks of limits and rest away from ongoing faults

Since faults of an instance are counted, the end of the last one no longer says that one is going on; checks of limits and of rest that look back to when an instance was told ask for both again.

--- a/soak/budget.c
+++ b/soak/budget.c
@@ -7,15 +7,21 @@
 #define FW_WINDOW_US (10 * FW_SEC)
 #define FW_RETRY_RATIO 0.2
 
-/** struct service - when requests for it were sent, and retries arrived. */
+/**
+ * struct service - when requests for it were sent, and retries arrived.
+ * @least_left: the fewest more that were allowed
+ */
 struct service {
     const char *name;
     GArray *sent;
     GArray *retries;
     int most_retries;
+    int least_left;
 };
 
-static struct service services[] = {{.name = "desk"}, {.name = "llm"}};
+static struct service services[] = {
+    {.name = "desk", .least_left = FW_SOAK_RETRY_EXTRA},
+    {.name = "llm", .least_left = FW_SOAK_RETRY_EXTRA}};
 
 static struct service *
 service_of(const struct soak_request *q)
@@ -79,6 +85,7 @@
     v->most_retries = MAX(v->most_retries, n);
     allowed =
         FW_SOAK_RETRY_EXTRA + (int)(FW_RETRY_RATIO * count_requests(v, now));
+    v->least_left = MIN(v->least_left, allowed - n);
     if (n > allowed) {
         Fw_SoakCheck_Violation(q->soak, "RETRIES",
                                "%s is retry %d in 10 s at %s, allowed %d",
@@ -90,8 +97,9 @@
 Fw_SoakBudget_Report(struct soak *s)
 {
     for (size_t i = 0; i < G_N_ELEMENTS(services); i++) {
-        Fw_Soak_Log(s, "most retries in 10 s at %s: %d", services[i].name,
-                    services[i].most_retries);
+        Fw_Soak_Log(s, "most retries in 10 s at %s: %d, least left %d",
+                    services[i].name, services[i].most_retries,
+                    services[i].least_left);
         if (services[i].sent) {
             g_array_unref(services[i].sent);
             g_array_unref(services[i].retries);
--- a/soak/check.c
+++ b/soak/check.c
@@ -48,6 +48,13 @@
            at_us - v->disturbed_us >= FW_SOAK_CALM_US;
 }
 
+/* Whether a fault has affected the relay since then, or does now. */
+static int
+was_disturbed(const struct soak_relay *r, int64_t since_us)
+{
+    return r->n_faults || r->disturbed_us > since_us;
+}
+
 static void
 check_draining(struct soak_server *v, const struct soak_request *q)
 {
@@ -85,7 +92,7 @@
 
     if (!since_us || now - since_us < FW_NOTICE_US ||
         now - since_us >= FW_REST_US ||
-        v->soak->relays[q->relay].disturbed_us > since_us) {
+        was_disturbed(&v->soak->relays[q->relay], since_us)) {
         return;
     }
     if (++v->rest_arrivals[q->relay] > FW_REST_MAX_ARRIVALS) {
@@ -105,7 +112,7 @@
     int n = 0;
 
     if (!v->limit_us || !told_us || now - told_us < FW_NOTICE_US ||
-        v->soak->relays[q->relay].disturbed_us > told_us) {
+        was_disturbed(&v->soak->relays[q->relay], told_us)) {
         return;
     }
     g_array_append_val(v->arrivals, a);
