--- a/src/relay/peers.h
+++ b/src/relay/peers.h
@@ -416,7 +416,7 @@
 Fw_Message_ReadSender(const msgpack_object *o, struct fw_rl_sender *out);
 /*
  * Whether a message of the process with the number @boot comes from one that
- * ran before the one that was last heard.
+ * ran before the one whose messages came last.
  */
 int
 Fw_Message_IsFromFormerProcess(const struct fw_rl_member *m, uint64_t boot,
--- a/src/relay/servers.c
+++ b/src/relay/servers.c
@@ -32,11 +32,6 @@
  * which may have passed when this instance learns of it.
  */
 #define FW_FOLLOW_US (500 * FW_MSEC)
-/*
- * An outage in which entries lapse hits those of all servers. If at most this
- * part of them is unlisted after it, these servers have rather left.
- */
-#define FW_FEW_UNLISTED_PART 4
 /* Weight of the newest response in the moving means. */
 #define FW_MEAN_WEIGHT 0.15
 
@@ -103,76 +98,6 @@
     r->list_hash += s->list_hash;
 }
 
-static void
-note_left(struct fw_rl_server *s, int64_t now_us)
-{
-    if (!s->left_us && !FW_FAULT("draining-ignored")) {
-        s->left_us = now_us;
-    }
-}
-
-/* Whether a listed server can take the place of @s. */
-static int
-has_listed_substitute(const struct fw_relay *r, const struct fw_rl_server *s)
-{
-    const struct fw_list *pos;
-
-    FW_LIST_EACH (pos, &r->servers) {
-        const struct fw_rl_server *other =
-            FW_LIST_ENTRY(pos, struct fw_rl_server, link);
-
-        if (!other->removal_us && other->stage_links == s->stage_links &&
-            Fw_Servers_IsInService(other)) {
-            return 1;
-        }
-    }
-    return 0;
-}
-
-static void
-presume_gone(struct fw_rl_server *s, int is_gone, int64_t now_us)
-{
-    if (s->is_presumed_gone == is_gone) {
-        return;
-    }
-    s->is_presumed_gone = is_gone;
-    if (is_gone) {
-        note_left(s, now_us);
-    }
-    else if (!s->entry.draining && !s->is_leaving && !s->gone) {
-        s->left_us = 0;
-    }
-}
-
-/* Decides anew which of the unlisted servers are used until their removal. */
-static void
-update_presumptions(struct fw_relay *r, int64_t now_us)
-{
-    int n = (int)g_hash_table_size(r->servers_by_hash);
-    int few = r->n_removals <= MAX(n / FW_FEW_UNLISTED_PART, 1);
-    struct fw_list *pos;
-
-    FW_LIST_EACH (pos, &r->servers) {
-        struct fw_rl_server *s = FW_LIST_ENTRY(pos, struct fw_rl_server, link);
-
-        presume_gone(s, few && s->removal_us && has_listed_substitute(r, s),
-                     now_us);
-    }
-}
-
-static void
-set_removal(struct fw_relay *r, struct fw_rl_server *s, int64_t removal_us,
-            int64_t now_us)
-{
-    if ((removal_us != 0) == (s->removal_us != 0)) {
-        s->removal_us = removal_us;
-        return;
-    }
-    r->n_removals += removal_us ? 1 : -1;
-    s->removal_us = removal_us;
-    update_presumptions(r, now_us);
-}
-
 struct fw_rl_server *
 Fw_Servers_Ref(struct fw_rl_server *s)
 {
@@ -301,7 +226,7 @@
         return;
     }
     s->is_leaving = 1;
-    note_left(s, now_us);
+    Fw_Servers_NoteLeft(s, now_us);
     Fw_RelayActions_Log(out, r, LOG_NOTICE, "server_leaving",
                         "\"server\":\"%s\"", s->entry.id);
     close_idle_connections(s, out);
@@ -314,10 +239,10 @@
     Fw_RelayActions_Log(out, r, LOG_NOTICE, "server_gone",
                         "\"server\":\"%s\",\"addr\":\"%s\",\"why\":\"%s\"",
                         s->entry.id, s->entry.addr, why);
-    note_left(s, now_us);
+    Fw_Servers_NoteLeft(s, now_us);
     Fw_Crashes_ServerLost(r, s, now_us, out);
     close_idle_connections(s, out);
-    set_removal(r, s, 0, now_us);
+    Fw_Servers_SetRemoval(r, s, 0, now_us);
     r->list_hash -= s->list_hash;
     g_hash_table_remove(r->servers_by_hash, &s->hash);
     if (Fw_Servers_FindByShortHash(r, (uint32_t)s->hash) == s) {
@@ -378,7 +303,7 @@
                             e->id, e->draining, (int)e->stage);
     }
     if (e->draining && !s->entry.draining) {
-        note_left(s, now_us);
+        Fw_Servers_NoteLeft(s, now_us);
         close_idle_connections(s, out);
     }
     else if (!e->draining && !s->is_leaving) {
@@ -386,7 +311,7 @@
     }
     set_entry(r, s, e, now_us);
     s->listed = 1;
-    set_removal(r, s, 0, now_us);
+    Fw_Servers_SetRemoval(r, s, 0, now_us);
 }
 
 static int
@@ -403,8 +328,8 @@
 {
     if (is_in_relist_grace(r, now_us)) {
         if (!s->removal_us) {
-            set_removal(r, s, r->store_recovered_us + FW_RL_RELIST_GRACE_US,
-                        now_us);
+            Fw_Servers_SetRemoval(
+                r, s, r->store_recovered_us + FW_RL_RELIST_GRACE_US, now_us);
             Fw_RelayActions_Log(
                 out, r, LOG_NOTICE, "server_unlisted",
                 "\"server\":\"%s\",\"kept_ms\":%" G_GINT64_FORMAT
--- a/src/relay/servers.h
+++ b/src/relay/servers.h
@@ -164,6 +164,16 @@
 /* Whether the server is changing its stage. */
 int
 Fw_Servers_IsChangingStage(const struct fw_rl_server *s, int64_t now_us);
+/* This instance knows from now on that the server is leaving or gone. */
+void
+Fw_Servers_NoteLeft(struct fw_rl_server *s, int64_t now_us);
+/*
+ * The unlisted server is removed then unless it is listed again, 0: it is
+ * listed, or removed. Until then it is used, unless few others are unlisted.
+ */
+void
+Fw_Servers_SetRemoval(struct fw_relay *r, struct fw_rl_server *s,
+                      int64_t removal_us, int64_t now_us);
 /*
  * Whether it has been leaving, or gone, for so long that not even the run of a
  * request with a reservation may be sent to it.
