Review: show that a second copy of a rejection is taken for the answer to the next try

A server's 503 with Not-Executed that comes a second time, late, is taken for the answer to the router's next try of the same request on that channel, which the server runs: unsafe requests run twice, or are refused and run.

--- a/review/stand/cases.c
+++ b/review/stand/cases.c
@@ -15,7 +15,8 @@
 #define KEY_A "3d3zji9n73hh2b9wu3fe"
 #define KEY_B "xd9dnn2ctnfzs989anu6"
 
-static struct instance instances[N_INSTANCES];
+static struct instance instances[INSTANCES_MAX];
+static int n_instances = N_INSTANCES;
 
 static void
 put_config(int version, const char *routes, const char *keys)
@@ -58,6 +59,12 @@
     "\"TargetLatencyMs\":300,\"Priority\":2,\"Service\":\"records-app\","     \
     "\"Attempts\":1,\"AllowAnonymous\":false}"
 
+#define ORDER_ROUTE                                                           \
+    "{\"Name\":\"r-dm6qu59\",\"Host\":\"" HOST                                \
+    "\",\"PathPrefix\":\"/orders/\",\"Kind\":\"unsafe\",\"TimeoutMs\":600,"  \
+    "\"TargetLatencyMs\":100,\"Priority\":2,\"Service\":\"records-app\","     \
+    "\"Attempts\":1,\"AllowAnonymous\":false}"
+
 static void
 start_plain_servers(void)
 {
@@ -78,11 +85,11 @@
 static int
 start_instances(const char *dir, int store)
 {
-    instances_prepare(instances, N_INSTANCES, dir, store);
-    for (int i = 0; i < N_INSTANCES; i++) {
+    instances_prepare(instances, n_instances, dir, store);
+    for (int i = 0; i < n_instances; i++) {
         instance_start(&instances[i]);
     }
-    if (!wait_ready(instances, N_INSTANCES, 15000)) {
+    if (!wait_ready(instances, n_instances, 15000)) {
         record("the instances do not get ready");
         return -1;
     }
@@ -93,7 +100,7 @@
 static void
 end_instances(void)
 {
-    for (int i = 0; i < N_INSTANCES; i++) {
+    for (int i = 0; i < n_instances; i++) {
         if (instances[i].pid > 0) {
             instance_kill(&instances[i], SIGKILL);
         }
@@ -117,9 +124,9 @@
 
 #define STREAMS_PER_S 28
 #define STREAMS_S 66
-/* The trouble: 5 s of every 8, at two of four servers, 1 of 34 answers. */
+/* The trouble: 5 s of every 6, for 1 of 34 answers. */
 #define TROUBLE_S 5
-#define TROUBLE_EVERY_S 8
+#define TROUBLE_EVERY_S 6
 #define TROUBLE_ONE_OF 34
 
 static pthread_mutex_t count_lock = PTHREAD_MUTEX_INITIALIZER;
@@ -197,7 +204,7 @@
         n_open++;
         pthread_mutex_unlock(&count_lock);
         if (pthread_create(&id, NULL, ask_stream,
-                           &instances[rand_r(&seed) % N_INSTANCES])) {
+                           &instances[rand_r(&seed) % n_instances])) {
             return 2;
         }
         pthread_detach(id);
@@ -212,6 +219,123 @@
     return n_mixed ? 1 : n_good > n_other ? 0 : 2;
 }
 
+/*
+ * A server sends the answer with which it has rejected a request a second
+ * time, late: when that request comes again on the same channel.
+ */
+
+#define ORDERS_PER_S 760
+#define ORDERS_S 75
+#define ORDERS_MAX 120000
+
+static struct answer *orders;
+static int n_orders;
+
+static void *
+ask_order(void *arg)
+{
+    struct instance *i = arg;
+    struct answer a;
+
+    ask(i, "POST", HOST, "/orders/2f", KEY_A, "", "reserve", 600, &a);
+    pthread_mutex_lock(&count_lock);
+    orders[n_orders++] = a;
+    n_open--;
+    pthread_mutex_unlock(&count_lock);
+    if (a.status != 200) {
+        record_answer(&a, i);
+    }
+    return NULL;
+}
+
+static int
+is_refusal(int status)
+{
+    return status == 503 || status == 429 || status == 408 || status == 421;
+}
+
+/* Return: number of orders of which a rule was broken. */
+static int
+check_orders(void)
+{
+    int n[600] = {0};
+    int twice = 0;
+    int refused = 0;
+
+    for (int i = 0; i < n_orders; i++) {
+        const struct answer *a = &orders[i];
+        int runs = runs_of(a->id);
+
+        n[a->status % 600]++;
+        if (runs > 1) {
+            record("TWICE: %s has run %d times, its client got %d", a->id,
+                   runs, a->status);
+            twice++;
+        }
+        if (runs > 0 && is_refusal(a->status)) {
+            record("REFUSED: %s has run, its client got %d", a->id, a->status);
+            refused++;
+        }
+    }
+    record("%d orders: 200 %d, 503 %d, 502 %d, 504 %d, cut %d; run twice %d, "
+           "refused and run %d",
+           n_orders, n[200], n[503], n[502], n[504], n[0], twice, refused);
+    return twice + refused;
+}
+
+int
+run_late_refusal(int trouble, const char *dir)
+{
+    static struct server all[] = {
+        {.id = "i-1a", .zone = "coast-a"},
+        {.id = "i-2b", .zone = "coast-b"},
+    };
+    unsigned seed = (unsigned)now_ms();
+    int store = store_start();
+    int64_t from;
+    int broken;
+
+    n_instances = INSTANCES_MAX;
+    srand48((long)seed);
+    srand(seed);
+    orders = calloc(ORDERS_MAX, sizeof(*orders));
+    for (size_t i = 0; i < sizeof(all) / sizeof(all[0]); i++) {
+        all[i].service = "records-app";
+        all[i].slots = 6;
+        all[i].queue = 2;
+        all[i].work_ms = 15;
+        server_start(&all[i]);
+    }
+    put_config(1, ORDER_ROUTE, "\"" KEY_A "\"");
+    if (start_instances(dir, store)) {
+        return 2;
+    }
+    from = now_ms();
+    while (now_ms() - from < ORDERS_S * 1000 && n_orders < ORDERS_MAX - 1000) {
+        int64_t at = (now_ms() - from) % (TROUBLE_EVERY_S * 1000);
+        pthread_t id;
+
+        all[0].second_answers =
+            trouble && at < TROUBLE_S * 1000 ? TROUBLE_ONE_OF : 0;
+        pthread_mutex_lock(&count_lock);
+        n_open++;
+        pthread_mutex_unlock(&count_lock);
+        if (pthread_create(&id, NULL, ask_order,
+                           &instances[rand_r(&seed) % n_instances])) {
+            return 2;
+        }
+        pthread_detach(id);
+        sleep_us((int64_t)(-log(drand48()) * 1000000 / ORDERS_PER_S));
+    }
+    for (int64_t until = now_ms() + 6000; n_open && now_ms() < until;) {
+        sleep_ms(50);
+    }
+    sleep_ms(1000);
+    broken = check_orders();
+    end_instances();
+    return broken > 0;
+}
+
 /* Requests with @key at all instances in turn. Return: number of 200s. */
 static int
 ask_in_turn(int n, int pause_ms, const char *path, const char *key, int *ran)
@@ -222,11 +346,11 @@
     for (int i = 0; i < n; i++) {
         struct answer a;
 
-        ask(&instances[i % N_INSTANCES], "POST", HOST, path, key, "", "issue",
+        ask(&instances[i % n_instances], "POST", HOST, path, key, "", "issue",
             3000, &a);
         good += a.status == 200 && a.whole && strstr(a.stamp, a.id) != NULL;
         *ran += runs_of(a.id);
-        record_answer(&a, &instances[i % N_INSTANCES]);
+        record_answer(&a, &instances[i % n_instances]);
         sleep_ms(pause_ms);
     }
     return good;
@@ -263,11 +387,11 @@
         record("another writer's entry under a key of %zu bytes", strlen(key));
     }
     sleep_ms(3000);
-    for (int i = 0; i < N_INSTANCES; i++) {
+    for (int i = 0; i < n_instances; i++) {
         instance_kill(&instances[i], SIGKILL);
     }
     sleep_ms(1000);
-    for (int i = 0; i < N_INSTANCES; i++) {
+    for (int i = 0; i < n_instances; i++) {
         instance_start(&instances[i]);
     }
     sleep_ms(RECOVERY_MS);
--- a/review/stand/cases.h
+++ b/review/stand/cases.h
@@ -8,6 +8,8 @@
 int
 run_late_answer(int trouble, const char *dir);
 int
+run_late_refusal(int trouble, const char *dir);
+int
 run_long_key(int trouble, const char *dir);
 int
 run_long_prefix(int trouble, const char *dir);
--- a/review/stand/http.c
+++ b/review/stand/http.c
@@ -25,15 +25,22 @@
 }
 
 void
-sleep_ms(int64_t ms)
+sleep_us(int64_t us)
 {
-    struct timespec t = {.tv_sec = ms / 1000, .tv_nsec = ms % 1000 * 1000000};
+    struct timespec t = {.tv_sec = us / 1000000,
+                         .tv_nsec = us % 1000000 * 1000};
 
-    if (ms > 0) {
+    if (us > 0) {
         nanosleep(&t, NULL);
     }
 }
 
+void
+sleep_ms(int64_t ms)
+{
+    sleep_us(ms * 1000);
+}
+
 static struct sockaddr_in
 loopback(int port)
 {
--- a/review/stand/http.h
+++ b/review/stand/http.h
@@ -32,6 +32,8 @@
 now_ms(void);
 void
 sleep_ms(int64_t ms);
+void
+sleep_us(int64_t us);
 /* Return: a listening socket on a free loopback port, stored in @port. */
 int
 listen_any(int *port);
--- a/review/stand/main.c
+++ b/review/stand/main.c
@@ -15,6 +15,7 @@
         int (*run)(int trouble, const char *dir);
     } cases[] = {
         {"late-answer", run_late_answer},
+        {"late-refusal", run_late_refusal},
         {"long-key", run_long_key},
         {"long-prefix", run_long_prefix},
     };
--- a/review/stand/world.c
+++ b/review/stand/world.c
@@ -52,48 +52,54 @@
     pthread_mutex_unlock(&lock);
 }
 
-/* Runs by request id. */
+/* Runs by the number in a request's id, see new_id(). */
 
-#define RUNS_MAX 200000
+#define REQUESTS_MAX 1000000
 
-static char (*run_ids)[32];
-static int n_runs;
+static unsigned char runs[REQUESTS_MAX];
+
+static unsigned
+number_of(const char *id)
+{
+    return (unsigned)strtoul(strlen(id) > 8 ? id + 8 : id, NULL, 16) %
+           REQUESTS_MAX;
+}
 
 static void
 note_run(const char *id)
 {
     pthread_mutex_lock(&lock);
-    if (!run_ids) {
-        run_ids = calloc(RUNS_MAX, sizeof(*run_ids));
-    }
-    if (n_runs < RUNS_MAX) {
-        snprintf(run_ids[n_runs++], 32, "%.31s", id);
-    }
+    runs[number_of(id)]++;
     pthread_mutex_unlock(&lock);
 }
 
 int
 runs_of(const char *id)
 {
-    int n = 0;
+    int n;
 
     pthread_mutex_lock(&lock);
-    for (int i = 0; i < n_runs; i++) {
-        n += strcmp(run_ids[i], id) == 0;
-    }
+    n = runs[number_of(id)];
     pthread_mutex_unlock(&lock);
     return n;
 }
 
 /* Servers. */
 
-/** struct channel - a connection to a server, and the run before on it. */
+/**
+ * struct channel - a connection to a server, and the run before on it.
+ * @second: an answer that is sent a second time when the next request comes
+ */
 struct channel {
     struct server *s;
     struct http_conn c;
     char last_id[64];
+    char second_id[80];
+    char *second;
 };
 
+static pthread_cond_t slot_free = PTHREAD_COND_INITIALIZER;
+
 static void
 register_server(struct server *s)
 {
@@ -132,6 +138,44 @@
     return http_answer(&ch->c, status, all, body, strlen(body));
 }
 
+/* Answers a client's request; keeps some answers to be sent a second time. */
+static void
+answer_client(struct channel *ch, const struct http_msg *m, int status,
+              const char *fields, const char *body)
+{
+    char id[64];
+
+    answer(ch, m, status, fields, body);
+    if (!ch->s->second_answers || rand() % ch->s->second_answers) {
+        return;
+    }
+    http_field(m, "Request-Id", id, sizeof(id));
+    snprintf(ch->second_id, sizeof(ch->second_id), "%s, %d", id, status);
+    if (asprintf(&ch->second,
+                 "HTTP/1.1 %d %s\r\nRequest-Id: %s\r\n%s"
+                 "Content-Length: %zu\r\n\r\n%s",
+                 status, status < 400 ? "OK" : "Rejected", id, fields,
+                 strlen(body), body) < 0) {
+        ch->second = NULL;
+    }
+}
+
+static void
+send_second(struct channel *ch, const struct http_msg *m)
+{
+    char id[64];
+
+    if (!ch->second) {
+        return;
+    }
+    http_field(m, "Request-Id", id, sizeof(id));
+    record("%s sends its answer (%s) a second time, as %s comes on the channel",
+           ch->s->id, ch->second_id, id);
+    send_all(ch->c.fd, ch->second, strlen(ch->second));
+    free(ch->second);
+    ch->second = NULL;
+}
+
 static void
 start_order(struct channel *ch, const struct http_msg *m)
 {
@@ -262,6 +306,13 @@
 
     pthread_mutex_lock(&lock);
     *wrong = s->stage[0] && strcmp(stage, s->stage) != 0;
+    if (s->running >= s->slots && s->waiting < s->queue) {
+        s->waiting++;
+        while (s->running >= s->slots) {
+            pthread_cond_wait(&slot_free, &lock);
+        }
+        s->waiting--;
+    }
     ok = !*wrong && s->running < s->slots && now_ms() >= s->busy_until_ms;
     s->running += ok;
     pthread_mutex_unlock(&lock);
@@ -285,7 +336,7 @@
     reads_prompt = http_field(m, "Stage", stage, sizeof(stage));
     if (!admit(s, reads_prompt ? "prefill" : "decode", &wrong)) {
         record("%s rejects %s: %s", s->id, id, wrong ? "wrong stage" : "full");
-        answer(ch, m, wrong ? 421 : 503, "Not-Executed: 1\r\n", "");
+        answer_client(ch, m, wrong ? 421 : 503, "Not-Executed: 1\r\n", "");
         return;
     }
     if (reads_prompt) {
@@ -312,11 +363,12 @@
             snprintf(fields, sizeof(fields), "Server-Stamp: %s.%s\r\n", s->id,
                      id);
             snprintf(body, sizeof(body), "done %s", id);
-            answer(ch, m, 200, fields, body);
+            answer_client(ch, m, 200, fields, body);
         }
     }
     pthread_mutex_lock(&lock);
     s->running--;
+    pthread_cond_broadcast(&slot_free);
     pthread_mutex_unlock(&lock);
 }
 
@@ -329,6 +381,7 @@
     while (http_read_request(&ch->c, &m) == 0) {
         char wanted[64];
 
+        send_second(ch, &m);
         if (http_field(&m, "Expect-Instance", wanted, sizeof(wanted)) &&
             strcmp(wanted, ch->s->id) != 0) {
             char fields[128];
@@ -351,6 +404,7 @@
         http_msg_free(&m);
     }
     http_close(&ch->c);
+    free(ch->second);
     free(ch);
     return NULL;
 }
--- a/review/stand/world.h
+++ b/review/stand/world.h
@@ -15,6 +15,10 @@
  * @control_ms: time that it takes to answer a call of the router's own
  * @late_answers: every so many calls of the router's own, an extra second
  *     answer to the channel's last run comes before the call's answer; 0 never
+ * @second_answers: one of so many answers to clients' requests is sent a
+ *     second time, late: before the answer to the channel's next request; 0
+ *     never
+ * @queue: requests that wait at a plain server beyond its slots
  */
 struct server {
     char id[64];
@@ -25,10 +29,13 @@
     int work_ms;
     int control_ms;
     int late_answers;
+    int second_answers;
+    int queue;
     int port;
     int orders;
     int64_t busy_until_ms;
     int running;
+    int waiting;
     int calls;
     int held;
     int64_t born_ms;
