--- a/review/stand/http.c
+++ b/review/stand/http.c
@@ -15,6 +15,9 @@
 #include <time.h>
 #include <unistd.h>
 
+#define FIRST_PORT 12000
+#define PORTS 18000
+
 int64_t
 now_ms(void)
 {
@@ -67,13 +70,40 @@
     return fd;
 }
 
+/* Return: whether a socket of this type can be bound to the port. */
+static int
+can_bind(int type, int port)
+{
+    struct sockaddr_in a = loopback(port);
+    int fd = socket(AF_INET, type | SOCK_CLOEXEC, 0);
+    int ok = fd >= 0 && bind(fd, (struct sockaddr *)&a, sizeof(a)) == 0;
+
+    close(fd);
+    return ok;
+}
+
+/*
+ * Below the range that the kernel takes the ports of outgoing connections
+ * from: one of these could take the port before its process is started.
+ */
 int
 free_port(void)
 {
-    int port;
+    static int next;
+
+    if (!next) {
+        next = FIRST_PORT + (int)getpid() * 61 % PORTS;
+    }
+    for (int i = 0; i < PORTS; i++) {
+        int port = next;
 
-    close(listen_any(&port));
-    return port;
+        next = next + 1 < FIRST_PORT + PORTS ? next + 1 : FIRST_PORT;
+        if (can_bind(SOCK_STREAM, port) && can_bind(SOCK_DGRAM, port)) {
+            return port;
+        }
+    }
+    fprintf(stderr, "no free port\n");
+    exit(2);
 }
 
 int
