--- a/review/stand/main.c
+++ b/review/main.c
@@ -1,4 +1,4 @@
-/* Runs one case: review/stand/main NAME RECORD; see cases.h. */
+/* Runs one case: review/stand NAME RECORD; see cases.h. */
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
