Log answers that match no call, repeated connections and calls given up

The record of the incident doesn't show on which connection each try of a request went out, what came there before, or what may lie unread at a server. No decision changes.

--- a/src/http/client.c
+++ b/src/http/client.c
@@ -38,6 +38,7 @@
  * @reusable: keep the connection afterwards
  * @in_callback: the exchange must not be freed yet
  * @aborted: free the exchange when the callback returns
+ * @is_tag_repeated: the connection has carried a request with the same id
  * @waiting: bytes that wait to be read by the upstream
  * @idle_max_us: how long the connection may stay idle afterwards
  */
@@ -56,6 +57,7 @@
     int reusable;
     int in_callback;
     int aborted;
+    int is_tag_repeated;
     size_t waiting;
     int64_t idle_max_us;
     struct fw_http_body_decoder body_decoder;
@@ -364,6 +366,9 @@
     Fw_Conn_SetPrepaid(x->conn, opts->is_control);
     Fw_List_Append(&p->active, &x->link);
     x->sent_at_start = Fw_Conn_SentBytes(x->conn);
+    x->is_tag_repeated =
+        opts->tag && Fw_SentTags_Has(Fw_Conn_SentTags(x->conn), opts->tag);
+    Fw_SentTags_Add(Fw_Conn_SentTags(x->conn), opts->tag);
     Fw_Conn_Write(x->conn, head->str, head->len);
     if (body) {
         Fw_Conn_WriteBytes(x->conn, body);
@@ -383,6 +388,12 @@
     exchange_free(x);
 }
 
+int
+Fw_Exchange_IsTagRepeated(const struct fw_exchange *x)
+{
+    return x->is_tag_repeated;
+}
+
 struct fw_held_account *
 Fw_Exchange_Account(const struct fw_exchange *x)
 {
--- a/src/http/conn.c
+++ b/src/http/conn.c
@@ -73,6 +73,7 @@
  * @charged_conn, @charged_in, @charged_out: charges
  * @is_prepaid: see Fw_Conn_SetPrepaid
  * @sent_total: bytes that the kernel has accepted on this connection
+ * @sent_tags: see Fw_Conn_SentTags
  * @shutdown_pending: shut down the sending side when @out is empty
  * @resets_at_close: the kernel resets the connection when it is closed
  * @closed: no further callbacks are made
@@ -97,6 +98,7 @@
     size_t charged_out;
     int is_prepaid;
     uint64_t sent_total;
+    struct fw_sent_tags sent_tags;
     int connected;
     int reading;
     int shutdown_pending;
@@ -619,6 +621,12 @@
     return c->unsent;
 }
 
+struct fw_sent_tags *
+Fw_Conn_SentTags(struct fw_conn *c)
+{
+    return &c->sent_tags;
+}
+
 uint64_t
 Fw_Conn_SentBytes(const struct fw_conn *c)
 {
--- a/src/http/conn.h
+++ b/src/http/conn.h
@@ -9,6 +9,7 @@
 #include <stdint.h>
 
 #include "held/held.h"
+#include "http/sent_tags.h"
 
 struct fw_conn;
 
@@ -88,6 +89,9 @@
  */
 void
 Fw_Conn_ResetUnlessShutdown(struct fw_conn *c);
+/* The requests that the connection has carried, kept by its owners. */
+struct fw_sent_tags *
+Fw_Conn_SentTags(struct fw_conn *c);
 /* Bytes written that the kernel has not accepted yet. */
 size_t
 Fw_Conn_Unsent(const struct fw_conn *c);
--- /dev/null
+++ b/src/http/sent_tags.h
@@ -0,0 +1,33 @@
+/*
+ * Which requests a connection to an upstream has carried. An upstream may send
+ * an answer twice, the second time when it should answer the next request; the
+ * id in it tells whose it is, unless both requests have the same.
+ */
+#ifndef FW_HTTP_SENT_TAGS_H
+#define FW_HTTP_SENT_TAGS_H
+
+#include <stdint.h>
+
+/* Requests that a connection remembers. */
+#define FW_SENT_TAGS_MAX 16
+
+/**
+ * struct fw_sent_tags - the requests that a connection has carried.
+ * @tags: of the newest, a ring; 0 for a request without an id
+ * @n: requests so far
+ * @n_untagged: those without an id
+ */
+struct fw_sent_tags {
+    uint64_t tags[FW_SENT_TAGS_MAX];
+    unsigned n;
+    unsigned n_untagged;
+};
+
+/* @tag: hash of the request's id, 0 if it has none */
+void
+Fw_SentTags_Add(struct fw_sent_tags *t, uint64_t tag);
+/* Whether a request with this id is among the newest. */
+int
+Fw_SentTags_Has(const struct fw_sent_tags *t, uint64_t tag);
+
+#endif
--- a/src/relayd/relayd_internal.h
+++ b/src/relayd/relayd_internal.h
@@ -50,6 +50,7 @@
  * @complete: the response has been received in full
  * @framing: how the server marks the end of the response
  * @response_body: follows a response that is sent to the caller
+ * @started_us: when it was started
  * @last_chunk_us: arrival of the last forwarded chunk, 0 for none
  * @addr: address of the upstream
  * @given: bytes of the request's body that the upstream holds
@@ -77,6 +78,7 @@
     int complete;
     enum fw_http_framing framing;
     struct fw_response_body response_body;
+    int64_t started_us;
     int64_t last_chunk_us;
     char addr[FW_URL_MAX];
     size_t given;
--- a/src/relayd/upstream.c
+++ b/src/relayd/upstream.c
@@ -2,6 +2,7 @@
 #include <errno.h>
 #include <string.h>
 
+#include "base/hash.h"
 #include "http/conn.h"
 #include "io/logger.h"
 #include "relayd/relayd_internal.h"
@@ -83,11 +84,28 @@
     charge_response(call);
 }
 
+/* What the upstream has not read yet, it may still read and run. */
+static void
+log_abandoned(const struct fw_upstream_call *call)
+{
+    char sent_ms[24];
+
+    if (!call->exchange || call->answer.status || !answers_caller(call)) {
+        return;
+    }
+    g_snprintf(sent_ms, sizeof(sent_ms), "%" G_GINT64_FORMAT,
+               (int64_t)((Fw_Conn_NowUs() - call->started_us) / FW_MSEC));
+    Fw_Logger_Log(LOG_INFO, "call_abandoned", "id", call->request_id, "server",
+                  call->server, "after_ms", sent_ms, NULL);
+}
+
 void
 Fw_UpstreamCall_Free(gpointer data)
 {
     struct fw_upstream_call *call = data;
 
+    log_abandoned(call);
+
     Fw_HeldWait_Cancel(&call->wait);
     Fw_Held_SetGiven(call->d->held, call->addr, &call->given, 0);
     Fw_HeldAccount_Set(call->account, FW_HELD_RESPONSE, &call->charged, 0);
@@ -219,6 +237,21 @@
     Fw_Relayd_ExecuteActions(d, &acts);
 }
 
+/* An answer that is not taken for the one to the call. */
+static void
+log_unmatched(const struct fw_upstream_call *call,
+              const struct fw_http_head *h)
+{
+    char kind[24];
+    char status[24];
+
+    g_snprintf(kind, sizeof(kind), "%d", (int)call->kind);
+    g_snprintf(status, sizeof(status), "%d", h->status);
+    Fw_Logger_Log(LOG_NOTICE, "answer_unmatched", "id", call->request_id,
+                  "server", call->server, "kind", kind, "status", status,
+                  NULL);
+}
+
 static enum fw_head_action
 on_head(void *ctx, const struct fw_http_head *h)
 {
@@ -226,6 +259,7 @@
 
     if ((call->kind == FW_RL_UP_RUN || call->kind == FW_RL_UP_PREFILL) &&
         !Fw_Platform_ResponseMatches(h, call->request_id)) {
+        log_unmatched(call, h);
         return FW_HEAD_DISCARD;
     }
     Fw_Platform_ParseResponseHead(
@@ -413,6 +447,7 @@
     call->buffered = c->buffer_response;
     call->is_streaming = c->is_streaming;
     call->content_length = -1;
+    call->started_us = Fw_Conn_NowUs();
     call->body = g_byte_array_new();
     g_hash_table_insert(d->upstream_calls, &call->xid, call);
     if (from) {
@@ -420,6 +455,7 @@
         call->has_no_body =
             answers_caller(call) && Fw_Http_MethodIs(from->head, "HEAD");
         opts.no_body = call->has_no_body;
+        opts.tag = call->request_id[0] ? Fw_Hash_Str(call->request_id) : 0;
     }
     Fw_Platform_WriteUpstreamRequest(c, from ? from->head : NULL,
                                      from ? from->body : NULL,
@@ -433,6 +469,10 @@
         call->is_refused = err == -EMFILE && carries_request(c->kind);
     }
     if (call->exchange) {
+        if (Fw_Exchange_IsTagRepeated(call->exchange)) {
+            Fw_Logger_Log(LOG_NOTICE, "connection_repeated", "id",
+                          call->request_id, "server", call->server, NULL);
+        }
         call->account =
             Fw_HeldAccount_Ref(Fw_Exchange_Account(call->exchange));
         g_strlcpy(call->addr, c->addr, sizeof(call->addr));
