--- a/soak/plan.c
+++ b/soak/plan.c
@@ -599,6 +599,7 @@
     int64_t at = FW_FIRST_MS;
 
     plan_refusals_and_removals(s, ms);
+    Fw_SoakAnswers_Plan(s, ms);
     while (at < ms - FW_QUIET_MS) {
         struct entry *e = g_new0(struct entry, 1);
 
--- a/soak/proxy.c
+++ b/soak/proxy.c
@@ -7,6 +7,8 @@
 #define FW_DELAY_US (60 * FW_MSEC)
 #define FW_FLUSH_INTERVAL_MS 5
 #define FW_BACKLOG 128
+/* Larger answers are not sent twice. */
+#define FW_COPY_MAX_BYTES (16 * 1024)
 
 enum side {
     FW_CALLER_SIDE,
@@ -24,6 +26,7 @@
  * struct pair - a connection through the proxy.
  * @ends: context of each connection's callbacks
  * @delayed: data from each side, of struct chunk
+ * @answer: data from the target since the last request, if it isn't too large
  */
 struct pair {
     struct fw_list link;
@@ -34,6 +37,7 @@
     } ends[FW_SIDES];
     struct fw_conn *conns[FW_SIDES];
     GQueue delayed[FW_SIDES];
+    GByteArray *answer;
 };
 
 struct fw_proxy {
@@ -42,6 +46,8 @@
     int port;
     char target[FW_URL_MAX];
     enum fw_proxy_mode mode;
+    int copies_one_of;
+    int n_answers;
     struct fw_list pairs;
     guint flush_timer;
 };
@@ -63,6 +69,7 @@
         Fw_Conn_Free(p->conns[i], reset);
         g_queue_clear_full(&p->delayed[i], chunk_free);
     }
+    g_byte_array_unref(p->answer);
     g_free(p);
 }
 
@@ -73,6 +80,29 @@
            (p->mode == FW_PROXY_ONE_WAY && from == FW_TARGET_SIDE);
 }
 
+/* The caller's side has sent a request: the answer before it is whole. */
+static void
+copy_answer(struct pair *p)
+{
+    struct fw_proxy *proxy = p->proxy;
+
+    if (p->answer->len && p->answer->len <= FW_COPY_MAX_BYTES &&
+        proxy->copies_one_of && proxy->mode == FW_PROXY_PASS &&
+        ++proxy->n_answers % proxy->copies_one_of == 0) {
+        Fw_Conn_Write(p->conns[FW_CALLER_SIDE], p->answer->data,
+                      p->answer->len);
+    }
+    g_byte_array_set_size(p->answer, 0);
+}
+
+static void
+keep_answer(struct pair *p, const char *data, size_t len)
+{
+    if (p->answer->len <= FW_COPY_MAX_BYTES) {
+        g_byte_array_append(p->answer, (const guint8 *)data, (guint)len);
+    }
+}
+
 static void
 on_data(void *ctx)
 {
@@ -83,9 +113,15 @@
     int delayed = p->proxy->mode == FW_PROXY_DELAY ||
                   !g_queue_is_empty(&p->delayed[e->side]);
 
-    if (is_held(p->proxy, e->side)) {
+    if (is_held(p->proxy, e->side) || !len) {
         return;
     }
+    if (e->side == FW_CALLER_SIDE) {
+        copy_answer(p);
+    }
+    else {
+        keep_answer(p, data, len);
+    }
     if (delayed) {
         struct chunk *c = g_new0(struct chunk, 1);
 
@@ -156,6 +192,7 @@
     int err;
 
     p->proxy = proxy;
+    p->answer = g_byte_array_new();
     for (int i = 0; i < FW_SIDES; i++) {
         p->ends[i] = (struct end){.pair = p, .side = (enum side)i};
         g_queue_init(&p->delayed[i]);
@@ -166,6 +203,7 @@
         Fw_Conn_Open(proxy->target, &ops, &p->ends[FW_TARGET_SIDE], &err);
     if (!p->conns[FW_TARGET_SIDE]) {
         Fw_Conn_Free(p->conns[FW_CALLER_SIDE], 1);
+        g_byte_array_unref(p->answer);
         g_free(p);
         return;
     }
@@ -280,6 +318,12 @@
     }
 }
 
+void
+Fw_Proxy_SetCopies(struct fw_proxy *p, int one_of)
+{
+    p->copies_one_of = one_of;
+}
+
 void
 Fw_Proxy_ResetAll(struct fw_proxy *p)
 {
--- a/soak/proxy.h
+++ b/soak/proxy.h
@@ -31,6 +31,12 @@
 /* Data that was held back is passed on when the mode changes. */
 void
 Fw_Proxy_SetMode(struct fw_proxy *p, enum fw_proxy_mode mode);
+/*
+ * Sends one of @one_of answers a second time, just before the next request on
+ * its connection is passed on; 0 for none.
+ */
+void
+Fw_Proxy_SetCopies(struct fw_proxy *p, int one_of);
 void
 Fw_Proxy_ResetAll(struct fw_proxy *p);
 
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -296,6 +296,11 @@
 void
 Fw_SoakBudget_Report(struct soak *s);
 
+/* plan_answers.c */
+/* Schedules the times at which servers answer twice, in a run of @ms. */
+void
+Fw_SoakAnswers_Plan(struct soak *s, int64_t ms);
+
 /* plan.c */
 /* Schedules the faults of a run of @ms. */
 void
--- a/stand/wire/internal.h
+++ b/stand/wire/internal.h
@@ -51,6 +51,8 @@
  * @limit: limit that its responses name, empty for none
  * @rest: seconds of rest that its rejections ask for, empty to accept requests
  * @is_leaving: its responses say that it is leaving
+ * @rejects_one_of: it rejects one of so many runs, 0 for none
+ * @n_offered: runs that it was sent
  * @listen_addr: the address that it listens on
  * @born: number of its start in this process
  * @arrivals: when requests arrived, of int64_t
@@ -83,6 +85,8 @@
     char limit[32];
     char rest[32];
     int is_leaving;
+    int rejects_one_of;
+    int n_offered;
     GArray *arrivals;
     char listen_addr[FW_URL_MAX];
     int born;
--- a/stand/wire/run.c
+++ b/stand/wire/run.c
@@ -226,6 +226,9 @@
 static enum fw_wire_fault
 take_fault(struct fw_wire_server *s)
 {
+    if (s->rejects_one_of && ++s->n_offered % s->rejects_one_of == 0) {
+        return FW_WIRE_FAULT_FULL;
+    }
     if (s->faults_left <= 0) {
         return FW_WIRE_FAULT_NONE;
     }
--- a/stand/wire/server.c
+++ b/stand/wire/server.c
@@ -291,6 +291,12 @@
     g_strlcpy(s->rest, rest ? rest : "", sizeof(s->rest));
 }
 
+void
+Fw_WireServer_SetRejects(struct fw_wire_server *s, int one_of)
+{
+    s->rejects_one_of = one_of;
+}
+
 void
 Fw_WireServer_SetLeaving(struct fw_wire_server *s)
 {
--- a/stand/wire/wire.h
+++ b/stand/wire/wire.h
@@ -153,6 +153,9 @@
  */
 void
 Fw_WireServer_SetRest(struct fw_wire_server *s, const char *rest);
+/* Rejects one of @one_of runs, as a full server does; 0 for none. */
+void
+Fw_WireServer_SetRejects(struct fw_wire_server *s, int one_of);
 /* All responses of the server say that it is leaving. */
 void
 Fw_WireServer_SetLeaving(struct fw_wire_server *s);
