Send no try on a connection that has carried another of its request

Callers saw REFUSED, a 503 for a request that had run, and TWICE, an order that ran twice. A server rejects a try with 503 and says that it has not run it; the next try takes the connection that this has just freed; a second copy of the 503 comes there first. All tries of a request bear its id, the only thing that answers are compared by, so the copy counts for the second try, which runs. A third try runs it again (TWICE), or none is left and the caller gets the 503 (REFUSED).

An idle connection is now taken only for a request whose id is not among those of the newest 16 requests on it, tries, prefills and resumed streams alike, and callers' own repeats. So a copy always bears the id of another request, and is dropped.

--- a/src/http/client.c
+++ b/src/http/client.c
@@ -38,7 +38,6 @@
  * @reusable: keep the connection afterwards
  * @in_callback: the exchange must not be freed yet
  * @aborted: free the exchange when the callback returns
- * @is_tag_repeated: the connection has carried a request with the same id
  * @waiting: bytes that wait to be read by the upstream
  * @idle_max_us: how long the connection may stay idle afterwards
  */
@@ -57,7 +56,6 @@
     int reusable;
     int in_callback;
     int aborted;
-    int is_tag_repeated;
     size_t waiting;
     int64_t idle_max_us;
     struct fw_http_body_decoder body_decoder;
@@ -323,8 +321,8 @@
 static struct fw_conn *
 obtain_conn(struct fw_exchange *x, int *err)
 {
-    struct fw_conn *conn = Fw_IdleConns_Take(x->pool->idle_conns, x->addr,
-                                             x->opts.reuse_idle_max_us);
+    struct fw_conn *conn = Fw_IdleConns_Take(
+        x->pool->idle_conns, x->addr, x->opts.reuse_idle_max_us, x->opts.tag);
 
     if (conn) {
         x->pool->reused.value++;
@@ -366,8 +364,6 @@
     Fw_Conn_SetPrepaid(x->conn, opts->is_control);
     Fw_List_Append(&p->active, &x->link);
     x->sent_at_start = Fw_Conn_SentBytes(x->conn);
-    x->is_tag_repeated =
-        opts->tag && Fw_SentTags_Has(Fw_Conn_SentTags(x->conn), opts->tag);
     Fw_SentTags_Add(Fw_Conn_SentTags(x->conn), opts->tag);
     Fw_Conn_Write(x->conn, head->str, head->len);
     if (body) {
@@ -388,12 +384,6 @@
     exchange_free(x);
 }
 
-int
-Fw_Exchange_IsTagRepeated(const struct fw_exchange *x)
-{
-    return x->is_tag_repeated;
-}
-
 struct fw_held_account *
 Fw_Exchange_Account(const struct fw_exchange *x)
 {
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -56,7 +56,8 @@
  * @connect_timeout_us: the exchange fails when it is not connected by then
  * @no_body: the response has no body, whatever its head says (HEAD)
  * @is_control: serves no caller: reading doesn't pause for the budget
- * @tag: hash of the id that the response must bear, 0 if it bears none
+ * @tag: hash of the id that the response must bear, 0 if it bears none. No
+ *       connection carries two requests with the same id
  */
 struct fw_exchange_opts {
     int64_t reuse_idle_max_us;
@@ -106,9 +107,6 @@
  */
 void
 Fw_Exchange_Abort(struct fw_exchange *x);
-/* Whether its connection has carried a request with the same id before. */
-int
-Fw_Exchange_IsTagRepeated(const struct fw_exchange *x);
 /* What its buffers are charged to, valid as long as it is; may be NULL. */
 struct fw_held_account *
 Fw_Exchange_Account(const struct fw_exchange *x);
--- a/src/http/idle_conns.c
+++ b/src/http/idle_conns.c
@@ -108,18 +108,24 @@
  * it: a loop that was held up has not read that yet.
  */
 struct fw_conn *
-Fw_IdleConns_Take(GHashTable *conns, const char *addr, int64_t idle_limit_us)
+Fw_IdleConns_Take(GHashTable *conns, const char *addr, int64_t idle_limit_us,
+                  uint64_t tag)
 {
     struct fw_list *l = g_hash_table_lookup(conns, addr);
+    struct fw_list *pos = l ? l->prev : NULL;
     int64_t now = Fw_Conn_NowUs();
 
-    while (l && !Fw_List_Empty(l)) {
-        struct idle_conn *i = FW_LIST_ENTRY(l->prev, struct idle_conn, link);
+    while (pos != l) {
+        struct idle_conn *i = FW_LIST_ENTRY(pos, struct idle_conn, link);
         struct fw_conn *conn = i->conn;
 
+        pos = pos->prev;
         if (now - i->idle_since_us >= idle_limit_us || now >= i->expires_us) {
             return NULL;
         }
+        if (!Fw_SentTags_MayAdd(Fw_Conn_SentTags(conn), tag)) {
+            continue;
+        }
         if (!Fw_Conn_IsQuiet(conn)) {
             idle_conn_free(i);
             continue;
--- a/src/http/idle_conns.h
+++ b/src/http/idle_conns.h
@@ -23,11 +23,13 @@
 Fw_IdleConns_Put(GHashTable *conns, const char *addr, struct fw_conn *conn,
                  int64_t max_idle_us);
 /*
- * Removes and returns a connection that was idle for less than @idle_limit_us,
- * now owned by the caller; NULL when there is none.
+ * Removes and returns a connection that was idle for less than @idle_limit_us
+ * and may carry a request with @tag, now owned by the caller; NULL when there
+ * is none.
  */
 struct fw_conn *
-Fw_IdleConns_Take(GHashTable *conns, const char *addr, int64_t idle_limit_us);
+Fw_IdleConns_Take(GHashTable *conns, const char *addr, int64_t idle_limit_us,
+                  uint64_t tag);
 /* Closes the connection that expires first, if any. */
 void
 Fw_IdleConns_CloseOne(GHashTable *conns);
--- a/src/http/sent_tags.c
+++ b/src/http/sent_tags.c
@@ -7,8 +7,8 @@
     t->n_untagged += tag == 0;
 }
 
-int
-Fw_SentTags_Has(const struct fw_sent_tags *t, uint64_t tag)
+static int
+has_tag(const struct fw_sent_tags *t, uint64_t tag)
 {
     for (unsigned i = 0; i < t->n && i < FW_SENT_TAGS_MAX; i++) {
         if (t->tags[i] == tag) {
@@ -17,3 +17,9 @@
     }
     return 0;
 }
+
+int
+Fw_SentTags_MayAdd(const struct fw_sent_tags *t, uint64_t tag)
+{
+    return !tag || !has_tag(t, tag);
+}
--- a/src/http/sent_tags.h
+++ b/src/http/sent_tags.h
@@ -26,8 +26,11 @@
 /* @tag: hash of the request's id, 0 if it has none */
 void
 Fw_SentTags_Add(struct fw_sent_tags *t, uint64_t tag);
-/* Whether a request with this id is among the newest. */
+/*
+ * Whether a copy of an answer that came on the connection can be told from the
+ * answer to a request with this id.
+ */
 int
-Fw_SentTags_Has(const struct fw_sent_tags *t, uint64_t tag);
+Fw_SentTags_MayAdd(const struct fw_sent_tags *t, uint64_t tag);
 
 #endif
--- a/src/relayd/upstream.c
+++ b/src/relayd/upstream.c
@@ -469,10 +469,6 @@
         call->is_refused = err == -EMFILE && carries_request(c->kind);
     }
     if (call->exchange) {
-        if (Fw_Exchange_IsTagRepeated(call->exchange)) {
-            Fw_Logger_Log(LOG_NOTICE, "connection_repeated", "id",
-                          call->request_id, "server", call->server, NULL);
-        }
         call->account =
             Fw_HeldAccount_Ref(Fw_Exchange_Account(call->exchange));
         g_strlcpy(call->addr, c->addr, sizeof(call->addr));
