Tell a copy of an answer by what its request and its connection allow

Callers got {"Hold":...} as the success of their stream, without the server's stamp (MIXED). A second copy of a run's answer came when the router waited for the answer to a call of its own on that connection, for which nothing was compared; the true answer then went to the next request there, since an answer without an id matched every request.

An own call goes out only where the request before it had an id, so that a copy would show one.

The probes of the stand-in raw_server were answered with a request's id that they had not borne; now without one.

--- a/src/http/client.c
+++ b/src/http/client.c
@@ -184,11 +184,19 @@
 static int
 handle_head(struct fw_exchange *x, struct fw_http_head *h)
 {
+    enum fw_head_action action;
+
     x->in_callback = 1;
-    x->discarding = x->ops->head(x->ctx, h) == FW_HEAD_DISCARD;
+    action = x->ops->head(x->ctx, h);
     if (leave_callback(x)) {
         return 0;
     }
+    if (action == FW_HEAD_UNIDENTIFIED &&
+        !Fw_SentTags_HasUntagged(Fw_Conn_SentTags(x->conn))) {
+        exchange_fail(x, -EBADMSG);
+        return 0;
+    }
+    x->discarding = action != FW_HEAD_ACCEPT;
     if (x->discarding) {
         x->pool->mismatched.value++;
         x->reusable = 0;
@@ -322,7 +330,8 @@
 obtain_conn(struct fw_exchange *x, int *err)
 {
     struct fw_conn *conn = Fw_IdleConns_Take(
-        x->pool->idle_conns, x->addr, x->opts.reuse_idle_max_us, x->opts.tag);
+        x->pool->idle_conns, x->addr, x->opts.reuse_idle_max_us,
+        x->opts.may_answer_twice ? &x->opts.tag : NULL);
 
     if (conn) {
         x->pool->reused.value++;
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -19,7 +19,10 @@
 /** enum fw_head_action - what to do with a response, decided on its head. */
 enum fw_head_action {
     FW_HEAD_ACCEPT,
-    FW_HEAD_DISCARD, /* discard it: it belongs to another request */
+    FW_HEAD_DISCARD,      /* discard it: it belongs to another request */
+    FW_HEAD_UNIDENTIFIED, /* it bears no id: discard it if the connection has
+                             carried another request without one, else fail
+                             with -EBADMSG, as it says of no request */
 };
 
 /**
@@ -56,8 +59,10 @@
  * @connect_timeout_us: the exchange fails when it is not connected by then
  * @no_body: the response has no body, whatever its head says (HEAD)
  * @is_control: serves no caller: reading doesn't pause for the budget
- * @tag: hash of the id that the response must bear, 0 if it bears none. No
- *       connection carries two requests with the same id
+ * @tag: hash of the id that the response must bear, 0 if it bears none
+ * @may_answer_twice: the upstream may send an answer again, in place of the
+ *                    next one on the connection: none is used on which that
+ *                    could not be told from the answer to this request
  */
 struct fw_exchange_opts {
     int64_t reuse_idle_max_us;
@@ -65,6 +70,7 @@
     int no_body;
     int is_control;
     uint64_t tag;
+    int may_answer_twice;
 };
 
 struct fw_conn_pool *
--- a/src/http/idle_conns.c
+++ b/src/http/idle_conns.c
@@ -109,7 +109,7 @@
  */
 struct fw_conn *
 Fw_IdleConns_Take(GHashTable *conns, const char *addr, int64_t idle_limit_us,
-                  uint64_t tag)
+                  const uint64_t *tag)
 {
     struct fw_list *l = g_hash_table_lookup(conns, addr);
     struct fw_list *pos = l ? l->prev : NULL;
@@ -123,7 +123,7 @@
         if (now - i->idle_since_us >= idle_limit_us || now >= i->expires_us) {
             return NULL;
         }
-        if (!Fw_SentTags_MayAdd(Fw_Conn_SentTags(conn), tag)) {
+        if (tag && !Fw_SentTags_MayAdd(Fw_Conn_SentTags(conn), *tag)) {
             continue;
         }
         if (!Fw_Conn_IsQuiet(conn)) {
--- a/src/http/idle_conns.h
+++ b/src/http/idle_conns.h
@@ -25,11 +25,11 @@
 /*
  * Removes and returns a connection that was idle for less than @idle_limit_us
  * and may carry a request with @tag, now owned by the caller; NULL when there
- * is none.
+ * is none. A @tag of NULL: the upstream answers once.
  */
 struct fw_conn *
 Fw_IdleConns_Take(GHashTable *conns, const char *addr, int64_t idle_limit_us,
-                  uint64_t tag);
+                  const uint64_t *tag);
 /* Closes the connection that expires first, if any. */
 void
 Fw_IdleConns_CloseOne(GHashTable *conns);
--- a/src/http/sent_tags.c
+++ b/src/http/sent_tags.c
@@ -4,7 +4,7 @@
 Fw_SentTags_Add(struct fw_sent_tags *t, uint64_t tag)
 {
     t->tags[t->n++ % FW_SENT_TAGS_MAX] = tag;
-    t->n_untagged += tag == 0;
+    t->has_untagged |= tag == 0;
 }
 
 static int
@@ -18,8 +18,17 @@
     return 0;
 }
 
+int
+Fw_SentTags_HasUntagged(const struct fw_sent_tags *t)
+{
+    return t->has_untagged;
+}
+
 int
 Fw_SentTags_MayAdd(const struct fw_sent_tags *t, uint64_t tag)
 {
-    return !tag || !has_tag(t, tag);
+    if (!tag) {
+        return !t->n || t->tags[(t->n - 1) % FW_SENT_TAGS_MAX] != 0;
+    }
+    return !has_tag(t, tag);
 }
--- a/src/http/sent_tags.h
+++ b/src/http/sent_tags.h
@@ -15,20 +15,24 @@
  * struct fw_sent_tags - the requests that a connection has carried.
  * @tags: of the newest, a ring; 0 for a request without an id
  * @n: requests so far
- * @n_untagged: those without an id
+ * @has_untagged: one of them had no id
  */
 struct fw_sent_tags {
     uint64_t tags[FW_SENT_TAGS_MAX];
     unsigned n;
-    unsigned n_untagged;
+    int has_untagged;
 };
 
 /* @tag: hash of the request's id, 0 if it has none */
 void
 Fw_SentTags_Add(struct fw_sent_tags *t, uint64_t tag);
+/* Whether the connection has carried a request without an id. */
+int
+Fw_SentTags_HasUntagged(const struct fw_sent_tags *t);
 /*
  * Whether a copy of an answer that came on the connection can be told from the
- * answer to a request with this id.
+ * answer to a request with this id. Without an id, only the next request after
+ * one with an id can.
  */
 int
 Fw_SentTags_MayAdd(const struct fw_sent_tags *t, uint64_t tag);
--- a/src/relayd/upstream.c
+++ b/src/relayd/upstream.c
@@ -252,15 +252,33 @@
                   NULL);
 }
 
+/* Instances answer once, and some of their rejections bear no id. */
+static enum fw_head_action
+match_answer(const struct fw_upstream_call *call, const struct fw_http_head *h)
+{
+    const char *id = carries_request(call->kind) ? call->request_id : "";
+
+    switch (Fw_Platform_MatchResponse(h, id)) {
+    case FW_ANSWER_OURS:
+        return FW_HEAD_ACCEPT;
+    case FW_ANSWER_UNIDENTIFIED:
+        return call->kind == FW_RL_UP_HANDOVER ? FW_HEAD_ACCEPT
+                                               : FW_HEAD_UNIDENTIFIED;
+    case FW_ANSWER_OF_OTHER:
+        break;
+    }
+    return FW_HEAD_DISCARD;
+}
+
 static enum fw_head_action
 on_head(void *ctx, const struct fw_http_head *h)
 {
     struct fw_upstream_call *call = ctx;
+    enum fw_head_action action = match_answer(call, h);
 
-    if ((call->kind == FW_RL_UP_RUN || call->kind == FW_RL_UP_PREFILL) &&
-        !Fw_Platform_ResponseMatches(h, call->request_id)) {
+    if (action != FW_HEAD_ACCEPT) {
         log_unmatched(call, h);
-        return FW_HEAD_DISCARD;
+        return action;
     }
     Fw_Platform_ParseResponseHead(
         h, carries_request(call->kind) ? call->request_id : "", call->server,
@@ -433,7 +451,9 @@
         g_hash_table_lookup(d->requests_by_id, &c->call);
     struct fw_exchange_opts opts = {.reuse_idle_max_us = c->reuse_us,
                                     .connect_timeout_us = c->connect_us,
-                                    .is_control = !carries_request(c->kind)};
+                                    .is_control = !carries_request(c->kind),
+                                    .may_answer_twice =
+                                        c->kind != FW_RL_UP_HANDOVER};
     struct fw_upstream_call *call = g_new0(struct fw_upstream_call, 1);
     GString *head = g_string_sized_new(512);
     GBytes *body = NULL;
@@ -455,7 +475,9 @@
         call->has_no_body =
             answers_caller(call) && Fw_Http_MethodIs(from->head, "HEAD");
         opts.no_body = call->has_no_body;
-        opts.tag = call->request_id[0] ? Fw_Hash_Str(call->request_id) : 0;
+        opts.tag = carries_request(c->kind) && call->request_id[0]
+                       ? Fw_Hash_Str(call->request_id)
+                       : 0;
     }
     Fw_Platform_WriteUpstreamRequest(c, from ? from->head : NULL,
                                      from ? from->body : NULL,
--- a/tests/http/test_client.c
+++ b/tests/http/test_client.c
@@ -7,9 +7,10 @@
 #include "tests/base/suite.h"
 #include "tests/io/rig.h"
 
-/** struct call - an exchange and its outcome. */
+/** struct call - an exchange and its outcome. @needs_id: its answer has one */
 struct call {
     struct fw_exchange *x;
+    int needs_id;
     GString *body;
     int status;
     int ended;
@@ -26,6 +27,9 @@
     if (id && strncmp(id->value, "mine", 4) != 0) {
         return FW_HEAD_DISCARD;
     }
+    if (!id && c->needs_id) {
+        return FW_HEAD_UNIDENTIFIED;
+    }
     c->status = h->status;
     return FW_HEAD_ACCEPT;
 }
@@ -66,7 +70,7 @@
     GBytes *body = g_bytes_new_static("hi", 2);
     int err = 0;
 
-    *c = (struct call){.body = g_string_new(NULL)};
+    *c = (struct call){.body = g_string_new(NULL), .needs_id = opts->tag != 0};
     c->x = Fw_Exchange_Start(p, url + strlen("http://"), head, body, opts,
                              &ops, c, &err);
     ck_assert_ptr_nonnull(c->x);
@@ -285,6 +289,110 @@
 }
 END_TEST
 
+/*
+ * Requests by their tags, 0 for one without an id, to an upstream that may
+ * answer twice, and the connections that they go out on.
+ */
+static const struct {
+    uint64_t tags[4];
+    guint conns[4];
+    int n;
+} tag_cases[] = {
+    {{1, 2, 3, 4}, {0, 0, 0, 0}, 4},
+    {{1, 1}, {0, 1}, 2},
+    {{1, 2, 1}, {0, 0, 1}, 3},
+    {{1, 0, 2, 0}, {0, 0, 0, 0}, 4},
+    {{0, 0}, {0, 1}, 2},
+    {{1, 0, 0}, {0, 0, 1}, 3},
+    {{0, 1, 0, 1}, {0, 0, 0, 1}, 4},
+};
+
+static struct fw_exchange_opts
+tagged_opts(uint64_t tag)
+{
+    struct fw_exchange_opts opts = reuse_opts;
+
+    opts.tag = tag;
+    opts.may_answer_twice = 1;
+    return opts;
+}
+
+/* Runs a call and answers it. Return: the number of its connection. */
+static guint
+run_tagged(struct fw_conn_pool *p, struct rig_server *s, gsize *seen,
+           uint64_t tag)
+{
+    struct fw_exchange_opts opts = tagged_opts(tag);
+    struct call c;
+    guint at = 0;
+
+    start_call(p, s->url, &c, &opts);
+    Fw_Rig_Settle();
+    while (at < s->conns->len) {
+        struct rig_conn *up = Fw_RigServer_Conn(s, at);
+
+        if (up->received->len > seen[at]) {
+            Fw_RigConn_Send(up,
+                            tag ? "HTTP/1.1 200 OK\r\nRequest-Id: mine\r\n"
+                                  "Content-Length: 2\r\n\r\nok"
+                                : "HTTP/1.1 200 OK\r\n"
+                                  "Content-Length: 2\r\n\r\nok",
+                            -1);
+            seen[at] = up->received->len;
+            break;
+        }
+        at++;
+    }
+    Fw_Rig_RunUntil(has_ended, &c);
+    ck_assert_int_eq(c.err, 0);
+    call_free(&c);
+    return at;
+}
+
+/* Guards against a copy of an answer that passes for the next one. */
+START_TEST(a_connection_carries_only_answers_that_can_be_told_apart)
+{
+    struct fw_conn_pool *p = Fw_ConnPool_New();
+    struct rig_server *s = Fw_RigServer_New();
+    gsize seen[4] = {0};
+
+    for (int i = 0; i < tag_cases[_i].n; i++) {
+        ck_assert_uint_eq(run_tagged(p, s, seen, tag_cases[_i].tags[i]),
+                          tag_cases[_i].conns[i]);
+    }
+    Fw_ConnPool_Free(p);
+    Fw_RigServer_Free(s);
+}
+END_TEST
+
+/* Guards against an answer to a call without an id that reaches a caller. */
+START_TEST(an_answer_without_an_id_is_dropped_or_fails_its_request)
+{
+    static const char answers[] =
+        "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad"
+        "HTTP/1.1 200 OK\r\nRequest-Id: mine\r\nContent-Length: 2\r\n\r\nok";
+    struct fw_exchange_opts opts = tagged_opts(7);
+    struct fw_conn_pool *p = Fw_ConnPool_New();
+    struct rig_server *s = Fw_RigServer_New();
+    gsize seen[4] = {0};
+    struct call c;
+
+    if (_i) {
+        run_tagged(p, s, seen, 0);
+    }
+    start_call(p, s->url, &c, &opts);
+    Fw_RigConn_Expect(Fw_RigServer_Conn(s, 0), "\r\n\r\nhi");
+    Fw_Rig_Settle();
+    Fw_RigConn_Send(Fw_RigServer_Conn(s, 0), answers, -1);
+    Fw_Rig_RunUntil(has_ended, &c);
+    ck_assert_int_eq(c.err, _i ? 0 : -EBADMSG);
+    ck_assert_str_eq(c.body->str, _i ? "ok" : "");
+    call_free(&c);
+    Fw_ConnPool_Free(p);
+    Fw_RigServer_Free(s);
+}
+END_TEST
+
 /*
  * Guards against sending a request that must not be retried on an idle
  * connection that the upstream may have dropped.
@@ -362,6 +470,11 @@
                         a_kept_connection_that_was_written_to_is_not_reused, 0,
                         G_N_ELEMENTS(unseen));
     tcase_add_test(tc, a_response_cut_in_its_head_fails);
+    tcase_add_loop_test(
+        tc, a_connection_carries_only_answers_that_can_be_told_apart, 0,
+        G_N_ELEMENTS(tag_cases));
+    tcase_add_loop_test(
+        tc, an_answer_without_an_id_is_dropped_or_fails_its_request, 0, 2);
     tcase_add_test(tc, connection_idle_too_long_is_not_reused);
     tcase_add_test(tc, refused_connection_reports_nothing_sent);
     tcase_add_test(tc, aborted_exchange_closes_its_connection);
--- a/tests/platform/test_server_fields.c
+++ b/tests/platform/test_server_fields.c
@@ -163,6 +163,36 @@
 }
 END_TEST
 
+/* Answers by their id, NULL for none, to a request with an id or without. */
+static const struct {
+    const char *asked;
+    const char *id;
+    enum fw_answer_match match;
+} match_cases[] = {
+    {"r1", "r1", FW_ANSWER_OURS},       {"r1", "r12", FW_ANSWER_OF_OTHER},
+    {"r1", "r", FW_ANSWER_OF_OTHER},    {"r1", NULL, FW_ANSWER_UNIDENTIFIED},
+    {"r1", "", FW_ANSWER_UNIDENTIFIED}, {"", NULL, FW_ANSWER_OURS},
+    {"", "r1", FW_ANSWER_OF_OTHER},     {"", "", FW_ANSWER_OURS},
+};
+
+/* Guards against an answer that is taken for that to another request. */
+START_TEST(an_answer_matches_only_the_request_with_its_id)
+{
+    g_autofree char *text =
+        match_cases[_i].id
+            ? g_strdup_printf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n\r\n",
+                              match_cases[_i].id)
+            : g_strdup("HTTP/1.1 200 OK\r\n\r\n");
+    struct fw_http_head h;
+
+    ck_assert_int_gt(
+        Fw_Http_ParseHead(FW_HTTP_RESPONSE, text, strlen(text), &h), 0);
+    ck_assert_int_eq(Fw_Platform_MatchResponse(&h, match_cases[_i].asked),
+                     match_cases[_i].match);
+    Fw_Http_ClearHead(&h);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -174,6 +204,8 @@
                         G_N_ELEMENTS(rest_cases));
     tcase_add_loop_test(tc, only_a_server_that_states_it_has_not_run_a_request,
                         0, G_N_ELEMENTS(refusal_cases));
+    tcase_add_loop_test(tc, an_answer_matches_only_the_request_with_its_id, 0,
+                        G_N_ELEMENTS(match_cases));
     tcase_add_loop_test(tc, servers_that_leave_are_recognized, 0,
                         G_N_ELEMENTS(leaving_cases));
     return Fw_Suite_Run(tc);
--- a/tests/relayd/raw_server.c
+++ b/tests/relayd/raw_server.c
@@ -60,32 +60,16 @@
     Fw_RigServer_Free(s->rig);
 }
 
-struct rig_conn *
-Fw_RawServer_NextRequest(struct raw_server *s)
-{
-    for (;;) {
-        struct rig_conn *from = Fw_RigServer_Conn(s->rig, s->n_seen++);
-
-        Fw_RigConn_Expect(from, "\r\n\r\n");
-        if (strstr(from->received->str, "Request-Id: r1\r\n")) {
-            return from;
-        }
-        Fw_RawServer_Answer(from, "200 OK", "", FW_RAW_LENGTH, "");
-    }
-}
-
-void
-Fw_RawServer_Answer(struct rig_conn *from, const char *status,
-                    const char *fields, enum raw_framing framing,
-                    const char *body)
+/* @id: header line with the id of the request, empty if it has none */
+static void
+answer(struct rig_conn *from, const char *id, const char *status,
+       const char *fields, enum raw_framing framing, const char *body)
 {
     GString *text = g_string_new(NULL);
     size_t len = strlen(body);
 
-    g_string_printf(text,
-                    "HTTP/1.1 %s\r\nRequest-Id: r1\r\n"
-                    "Connection: close\r\n%s",
-                    status, fields);
+    g_string_printf(text, "HTTP/1.1 %s\r\n%sConnection: close\r\n%s", status,
+                    id, fields);
     switch (framing) {
     case FW_RAW_CHUNKS:
         g_string_append(text, "Transfer-Encoding: chunked\r\n\r\n");
@@ -106,3 +90,25 @@
     g_socket_shutdown(from->sock, FALSE, TRUE, NULL);
     g_string_free(text, TRUE);
 }
+
+struct rig_conn *
+Fw_RawServer_NextRequest(struct raw_server *s)
+{
+    for (;;) {
+        struct rig_conn *from = Fw_RigServer_Conn(s->rig, s->n_seen++);
+
+        Fw_RigConn_Expect(from, "\r\n\r\n");
+        if (strstr(from->received->str, "Request-Id: r1\r\n")) {
+            return from;
+        }
+        answer(from, "", "200 OK", "", FW_RAW_LENGTH, "");
+    }
+}
+
+void
+Fw_RawServer_Answer(struct rig_conn *from, const char *status,
+                    const char *fields, enum raw_framing framing,
+                    const char *body)
+{
+    answer(from, "Request-Id: r1\r\n", status, fields, framing, body);
+}
