Take a server whose entry can't be read out of use

The entry names no server to use, so the server is now handled as unlisted, here and at the instances that are fed by this one.

Found by looking for what keeps a belief about a server after its entry has changed.

test_list_changes, five entries: all five failed before.

--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -539,6 +539,9 @@
 /* Whether to close callers' connections so that they reconnect elsewhere. */
 int
 Fw_Relay_ShedsConnections(const struct fw_relay *r, int64_t now_us);
+/* Whether the server @id is known, usable or not. */
+int
+Fw_Relay_HasServer(const struct fw_relay *r, const char *id);
 /* Whether new requests may be sent to the server @id. */
 int
 Fw_Relay_IsServerUsable(const struct fw_relay *r, const char *id,
--- a/src/relay/servers.c
+++ b/src/relay/servers.c
@@ -127,6 +127,12 @@
     return Fw_Servers_IsInService(s) && now_us >= s->backoff_until_us;
 }
 
+int
+Fw_Relay_HasServer(const struct fw_relay *r, const char *id)
+{
+    return Fw_Servers_Find(r, id) != NULL;
+}
+
 int
 Fw_Relay_IsServerUsable(const struct fw_relay *r, const char *id,
                         int64_t now_us)
--- a/src/relayd/store_apply.c
+++ b/src/relayd/store_apply.c
@@ -51,7 +51,11 @@
     }
 }
 
-/* Return: zero if the record says nothing new about the server. */
+/*
+ * An entry that can't be read names no server: one that it named before is
+ * handled as unlisted. Return: zero if the record says nothing new about the
+ * server.
+ */
 static int
 apply_server(struct fw_relayd *d, const struct fw_store_record *rec,
              struct fw_rl_actions *acts)
@@ -65,7 +69,8 @@
     if (Fw_Platform_ParseServer(rec->key, rec->value, rec->len, &e)) {
         Fw_Logger_Log(LOG_WARNING, "entry_unreadable", "server", rec->key,
                       NULL);
-        return 0;
+        return Fw_Relay_HasServer(d->relay, rec->key) &&
+               Fw_Relay_UpdateServer(d->relay, rec->key, NULL, now, acts);
     }
     return Fw_Relay_UpdateServer(d->relay, rec->key, &e, now, acts);
 }
--- a/tests/relayd/test_list_changes.c
+++ b/tests/relayd/test_list_changes.c
@@ -1,4 +1,5 @@
 /* Changes of the server list that follow each other closely. */
+#include "http/conn.h"
 #include "relay/relay_internal.h"
 #include "relayd/store_internal.h"
 #include "tests/relayd/router_env.h"
@@ -45,6 +46,41 @@
 }
 END_TEST
 
+/* Entries of a server that can't be used as they are. */
+static const char *const unreadable[] = {
+    "not JSON",
+    "{\"State\":\"draining\"}",
+    "{\"Service\":7,\"Address\":\"127.0.0.1:1\",\"Zone\":\"a\",\"Slots\":4,"
+    "\"State\":\"draining\"}",
+    "{\"Service\":\"desk\",\"Address\":\"127.0.0.1:1\",\"Zone\":\"a\","
+    "\"Slots\":0,\"State\":\"draining\"}",
+    "{\"Service\":\"desk\",\"Address\":\"127.0.0.1:1\",\"Zone\":\"a\","
+    "\"Slots\":4,\"State\":\"leaving\"}",
+};
+
+static int
+is_out_of_use(void *ctx)
+{
+    const struct router_env *env = ctx;
+
+    return !Fw_Relay_IsServerUsable(env->router->relay, "s1", Fw_Conn_NowUs());
+}
+
+/* Guards against a server in use whose entry does not name it any more. */
+START_TEST(an_entry_that_cannot_be_read_ends_the_use_of_its_server)
+{
+    struct router_env env;
+
+    Fw_RouterEnv_InitAndStart(&env);
+    ck_assert(!is_out_of_use(&env));
+    Fw_WireStore_Put(env.store, "keyed.servers", "s1", unreadable[_i]);
+    Fw_Rig_RunUntil(is_out_of_use, &env);
+    ck_assert(
+        Fw_Relay_IsServerUsable(env.router->relay, "s2", Fw_Conn_NowUs()));
+    Fw_RouterEnv_Free(&env);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -52,5 +88,8 @@
 
     tcase_set_timeout(tc, 30);
     tcase_add_test(tc, a_second_change_of_the_list_does_not_wait_for_a_poll);
+    tcase_add_loop_test(
+        tc, an_entry_that_cannot_be_read_ends_the_use_of_its_server, 0,
+        G_N_ELEMENTS(unreadable));
     return Fw_Suite_Run(tc);
 }
