Skip a record that can't be read, and take keys of any length

One entry of another writer under a key of 80 bytes or more made a whole page of log-newest unreadable. An instance that started, or whose history the store had dropped, then never had a list of servers: after a restart of all none served (RECOVER), and one that went on no more heard that a server left (DRAIN).

A record or item is now read alone, what can't be read is skipped and logged as records_skipped. Keys have room for the 255 bytes that the store's records can state.

Instances' names that are too long are skipped instead of cut.

--- a/src/relayd/peer_snapshot.c
+++ b/src/relayd/peer_snapshot.c
@@ -29,7 +29,7 @@
 /** struct deletion - a key that was deleted by the record at @offset. */
 struct deletion {
     uint64_t offset;
-    char key[FW_ID_MAX];
+    char key[FW_STORE_KEY_MAX];
 };
 
 /**
--- a/src/relayd/store_apply.c
+++ b/src/relayd/store_apply.c
@@ -107,8 +107,9 @@
     JsonObject *obj = root ? json_node_get_object(root) : NULL;
     struct fw_rl_peer peer = {0};
 
-    g_strlcpy(peer.name, rec->key, sizeof(peer.name));
     if (obj &&
+        g_strlcpy(peer.name, rec->key, sizeof(peer.name)) <
+            sizeof(peer.name) &&
         Fw_Json_CopyStr(obj, "addr", peer.addr, sizeof(peer.addr)) == 0) {
         /* Absent from registrations of older versions. */
         Fw_Json_CopyStr(obj, "domain", peer.domain, sizeof(peer.domain));
--- a/src/relayd/store_internal.h
+++ b/src/relayd/store_internal.h
@@ -58,7 +58,7 @@
     int64_t next_request_us;
     uint64_t next_offset;
     uint64_t snapshot_end;
-    char last_key[FW_ID_MAX];
+    char last_key[FW_STORE_KEY_MAX];
     int paging;
     int64_t wait_us;
     int64_t interval_us;
--- a/src/relayd/store_response.c
+++ b/src/relayd/store_response.c
@@ -269,6 +269,19 @@
     return -EBADMSG;
 }
 
+static void
+log_skipped(const struct fw_topic_client *tc,
+            const struct fw_store_response *response)
+{
+    char n[16];
+
+    if (response->n_skipped) {
+        g_snprintf(n, sizeof(n), "%d", response->n_skipped);
+        Fw_Logger_Log(LOG_WARNING, "records_skipped", "topic",
+                      topic_labels[tc->topic], "records", n, NULL);
+    }
+}
+
 static void
 handle_response(struct fw_topic_client *tc,
                 const struct fw_store_response *response,
@@ -276,6 +289,7 @@
 {
     mark_reachable(tc->store);
     Fw_StoreClient_CountRequest(tc, FW_STORE_OUTCOME_OK);
+    log_skipped(tc, response);
     if (response->status == 410) {
         char from[24];
 
