Leave out only the part of a configuration that can't be used

One that can't be used is left out, logged as configuration_skipped with its place and counted in fw_configuration_parts_skipped; the rest applies, and what the configuration no longer has is gone. Hosts have room for 255 bytes, path prefixes for 511, splits for 16 services, about 1.4 KB more for an open request.

--- a/src/relay/metrics.c
+++ b/src/relay/metrics.c
@@ -73,6 +73,8 @@
          "Servers that new requests may go to", 1},
         {&r->relay_metrics.servers_limited, "fw_servers_limited",
          "Servers that name a limit or are at rest", 1},
+        {&r->relay_metrics.rules_skipped, "fw_configuration_parts_skipped",
+         "Parts of the configuration in force that can't be used", 1},
         {&r->relay_metrics.tokens_reserved, "fw_engine_tokens_reserved",
          "Tokens of engine memory that this instance has reserved or in use",
          1},
@@ -155,6 +157,7 @@
         Fw_Relay_UsToMs(now_us - r->rules_fresh_us);
     r->relay_metrics.servers_usable.value = usable;
     r->relay_metrics.servers_limited.value = limited;
+    r->relay_metrics.rules_skipped.value = r->rules ? r->rules->n_skipped : 0;
     r->relay_metrics.tokens_reserved.value = reserved;
     Fw_PlainCalls_UpdateGauges(r, now_us);
     r->relay_metrics.role_held.value =
--- a/src/relay/metrics.h
+++ b/src/relay/metrics.h
@@ -36,6 +36,7 @@
     struct fw_metric rules_age_ms;
     struct fw_metric servers_usable;
     struct fw_metric servers_limited;
+    struct fw_metric rules_skipped;
     struct fw_metric tokens_reserved;
     struct fw_metric role_held;
     struct fw_metric handed_over;
--- a/src/relay/rules.c
+++ b/src/relay/rules.c
@@ -64,6 +64,15 @@
     g_free(r);
 }
 
+void
+Fw_Rules_NoteSkipped(struct fw_rl_rules *r, const char *list, guint at)
+{
+    if (!r->n_skipped++) {
+        g_snprintf(r->first_skipped, sizeof(r->first_skipped), "%s[%u]", list,
+                   at);
+    }
+}
+
 struct fw_rl_route_rule *
 Fw_Rules_AddRoute(struct fw_rl_rules *r)
 {
--- a/src/relay/types.h
+++ b/src/relay/types.h
@@ -13,7 +13,7 @@
 #include "base/list.h"
 
 /* Services that the traffic of one route may be split over. */
-#define FW_RL_TARGETS_MAX 8
+#define FW_RL_TARGETS_MAX 16
 /* Bytes of a caller's key or an engine's handle, terminating null included. */
 #define FW_RL_KEY_MAX 128
 
@@ -79,8 +79,8 @@
  */
 struct fw_rl_route_rule {
     char name[FW_NAME_MAX];
-    char host[FW_URL_MAX];
-    char prefix[FW_URL_MAX];
+    char host[FW_HOST_MAX];
+    char prefix[FW_PATH_MAX];
     enum fw_rl_route_kind kind;
     int64_t timeout_us;
     int64_t objective_us;
@@ -153,6 +153,8 @@
  * @teams: owned struct fw_rl_team_rule
  * @by_host: host to GPtrArray of struct fw_rl_route_rule, longest prefix first
  * @keys: caller's key to struct fw_rl_team_rule
+ * @n_skipped: parts that can't be used, which are left out
+ * @first_skipped: the first of these
  * @header_bytes: 0 for the default; maximum size of a request's headers
  * @body_bytes: maximum size of a request's body
  * @header_us: time limit for receiving a request's headers
@@ -166,6 +168,8 @@
     GPtrArray *teams;
     GHashTable *by_host;
     GHashTable *keys;
+    int n_skipped;
+    char first_skipped[FW_NAME_MAX];
     int64_t header_bytes;
     int64_t body_bytes;
     int64_t header_us;
@@ -179,6 +183,9 @@
 Fw_Rules_Ref(struct fw_rl_rules *r);
 void
 Fw_Rules_Unref(struct fw_rl_rules *r);
+/* Notes that element @at of @list, or a part of it, can't be used. */
+void
+Fw_Rules_NoteSkipped(struct fw_rl_rules *r, const char *list, guint at);
 /* Append a zeroed element, which @r owns, and return it. */
 struct fw_rl_route_rule *
 Fw_Rules_AddRoute(struct fw_rl_rules *r);
@@ -250,8 +257,8 @@
  */
 struct fw_rl_request_info {
     char id[FW_ID_MAX];
-    char host[FW_URL_MAX];
-    char path[256];
+    char host[FW_HOST_MAX];
+    char path[FW_PATH_MAX];
     char key[FW_RL_KEY_MAX];
     int64_t timeout_us;
     int64_t tokens_in;
--- a/src/relayd/store_apply.c
+++ b/src/relayd/store_apply.c
@@ -6,6 +6,16 @@
 #include "io/logger.h"
 #include "relayd/store_internal.h"
 
+static void
+log_skipped_parts(const struct fw_rl_rules *config)
+{
+    char n[16];
+
+    g_snprintf(n, sizeof(n), "%d", config->n_skipped);
+    Fw_Logger_Log(LOG_ERR, "configuration_skipped", "parts", n, "first",
+                  config->first_skipped, NULL);
+}
+
 static void
 apply_config(struct fw_relayd *d, const struct fw_store_record *rec,
              struct fw_rl_actions *acts)
@@ -19,6 +29,9 @@
     if (!config) {
         Fw_Logger_Log(LOG_ERR, "configuration_rejected", "why", why, NULL);
     }
+    else if (config->n_skipped) {
+        log_skipped_parts(config);
+    }
     Fw_Relay_SetRules(d->relay, config, rec->offset, Fw_Conn_NowUs(), acts);
     Fw_Rules_Unref(config);
 }
