--- a/soak/plan.c
+++ b/soak/plan.c
@@ -1,7 +1,7 @@
 /* The faults of a run, drawn from its seed. */
 #include <signal.h>
 
-#include "soak/soak.h"
+#include "soak/plan_internal.h"
 
 /* Time before the first fault, and after the last one. */
 #define FW_FIRST_MS 4000
@@ -18,7 +18,6 @@
 #define FW_MOST_PAUSE_MS 3500
 /* Time that a server serves on after it has said that it leaves. */
 #define FW_LEAVING_MS 4500
-#define FW_FAULTED_REQUESTS 20
 /* Instances that a series stops one after the other. */
 #define FW_SERIES 3
 #define FW_SERIES_GAP_MS 700
@@ -32,44 +31,6 @@
 #define FW_ROLL_GAP_MS 900
 #define FW_ROLL_LONGER_MS 9000
 
-enum fault {
-    FW_RELAY_TERM,
-    FW_RELAY_SERIES,
-    FW_RELAY_KILL,
-    FW_RELAY_PAUSE,
-    FW_RELAY_RELOAD,
-    FW_RELAYS_PAUSE,
-    FW_RELAY_STORE_SILENT,
-    FW_RELAY_STORE_ONE_WAY,
-    FW_RELAY_STORE_DELAY,
-    FW_RELAY_STORE_RESET,
-    FW_STORE_DOWN,
-    FW_STORE_MUTE,
-    FW_STORE_LOSES,
-    FW_STORE_FORGETS,
-    FW_SERVER_KILL,
-    FW_SERVER_DRAIN,
-    FW_SERVER_SILENT,
-    FW_SERVER_ONE_WAY,
-    FW_SERVER_DELAY,
-    FW_SERVER_RESET,
-    FW_SERVER_FULL,
-    FW_SERVER_ERROR,
-    FW_SERVER_STALL,
-    FW_SERVER_PARTIAL,
-    FW_SERVER_EMPTY,
-    FW_SERVER_BREAKS,
-    FW_SERVER_LIMIT,
-    FW_SERVER_REST,
-    FW_SERVER_LEAVES,
-    FW_SERVER_UNMARKED,
-    FW_SERVER_REMOVED,
-    FW_KEY_WITHDRAWN,
-    FW_CRASHING_PART,
-    FW_CROWD,
-    FW_FAULTS,
-};
-
 static const char *const names[FW_FAULTS] = {"stop",
                                              "series of stops",
                                              "kill",
@@ -105,53 +66,9 @@
                                              "crashing part",
                                              "crowd"};
 
-/**
- * struct entry - a fault.
- * @target: of the instances, or of the servers
- * @rolls: all instances are killed, one after the other
- */
-struct entry {
-    struct soak *soak;
-    enum fault fault;
-    int target;
-    guint for_ms;
-    int rolls;
-};
-
 static int busy_servers[FW_SOAK_SERVERS];
 static int store_busy;
 
-static enum fw_wire_fault
-wire_fault(enum fault f)
-{
-    switch (f) {
-    case FW_SERVER_FULL:
-        return FW_WIRE_FAULT_FULL;
-    case FW_SERVER_ERROR:
-        return FW_WIRE_FAULT_ERROR;
-    case FW_SERVER_STALL:
-        return FW_WIRE_FAULT_STALL;
-    case FW_SERVER_BREAKS:
-        return FW_WIRE_FAULT_TRUNCATE;
-    case FW_SERVER_EMPTY:
-        return FW_WIRE_FAULT_EMPTY;
-    case FW_SERVER_UNMARKED:
-        return FW_WIRE_FAULT_UNMARKED;
-    default:
-        return FW_WIRE_FAULT_PARTIAL;
-    }
-}
-
-static enum fw_proxy_mode
-proxy_mode(enum fault f)
-{
-    return f == FW_RELAY_STORE_SILENT || f == FW_SERVER_SILENT
-               ? FW_PROXY_SILENT
-           : f == FW_RELAY_STORE_DELAY || f == FW_SERVER_DELAY
-               ? FW_PROXY_DELAY
-               : FW_PROXY_ONE_WAY;
-}
-
 static gboolean
 stop_once(gpointer data)
 {
@@ -238,7 +155,7 @@
         break;
     default:
         r->n_faults++;
-        Fw_Proxy_SetMode(r->store_proxy, proxy_mode(e->fault));
+        Fw_Proxy_SetMode(r->store_proxy, Fw_SoakPlan_ProxyMode(e->fault));
         break;
     }
 }
@@ -299,98 +216,6 @@
     }
 }
 
-static void
-begin_server_fault(struct entry *e)
-{
-    struct soak_server *v = &e->soak->servers[e->target % FW_SOAK_SERVERS];
-    int64_t now = Fw_Soak_NowUs();
-
-    switch (e->fault) {
-    case FW_SERVER_DRAIN:
-        v->draining_us = now;
-        Fw_WireServer_SetDraining(v->stand);
-        break;
-    case FW_SERVER_REMOVED:
-        v->draining_us = now;
-        Fw_WireServer_Unregister(v->stand);
-        break;
-    case FW_SERVER_LIMIT:
-        v->limit_us = now;
-        v->limit = 0.5 + (double)(e->for_ms % 60) / 10;
-        g_array_set_size(v->arrivals, 0);
-        break;
-    case FW_SERVER_REST:
-        v->rests = 1;
-        Fw_WireServer_SetRest(v->stand, "3");
-        break;
-    case FW_SERVER_LEAVES:
-        Fw_WireServer_SetLeaving(v->stand);
-        break;
-    case FW_SERVER_FULL:
-    case FW_SERVER_ERROR:
-    case FW_SERVER_STALL:
-    case FW_SERVER_PARTIAL:
-    case FW_SERVER_EMPTY:
-    case FW_SERVER_BREAKS:
-    case FW_SERVER_UNMARKED:
-        v->disturbed_us = FW_SOAK_ONGOING;
-        Fw_WireServer_SetFault(v->stand, wire_fault(e->fault),
-                               FW_FAULTED_REQUESTS);
-        break;
-    case FW_SERVER_KILL:
-        v->disturbed_us = now;
-        Fw_SoakWorld_RestartServer(v);
-        break;
-    case FW_SERVER_RESET:
-        v->disturbed_us = now;
-        Fw_Proxy_ResetAll(v->proxy);
-        break;
-    default:
-        v->disturbed_us = FW_SOAK_ONGOING;
-        if (!v->is_down) {
-            Fw_Proxy_SetMode(v->proxy, proxy_mode(e->fault));
-        }
-        break;
-    }
-    if (v->limit_us == now) {
-        char text[16];
-
-        g_snprintf(text, sizeof(text), "%.1f", v->limit);
-        Fw_WireServer_SetLimit(v->stand, text);
-    }
-}
-
-static void
-end_server_fault(struct entry *e)
-{
-    struct soak_server *v = &e->soak->servers[e->target % FW_SOAK_SERVERS];
-
-    switch (e->fault) {
-    case FW_SERVER_DRAIN:
-    case FW_SERVER_REMOVED:
-    case FW_SERVER_LEAVES:
-        v->disturbed_us = Fw_Soak_NowUs();
-        Fw_SoakWorld_RestartServer(v);
-        break;
-    case FW_SERVER_LIMIT:
-        v->limit_us = 0;
-        Fw_WireServer_SetLimit(v->stand, NULL);
-        break;
-    case FW_SERVER_REST:
-        v->rests = 0;
-        Fw_WireServer_SetRest(v->stand, NULL);
-        break;
-    default:
-        Fw_WireServer_SetFault(v->stand, FW_WIRE_FAULT_NONE, 0);
-        if (!v->is_down) {
-            Fw_Proxy_SetMode(v->proxy, FW_PROXY_PASS);
-            v->disturbed_us = Fw_Soak_NowUs();
-        }
-        break;
-    }
-    busy_servers[e->target % FW_SOAK_SERVERS] = 0;
-}
-
 static int
 is_store_fault(enum fault f)
 {
@@ -416,7 +241,8 @@
         store_busy = 0;
     }
     else if (is_server_fault(e->fault)) {
-        end_server_fault(e);
+        Fw_SoakPlan_EndServerFault(e);
+        busy_servers[e->target % FW_SOAK_SERVERS] = 0;
     }
     else if (e->fault == FW_KEY_WITHDRAWN) {
         Fw_SoakWorld_PutConfig(s, 1);
@@ -473,7 +299,7 @@
         begin_store_fault(e);
     }
     else if (is_server_fault(e->fault)) {
-        begin_server_fault(e);
+        Fw_SoakPlan_BeginServerFault(e);
     }
     else if (e->fault == FW_KEY_WITHDRAWN) {
         Fw_SoakWorld_PutConfig(s, 0);
--- a/tests/platform/test_store_records.c
+++ b/tests/platform/test_store_records.c
@@ -1,4 +1,5 @@
-/* Records of the store that can't be used, among others that can. */
+/* Records of the store, and those among them that can't be used. */
+#include <errno.h>
 #include <string.h>
 
 #include "platform/platform.h"
@@ -121,6 +122,79 @@
 }
 END_TEST
 
+START_TEST(appended_records_are_read_back)
+{
+    GString *head = g_string_new(NULL);
+    GString *raw = g_string_new(NULL);
+    struct fw_store_response got;
+    GBytes *body;
+    gsize len;
+    const char *data;
+
+    Fw_Platform_WriteAppendRequest(FW_TOPIC_INSTANCES, 5, "n1", "value", "h",
+                                   head, &body);
+    ck_assert_str_eq(head->str,
+                     "POST /-/log-append?Topic=keyed.fuchsiaward&part=0&At=5 "
+                     "HTTP/1.1\r\nHost: h\r\nContent-Length: 12\r\n\r\n");
+    data = g_bytes_get_data(body, &len);
+    g_string_append_len(raw, "\0\0\0\0\0\0\0\6\0\0\0\0\0\0\0\2", 16);
+    g_string_append_len(raw, data, (gssize)len);
+    g_string_append_len(raw, "\0\0\0\3\2n1", 7);
+    g_string_append_len(raw, "\0\0\0\2\x09n", 6);
+    ck_assert_int_eq(Fw_Platform_ParseReadResponse(FW_TOPIC_INSTANCES, 3, 200,
+                                                   raw->str, raw->len, &got),
+                     0);
+    ck_assert_uint_eq(got.end_offset, 6);
+    ck_assert_uint_eq(got.next_offset, 6);
+    ck_assert_uint_eq(got.records->len, 2); /* the last has no valid key */
+    ck_assert_str_eq(g_array_index(got.records, struct fw_store_record, 0).key,
+                     "n1");
+    ck_assert_uint_eq(
+        g_array_index(got.records, struct fw_store_record, 0).len, 5);
+    ck_assert_ptr_null(
+        g_array_index(got.records, struct fw_store_record, 1).value);
+    Fw_Platform_ClearStoreResponse(&got);
+    ck_assert_int_eq(Fw_Platform_ParseReadResponse(FW_TOPIC_INSTANCES, 3, 200,
+                                                   raw->str, raw->len - 1,
+                                                   &got),
+                     -EBADMSG);
+    Fw_Platform_ClearStoreResponse(&got);
+    ck_assert_int_eq(Fw_Platform_ParseReadResponse(FW_TOPIC_INSTANCES, 3, 200,
+                                                   "x", 1, &got),
+                     -EBADMSG);
+    Fw_Platform_ClearStoreResponse(&got);
+    g_bytes_unref(body);
+    g_string_free(head, TRUE);
+    g_string_free(raw, TRUE);
+}
+END_TEST
+
+static const struct {
+    const char *body;
+    int rc;
+} newest_pages[] = {
+    {"{\"items\":[],\"HasMore\":false,\"EndOffset\":3}", 0},
+    {"{\"items\":[{\"Key\":\"a\",\"Value\":\"eA==\",\"Offset\":1}],"
+     "\"HasMore\":true,\"EndOffset\":3}",
+     0},
+    {"{\"items\":[],\"HasMore\":true,\"EndOffset\":3}", -EBADMSG},
+    {"{\"items\":[],\"HasMore\":false,\"EndOff", -EBADMSG},
+    {"", -EBADMSG},
+};
+
+/* Guards against servers that are dropped as the rest of a list is missing. */
+START_TEST(an_empty_page_does_not_end_a_list_that_goes_on)
+{
+    struct fw_store_response r;
+
+    ck_assert_int_eq(
+        Fw_Platform_ParseNewestResponse(200, newest_pages[_i].body,
+                                        strlen(newest_pages[_i].body), &r),
+        newest_pages[_i].rc);
+    Fw_Platform_ClearStoreResponse(&r);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -132,5 +206,8 @@
                         FW_KEY_BYTES_MAX + 1);
     tcase_add_loop_test(tc, a_record_that_cannot_be_read_hides_no_other, 2,
                         FW_KEY_BYTES_MAX + 1);
+    tcase_add_test(tc, appended_records_are_read_back);
+    tcase_add_loop_test(tc, an_empty_page_does_not_end_a_list_that_goes_on, 0,
+                        G_N_ELEMENTS(newest_pages));
     return Fw_Suite_Run(tc);
 }
