--- a/src/http/client.h
+++ b/src/http/client.h
@@ -62,7 +62,7 @@
  * @tag: hash of the id that the response must bear, 0 if it bears none
  * @may_answer_twice: the upstream may send an answer again, in place of the
  *                    next one on the connection: none is used on which that
- *                    could not be told from the answer to this request
+ *                    would look like the answer to this request
  */
 struct fw_exchange_opts {
     int64_t reuse_idle_max_us;
--- a/src/http/sent_tags.h
+++ b/src/http/sent_tags.h
@@ -1,7 +1,7 @@
 /*
  * Which requests a connection to an upstream has carried. An upstream may send
  * an answer twice, the second time when it should answer the next request; the
- * id in it tells whose it is, unless both requests have the same.
+ * id in it identifies the request, unless both have the same one.
  */
 #ifndef FW_HTTP_SENT_TAGS_H
 #define FW_HTTP_SENT_TAGS_H
@@ -30,9 +30,9 @@
 int
 Fw_SentTags_HasUntagged(const struct fw_sent_tags *t);
 /*
- * Whether a copy of an answer that came on the connection can be told from the
- * answer to a request with this id. Without an id, only the next request after
- * one with an id can.
+ * Whether a copy of an answer that came on the connection differs from the
+ * answer to a request with this id. Without an id, that holds only for the
+ * next request after one with an id.
  */
 int
 Fw_SentTags_MayAdd(const struct fw_sent_tags *t, uint64_t tag);
--- a/src/relayd/relayd_internal.h
+++ b/src/relayd/relayd_internal.h
@@ -201,11 +201,33 @@
 Fw_UpstreamCall_Remove(struct fw_relayd *d, uint64_t xid);
 void
 Fw_UpstreamCall_Free(gpointer data);
+/* Whether the caller is sent the response. */
+int
+Fw_UpstreamCall_AnswersCaller(const struct fw_upstream_call *call);
 /* Starts the response to @to with what @call has received so far. */
 void
 Fw_UpstreamCall_Forward(struct fw_upstream_call *call,
                         struct fw_caller_request *to);
 
+/* upstream_log.c */
+/*
+ * Logs a response that is not whole: how the server marks the end of its body,
+ * the @err of the connection, 0 if the server ended it, and where the events
+ * of a stream end.
+ */
+void
+Fw_UpstreamCall_LogBroken(const struct fw_upstream_call *call, int err);
+/* Logs an answer that is not taken for the one to the call. */
+void
+Fw_UpstreamCall_LogUnmatched(const struct fw_upstream_call *call,
+                             const struct fw_http_head *h);
+/*
+ * Logs a run that is given up before its upstream has answered, which may
+ * still read and run what has been sent.
+ */
+void
+Fw_UpstreamCall_LogAbandoned(const struct fw_upstream_call *call);
+
 /* actions.c */
 /*
  * Executes @acts and the actions that result from them, then clears @acts. May
--- a/src/relayd/upstream.c
+++ b/src/relayd/upstream.c
@@ -46,9 +46,8 @@
            kind == FW_RL_UP_HANDOVER;
 }
 
-/* Whether the caller is sent the response. */
-static int
-answers_caller(const struct fw_upstream_call *call)
+int
+Fw_UpstreamCall_AnswersCaller(const struct fw_upstream_call *call)
 {
     return call->kind == FW_RL_UP_RUN || call->kind == FW_RL_UP_HANDOVER;
 }
@@ -84,27 +83,12 @@
     charge_response(call);
 }
 
-/* What the upstream has not read yet, it may still read and run. */
-static void
-log_abandoned(const struct fw_upstream_call *call)
-{
-    char sent_ms[24];
-
-    if (!call->exchange || call->answer.status || !answers_caller(call)) {
-        return;
-    }
-    g_snprintf(sent_ms, sizeof(sent_ms), "%" G_GINT64_FORMAT,
-               (int64_t)((Fw_Conn_NowUs() - call->started_us) / FW_MSEC));
-    Fw_Logger_Log(LOG_INFO, "call_abandoned", "id", call->request_id, "server",
-                  call->server, "after_ms", sent_ms, NULL);
-}
-
 void
 Fw_UpstreamCall_Free(gpointer data)
 {
     struct fw_upstream_call *call = data;
 
-    log_abandoned(call);
+    Fw_UpstreamCall_LogAbandoned(call);
 
     Fw_HeldWait_Cancel(&call->wait);
     Fw_Held_SetGiven(call->d->held, call->addr, &call->given, 0);
@@ -167,51 +151,11 @@
                                     .type_len = type ? type->value_len : 0};
 
     call->framing = h->framing;
-    if (answers_caller(call)) {
+    if (Fw_UpstreamCall_AnswersCaller(call)) {
         Fw_ResponseBody_Begin(&call->response_body, &form);
     }
 }
 
-static const char *
-framing_name(enum fw_http_framing framing)
-{
-    switch (framing) {
-    case FW_HTTP_NO_BODY:
-        return "none";
-    case FW_HTTP_CONTENT_LENGTH:
-        return "length";
-    case FW_HTTP_CHUNKED:
-        return "chunks";
-    case FW_HTTP_UNTIL_CLOSE:
-        break;
-    }
-    return "close";
-}
-
-/*
- * Logs a response that is not whole: how the server marks the end of its body,
- * the @err of the connection, 0 if the server ended it, and where the events
- * of a stream end.
- */
-static void
-log_broken_response(const struct fw_upstream_call *call, int err)
-{
-    char number[24];
-    char events[24];
-
-    if (!call->fields || !answers_caller(call)) {
-        return;
-    }
-    g_snprintf(number, sizeof(number), "%d", err);
-    g_snprintf(events, sizeof(events), "%" G_GINT64_FORMAT,
-               call->response_body.events.events);
-    Fw_Logger_Log(
-        LOG_NOTICE, "response_broken", "id", call->request_id, "framing",
-        framing_name(call->framing), "error", number, "events",
-        call->response_body.is_event_stream ? events : "", "at",
-        Fw_ResponseEnd_Name(Fw_ResponseBody_End(&call->response_body)), NULL);
-}
-
 static void
 notify_head(struct fw_upstream_call *call)
 {
@@ -237,21 +181,6 @@
     Fw_Relayd_ExecuteActions(d, &acts);
 }
 
-/* An answer that is not taken for the one to the call. */
-static void
-log_unmatched(const struct fw_upstream_call *call,
-              const struct fw_http_head *h)
-{
-    char kind[24];
-    char status[24];
-
-    g_snprintf(kind, sizeof(kind), "%d", (int)call->kind);
-    g_snprintf(status, sizeof(status), "%d", h->status);
-    Fw_Logger_Log(LOG_NOTICE, "answer_unmatched", "id", call->request_id,
-                  "server", call->server, "kind", kind, "status", status,
-                  NULL);
-}
-
 /* Instances answer once, and some of their rejections bear no id. */
 static enum fw_head_action
 match_answer(const struct fw_upstream_call *call, const struct fw_http_head *h)
@@ -277,7 +206,7 @@
     enum fw_head_action action = match_answer(call, h);
 
     if (action != FW_HEAD_ACCEPT) {
-        log_unmatched(call, h);
+        Fw_UpstreamCall_LogUnmatched(call, h);
         return action;
     }
     Fw_Platform_ParseResponseHead(
@@ -295,7 +224,7 @@
     if (h->framing == FW_HTTP_NO_BODY) {
         call->content_length = 0;
     }
-    if (answers_caller(call) && !call->answer.not_run &&
+    if (Fw_UpstreamCall_AnswersCaller(call) && !call->answer.not_run &&
         !call->answer.handover_refused &&
         (!call->buffered ||
          call->content_length > FW_BUFFERED_RESPONSE_BYTES)) {
@@ -325,7 +254,7 @@
     struct fw_upstream_call *call = ctx;
     struct fw_caller_request *to = forward_target(call);
 
-    if (!answers_caller(call) &&
+    if (!Fw_UpstreamCall_AnswersCaller(call) &&
         call->body->len + len > FW_OWN_RESPONSE_MAX_BYTES) {
         fail_oversized(call);
         return;
@@ -341,7 +270,7 @@
         return; /* no caller to forward to */
     }
     hold_body(call, data, len);
-    if (answers_caller(call) &&
+    if (Fw_UpstreamCall_AnswersCaller(call) &&
         (call->body->len > FW_BUFFERED_RESPONSE_BYTES ||
          !Fw_HeldAccount_Room(call->account))) {
         notify_begun(call);
@@ -362,7 +291,7 @@
     call->answer.events = call->response_body.events.events;
     Fw_RelayActions_Init(&acts);
     if (Fw_ResponseBody_End(&call->response_body) != FW_RESPONSE_WHOLE) {
-        log_broken_response(call, 0);
+        Fw_UpstreamCall_LogBroken(call, 0);
         Fw_Relay_UpstreamFailed(d->relay, xid, -EPIPE, 1, now, &acts);
     }
     else if (Fw_Platform_ParseResponseBody(call->kind, call->body->data,
@@ -385,7 +314,7 @@
     struct fw_rl_actions acts;
 
     call->exchange = NULL;
-    log_broken_response(call, err);
+    Fw_UpstreamCall_LogBroken(call, err);
     Fw_RelayActions_Init(&acts);
     Fw_Relay_UpstreamFailed(d->relay, xid, err, sent == FW_SENT_SOME,
                             Fw_Conn_NowUs(), &acts);
@@ -472,8 +401,8 @@
     g_hash_table_insert(d->upstream_calls, &call->xid, call);
     if (from) {
         g_strlcpy(call->request_id, from->request_id, FW_ID_MAX);
-        call->has_no_body =
-            answers_caller(call) && Fw_Http_MethodIs(from->head, "HEAD");
+        call->has_no_body = Fw_UpstreamCall_AnswersCaller(call) &&
+                            Fw_Http_MethodIs(from->head, "HEAD");
         opts.no_body = call->has_no_body;
         opts.tag = carries_request(c->kind) && call->request_id[0]
                        ? Fw_Hash_Str(call->request_id)
