Close an idle connection for each one opened for want of an id

What callers saw: an instance with few descriptors accepted no callers as soon as requests without an id ran beside them; each such request opened a connection and left it idle.

Cause: a connection whose last request bore no id may not carry another one, as a copy of the answer could not be told from the next one. Nothing closed the connections that were passed over, up to 16 an address, until they expired. The router's own calls (probes, reports, reservations) bear no id either, so that they filled a quiet server's connections as well.

Why it works: the request closes the one it passed over, of no use to any other request without an id. The number of idle connections to a server stays at what it was, and requests with ids find as many as before.

--- a/src/http/idle_conns.c
+++ b/src/http/idle_conns.c
@@ -106,6 +106,11 @@
  * The connection used last is the least likely to be stale. What the kernel
  * holds for one belongs to no request, or says that the upstream has closed
  * it: a loop that was held up has not read that yet.
+ *
+ * A request without an id that finds none in the state that it needs leaves
+ * another such connection behind. One is closed in exchange, as the idle ones
+ * of callers or probes without ids would take all that the upstream or this
+ * process may have open.
  */
 struct fw_conn *
 Fw_IdleConns_Take(GHashTable *conns, const char *addr, int64_t idle_limit_us,
@@ -114,6 +119,7 @@
     struct fw_list *l = g_hash_table_lookup(conns, addr);
     struct fw_list *pos = l ? l->prev : NULL;
     int64_t now = Fw_Conn_NowUs();
+    struct idle_conn *passed_over = NULL;
 
     while (pos != l) {
         struct idle_conn *i = FW_LIST_ENTRY(pos, struct idle_conn, link);
@@ -121,9 +127,10 @@
 
         pos = pos->prev;
         if (now - i->idle_since_us >= idle_limit_us || now >= i->expires_us) {
-            return NULL;
+            break;
         }
         if (tag && !Fw_SentTags_MayAdd(Fw_Conn_SentTags(conn), *tag)) {
+            passed_over = i;
             continue;
         }
         if (!Fw_Conn_IsQuiet(conn)) {
@@ -134,6 +141,9 @@
         g_free(i);
         return conn;
     }
+    if (passed_over && !*tag) {
+        idle_conn_free(passed_over);
+    }
     return NULL;
 }
 
--- a/src/http/idle_conns.h
+++ b/src/http/idle_conns.h
@@ -25,7 +25,8 @@
 /*
  * Removes and returns a connection that was idle for less than @idle_limit_us
  * and may carry a request with @tag, now owned by the caller; NULL when there
- * is none. A @tag of NULL: the upstream answers once.
+ * is none. For a request without an id, a tag of 0, one that may not carry it
+ * is closed then. A @tag of NULL: the upstream answers once.
  */
 struct fw_conn *
 Fw_IdleConns_Take(GHashTable *conns, const char *addr, int64_t idle_limit_us,
--- a/tests/http/test_client.c
+++ b/tests/http/test_client.c
@@ -365,6 +365,29 @@
 }
 END_TEST
 
+/* Guards against idle connections that take all that may be open. */
+START_TEST(requests_without_an_id_leave_no_connections_behind)
+{
+    struct fw_conn_pool *p = Fw_ConnPool_New();
+    struct rig_server *s = Fw_RigServer_New();
+    gsize seen[8] = {0};
+    guint open = 0;
+
+    run_tagged(p, s, seen, 1);
+    for (int i = 0; i < 6; i++) {
+        run_tagged(p, s, seen, 0);
+    }
+    Fw_Rig_Settle();
+    for (guint i = 0; i < s->conns->len; i++) {
+        open += !Fw_RigServer_Conn(s, i)->eof;
+    }
+    ck_assert_uint_eq(open, 1);
+    ck_assert_uint_eq(run_tagged(p, s, seen, 2), s->conns->len - 1);
+    Fw_ConnPool_Free(p);
+    Fw_RigServer_Free(s);
+}
+END_TEST
+
 /* Guards against an answer to a call without an id that reaches a caller. */
 START_TEST(an_answer_without_an_id_is_dropped_or_fails_its_request)
 {
@@ -473,6 +496,7 @@
     tcase_add_loop_test(
         tc, a_connection_carries_only_answers_that_can_be_told_apart, 0,
         G_N_ELEMENTS(tag_cases));
+    tcase_add_test(tc, requests_without_an_id_leave_no_connections_behind);
     tcase_add_loop_test(
         tc, an_answer_without_an_id_is_dropped_or_fails_its_request, 0, 2);
     tcase_add_test(tc, connection_idle_too_long_is_not_reused);
