Stop calling a configuration fresh once a newer one can't be used

What callers saw: a key that a newer version had withdrawn went on to work, for as long as nobody wrote a version that could be used, where that version was rejected whole (no version, a list that is no list, a record without a value).

Cause: Fw_Relay_SetFreshAsOf() ran after each answered read, also after Fw_Relay_SetRules() had been given no rules. What counted as fresh was the position in the log, not the configuration in force.

Why it works: the core remembers that the newest record can't be used, and no read or message makes the one in force fresh until a later record can. Requests with a key get 503 with Retry-After once keys are stale, anonymous ones are served, and fw_configuration_unusable says why.

--- a/explore/relay_freshness.c
+++ b/explore/relay_freshness.c
@@ -1,7 +1,8 @@
 /*
  * freshness-is-true: an instance that accepts callers' keys doesn't use a
  * configuration that was replaced longer ago than keys may be stale, however
- * delayed or lost the answers of other instances are.
+ * delayed or lost the answers of other instances are, and whether or not it
+ * can use the newer one.
  */
 #include "explore/p_relay.h"
 #include "explore/relay_fleet.h"
@@ -12,11 +13,13 @@
 /**
  * struct history - versions of the configuration in the store.
  * @replaced_us: when each version was replaced, by version
+ * @unusable: versions that no instance can use
  * @version: the current version
  * @store_rejects: instances that the store rejects; other instances reach them
  */
 struct history {
     int64_t replaced_us[FW_VERSIONS_MAX];
+    int unusable[FW_VERSIONS_MAX + 1];
     int version;
     int store_rejects[FW_FLEET_MAX];
 };
@@ -26,9 +29,12 @@
 {
     struct fleet_instance *inst = &fleet->instances[i];
     int64_t now = Fw_RelayFleet_Now(fleet, i);
-    struct fw_rl_rules *r = Fw_Rules_New();
+    struct fw_rl_rules *r = NULL;
 
-    r->version = h->version;
+    if (!h->unusable[h->version]) {
+        r = Fw_Rules_New();
+        r->version = h->version;
+    }
     Fw_Relay_SetRules(inst->relay, r, (uint64_t)h->version, now, &inst->acts);
     Fw_Relay_SetFreshAsOf(inst->relay, now);
     g_array_set_size(inst->acts.all, 0);
@@ -95,6 +101,7 @@
         if (Fw_RelayFleet_RandBelow(&fleet, 40) == 0 &&
             h.version < FW_VERSIONS_MAX) {
             h.replaced_us[h.version++] = fleet.now_us;
+            h.unusable[h.version] = Fw_RelayFleet_RandBelow(&fleet, 10) == 0;
             Fw_Run_Trace(run, "version %d", h.version);
         }
         if (Fw_RelayFleet_RandBelow(&fleet, 50) == 0) {
--- a/src/relay/metrics.c
+++ b/src/relay/metrics.c
@@ -67,6 +67,8 @@
          "Instances that count, this one included", 1},
         {&r->relay_metrics.version, "fw_configuration_version",
          "Version of the configuration in force", 1},
+        {&r->relay_metrics.unusable, "fw_configuration_unusable",
+         "The newest configuration can't be used", 1},
         {&r->relay_metrics.rules_age_ms, "fw_configuration_age_ms",
          "Since when the configuration in force is surely the newest", 1},
         {&r->relay_metrics.servers_usable, "fw_servers_usable",
--- a/src/relay/metrics.h
+++ b/src/relay/metrics.h
@@ -33,6 +33,7 @@
     struct fw_metric queued;
     struct fw_metric members;
     struct fw_metric version;
+    struct fw_metric unusable;
     struct fw_metric rules_age_ms;
     struct fw_metric servers_usable;
     struct fw_metric servers_limited;
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -127,10 +127,26 @@
     return &r->metrics;
 }
 
+/*
+ * With a newer configuration that can't be used, the one in force is known to
+ * be outdated: what the newer one revokes must not go on to count as fresh.
+ */
+static void
+note_newest(struct fw_relay *r, int is_usable, uint64_t offset)
+{
+    if (offset + 1 < r->unusable_end ||
+        (r->rules && offset < r->rules_offset)) {
+        return;
+    }
+    r->unusable_end = is_usable ? 0 : offset + 1;
+    r->relay_metrics.unusable.value = !is_usable;
+}
+
 void
 Fw_Relay_SetRules(struct fw_relay *r, struct fw_rl_rules *rules,
                   uint64_t offset, int64_t now_us, struct fw_rl_actions *out)
 {
+    note_newest(r, rules != NULL, offset);
     if (!rules) {
         Fw_RelayActions_Log(out, r, LOG_ERR, "configuration_unreadable",
                             "\"offset\":%" G_GUINT64_FORMAT, offset);
@@ -164,7 +180,9 @@
 void
 Fw_Relay_SetFreshAsOf(struct fw_relay *r, int64_t as_of_us)
 {
-    r->rules_fresh_us = MAX(r->rules_fresh_us, as_of_us);
+    if (!r->unusable_end) {
+        r->rules_fresh_us = MAX(r->rules_fresh_us, as_of_us);
+    }
 }
 
 int64_t
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -386,7 +386,10 @@
 /* All records of the operator before the log's @offset were read. */
 void
 Fw_Relay_SetRulesOffset(struct fw_relay *r, uint64_t offset);
-/* The current configuration was the newest in the store at @as_of_us. */
+/*
+ * The newest configuration in the store at @as_of_us was read. It says nothing
+ * of the one in force while the newest can't be used.
+ */
 void
 Fw_Relay_SetFreshAsOf(struct fw_relay *r, int64_t as_of_us);
 /* How long ago the configuration was known to be the newest, -1 if never. */
--- a/src/relay/relay_internal.h
+++ b/src/relay/relay_internal.h
@@ -87,6 +87,8 @@
  * @rules: current configuration, NULL for none
  * @rules_offset: its log offset
  * @rules_fresh_us: latest time at which @rules was known to be the newest
+ * @unusable_end: offset after the newest configuration, if it can't be used;
+ *     0 if it can
  * @store_recovered_us: when the store last answered this instance or another
  *     one again, 0 for never
  * @has_server_list: a complete listing of the servers was received
@@ -134,6 +136,7 @@
     struct fw_rl_rules *rules;
     uint64_t rules_offset;
     int64_t rules_fresh_us;
+    uint64_t unusable_end;
     int64_t store_recovered_us;
     int has_server_list;
     struct fw_list servers;
--- a/tests/relay/script.c
+++ b/tests/relay/script.c
@@ -245,6 +245,13 @@
         run->r, (int64_t)Fw_RelayScript_GetArg(run, 1) * FW_MSEC + FW_SEC);
 }
 
+static void
+do_unusable(struct relay_script_run *run)
+{
+    Fw_Relay_SetRules(run->r, NULL, Fw_RelayScript_GetArg(run, 1), run->now_us,
+                      &run->acts);
+}
+
 static void
 do_unlisted(struct relay_script_run *run)
 {
@@ -386,6 +393,7 @@
     {"options", Fw_RelayScript_DoOptions},
     {"rules", Fw_RelayScript_DoRules},
     {"fresh", do_fresh},
+    {"unusable", do_unusable},
     {"server", Fw_RelayScript_DoServer},
     {"unlisted", do_unlisted},
     {"evacuate", do_evacuate},
--- a/tests/relay/test_requests.c
+++ b/tests/relay/test_requests.c
@@ -110,6 +110,42 @@
              "rules 2 keys=1\n"
              "open 4 /read/x key=kb\n"
              "  refuse 4 401 unknown_key ran=no\n"},
+    /* Guards against a revoked key that works as its revocation is unread. */
+    {.name = "keys are refused while the newest configuration can't be used",
+     .text = "rules 1\n"
+             "fresh 0\n"
+             "list\n"
+             "server s1 plain none\n"
+             "at 1000\n"
+             "unusable 2\n"
+             "at 4100\n"
+             "fresh 4000\n"
+             "ready\n"
+             "  ready=0\n"
+             "open 1 /read/x key=ka\n"
+             "  refuse 1 503 configuration_stale ran=no later\n"
+             "open 2 /open/x\n"
+             "  ask 1 run s1 for 2 left=10000\n"
+             "rules 3 keys=1\n"
+             "fresh 4100\n"
+             "ready\n"
+             "  ready=1\n"
+             "open 3 /read/x key=ka\n"
+             "  ask 2 run s1 for 3 team=a left=10000\n"
+             "open 4 /read/x key=kb\n"
+             "  refuse 4 401 unknown_key ran=no\n"},
+    /* Guards against keys that expire for a record that was read again. */
+    {.name =
+         "an unusable configuration older than the one in force is ignored",
+     .text = "rules 3\n"
+             "fresh 0\n"
+             "list\n"
+             "server s1 plain none\n"
+             "unusable 2\n"
+             "at 4100\n"
+             "fresh 4000\n"
+             "open 1 /read/x key=ka\n"
+             "  ask 1 run s1 for 1 team=a left=10000\n"},
     {.name = "an older or equal configuration version is ignored",
      .text = "rules 5\n"
              "fresh 0\n"
