--- a/bench/bench_digest.c
+++ b/bench/bench_digest.c
@@ -28,7 +28,9 @@
     for (int i = 0; i < FW_TEAMS; i++) {
         struct fw_rl_team_rule *t = Fw_Rules_AddTeam(rules);
 
-        g_snprintf(t->name, sizeof(t->name), "team-%d", i);
+        g_autofree char *name = g_strdup_printf("team-%d", i);
+
+        t->name = Fw_Rules_String(rules, name);
         t->rate = 1000;
         t->burst = 10000;
         t->priority = -1;
--- a/explore/relay_allowance.c
+++ b/explore/relay_allowance.c
@@ -35,7 +35,7 @@
     struct fw_rl_team_rule *t = Fw_Rules_AddTeam(r);
 
     r->version = 1;
-    g_strlcpy(t->name, "t", sizeof(t->name));
+    t->name = "t";
     t->rate = FW_RATE_TOKENS_PER_S;
     t->burst = FW_BURST_TOKENS;
     t->priority = -1;
--- a/explore/relay_crash_callers.c
+++ b/explore/relay_crash_callers.c
@@ -99,8 +99,8 @@
     }
     set_parts(env, culprit, &info);
     g_array_append_val(env->requests, q);
-    g_strlcpy(info.host, "h", sizeof(info.host));
-    g_strlcpy(info.path, "/gen/x", sizeof(info.path));
+    info.host = "h";
+    info.path = "/gen/x";
     g_snprintf(info.id, sizeof(info.id), "%d", (int)call);
     Fw_Relay_Open(fleet->instances[i].relay, call, &info,
                   Fw_RelayFleet_Now(fleet, i), &fleet->instances[i].acts);
--- a/explore/relay_crashes.c
+++ b/explore/relay_crashes.c
@@ -29,7 +29,7 @@
     g_snprintf(out->id, sizeof(out->id), "e%d.%d", k,
                keeps_id(k) ? 0 : lifetime);
     g_snprintf(out->addr, sizeof(out->addr), "e%d", k);
-    g_strlcpy(out->service, "llm", sizeof(out->service));
+    out->service = "llm";
     g_strlcpy(out->domain, k % 2 ? "odd" : "even", sizeof(out->domain));
 }
 
--- a/explore/relay_limits.c
+++ b/explore/relay_limits.c
@@ -58,17 +58,15 @@
     struct fw_rl_service_rule *service = Fw_Rules_AddService(rules);
 
     rules->version = 1;
-    g_strlcpy(service->name, "plain", sizeof(service->name));
-    g_strlcpy(route->name, "r", sizeof(route->name));
-    g_strlcpy(route->host, "h", sizeof(route->host));
-    g_strlcpy(route->prefix, "/", sizeof(route->prefix));
+    service->name = "plain";
+    route->name = "r";
+    route->host = "h";
+    route->prefix = "/";
     route->kind = FW_RL_IDEMPOTENT;
     route->timeout_us = 2 * FW_SEC;
     route->attempts = 2;
     route->anonymous = 1;
-    route->n_targets = 1;
-    route->targets[0].weight = 1;
-    g_strlcpy(route->targets[0].service, "plain", FW_NAME_MAX);
+    Fw_Rules_SetTarget(rules, route, "plain");
     Fw_Rules_Index(rules);
     return rules;
 }
@@ -81,7 +79,7 @@
 
     g_strlcpy(e.id, id, sizeof(e.id));
     g_strlcpy(e.addr, id, sizeof(e.addr));
-    g_strlcpy(e.service, "plain", sizeof(e.service));
+    e.service = "plain";
     Fw_Relay_UpdateServer(inst->relay, id, &e,
                           Fw_RelayFleet_Now(&env->fleet, i), &inst->acts);
 }
@@ -206,8 +204,8 @@
                                       .tokens_out_hint = -1,
                                       .last_event_id = -1};
 
-    g_strlcpy(info.host, "h", sizeof(info.host));
-    g_strlcpy(info.path, "/x", sizeof(info.path));
+    info.host = "h";
+    info.path = "/x";
     for (int i = 0; i < env->fleet.n; i++) {
         struct fleet_instance *inst = &env->fleet.instances[i];
         int64_t now = Fw_RelayFleet_Now(&env->fleet, i);
--- a/explore/relay_orders.c
+++ b/explore/relay_orders.c
@@ -208,7 +208,7 @@
     struct fw_rl_service_rule *s = Fw_Rules_AddService(r);
 
     r->version = 1;
-    g_strlcpy(s->name, "llm", sizeof(s->name));
+    s->name = "llm";
     s->has_engines = 1;
     s->engine = (struct fw_rl_engine_spec){
         .slots = 8, .kv_tokens = 100000, .stage_change_us = 100 * FW_MSEC};
--- a/explore/relay_partition.c
+++ b/explore/relay_partition.c
@@ -74,8 +74,7 @@
 
         g_snprintf(e.id, sizeof(e.id), "s%d", k);
         g_strlcpy(e.addr, e.id, sizeof(e.addr));
-        g_strlcpy(e.service, k < FW_PLAIN_SERVERS ? "plain" : "llm",
-                  sizeof(e.service));
+        e.service = k < FW_PLAIN_SERVERS ? "plain" : "llm";
         if (k >= FW_PLAIN_SERVERS) {
             e.stage = k % 2 ? FW_RL_STAGE_DECODE : FW_RL_STAGE_PREFILL;
         }
@@ -289,8 +288,8 @@
 
     info.fingerprint = call + 1;
     g_array_append_val(env->requests, *q);
-    g_strlcpy(info.host, "h", sizeof(info.host));
-    g_strlcpy(info.path, path, sizeof(info.path));
+    info.host = "h";
+    info.path = path;
     g_snprintf(info.id, sizeof(info.id), "%d", (int)call);
     Fw_Relay_Open(inst->relay, call, &info, Fw_RelayFleet_Now(&env->fleet, i),
                   &inst->acts);
--- a/explore/relay_ranks.c
+++ b/explore/relay_ranks.c
@@ -96,7 +96,7 @@
     gen->timeout_us = 14 * FW_SEC;
     gen->objective_us = 2500 * FW_MSEC;
     *later = *gen;
-    g_strlcpy(later->prefix, "/later/", sizeof(later->prefix));
+    later->prefix = "/later/";
     later->priority = 2;
     Fw_Rules_Index(rules);
     return rules;
@@ -122,7 +122,7 @@
 
         g_snprintf(e.id, sizeof(e.id), "%d", k);
         g_strlcpy(e.addr, e.id, sizeof(e.addr));
-        g_strlcpy(e.service, "llm", sizeof(e.service));
+        e.service = "llm";
         Fw_Relay_UpdateServer(inst->relay, e.id, &e, now, &inst->acts);
     }
     Fw_Relay_EndServerList(inst->relay, now, &inst->acts);
@@ -349,8 +349,8 @@
     }
     g_array_append_val(env->streams, s);
     g_snprintf(info.id, sizeof(info.id), "%d", (int)env->streams->len);
-    g_strlcpy(info.host, "h", sizeof(info.host));
-    g_strlcpy(info.path, rank ? "/later/x" : "/gen/x", sizeof(info.path));
+    info.host = "h";
+    info.path = rank ? "/later/x" : "/gen/x";
     Fw_Relay_Open(inst->relay, env->streams->len, &info,
                   Fw_RelayFleet_Now(fleet, i), &inst->acts);
     apply_actions(env, i);
--- a/explore/relay_requests.c
+++ b/explore/relay_requests.c
@@ -268,7 +268,7 @@
     uint64_t id = (uint64_t)env->n_requests++;
 
     env->requests[id].at_most_once = kind != 0;
-    g_strlcpy(request.path, paths[kind], sizeof(request.path));
+    request.path = paths[kind];
     g_snprintf(request.id, sizeof(request.id), "%d", (int)id);
     Fw_Relay_Open(env->relay, id, &request, env->now_us, &env->acts);
 }
@@ -297,8 +297,7 @@
 
     g_snprintf(e.id, sizeof(e.id), "s%d", i);
     g_snprintf(e.addr, sizeof(e.addr), "10.0.0.%d:1", i + 1);
-    g_strlcpy(e.service, i < FW_PLAIN_SERVERS ? "plain" : "llm",
-              sizeof(e.service));
+    e.service = i < FW_PLAIN_SERVERS ? "plain" : "llm";
     Fw_Relay_UpdateServer(env->relay, e.id, &e, env->now_us, &env->acts);
 }
 
@@ -308,17 +307,14 @@
 {
     struct fw_rl_route_rule *r = Fw_Rules_AddRoute(rules);
 
-    g_strlcpy(r->host, "h", sizeof(r->host));
-    g_strlcpy(r->prefix, prefix, sizeof(r->prefix));
+    r->host = "h";
+    r->prefix = prefix;
     r->kind = kind;
     r->timeout_us = 4 * FW_SEC;
     r->attempts = 2;
     r->anonymous = 1;
     r->generates = kind == FW_RL_STREAM;
-    r->n_targets = 1;
-    r->targets[0].weight = 1;
-    g_strlcpy(r->targets[0].service, r->generates ? "llm" : "plain",
-              FW_NAME_MAX);
+    Fw_Rules_SetTarget(rules, r, r->generates ? "llm" : "plain");
 }
 
 static void
@@ -350,9 +346,9 @@
     add_route(rules, "/read/", FW_RL_IDEMPOTENT);
     add_route(rules, "/order/", FW_RL_NON_IDEMPOTENT);
     add_route(rules, "/gen/", FW_RL_STREAM);
-    g_strlcpy(Fw_Rules_AddService(rules)->name, "plain", FW_NAME_MAX);
+    Fw_Rules_AddService(rules)->name = "plain";
     s = Fw_Rules_AddService(rules);
-    g_strlcpy(s->name, "llm", FW_NAME_MAX);
+    s->name = "llm";
     s->has_engines = 1;
     s->engine = (struct fw_rl_engine_spec){
         .slots = 8, .kv_tokens = 8000, .reservation_ttl_us = 2 * FW_SEC};
--- a/explore/relay_retries.c
+++ b/explore/relay_retries.c
@@ -93,7 +93,7 @@
 
         g_strlcpy(e.id, servers[k].id, sizeof(e.id));
         g_strlcpy(e.addr, servers[k].id, sizeof(e.addr));
-        g_strlcpy(e.service, servers[k].service, sizeof(e.service));
+        e.service = servers[k].service;
         g_strlcpy(e.domain, k % 2 ? "even" : "odd", sizeof(e.domain));
         Fw_Relay_UpdateServer(inst->relay, e.id, &e,
                               Fw_RelayFleet_Now(&env->fleet, i), &inst->acts);
@@ -301,8 +301,8 @@
     info.fingerprint = call + 1;
     g_array_append_val(env->requests, q);
     g_array_append_val(env->opened_us[q.service], env->fleet.now_us);
-    g_strlcpy(info.host, "h", sizeof(info.host));
-    g_strlcpy(info.path, generates ? "/gen/x" : "/read/x", sizeof(info.path));
+    info.host = "h";
+    info.path = generates ? "/gen/x" : "/read/x";
     g_snprintf(info.id, sizeof(info.id), "%d", (int)call);
     Fw_Relay_Open(inst->relay, call, &info, Fw_RelayFleet_Now(&env->fleet, i),
                   &inst->acts);
--- a/explore/relay_services.c
+++ b/explore/relay_services.c
@@ -9,9 +9,9 @@
 {
     struct fw_rl_route_rule *r = Fw_Rules_AddRoute(rules);
 
-    g_strlcpy(r->name, prefix, sizeof(r->name));
-    g_strlcpy(r->host, "h", sizeof(r->host));
-    g_strlcpy(r->prefix, prefix, sizeof(r->prefix));
+    r->name = prefix;
+    r->host = "h";
+    r->prefix = prefix;
     r->kind = kind;
     r->timeout_us = 4 * FW_SEC;
     r->objective_us = 900 * FW_MSEC;
@@ -19,9 +19,7 @@
     r->anonymous = 1;
     r->resumable = resumable;
     r->generates = kind == FW_RL_STREAM;
-    r->n_targets = 1;
-    r->targets[0].weight = 1;
-    g_strlcpy(r->targets[0].service, service, FW_NAME_MAX);
+    Fw_Rules_SetTarget(rules, r, service);
 }
 
 struct fw_rl_rules *
@@ -34,9 +32,9 @@
     add_route(rules, "/read/", "plain", FW_RL_IDEMPOTENT, 0);
     add_route(rules, "/order/", "plain", FW_RL_NON_IDEMPOTENT, 0);
     add_route(rules, "/gen/", "llm", FW_RL_STREAM, resumable);
-    g_strlcpy(Fw_Rules_AddService(rules)->name, "plain", FW_NAME_MAX);
+    Fw_Rules_AddService(rules)->name = "plain";
     s = Fw_Rules_AddService(rules);
-    g_strlcpy(s->name, "llm", FW_NAME_MAX);
+    s->name = "llm";
     s->has_engines = 1;
     s->engine = (struct fw_rl_engine_spec){.slots = 1000,
                                            .kv_tokens = 10 * 1000 * 1000,
--- a/src/decide/service_stats.c
+++ b/src/decide/service_stats.c
@@ -43,7 +43,7 @@
 Fw_ServiceStats_Init(struct fw_service_stats *stats, const char *service)
 {
     memset(stats, 0, sizeof(*stats));
-    g_strlcpy(stats->service, service, sizeof(stats->service));
+    stats->service = g_intern_string(service);
     Fw_Mean_Init(&stats->stream_us, FW_STREAM_PRIOR_US, 0);
     Fw_Mean_Init(&stats->decode_tokens_per_us, FW_DECODE_PRIOR_TOKENS_PER_US,
                  0);
--- a/src/decide/service_stats.h
+++ b/src/decide/service_stats.h
@@ -9,6 +9,7 @@
 
 /**
  * struct fw_service_stats - moving statistics of one service.
+ * @service: its interned name
  * @length: model of the answers' lengths
  * @stream_us: time from sending a stream to its engine until it ends
  * @decode_tokens_per_us: generation rate of a single stream
@@ -21,7 +22,7 @@
  *     events of its streams; 0 for never
  */
 struct fw_service_stats {
-    char service[FW_NAME_MAX];
+    const char *service;
     struct fw_length_model length;
     struct fw_moving_mean stream_us;
     struct fw_moving_mean decode_tokens_per_us;
--- a/src/relay/actions.c
+++ b/src/relay/actions.c
@@ -3,10 +3,22 @@
 
 #include "relay/relay_internal.h"
 
+static void
+clear_action(gpointer data)
+{
+    struct fw_rl_action *a = data;
+
+    if (a->kind == FW_RL_DO_CALL) {
+        g_free((char *)a->u.upstream_call.team);
+        g_free((char *)a->u.upstream_call.path);
+    }
+}
+
 void
 Fw_RelayActions_Init(struct fw_rl_actions *acts)
 {
     acts->all = g_array_new(FALSE, TRUE, sizeof(struct fw_rl_action));
+    g_array_set_clear_func(acts->all, clear_action);
 }
 
 void
@@ -29,6 +41,20 @@
     return a;
 }
 
+/* The request, and with it the configuration, may end before the call starts.
+ */
+void
+Fw_RelayActions_AddCall(struct fw_rl_actions *acts,
+                        const struct fw_rl_upstream_call *up)
+{
+    struct fw_rl_upstream_call *u =
+        &Fw_RelayActions_Add(acts, FW_RL_DO_CALL)->u.upstream_call;
+
+    *u = *up;
+    u->team = g_strdup(up->team);
+    u->path = g_strdup(up->path);
+}
+
 /*
  * Turns a truncated list of JSON members into a single string member, so that
  * the line stays valid JSON.
--- a/src/relay/call.c
+++ b/src/relay/call.c
@@ -25,7 +25,7 @@
     g_hash_table_insert(r->ops, &op->xid, op);
     up->xid = op->xid;
     up->call = c ? c->id : 0;
-    Fw_RelayActions_Add(out, FW_RL_DO_CALL)->u.upstream_call = *up;
+    Fw_RelayActions_AddCall(out, up);
     if (c) {
         c->op = op;
     }
@@ -90,7 +90,7 @@
         return;
     }
     g_strlcpy(kind == FW_RL_UP_RELEASE ? up.reservation : up.kv_handle, name,
-              FW_RL_KEY_MAX);
+              FW_RL_HANDLE_MAX);
     Fw_Call_Upstream(r, NULL, s, &up, now_us + FW_RL_RELEASE_TIMEOUT_US,
                      now_us, out);
 }
@@ -169,6 +169,9 @@
     }
     g_hash_table_remove(r->calls, &c->id);
     Fw_List_Remove(&c->link);
+    Fw_RequestInfo_Forget(&c->info);
+    Fw_Rules_Unref(c->rules);
+    Fw_Rules_Unref(c->team_rules);
     g_free(c);
     if (r->queue.n) {
         Fw_Stream_PlaceQueued(r, now_us, out);
@@ -256,7 +259,7 @@
                         "\"cost\":%" G_GINT64_FORMAT ","
                         "\"tries\":%d,\"after_ms\":%" G_GINT64_FORMAT
                         ",\"retry_ms\":%" G_GINT64_FORMAT "%s",
-                        c->info.id, c->route.name, c->team, status, reason,
+                        c->info.id, c->route->name, c->team, status, reason,
                         Fw_Ran_Name(c->ran), c->cost, c->attempts,
                         Fw_Relay_UsToMs(now_us - c->opened_us),
                         Fw_Relay_UsToMs(retry_us), wait);
@@ -321,7 +324,7 @@
         "\"tries\":%d,\"room_ms\":%" G_GINT64_FORMAT
         ",\"sent_ms\":%" G_GINT64_FORMAT ",\"first_ms\":%" G_GINT64_FORMAT
         ",\"took_ms\":%" G_GINT64_FORMAT,
-        c->info.id, c->route.name, c->server ? c->server->entry.id : "",
+        c->info.id, c->route->name, c->server ? c->server->entry.id : "",
         c->status, c->attempts, ms_since_arrival(c, c->reserved_us),
         ms_since_arrival(c, c->sent_us), ms_since_arrival(c, c->response_us),
         Fw_Relay_UsToMs(now_us - c->opened_us));
--- a/src/relay/calls.h
+++ b/src/relay/calls.h
@@ -32,7 +32,13 @@
 
 /**
  * struct fw_rl_call - a caller's request until its response has ended.
- * @route: copy of its route's configuration
+ * @rules: configuration that @route and @service are part of, NULL before it
+ *     is routed
+ * @team_rules: configuration that @team and @team_regions are part of, which
+ *     may be newer; NULL for none
+ * @route: its route, never NULL
+ * @service: name of its service, empty before it is routed
+ * @team: name of its team, empty for none
  * @team_regions: regions that its team is restricted to
  * @priority: 0 most urgent
  * @opened_us: when it was received
@@ -101,9 +107,11 @@
     struct fw_list link;
     uint64_t id;
     struct fw_rl_request_info info;
-    struct fw_rl_route_rule route;
-    char service[FW_NAME_MAX];
-    char team[FW_NAME_MAX];
+    struct fw_rl_rules *rules;
+    struct fw_rl_rules *team_rules;
+    const struct fw_rl_route_rule *route;
+    const char *service;
+    const char *team;
     struct fw_rl_regions team_regions;
     int priority;
     enum fw_rl_call_state state;
@@ -119,8 +127,8 @@
     int64_t prefill_queue_tokens;
     struct fw_rl_server *server;
     struct fw_rl_server *prefill_server;
-    char reservation[FW_RL_KEY_MAX];
-    char kv_handle[FW_RL_KEY_MAX];
+    char reservation[FW_RL_HANDLE_MAX];
+    char kv_handle[FW_RL_HANDLE_MAX];
     char kv_addr[FW_URL_MAX];
     int is_prefilling;
     int is_committed;
--- a/src/relay/crashes.c
+++ b/src/relay/crashes.c
@@ -239,7 +239,7 @@
     struct fw_blame_key keys[FW_RL_PARTS_MAX + 1];
     /* A buffered response may have begun at any time since it was sent. */
     int64_t began_us =
-        c->route.kind == FW_RL_STREAM ? c->response_us : c->sent_us;
+        c->route->kind == FW_RL_STREAM ? c->response_us : c->sent_us;
     int n;
 
     if (!c->is_response_good || c->is_noted_sound || !c->server) {
--- a/src/relay/handover.c
+++ b/src/relay/handover.c
@@ -150,10 +150,10 @@
         .kind = FW_RL_UP_HANDOVER,
         .timeout_us = c->deadline_us - now_us,
         .priority = -1,
-        .buffer_response = c->route.kind != FW_RL_STREAM,
-        .is_streaming = c->route.kind == FW_RL_STREAM,
+        .buffer_response = c->route->kind != FW_RL_STREAM,
+        .is_streaming = c->route->kind == FW_RL_STREAM,
         .connect_us = FW_RL_CONNECT_TIMEOUT_US,
-        .reuse_us = c->route.kind == FW_RL_IDEMPOTENT
+        .reuse_us = c->route->kind == FW_RL_IDEMPOTENT
                         ? FW_RL_REUSE_US
                         : FW_RL_REUSE_NON_IDEMPOTENT_US,
     };
@@ -166,7 +166,7 @@
     Fw_RelayActions_Log(out, r, Fw_Call_LogSeverity(r, c), "handed_over",
                         "\"id\":\"%s\",\"route\":\"%s\",\"to\":\"%s\","
                         "\"try\":%d,\"left_ms\":%" G_GINT64_FORMAT,
-                        c->info.id, c->route.name, m->name, c->handovers,
+                        c->info.id, c->route->name, m->name, c->handovers,
                         Fw_Relay_UsToMs(up.timeout_us));
 }
 
@@ -343,7 +343,7 @@
         return;
     }
     c->ran = FW_RAN_MAYBE;
-    if (c->route.kind == FW_RL_IDEMPOTENT &&
+    if (c->route->kind == FW_RL_IDEMPOTENT &&
         Fw_RetryBudget_Take(r, c, 1, now_us, out) &&
         Fw_Handover_Start(r, c, now_us, out)) {
         return;
--- a/src/relay/limits.h
+++ b/src/relay/limits.h
@@ -44,12 +44,13 @@
 
 /**
  * struct fw_rl_retry_budget - retry budget of one service.
+ * @service: its interned name
  * @slot: number of the current time slot
  * @requests: ring of counts per time slot
  * @retries: ring of counts per time slot
  */
 struct fw_rl_retry_budget {
-    char service[FW_NAME_MAX];
+    const char *service;
     int64_t slot;
     int requests[FW_RL_RETRY_BUDGET_SLOTS];
     int retries[FW_RL_RETRY_BUDGET_SLOTS];
--- a/src/relay/links.c
+++ b/src/relay/links.c
@@ -54,7 +54,7 @@
 
     if (!l) {
         l = g_new0(struct fw_rl_stage_links, 1);
-        g_strlcpy(l->service, service, sizeof(l->service));
+        l->service = g_intern_string(service);
         l->stage = stage;
         g_ptr_array_add(r->stage_links, l);
     }
@@ -250,9 +250,7 @@
                                      .buffer_response = 1,
                                      .connect_us = FW_RL_CONNECT_TIMEOUT_US};
 
-    g_strlcpy(up.path,
-              rule && rule->health[0] ? rule->health : FW_PROBE_DEFAULT_PATH,
-              sizeof(up.path));
+    up.path = rule && rule->health[0] ? rule->health : FW_PROBE_DEFAULT_PATH;
     Fw_Call_Upstream(r, NULL, s, &up, now_us + FW_PROBE_TIMEOUT_US, now_us,
                      out);
 }
--- a/src/relay/open.c
+++ b/src/relay/open.c
@@ -79,6 +79,10 @@
     }
 }
 
+/* Of a request that is not routed yet. */
+static const struct fw_rl_route_rule no_route = {
+    .name = "", .host = "", .prefix = ""};
+
 static struct fw_rl_call *
 call_new(struct fw_relay *r, uint64_t id,
          const struct fw_rl_request_info *info, int64_t now_us)
@@ -87,6 +91,10 @@
 
     c->id = id;
     c->info = *info;
+    Fw_RequestInfo_Own(&c->info);
+    c->route = &no_route;
+    c->service = "";
+    c->team = "";
     sanitize_id(c->info.id);
     c->opened_us = now_us;
     c->deadline_us = INT64_MAX;
@@ -100,7 +108,7 @@
 set_deadline(struct fw_rl_call *c)
 {
     int64_t left =
-        c->route.timeout_us ? c->route.timeout_us : FW_DEFAULT_TIMEOUT_US;
+        c->route->timeout_us ? c->route->timeout_us : FW_DEFAULT_TIMEOUT_US;
 
     if (c->info.timeout_us > 0) {
         left = MIN(left, c->info.timeout_us);
@@ -149,7 +157,7 @@
 Fw_Relay_MayServe(const struct fw_relay *r, const struct fw_rl_call *c,
                   int64_t now_us)
 {
-    return c->route.anonymous || Fw_Relay_AreKeysFresh(r, now_us);
+    return c->route->anonymous || Fw_Relay_AreKeysFresh(r, now_us);
 }
 
 static void
@@ -192,7 +200,7 @@
 {
     const struct fw_rl_team_rule *t = Fw_Rules_Team(r->rules, c->info.key);
 
-    memset(c->info.key, 0, sizeof(c->info.key));
+    Fw_RequestInfo_Forget(&c->info);
     if (!Fw_Relay_AreKeysFresh(r, now_us)) {
         Fw_Call_Reject(r, c, 503, Fw_Relay_StaleRetryUs(r, now_us),
                        "configuration_stale", now_us, out);
@@ -202,7 +210,13 @@
         Fw_Call_Reject(r, c, 401, 0, "unknown_key", now_us, out);
         return 0;
     }
-    g_strlcpy(c->team, t->name, sizeof(c->team));
+    if (t->is_unusable) {
+        Fw_Call_Reject(r, c, 503, FW_RETRY_NO_CONFIG_US, "team_unusable",
+                       now_us, out);
+        return 0;
+    }
+    c->team_rules = Fw_Rules_Ref(r->rules);
+    c->team = t->name;
     c->team_regions = t->regions;
     if (t->priority >= 0) {
         c->priority = t->priority;
@@ -221,8 +235,8 @@
 {
     int64_t left = r->drain_start_us + r->opts.grace_us - now_us;
 
-    return r->draining && left < (c->route.generates ? FW_DRAIN_MIN_STREAM_US
-                                                     : FW_DRAIN_MIN_PLAIN_US);
+    return r->draining && left < (c->route->generates ? FW_DRAIN_MIN_STREAM_US
+                                                      : FW_DRAIN_MIN_PLAIN_US);
 }
 
 int
@@ -231,7 +245,8 @@
     const struct fw_rl_service_rule *s =
         Fw_Rules_Service(r->rules, c->service);
 
-    return c->route.generates && s && s->has_engines && c->info.tokens_in >= 0;
+    return c->route->generates && s && s->has_engines &&
+           c->info.tokens_in >= 0;
 }
 
 static void
@@ -306,8 +321,8 @@
 {
     int64_t retry_us;
 
-    if (c->route.anonymous) {
-        memset(c->info.key, 0, sizeof(c->info.key));
+    if (c->route->anonymous) {
+        Fw_RequestInfo_Forget(&c->info);
     }
     else if (!admit_team(r, c, now_us, out)) {
         return;
@@ -319,6 +334,15 @@
     dispatch(r, c, now_us, out);
 }
 
+static int
+is_service_unusable(const struct fw_relay *r, const struct fw_rl_call *c)
+{
+    const struct fw_rl_service_rule *s =
+        Fw_Rules_Service(r->rules, c->service);
+
+    return s && s->is_unusable;
+}
+
 void
 Fw_Relay_Serve(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us,
                struct fw_rl_actions *out)
@@ -335,10 +359,20 @@
         Fw_Call_Reject(r, c, 404, 0, "no_route", now_us, out);
         return;
     }
-    c->route = *route;
+    if (route->is_unusable) {
+        Fw_Call_Reject(r, c, 503, FW_RETRY_NO_CONFIG_US, "route_unusable",
+                       now_us, out);
+        return;
+    }
+    c->rules = Fw_Rules_Ref(r->rules);
+    c->route = route;
     c->priority = route->priority;
-    g_strlcpy(c->service, choose_service(route, c->info.id),
-              sizeof(c->service));
+    c->service = choose_service(route, c->info.id);
+    if (is_service_unusable(r, c)) {
+        Fw_Call_Reject(r, c, 503, FW_RETRY_NO_CONFIG_US, "service_unusable",
+                       now_us, out);
+        return;
+    }
     Fw_Crashes_BindParts(c);
     set_deadline(c);
     if (must_reject_draining(r, c, now_us)) {
@@ -422,7 +456,7 @@
     Fw_RelayActions_Log(out, r, LOG_NOTICE, "caller_left",
                         "\"id\":\"%s\",\"route\":\"%s\",\"state\":%d,"
                         "\"after_ms\":%" G_GINT64_FORMAT,
-                        c->info.id, c->route.name, (int)c->state,
+                        c->info.id, c->route->name, (int)c->state,
                         Fw_Relay_UsToMs(now_us - c->opened_us));
     Fw_Call_End(r, c, now_us, out);
 }
--- a/src/relay/place.c
+++ b/src/relay/place.c
@@ -55,11 +55,11 @@
 {
     uint64_t region;
 
-    if (!c->route.regions.n && !c->team_regions.n) {
+    if (!c->route->regions.n && !c->team_regions.n) {
         return 1;
     }
     region = Fw_Regions_OfDomain(&r->opts.regions, s->entry.domain);
-    return Fw_Regions_Allow(&c->route.regions, region) &&
+    return Fw_Regions_Allow(&c->route->regions, region) &&
            Fw_Regions_Allow(&c->team_regions, region);
 }
 
@@ -241,7 +241,7 @@
     return speeds->are_in_force
                ? (int64_t)-Fw_PlaceEngine_DecodeCost(
                      (double)left, s->speed, speeds->mean_gap_us / s->speed,
-                     (double)c->route.event_gap_us)
+                     (double)c->route->event_gap_us)
                : left;
 }
 
--- a/src/relay/place_plain.c
+++ b/src/relay/place_plain.c
@@ -102,12 +102,12 @@
     double limit;
     double reject_probability;
 
-    if (r->opts.policy != FW_RL_POLICY_FULL || c->route.objective_us <= 0 ||
+    if (r->opts.policy != FW_RL_POLICY_FULL || c->route->objective_us <= 0 ||
         s->entry.slots <= 0) {
         return 0;
     }
     Fw_Place_Load(r, s, now_us, &l);
-    limit = max_running(s, c->route.objective_us);
+    limit = max_running(s, c->route->objective_us);
     reject_probability =
         (l.running + 1 - limit) / (FW_OVERLOAD_RAMP_FRACTION * limit);
     return reject_probability > 0 &&
--- a/src/relay/plain.c
+++ b/src/relay/plain.c
@@ -27,8 +27,8 @@
 static int
 is_retryable(const struct fw_rl_call *c)
 {
-    return c->route.kind == FW_RL_IDEMPOTENT ||
-           (c->route.kind == FW_RL_STREAM && c->route.resumable &&
+    return c->route->kind == FW_RL_IDEMPOTENT ||
+           (c->route->kind == FW_RL_STREAM && c->route->resumable &&
             !c->is_forwarded);
 }
 
@@ -119,8 +119,8 @@
         .kind = FW_RL_UP_RUN,
         .timeout_us = c->deadline_us - now_us,
         .priority = -1,
-        .buffer_response = c->route.kind != FW_RL_STREAM,
-        .is_streaming = c->route.kind == FW_RL_STREAM,
+        .buffer_response = c->route->kind != FW_RL_STREAM,
+        .is_streaming = c->route->kind == FW_RL_STREAM,
         .connect_us = FW_RL_CONNECT_TIMEOUT_US,
         .reuse_us =
             is_retryable(c) ? FW_RL_REUSE_US : FW_RL_REUSE_NON_IDEMPOTENT_US,
@@ -130,7 +130,7 @@
     struct fw_rl_load load;
 
     Fw_Place_Load(r, s, now_us, &load);
-    if (is_retryable(c) && c->attempts + 1 < c->route.attempts) {
+    if (is_retryable(c) && c->attempts + 1 < c->route->attempts) {
         timeout_at_us = MIN(timeout_at_us, now_us + FW_ATTEMPT_TIMEOUT_US);
     }
     c->server = Fw_Servers_Ref(s);
@@ -141,7 +141,7 @@
     if (c->n_tried < FW_RL_TRIED_MAX) {
         c->tried[c->n_tried++] = s->hash;
     }
-    g_strlcpy(up.team, c->team, sizeof(up.team));
+    up.team = c->team;
     op = Fw_Call_Upstream(r, c, s, &up, timeout_at_us, now_us, out);
     op->had_free_slot = load.running < s->entry.slots;
     op->had_idle_server = load.running <= s->entry.slots / 2;
@@ -151,7 +151,7 @@
         "\"id\":\"%s\",\"route\":\"%s\",\"team\":\"%s\","
         "\"cost\":%" G_GINT64_FORMAT ",\"server\":\"%s\","
         "\"try\":%d,\"running\":%d,\"left_ms\":%" G_GINT64_FORMAT "%s",
-        c->info.id, c->route.name, c->team, c->cost, s->entry.id, c->attempts,
+        c->info.id, c->route->name, c->team, c->cost, s->entry.id, c->attempts,
         s->running, Fw_Relay_UsToMs(up.timeout_us),
         Fw_Speeds_LogText(r, s, NULL, speed));
 }
@@ -252,7 +252,7 @@
 may_retry(const struct fw_rl_call *c)
 {
     return (is_retryable(c) || FW_FAULT("once-sent-again")) &&
-           c->attempts < c->route.attempts;
+           c->attempts < c->route->attempts;
 }
 
 void
--- a/src/relay/plain_admission.c
+++ b/src/relay/plain_admission.c
@@ -85,7 +85,7 @@
         r->rules ? Fw_Rules_Service(r->rules, c->service) : NULL;
 
     return r->opts.admission_forecast && r->opts.policy == FW_RL_POLICY_FULL &&
-           c->route.objective_us > 0 && c->route.kind != FW_RL_STREAM &&
+           c->route->objective_us > 0 && c->route->kind != FW_RL_STREAM &&
            !(s && s->has_engines);
 }
 
@@ -114,7 +114,7 @@
 mark_repeat(struct fw_relay *r, struct fw_rl_call *c)
 {
     struct fw_declared_time *d = find_or_add(
-        r->plain_admission.declared, Fw_Hash_Str(c->route.name), sizeof(*d));
+        r->plain_admission.declared, Fw_Hash_Str(c->route->name), sizeof(*d));
 
     c->is_repeat = was_rejected(r, c);
     if (!c->info.is_handed_over &&
@@ -221,7 +221,7 @@
 static struct fw_plain_call
 describe_call(const struct fw_rl_call *c, int64_t now_us)
 {
-    return (struct fw_plain_call){.objective_us = c->route.objective_us,
+    return (struct fw_plain_call){.objective_us = c->route->objective_us,
                                   .left_us = c->deadline_us - now_us,
                                   .spent_us = c->spent_before_us + now_us -
                                               c->opened_us,
--- a/src/relay/ranks.c
+++ b/src/relay/ranks.c
@@ -81,7 +81,7 @@
     if (!r->ranks.services->len) {
         Fw_Ranks_RegisterMetrics(r);
     }
-    g_strlcpy(s->name, c->service, sizeof(s->name));
+    s->name = g_intern_string(c->service);
     s->hash = c->service_hash;
     s->objective_us = shortest_objective_us(r, c->service);
     g_ptr_array_add(r->ranks.services, s);
@@ -121,12 +121,12 @@
     double first_us = stats->first_event_us.mean +
                       FW_STREAM_DEVIATIONS * stats->first_event_us.dev;
 
-    if (c->route.objective_us <= 0 || !r->opts.patience_objectives) {
+    if (c->route->objective_us <= 0 || !r->opts.patience_objectives) {
         return latest_us;
     }
     return MIN(latest_us,
                c->opened_us +
-                   r->opts.patience_objectives * c->route.objective_us -
+                   r->opts.patience_objectives * c->route->objective_us -
                    (int64_t)first_us);
 }
 
--- a/src/relay/ranks.h
+++ b/src/relay/ranks.h
@@ -31,6 +31,7 @@
 
 /**
  * struct fw_rl_ranked_service - a service whose requests have several ranks.
+ * @name: interned
  * @objective_us: objective of its most urgent route, 0 for none
  * @pool, @pool_us: its engines, as of that time, and what this instance has
  *     placed since
@@ -43,7 +44,7 @@
  *     window that began then
  */
 struct fw_rl_ranked_service {
-    char name[FW_NAME_MAX];
+    const char *name;
     uint64_t hash;
     int64_t objective_us;
     struct fw_rl_pool pool;
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -34,7 +34,7 @@
  * @addr: address to connect to
  * @server: server id that must answer there, empty for any
  * @timeout_us: time limit to send to the upstream
- * @team: team to send to the upstream, empty for none
+ * @team: team to send to the upstream, NULL for none; an action owns a copy
  * @priority: 0 most urgent, 9 least; -1 for the upstream's default
  * @buffer_response: buffer the response and report only its end; a large
  *     response is forwarded as it arrives
@@ -52,7 +52,7 @@
  * @fence: fencing token (SET_STAGE)
  * @expected_orders: number of orders that the engine must have accepted so
  *     far for this one to be valid (SET_STAGE)
- * @path: target (PROBE)
+ * @path: target (PROBE); an action owns a copy
  */
 struct fw_rl_upstream_call {
     enum fw_rl_upstream_kind kind;
@@ -61,21 +61,21 @@
     char addr[FW_URL_MAX];
     char server[FW_NAME_MAX];
     int64_t timeout_us;
-    char team[FW_NAME_MAX];
+    const char *team;
     int priority;
     int buffer_response;
     int is_streaming;
     int64_t reuse_us;
     int64_t connect_us;
-    char reservation[FW_RL_KEY_MAX];
+    char reservation[FW_RL_HANDLE_MAX];
     char kv_addr[FW_URL_MAX];
-    char kv_handle[FW_RL_KEY_MAX];
+    char kv_handle[FW_RL_HANDLE_MAX];
     int64_t tokens;
     int64_t ttl_us;
     enum fw_rl_stage stage;
     uint64_t fence;
     int64_t expected_orders;
-    char path[FW_URL_MAX];
+    const char *path;
 };
 
 /* Maximum number of streams read from an engine's report. */
@@ -132,7 +132,7 @@
     int not_run;
     int wrong_server;
     int handover_refused;
-    char handle[FW_RL_KEY_MAX];
+    char handle[FW_RL_HANDLE_MAX];
     int64_t events;
     enum fw_rl_stage stage;
     int changing_stage;
--- a/src/relay/relay_internal.h
+++ b/src/relay/relay_internal.h
@@ -53,10 +53,11 @@
 
 /**
  * struct fw_rl_stage_links - the links to the servers of a service at a stage.
+ * @service: its interned name
  * @logged_lost: the log says that they are lost
  */
 struct fw_rl_stage_links {
-    char service[FW_NAME_MAX];
+    const char *service;
     enum fw_rl_stage stage;
     struct fw_upstream_links links;
     int logged_lost;
@@ -191,6 +192,10 @@
 /* Appends an action. The pointer is valid until the next one is added. */
 struct fw_rl_action *
 Fw_RelayActions_Add(struct fw_rl_actions *acts, enum fw_rl_action_kind kind);
+/* Adds the call @up with copies of its texts. */
+void
+Fw_RelayActions_AddCall(struct fw_rl_actions *acts,
+                        const struct fw_rl_upstream_call *up);
 /*
  * Appends a log line if the log level includes @severity.
  * @event: string literal
--- a/src/relay/retry_budget.c
+++ b/src/relay/retry_budget.c
@@ -36,7 +36,7 @@
     }
     if (!b) {
         b = g_new0(struct fw_rl_retry_budget, 1);
-        g_strlcpy(b->service, service, sizeof(b->service));
+        b->service = g_intern_string(service);
         b->slot = slot;
         g_ptr_array_add(r->retry_budgets, b);
     }
--- a/src/relay/rules.c
+++ b/src/relay/rules.c
@@ -4,6 +4,9 @@
 
 #include "base/hash.h"
 
+/* Texts of a configuration are allocated in blocks of at least this size. */
+#define FW_STRING_BLOCK_BYTES 1024
+
 uint64_t
 Fw_Regions_OfDomain(const struct fw_rl_domain_regions *all, const char *domain)
 {
@@ -39,7 +42,9 @@
     r->teams = g_ptr_array_new_with_free_func(g_free);
     r->by_host = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
                                        (GDestroyNotify)g_ptr_array_unref);
-    r->keys = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    r->keys = g_hash_table_new(g_str_hash, g_str_equal);
+    r->strings = g_string_chunk_new(FW_STRING_BLOCK_BYTES);
+    r->blocks = g_ptr_array_new_with_free_func(g_free);
     return r;
 }
 
@@ -61,9 +66,38 @@
     g_ptr_array_unref(r->routes);
     g_ptr_array_unref(r->services);
     g_ptr_array_unref(r->teams);
+    g_ptr_array_unref(r->blocks);
+    g_string_chunk_free(r->strings);
     g_free(r);
 }
 
+const char *
+Fw_Rules_String(struct fw_rl_rules *r, const char *text)
+{
+    return g_string_chunk_insert_const(r->strings, text);
+}
+
+void *
+Fw_Rules_Alloc(struct fw_rl_rules *r, size_t bytes)
+{
+    void *block = g_malloc0(bytes);
+
+    g_ptr_array_add(r->blocks, block);
+    return block;
+}
+
+void
+Fw_Rules_SetTarget(struct fw_rl_rules *r, struct fw_rl_route_rule *route,
+                   const char *service)
+{
+    struct fw_rl_target *t = Fw_Rules_Alloc(r, sizeof(*t));
+
+    t->service = Fw_Rules_String(r, service);
+    t->weight = 1;
+    route->targets = t;
+    route->n_targets = 1;
+}
+
 void
 Fw_Rules_NoteSkipped(struct fw_rl_rules *r, const char *list, guint at)
 {
@@ -78,6 +112,7 @@
 {
     struct fw_rl_route_rule *route = g_new0(struct fw_rl_route_rule, 1);
 
+    *route = (struct fw_rl_route_rule){.name = "", .host = "", .prefix = ""};
     g_ptr_array_add(r->routes, route);
     return route;
 }
@@ -87,6 +122,7 @@
 {
     struct fw_rl_service_rule *s = g_new0(struct fw_rl_service_rule, 1);
 
+    *s = (struct fw_rl_service_rule){.name = "", .health = ""};
     g_ptr_array_add(r->services, s);
     return s;
 }
@@ -96,6 +132,7 @@
 {
     struct fw_rl_team_rule *t = g_new0(struct fw_rl_team_rule, 1);
 
+    t->name = "";
     g_ptr_array_add(r->teams, t);
     return t;
 }
@@ -104,7 +141,7 @@
 Fw_Rules_AddKey(struct fw_rl_rules *r, const char *key,
                 struct fw_rl_team_rule *t)
 {
-    g_hash_table_insert(r->keys, g_strdup(key), t);
+    g_hash_table_insert(r->keys, (gpointer)Fw_Rules_String(r, key), t);
 }
 
 static int
@@ -128,7 +165,7 @@
 
         if (!list) {
             list = g_ptr_array_new();
-            g_hash_table_insert(r->by_host, route->host, list);
+            g_hash_table_insert(r->by_host, (gpointer)route->host, list);
         }
         g_ptr_array_add(list, route);
     }
@@ -184,3 +221,43 @@
 {
     return g_hash_table_lookup(r->keys, key);
 }
+
+void
+Fw_RequestInfo_Own(struct fw_rl_request_info *info)
+{
+    const char **texts[] = {&info->host, &info->path, &info->key};
+    char *at;
+
+    info->text_bytes = 0;
+    for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
+        info->text_bytes += strlen(*texts[i] ? *texts[i] : "") + 1;
+    }
+    info->text = g_malloc(info->text_bytes);
+    at = info->text;
+    for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
+        char *end = g_stpcpy(at, *texts[i] ? *texts[i] : "");
+
+        *texts[i] = at;
+        at = end + 1;
+    }
+}
+
+void
+Fw_RequestInfo_Forget(struct fw_rl_request_info *info)
+{
+    if (info->text) {
+        memset(info->text, 0, info->text_bytes);
+    }
+    g_clear_pointer(&info->text, g_free);
+    info->text_bytes = 0;
+    info->host = "";
+    info->path = "";
+    info->key = "";
+}
+
+void
+Fw_ServerEntry_Clear(struct fw_rl_server_entry *e)
+{
+    g_free((char *)e->service);
+    e->service = NULL;
+}
--- a/src/relay/servers.c
+++ b/src/relay/servers.c
@@ -92,6 +92,7 @@
     s->entry = *e;
     s->is_evacuated = Fw_Evacuation_IsActive(r, e->domain);
     s->stage_links = Fw_Links_OfStage(r, e->service, e->stage);
+    s->entry.service = s->stage_links->service;
     Fw_Cold_ApplyEntry(s, now_us);
     r->list_hash -= s->list_hash;
     s->list_hash = Fw_StoreSync_EntryHash(e);
--- a/src/relay/stream.c
+++ b/src/relay/stream.c
@@ -9,6 +9,7 @@
 #include <string.h>
 
 #include "base/fault.h"
+#include "base/hash.h"
 #include "relay/relay_internal.h"
 #include "relay/stream.h"
 
@@ -91,7 +92,7 @@
     c->queue_limit_us =
         r->opts.queue_limit_us
             ? r->opts.queue_limit_us
-            : Fw_ServiceStats_QueueLimit(stats, c->route.objective_us);
+            : Fw_ServiceStats_QueueLimit(stats, c->route->objective_us);
     c->queue_until_us = MIN(now_us + c->queue_limit_us, c->deadline_us);
     Fw_Ranks_Open(r, c, now_us);
     if (c->info.tokens_in + c->info.tokens_out_max > s->engine.kv_tokens) {
@@ -102,7 +103,8 @@
         Fw_Ranks_RejectIfHopeless(r, c, now_us, out)) {
         return;
     }
-    g_strlcpy(c->item.team_name, c->team, sizeof(c->item.team_name));
+    g_snprintf(c->item.team_name, sizeof(c->item.team_name),
+               "%016" G_GINT64_MODIFIER "x", Fw_Hash_Str(c->team));
     c->item.latest_start_us = c->queue_until_us;
     c->item.tokens = c->kv_tokens;
     Fw_Queue_Put(&r->queue, &c->item);
@@ -319,7 +321,7 @@
         .kind = FW_RL_UP_RUN,
         .timeout_us = c->deadline_us - now_us,
         .priority = c->priority,
-        .is_streaming = c->route.kind == FW_RL_STREAM,
+        .is_streaming = c->route->kind == FW_RL_STREAM,
         .reuse_us = FW_RL_REUSE_NON_IDEMPOTENT_US,
         .connect_us = FW_RL_CONNECT_TIMEOUT_US,
     };
@@ -341,7 +343,7 @@
         return;
     }
     Fw_Admission_EndReservation(c);
-    g_strlcpy(up.team, c->team, sizeof(up.team));
+    up.team = c->team;
     g_strlcpy(up.reservation, c->reservation, sizeof(up.reservation));
     g_strlcpy(up.kv_handle, c->kv_handle, sizeof(up.kv_handle));
     g_strlcpy(up.kv_addr, c->kv_addr, sizeof(up.kv_addr));
@@ -356,7 +358,7 @@
         "\"reader\":\"%s\",\"in\":%" G_GINT64_FORMAT
         ",\"most_out\":%" G_GINT64_FORMAT ",\"hint\":%" G_GINT64_FORMAT
         ",\"tokens\":%" G_GINT64_FORMAT ",\"after_ms\":%" G_GINT64_FORMAT "%s",
-        c->info.id, c->route.name, c->team, c->cost, c->server->entry.id,
+        c->info.id, c->route->name, c->team, c->cost, c->server->entry.id,
         c->prefill_server ? c->prefill_server->entry.id : "",
         c->info.tokens_in, c->info.tokens_out_max, c->info.tokens_out_hint,
         c->kv_tokens, Fw_Relay_UsToMs(now_us - c->opened_us),
@@ -392,7 +394,7 @@
     if (reject_if_stale(r, c, now_us, out)) {
         return;
     }
-    g_strlcpy(up.team, c->team, sizeof(up.team));
+    up.team = c->team;
     Fw_Place_Load(r, s, now_us, &load);
     c->prefill_queue_tokens = load.prefill_tokens + c->info.tokens_in;
     c->prefill_server = Fw_Servers_Ref(s);
--- a/src/relay/stream_outcome.c
+++ b/src/relay/stream_outcome.c
@@ -113,7 +113,7 @@
     if (now_us >= c->deadline_us) {
         Fw_Call_Reject(r, c, 504, 0, "timeout", now_us, out);
     }
-    else if (c->route.resumable && c->attempts < c->route.attempts) {
+    else if (c->route->resumable && c->attempts < c->route->attempts) {
         Fw_Stream_Restart(r, c, reason, now_us, out);
     }
     else {
--- a/src/relay/types.h
+++ b/src/relay/types.h
@@ -12,13 +12,9 @@
 #include "base/limits.h"
 #include "base/list.h"
 
-/* Services that the traffic of one route may be split over. */
-#define FW_RL_TARGETS_MAX 16
-/* Bytes of a caller's key or an engine's handle, terminating null included. */
-#define FW_RL_KEY_MAX 128
+/* Bytes of an engine's handle or reservation, terminating null included. */
+#define FW_RL_HANDLE_MAX 128
 
-/* Regions that one route or team may be restricted to. */
-#define FW_RL_REGIONS_MAX 16
 /* Failure domains whose region is known. */
 #define FW_RL_DOMAINS_MAX 64
 
@@ -29,7 +25,7 @@
  */
 struct fw_rl_regions {
     int n;
-    uint64_t hash[FW_RL_REGIONS_MAX];
+    const uint64_t *hash;
 };
 
 /* Parts of one prompt that are taken into account. */
@@ -59,12 +55,14 @@
 
 /** struct fw_rl_target - a service and its weight in a route's traffic. */
 struct fw_rl_target {
-    char service[FW_NAME_MAX];
-    int weight;
+    const char *service;
+    int64_t weight;
 };
 
 /**
- * struct fw_rl_route_rule - configuration of one route.
+ * struct fw_rl_route_rule - configuration of one route. What it points to
+ * belongs to the configuration.
+ * @is_unusable: its requests are rejected, as the rest of it can't be used
  * @prefix: path prefix; begins and ends with a slash
  * @timeout_us: limit for a whole request, 0 for the default
  * @objective_us: latency objective for the response, for a stream for its
@@ -78,9 +76,10 @@
  * @regions: regions of the servers that may get its requests
  */
 struct fw_rl_route_rule {
-    char name[FW_NAME_MAX];
-    char host[FW_HOST_MAX];
-    char prefix[FW_PATH_MAX];
+    const char *name;
+    const char *host;
+    const char *prefix;
+    int is_unusable;
     enum fw_rl_route_kind kind;
     int64_t timeout_us;
     int64_t objective_us;
@@ -92,7 +91,7 @@
     int generates;
     struct fw_rl_regions regions;
     int n_targets;
-    struct fw_rl_target targets[FW_RL_TARGETS_MAX];
+    const struct fw_rl_target *targets;
 };
 
 /**
@@ -113,13 +112,16 @@
 
 /**
  * struct fw_rl_service_rule - configuration of one service.
+ * @is_unusable: requests for it are rejected, as the rest of it can't be used
+ * @health: path of health checks, empty for none
  * @cold_us: time for which a server is cold after its start
  * @cold_rate: requests a second that a cold server tolerates, 0 for no limit
  * @has_engines: its servers are engines, described by @engine
  */
 struct fw_rl_service_rule {
-    char name[FW_NAME_MAX];
-    char health[FW_URL_MAX];
+    const char *name;
+    int is_unusable;
+    const char *health;
     int max_conns;
     int64_t cold_us;
     double cold_rate;
@@ -129,6 +131,8 @@
 
 /**
  * struct fw_rl_team_rule - configuration of one team.
+ * @is_unusable: requests with its keys are rejected, as the rest of it can't
+ *     be used
  * @rate: refill rate of its allowance, tokens per second; 0 for no limit
  * @burst: capacity of its allowance, tokens
  * @by_request: @rate and @burst count requests instead of tokens
@@ -137,7 +141,8 @@
  * @regions: as for a route; both must allow a server
  */
 struct fw_rl_team_rule {
-    char name[FW_NAME_MAX];
+    const char *name;
+    int is_unusable;
     int64_t rate;
     int64_t burst;
     int by_request;
@@ -153,7 +158,9 @@
  * @teams: owned struct fw_rl_team_rule
  * @by_host: host to GPtrArray of struct fw_rl_route_rule, longest prefix first
  * @keys: caller's key to struct fw_rl_team_rule
- * @n_skipped: parts that can't be used, which are left out
+ * @strings: texts of routes, services and teams
+ * @blocks: memory of lists that these point to
+ * @n_skipped: parts that can't be used
  * @first_skipped: the first of these
  * @header_bytes: 0 for the default; maximum size of a request's headers
  * @body_bytes: maximum size of a request's body
@@ -168,6 +175,8 @@
     GPtrArray *teams;
     GHashTable *by_host;
     GHashTable *keys;
+    GStringChunk *strings;
+    GPtrArray *blocks;
     int n_skipped;
     char first_skipped[FW_NAME_MAX];
     int64_t header_bytes;
@@ -186,7 +195,17 @@
 /* Notes that element @at of @list, or a part of it, can't be used. */
 void
 Fw_Rules_NoteSkipped(struct fw_rl_rules *r, const char *list, guint at);
-/* Append a zeroed element, which @r owns, and return it. */
+/* A copy of @text that lives as long as @r; equal texts are stored once. */
+const char *
+Fw_Rules_String(struct fw_rl_rules *r, const char *text);
+/* Zeroed memory that lives as long as @r. */
+void *
+Fw_Rules_Alloc(struct fw_rl_rules *r, size_t bytes);
+/* Directs all traffic of the route to one service. */
+void
+Fw_Rules_SetTarget(struct fw_rl_rules *r, struct fw_rl_route_rule *route,
+                   const char *service);
+/* Append an element without texts, which @r owns, and return it. */
 struct fw_rl_route_rule *
 Fw_Rules_AddRoute(struct fw_rl_rules *r);
 struct fw_rl_service_rule *
@@ -220,6 +239,7 @@
 
 /**
  * struct fw_rl_server_entry - a server as the platform lists it.
+ * @service: belongs to the entry's creator; the relay copies it
  * @slots: concurrent requests
  * @draining: accepts no new requests
  * @born_ms: start of its process in Unix milliseconds, to distinguish
@@ -228,7 +248,7 @@
  */
 struct fw_rl_server_entry {
     char id[FW_NAME_MAX];
-    char service[FW_NAME_MAX];
+    const char *service;
     char addr[FW_URL_MAX];
     char domain[FW_NAME_MAX];
     int slots;
@@ -238,11 +258,18 @@
     int64_t cold_us;
 };
 
+/* Frees the service of an entry whose creator has allocated it. */
+void
+Fw_ServerEntry_Clear(struct fw_rl_server_entry *e);
+
 /**
  * struct fw_rl_request_info - a caller's request, without its body.
  * @id: request id
+ * @host: name of the host in lower case, used to choose a route
  * @path: path of the target without the query, used to choose a route
  * @key: bearer key, empty for none; never logged
+ * @text: memory of @host, @path and @key, if the request owns them
+ * @text_bytes: its size
  * @timeout_us: how long the caller will wait, 0 if not specified
  * @tokens_in: tokens of the prompt, -1 if not specified
  * @tokens_out_max: maximum number of tokens to generate, -1 if not specified
@@ -257,9 +284,11 @@
  */
 struct fw_rl_request_info {
     char id[FW_ID_MAX];
-    char host[FW_HOST_MAX];
-    char path[FW_PATH_MAX];
-    char key[FW_RL_KEY_MAX];
+    const char *host;
+    const char *path;
+    const char *key;
+    char *text;
+    size_t text_bytes;
     int64_t timeout_us;
     int64_t tokens_in;
     int64_t tokens_out_max;
@@ -271,4 +300,11 @@
     int is_handed_over;
 };
 
+/* Has @info own copies of its host, path and key; NULL counts as empty. */
+void
+Fw_RequestInfo_Own(struct fw_rl_request_info *info);
+/* Erases and frees the host, path and key that @info owns. */
+void
+Fw_RequestInfo_Forget(struct fw_rl_request_info *info);
+
 #endif
--- a/src/relayd/relayd.c
+++ b/src/relayd/relayd.c
@@ -62,6 +62,7 @@
                                     Fw_Relay_ShedsConnections(d->relay, now));
     Fw_RelayActions_Init(&acts);
     Fw_Relay_Open(d->relay, c->id, &info, now, &acts);
+    Fw_RequestInfo_Forget(&info);
     Fw_Relayd_ExecuteActions(d, &acts);
 }
 
--- a/src/relayd/store_apply.c
+++ b/src/relayd/store_apply.c
@@ -75,6 +75,7 @@
 {
     struct fw_rl_server_entry e;
     int64_t now = Fw_Conn_NowUs();
+    int is_new;
 
     if (!rec->value) {
         return Fw_Relay_UpdateServer(d->relay, rec->key, NULL, now, acts);
@@ -82,10 +83,13 @@
     if (Fw_Platform_ParseServer(rec->key, rec->value, rec->len, &e)) {
         Fw_Logger_Log(LOG_WARNING, "entry_unreadable", "server", rec->key,
                       NULL);
+        Fw_ServerEntry_Clear(&e);
         return Fw_Relay_HasServer(d->relay, rec->key) &&
                Fw_Relay_UpdateServer(d->relay, rec->key, NULL, now, acts);
     }
-    return Fw_Relay_UpdateServer(d->relay, rec->key, &e, now, acts);
+    is_new = Fw_Relay_UpdateServer(d->relay, rec->key, &e, now, acts);
+    Fw_ServerEntry_Clear(&e);
+    return is_new;
 }
 
 static void
--- a/tests/relay/engines.c
+++ b/tests/relay/engines.c
@@ -177,7 +177,7 @@
         from + (int64_t)((double)s->in / w->plan->shape.prefill_tokens_per_ms /
                          speed_of(w, engine));
     g_strlcpy(add_reply(w, u->xid, w->prefill_end_ms[engine], 0)->handle, "k",
-              FW_RL_KEY_MAX);
+              FW_RL_HANDLE_MAX);
 }
 
 static void
@@ -417,17 +417,17 @@
                                        .timeout_us = 14 * FW_SEC,
                                        .attempts = 1,
                                        .generates = 1,
-                                       .n_targets = 1};
-    g_strlcpy(route->host, "h", sizeof(route->host));
-    g_strlcpy(route->prefix, "/g/", sizeof(route->prefix));
-    g_strlcpy(route->targets[0].service, "llm", FW_NAME_MAX);
-    g_strlcpy(s->name, "llm", sizeof(s->name));
+                                       .name = "r"};
+    route->host = "h";
+    route->prefix = "/g/";
+    Fw_Rules_SetTarget(rules, route, "llm");
+    s->name = "llm";
     s->has_engines = 1;
     s->engine =
         (struct fw_rl_engine_spec){.slots = w->plan->shape.slots,
                                    .kv_tokens = w->plan->shape.kv_tokens,
                                    .reservation_ttl_us = 2 * FW_SEC};
-    g_strlcpy(t->name, "t", sizeof(t->name));
+    t->name = "t";
     t->priority = -1;
     Fw_Rules_AddKey(rules, "k", t);
     Fw_Rules_Index(rules);
@@ -440,7 +440,7 @@
 
         g_snprintf(e.id, sizeof(e.id), "e%c", 'a' + i);
         g_snprintf(e.addr, sizeof(e.addr), "e%d:1", i);
-        g_strlcpy(e.service, "llm", sizeof(e.service));
+        e.service = "llm";
         e.stage = i < w->plan->decode_engines ? FW_RL_STAGE_DECODE
                                               : FW_RL_STAGE_PREFILL;
         Fw_Relay_UpdateServer(w->r, e.id, &e, now_us(w), &w->acts);
--- a/tests/relay/plain_fleet.c
+++ b/tests/relay/plain_fleet.c
@@ -72,7 +72,7 @@
     struct fw_rl_rules *rules = Fw_Rules_New();
 
     rules->version = 1;
-    g_strlcpy(Fw_Rules_AddService(rules)->name, "server", FW_NAME_MAX);
+    Fw_Rules_AddService(rules)->name = "server";
     for (int urgent = 0; urgent < 2; urgent++) {
         struct fw_rl_route_rule *route = Fw_Rules_AddRoute(rules);
 
@@ -82,13 +82,11 @@
                                                plan->objective_ms * FW_MSEC,
                                            .attempts = 2,
                                            .priority = urgent ? 0 : 5,
-                                           .anonymous = 1,
-                                           .n_targets = 1};
-        g_strlcpy(route->name, urgent ? "urgent" : "usual", FW_NAME_MAX);
-        g_strlcpy(route->host, "h", sizeof(route->host));
-        g_strlcpy(route->prefix, urgent ? "/u/" : "/p/",
-                  sizeof(route->prefix));
-        g_strlcpy(route->targets[0].service, "server", FW_NAME_MAX);
+                                           .anonymous = 1};
+        route->name = urgent ? "urgent" : "usual";
+        route->host = "h";
+        route->prefix = urgent ? "/u/" : "/p/";
+        Fw_Rules_SetTarget(rules, route, "server");
     }
     Fw_Rules_Index(rules);
     return rules;
@@ -131,7 +129,7 @@
 
         g_snprintf(e.id, sizeof(e.id), "s%d", k);
         g_snprintf(e.addr, sizeof(e.addr), "s%d:1", k);
-        g_strlcpy(e.service, "server", sizeof(e.service));
+        e.service = "server";
         Fw_Relay_UpdateServer(f->relays[i], e.id, &e, f->now_us, &f->acts);
     }
     g_array_set_size(f->acts.all, 0);
@@ -306,7 +304,7 @@
     struct fw_rl_request_info q = {
         .host = "h", .tokens_in = -1, .last_event_id = -1};
 
-    g_strlcpy(q.path, who->urgent ? "/u/x" : "/p/x", sizeof(q.path));
+    q.path = who->urgent ? "/u/x" : "/p/x";
     g_snprintf(q.id, sizeof(q.id), "c%d", (int)call);
     q.timeout_us = who->first_us + f->plan->deadline_ms * FW_MSEC - f->now_us;
     q.timeout_us -= q.timeout_us % FW_MSEC;
--- a/tests/relay/plain_servers.c
+++ b/tests/relay/plain_servers.c
@@ -147,11 +147,11 @@
                                            FW_PLAIN_OBJECTIVE_MS * FW_MSEC,
                                        .attempts = 1,
                                        .anonymous = 1,
-                                       .n_targets = 1};
-    g_strlcpy(route->host, "h", sizeof(route->host));
-    g_strlcpy(route->prefix, "/p/", sizeof(route->prefix));
-    g_strlcpy(route->targets[0].service, "server", FW_NAME_MAX);
-    g_strlcpy(Fw_Rules_AddService(rules)->name, "server", FW_NAME_MAX);
+                                       .name = "r"};
+    route->host = "h";
+    route->prefix = "/p/";
+    Fw_Rules_SetTarget(rules, route, "server");
+    Fw_Rules_AddService(rules)->name = "server";
     Fw_Rules_Index(rules);
     Fw_Relay_SetRules(f->r, rules, 1, now_us(f), &f->acts);
     Fw_Rules_Unref(rules);
@@ -160,7 +160,7 @@
 
         g_snprintf(e.id, sizeof(e.id), "s%d", i);
         g_snprintf(e.addr, sizeof(e.addr), "s%d:1", i);
-        g_strlcpy(e.service, "server", sizeof(e.service));
+        e.service = "server";
         Fw_Relay_UpdateServer(f->r, e.id, &e, now_us(f), &f->acts);
     }
     g_array_set_size(f->acts.all, 0);
--- a/tests/relay/script.c
+++ b/tests/relay/script.c
@@ -88,7 +88,7 @@
     if (c->kv_handle[0]) {
         g_string_append_printf(out, " kv=%s", c->kv_handle);
     }
-    if (c->team[0]) {
+    if (c->team && c->team[0]) {
         g_string_append_printf(out, " team=%s", c->team);
     }
     if (c->kind == FW_RL_UP_RUN || c->kind == FW_RL_UP_HANDOVER) {
@@ -183,9 +183,9 @@
     const char *key = Fw_RelayScript_GetString(run, "key");
     const char *id = Fw_RelayScript_GetString(run, "id");
 
-    g_strlcpy(info.host, "h", sizeof(info.host));
-    g_strlcpy(info.path, run->word[2], sizeof(info.path));
-    g_strlcpy(info.key, key ? key : "", sizeof(info.key));
+    info.host = "h";
+    info.path = run->word[2];
+    info.key = key ? key : "";
     g_strlcpy(info.id, id ? id : run->word[1], sizeof(info.id));
     info.timeout_us = Fw_RelayScript_GetNumber(run, "left_ms", 0) * FW_MSEC;
     info.fingerprint = (uint64_t)Fw_RelayScript_GetNumber(run, "digest", 0);
--- a/tests/relay/script_world.c
+++ b/tests/relay/script_world.c
@@ -12,12 +12,15 @@
 
 static void
 set_regions(const struct relay_script_run *run, const char *argument,
-            struct fw_rl_regions *out)
+            struct fw_rl_rules *rules, struct fw_rl_regions *out)
 {
     const char *name = Fw_RelayScript_GetString(run, argument);
+    uint64_t *hash;
 
     if (name) {
-        out->hash[out->n++] = Fw_Hash_Str(name);
+        hash = Fw_Rules_Alloc(rules, sizeof(*hash));
+        *hash = Fw_Hash_Str(name);
+        *out = (struct fw_rl_regions){.n = 1, .hash = hash};
     }
 }
 
@@ -27,21 +30,21 @@
 {
     struct fw_rl_route_rule *r = Fw_Rules_AddRoute(rules);
 
-    g_strlcpy(r->name, service, sizeof(r->name));
-    g_strlcpy(r->host, "h", sizeof(r->host));
-    g_strlcpy(r->prefix, prefix, sizeof(r->prefix));
+    r->name = service;
+    r->host = "h";
+    r->prefix = prefix;
     r->kind = kind;
     r->timeout_us =
         Fw_RelayScript_GetNumber(run, "timeout_ms", 10000) * FW_MSEC;
     r->objective_us = 900 * FW_MSEC;
-    set_regions(run, "route_region", &r->regions);
+    set_regions(run, "route_region", rules, &r->regions);
     r->attempts = (int)Fw_RelayScript_GetNumber(run, "attempts", 2);
     r->generates = kind == FW_RL_STREAM;
     r->resumable = strcmp(prefix, "/resume/") == 0;
     r->anonymous = strcmp(prefix, "/open/") == 0;
-    r->n_targets = 1;
-    r->targets[0].weight = 1;
-    g_strlcpy(r->targets[0].service, service, FW_NAME_MAX);
+    Fw_Rules_SetTarget(rules, r, service);
+    r->is_unusable =
+        g_strcmp0(Fw_RelayScript_GetString(run, "unusable"), prefix) == 0;
 }
 
 static void
@@ -49,6 +52,8 @@
 {
     s->cold_rate = (double)Fw_RelayScript_GetNumber(run, "cold_rate", 0);
     s->cold_us = Fw_RelayScript_GetNumber(run, "cold_ms", 0) * FW_MSEC;
+    s->is_unusable =
+        g_strcmp0(Fw_RelayScript_GetString(run, "unusable"), s->name) == 0;
 }
 
 /*
@@ -56,6 +61,7 @@
  * once) and /open/ (idempotent, no key needed). Routes to the service "llm":
  * /gen/ and /resume/ (resumable). Teams: "a" with key ka and, unless keys=1,
  * "b" with key kb, whose rank is rank_b if that is given; routes have rank 0.
+ * unusable=: prefix of a route, a service or a team that can't be used
  */
 static struct fw_rl_rules *
 make_rules(struct relay_script_run *run)
@@ -70,10 +76,10 @@
     add_route(run, rules, "/gen/", FW_RL_STREAM, "llm");
     add_route(run, rules, "/resume/", FW_RL_STREAM, "llm");
     s = Fw_Rules_AddService(rules);
-    g_strlcpy(s->name, "plain", FW_NAME_MAX);
+    s->name = "plain";
     set_cold_limit(run, s);
     s = Fw_Rules_AddService(rules);
-    g_strlcpy(s->name, "llm", FW_NAME_MAX);
+    s->name = "llm";
     set_cold_limit(run, s);
     s->has_engines = 1;
     s->engine = (struct fw_rl_engine_spec){
@@ -85,11 +91,13 @@
     for (int i = 0; i < Fw_RelayScript_GetNumber(run, "keys", 2); i++) {
         struct fw_rl_team_rule *t = Fw_Rules_AddTeam(rules);
 
-        g_strlcpy(t->name, i ? "b" : "a", FW_NAME_MAX);
+        t->name = i ? "b" : "a";
+        t->is_unusable =
+            g_strcmp0(Fw_RelayScript_GetString(run, "unusable"), t->name) == 0;
         t->rate = Fw_RelayScript_GetNumber(run, "rate", 0);
         t->burst = Fw_RelayScript_GetNumber(run, "burst", 0);
         t->plain_cost = 200;
-        set_regions(run, "team_region", &t->regions);
+        set_regions(run, "team_region", rules, &t->regions);
         t->priority =
             i ? (int)Fw_RelayScript_GetNumber(run, "rank_b", -1) : -1;
         Fw_Rules_AddKey(rules, i ? "kb" : "ka", t);
@@ -107,7 +115,7 @@
     g_strlcpy(e.domain, domain ? domain : "", sizeof(e.domain));
     e.cold_us = Fw_RelayScript_GetNumber(run, "cold_ms", 0) * FW_MSEC;
     g_strlcpy(e.id, run->word[1], sizeof(e.id));
-    g_strlcpy(e.service, run->word[2], sizeof(e.service));
+    e.service = run->word[2];
     g_snprintf(e.addr, sizeof(e.addr), "%s:1", run->word[1]);
     e.stage = strcmp(run->word[3], "prefill") == 0  ? FW_RL_STAGE_PREFILL
               : strcmp(run->word[3], "decode") == 0 ? FW_RL_STAGE_DECODE
--- a/tests/relay/test_demand_message.c
+++ b/tests/relay/test_demand_message.c
@@ -20,18 +20,16 @@
     struct fw_rl_service_rule *s = Fw_Rules_AddService(rules);
 
     rules->version = 1;
-    g_strlcpy(s->name, "model", sizeof(s->name));
+    s->name = "model";
     s->has_engines = 1;
     s = Fw_Rules_AddService(rules);
-    g_strlcpy(s->name, "plain", sizeof(s->name));
+    s->name = "plain";
     for (int i = 0; i < 2; i++) {
         struct fw_rl_route_rule *route = Fw_Rules_AddRoute(rules);
 
         route->generates = 1;
         route->priority = i ? other_rank : rank;
-        route->n_targets = 1;
-        g_strlcpy(route->targets[0].service, "model",
-                  sizeof(route->targets[0].service));
+        Fw_Rules_SetTarget(rules, route, "model");
     }
     Fw_Rules_Index(rules);
     return rules;
--- a/tests/relay/test_digest.c
+++ b/tests/relay/test_digest.c
@@ -129,7 +129,7 @@
     p->rules = Fw_Rules_New();
     p->rules->version = 1;
     t = Fw_Rules_AddTeam(p->rules);
-    g_strlcpy(t->name, "t", sizeof(t->name));
+    t->name = "t";
     t->rate = 1000;
     t->burst = 10000;
     p->team = t;
--- a/tests/relay/test_hubs.c
+++ b/tests/relay/test_hubs.c
@@ -27,7 +27,7 @@
     g->rules = Fw_Rules_New();
     g->rules->version = 1;
     t = Fw_Rules_AddTeam(g->rules);
-    g_strlcpy(t->name, "t", sizeof(t->name));
+    t->name = "t";
     t->rate = 10000;
     t->burst = 100000;
     t->priority = -1;
@@ -381,7 +381,7 @@
     g_strlcpy(o.name, name, sizeof(o.name));
     r = Fw_Relay_New(&o, FW_SEC);
     rules->version = 1;
-    g_strlcpy(s->name, "llm", sizeof(s->name));
+    s->name = "llm";
     s->has_engines = 1;
     Fw_RelayActions_Init(&acts);
     Fw_Relay_SetRules(r, rules, 1, FW_SEC, &acts);
--- a/tests/relay/test_load.c
+++ b/tests/relay/test_load.c
@@ -326,7 +326,7 @@
     struct fw_rl_actions acts;
 
     rules->version = 1;
-    g_strlcpy(service->name, "llm", sizeof(service->name));
+    service->name = "llm";
     service->has_engines = 1;
     service->engine =
         (struct fw_rl_engine_spec){.slots = 48, .kv_tokens = 100000};
@@ -339,7 +339,7 @@
 
         g_snprintf(e.id, sizeof(e.id), "e%d", i);
         g_snprintf(e.addr, sizeof(e.addr), "e%d:1", i);
-        g_strlcpy(e.service, "llm", sizeof(e.service));
+        e.service = "llm";
         Fw_Relay_UpdateServer(r, e.id, &e, FW_SEC, &acts);
     }
     Fw_RelayActions_Clear(&acts);
@@ -349,7 +349,9 @@
 /* Guards against choosing only among a fixed number of engines. */
 START_TEST(all_engines_of_a_large_fleet_are_used)
 {
-    struct fw_rl_call c = {.service = "llm", .kv_tokens = 1000};
+    struct fw_rl_route_rule route = {.name = "r"};
+    struct fw_rl_call c = {
+        .route = &route, .service = "llm", .kv_tokens = 1000};
     struct fw_relay *r = large_fleet();
     GHashTable *used = g_hash_table_new(g_direct_hash, g_direct_equal);
 
--- a/tests/relay/test_requests.c
+++ b/tests/relay/test_requests.c
@@ -146,6 +146,43 @@
              "fresh 4000\n"
              "open 1 /read/x key=ka\n"
              "  ask 1 run s1 for 1 team=a left=10000\n"},
+    /* Guards against a request that goes elsewhere for want of its part. */
+    {.name = "requests of a part that can't be used are rejected as not run",
+     .text = "rules 1 unusable=/order/\n"
+             "fresh 0\n"
+             "list\n"
+             "server s1 plain none\n"
+             "open 1 /order/x key=ka\n"
+             "  refuse 1 503 route_unusable ran=no later\n"
+             "open 2 /read/x key=ka\n"
+             "  ask 1 run s1 for 2 team=a left=10000\n"
+             "rules 2 unusable=b\n"
+             "open 3 /order/x key=ka\n"
+             "  ask 2 run s1 for 3 team=a left=10000\n"
+             "open 4 /order/x key=kb\n"
+             "  refuse 4 503 team_unusable ran=no later\n"
+             "open 5 /order/x key=kc\n"
+             "  refuse 5 401 unknown_key ran=no\n"
+             "rules 3 unusable=plain\n"
+             "open 6 /read/x key=ka\n"
+             "  refuse 6 503 service_unusable ran=no later\n"},
+    /* Guards against names that are freed with the configuration before. */
+    {.name = "a request outlives the configuration that routed it",
+     .text = "rules 1\n"
+             "fresh 0\n"
+             "list\n"
+             "server s1 plain none\n"
+             "server s2 plain none\n"
+             "open 1 /read/x key=kb\n"
+             "  ask 1 run s1 for 1 team=b left=10000\n"
+             "rules 2 keys=1\n"
+             "rules 3 keys=1\n"
+             "fail 1 104 sent\n"
+             "  ask 2 run s2 for 1 team=b left=10000\n"
+             "answer 2 200\n"
+             "  pass 1 from 2\n"
+             "  finish 1\n"
+             "  stop 2\n"},
     {.name = "an older or equal configuration version is ignored",
      .text = "rules 5\n"
              "fresh 0\n"
--- a/tests/relay/test_speeds.c
+++ b/tests/relay/test_speeds.c
@@ -49,7 +49,7 @@
                                                     : FW_RL_STAGE_DECODE};
     g_snprintf(out->id, sizeof(out->id), "s%d", i);
     g_snprintf(out->addr, sizeof(out->addr), "10.1.0.%d:1", i);
-    g_strlcpy(out->service, is_engine ? "llm" : "plain", sizeof(out->service));
+    out->service = is_engine ? "llm" : "plain";
 }
 
 static struct fw_relay *
@@ -394,8 +394,12 @@
 static void
 init_call(struct fw_rl_call *c, const char *service)
 {
-    *c = (struct fw_rl_call){.kv_tokens = 5000, .info = {.tokens_in = 5000}};
-    g_strlcpy(c->service, service, sizeof(c->service));
+    static const struct fw_rl_route_rule route = {.name = "r"};
+
+    *c = (struct fw_rl_call){.route = &route,
+                             .service = service,
+                             .kv_tokens = 5000,
+                             .info = {.tokens_in = 5000}};
 }
 
 static struct fw_rl_server *
