Hold ids, services and zones of servers at their own length

What callers saw: a server whose id or failure domain had 48 bytes or more was in use at no instance, as if it were not there, and an evacuation of such a domain was ignored. Found by reading; no run of a user shows it.

Cause: the same arrays of fixed size as in the configuration. A key of the store may have 255 bytes, a zone in an entry any number.

An entry's texts belong to its creator and the relay keeps copies while the server is in use; the action of a call owns the id that it expects.

--- a/explore/explore.h
+++ b/explore/explore.h
@@ -30,6 +30,10 @@
 Fw_Run_Fail(struct fw_run *run, const char *fmt, ...)
     __attribute__((format(printf, 2, 3)));
 
+/* A name that lives until the end of the process; equal ones are shared. */
+const char *
+Fw_Run_Name(const char *fmt, ...) __attribute__((format(printf, 1, 2)));
+
 /**
  * struct fw_property - a property of the system and the test that checks it.
  * @run: runs until the steps of the run are done or a violation is recorded
--- a/explore/relay_call.c
+++ b/explore/relay_call.c
@@ -1,5 +1,16 @@
 #include "explore/relay_call.h"
 
+struct fw_rl_upstream_call
+Fw_RelayCall_Copy(const struct fw_rl_upstream_call *up)
+{
+    struct fw_rl_upstream_call copy = *up;
+
+    copy.server = g_intern_string(up->server);
+    copy.team = g_intern_string(up->team);
+    copy.path = g_intern_string(up->path);
+    return copy;
+}
+
 /* Duration of a stream. */
 #define FW_STREAM_US (300 * FW_MSEC)
 
--- a/explore/relay_call.h
+++ b/explore/relay_call.h
@@ -27,6 +27,9 @@
     int64_t stream_us;
 };
 
+/* A copy of an action's call that outlives the action. */
+struct fw_rl_upstream_call
+Fw_RelayCall_Copy(const struct fw_rl_upstream_call *up);
 /* Removes the call @xid of instance @i, if any, from @calls. */
 void
 Fw_RelayCall_Cancel(GArray *calls, const struct fleet *fleet, int i,
--- a/explore/relay_crashing_parts.c
+++ b/explore/relay_crashing_parts.c
@@ -50,7 +50,7 @@
 start_call(struct crash_env *env, int i, const struct fw_rl_upstream_call *up)
 {
     struct fleet *fleet = &env->fleet;
-    struct relay_call c = {.call = *up,
+    struct relay_call c = {.call = Fw_RelayCall_Copy(up),
                            .instance = i,
                            .boot = fleet->instances[i].boot,
                            .server = up->kind == FW_RL_UP_HANDOVER
--- a/explore/relay_limits.c
+++ b/explore/relay_limits.c
@@ -77,7 +77,7 @@
     struct fleet_instance *inst = &env->fleet.instances[i];
     struct fw_rl_server_entry e = {.slots = 1000, .born_ms = 1};
 
-    g_strlcpy(e.id, id, sizeof(e.id));
+    e.id = id;
     g_strlcpy(e.addr, id, sizeof(e.addr));
     e.service = "plain";
     Fw_Relay_UpdateServer(inst->relay, id, &e,
--- a/explore/relay_orders.c
+++ b/explore/relay_orders.c
@@ -58,7 +58,7 @@
                                            .stage = env->stage[e],
                                            .born_ms = 1};
 
-        g_snprintf(entry.id, sizeof(entry.id), "e%d", e);
+        entry.id = Fw_Run_Name("e%d", e);
         g_snprintf(entry.addr, sizeof(entry.addr), "10.1.0.%d:1", e);
         Fw_Relay_UpdateServer(inst->relay, entry.id, &entry,
                               Fw_RelayFleet_Now(&env->fleet, i), &inst->acts);
--- a/explore/relay_partition.c
+++ b/explore/relay_partition.c
@@ -72,7 +72,7 @@
     for (int k = 0; k < FW_SERVERS; k++) {
         struct fw_rl_server_entry e = {.slots = 1000, .born_ms = 1};
 
-        g_snprintf(e.id, sizeof(e.id), "s%d", k);
+        e.id = Fw_Run_Name("s%d", k);
         g_strlcpy(e.addr, e.id, sizeof(e.addr));
         e.service = k < FW_PLAIN_SERVERS ? "plain" : "llm";
         if (k >= FW_PLAIN_SERVERS) {
@@ -126,7 +126,7 @@
            const struct fw_rl_upstream_call *c)
 {
     struct fleet *fleet = &env->fleet;
-    struct relay_call p = {.call = *c,
+    struct relay_call p = {.call = Fw_RelayCall_Copy(c),
                            .instance = i,
                            .boot = fleet->instances[i].boot,
                            .opens_conn =
--- a/explore/relay_ranks.c
+++ b/explore/relay_ranks.c
@@ -120,7 +120,7 @@
                                                     ? FW_RL_STAGE_PREFILL
                                                     : FW_RL_STAGE_DECODE};
 
-        g_snprintf(e.id, sizeof(e.id), "%d", k);
+        e.id = Fw_Run_Name("%d", k);
         g_strlcpy(e.addr, e.id, sizeof(e.addr));
         e.service = "llm";
         Fw_Relay_UpdateServer(inst->relay, e.id, &e, now, &inst->acts);
--- a/explore/relay_requests.c
+++ b/explore/relay_requests.c
@@ -5,6 +5,7 @@
  * server.
  */
 #include "explore/p_relay.h"
+#include "explore/relay_call.h"
 #include "relay/relay_internal.h"
 
 #include <errno.h>
@@ -98,7 +99,7 @@
     switch (action->kind) {
     case FW_RL_DO_CALL:
         p = g_new0(struct pending, 1);
-        p->call = action->u.upstream_call;
+        p->call = Fw_RelayCall_Copy(&action->u.upstream_call);
         g_ptr_array_add(env->pending, p);
         break;
     case FW_RL_DO_CANCEL_CALL:
@@ -295,7 +296,7 @@
                      ? FW_RL_STAGE_DECODE
                      : FW_RL_STAGE_PREFILL};
 
-    g_snprintf(e.id, sizeof(e.id), "s%d", i);
+    e.id = Fw_Run_Name("s%d", i);
     g_snprintf(e.addr, sizeof(e.addr), "10.0.0.%d:1", i + 1);
     e.service = i < FW_PLAIN_SERVERS ? "plain" : "llm";
     Fw_Relay_UpdateServer(env->relay, e.id, &e, env->now_us, &env->acts);
--- a/explore/relay_retries.c
+++ b/explore/relay_retries.c
@@ -91,10 +91,10 @@
         struct fw_rl_server_entry e = {
             .slots = 1000, .born_ms = 1, .stage = servers[k].stage};
 
-        g_strlcpy(e.id, servers[k].id, sizeof(e.id));
+        e.id = servers[k].id;
         g_strlcpy(e.addr, servers[k].id, sizeof(e.addr));
         e.service = servers[k].service;
-        g_strlcpy(e.domain, k % 2 ? "even" : "odd", sizeof(e.domain));
+        e.domain = k % 2 ? "even" : "odd";
         Fw_Relay_UpdateServer(inst->relay, e.id, &e,
                               Fw_RelayFleet_Now(&env->fleet, i), &inst->acts);
     }
@@ -185,8 +185,9 @@
 start_call(struct retry_env *env, int i, const struct fw_rl_upstream_call *c)
 {
     struct fleet *fleet = &env->fleet;
-    struct relay_call p = {
-        .call = *c, .instance = i, .boot = fleet->instances[i].boot};
+    struct relay_call p = {.call = Fw_RelayCall_Copy(c),
+                           .instance = i,
+                           .boot = fleet->instances[i].boot};
     int64_t delay = Fw_RelayFleet_RandBelow(fleet, 50) == 0
                         ? Fw_RelayFleet_RandBelow(fleet, FW_HELD_UP_MAX_US)
                         : FW_MSEC;
--- a/explore/run.c
+++ b/explore/run.c
@@ -15,6 +15,18 @@
     g_string_append_c(run->trace, '\n');
 }
 
+const char *
+Fw_Run_Name(const char *fmt, ...)
+{
+    g_autofree char *text = NULL;
+    va_list ap;
+
+    va_start(ap, fmt);
+    text = g_strdup_vprintf(fmt, ap);
+    va_end(ap);
+    return g_intern_string(text);
+}
+
 void
 Fw_Run_Fail(struct fw_run *run, const char *fmt, ...)
 {
--- a/src/relay/actions.c
+++ b/src/relay/actions.c
@@ -9,6 +9,7 @@
     struct fw_rl_action *a = data;
 
     if (a->kind == FW_RL_DO_CALL) {
+        g_free((char *)a->u.upstream_call.server);
         g_free((char *)a->u.upstream_call.team);
         g_free((char *)a->u.upstream_call.path);
     }
@@ -51,8 +52,9 @@
         &Fw_RelayActions_Add(acts, FW_RL_DO_CALL)->u.upstream_call;
 
     *u = *up;
-    u->team = g_strdup(up->team);
-    u->path = g_strdup(up->path);
+    u->server = g_strdup(up->server ? up->server : "");
+    u->team = g_strdup(up->team ? up->team : "");
+    u->path = g_strdup(up->path ? up->path : "");
 }
 
 /*
--- a/src/relay/call.c
+++ b/src/relay/call.c
@@ -40,7 +40,7 @@
     struct fw_rl_op *op;
 
     g_strlcpy(up->addr, s->entry.addr, sizeof(up->addr));
-    g_strlcpy(up->server, s->entry.id, sizeof(up->server));
+    up->server = s->entry.id;
     op = start_op(r, c, up, until_us, now_us, out);
     op->server = Fw_Servers_Ref(s);
     Fw_Admission_NoteSent(s, now_us);
--- a/src/relay/evacuation.c
+++ b/src/relay/evacuation.c
@@ -16,12 +16,21 @@
  * @listed: named since the current listing began
  */
 struct evacuation {
-    char domain[FW_NAME_MAX];
+    char *domain;
     uint64_t offset;
     int active;
     int listed;
 };
 
+void
+Fw_Evacuation_Free(gpointer data)
+{
+    struct evacuation *e = data;
+
+    g_free(e->domain);
+    g_free(e);
+}
+
 static struct evacuation *
 find(const struct fw_relay *r, const char *domain)
 {
@@ -91,7 +100,7 @@
     }
     if (!e) {
         e = g_new0(struct evacuation, 1);
-        g_strlcpy(e->domain, domain, sizeof(e->domain));
+        e->domain = g_strdup(domain);
         g_ptr_array_add(r->evacuations, e);
     }
     e->listed = 1;
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -43,7 +43,7 @@
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
     r->retry_budgets = g_ptr_array_new_with_free_func(g_free);
     r->service_stats = g_ptr_array_new_with_free_func(g_free);
-    r->evacuations = g_ptr_array_new_with_free_func(g_free);
+    r->evacuations = g_ptr_array_new_with_free_func(Fw_Evacuation_Free);
     r->stage_links = g_ptr_array_new_with_free_func(g_free);
     r->servers_by_hash = g_hash_table_new(g_int64_hash, g_int64_equal);
     r->servers_by_short_hash = g_hash_table_new(NULL, NULL);
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -32,9 +32,10 @@
  * @xid: id under which the shell reports the outcome
  * @call: id of the caller's request, 0 if the call serves none
  * @addr: address to connect to
- * @server: server id that must answer there, empty for any
+ * @server: server id that must answer there, empty for any; an action owns a
+ *     copy
  * @timeout_us: time limit to send to the upstream
- * @team: team to send to the upstream, NULL for none; an action owns a copy
+ * @team: team to send to the upstream, empty for none; an action owns a copy
  * @priority: 0 most urgent, 9 least; -1 for the upstream's default
  * @buffer_response: buffer the response and report only its end; a large
  *     response is forwarded as it arrives
@@ -59,7 +60,7 @@
     uint64_t xid;
     uint64_t call;
     char addr[FW_URL_MAX];
-    char server[FW_NAME_MAX];
+    const char *server;
     int64_t timeout_us;
     const char *team;
     int priority;
--- a/src/relay/rules.c
+++ b/src/relay/rules.c
@@ -258,6 +258,8 @@
 void
 Fw_ServerEntry_Clear(struct fw_rl_server_entry *e)
 {
+    g_free((char *)e->id);
     g_free((char *)e->service);
-    e->service = NULL;
+    g_free((char *)e->domain);
+    *e = (struct fw_rl_server_entry){0};
 }
--- a/src/relay/servers.c
+++ b/src/relay/servers.c
@@ -84,13 +84,29 @@
     }
 }
 
+/* Most entries repeat the texts of the one before. */
+static void
+take_text(const char **own, const char *kept, const char *text)
+{
+    if (kept && g_strcmp0(kept, text) == 0) {
+        *own = kept;
+        return;
+    }
+    g_free((char *)kept);
+    *own = g_strdup(text ? text : "");
+}
+
 /* Replaces the entry, and its part in the hash of the list. */
 static void
 set_entry(struct fw_relay *r, struct fw_rl_server *s,
           const struct fw_rl_server_entry *e, int64_t now_us)
 {
+    struct fw_rl_server_entry kept = s->entry;
+
     s->entry = *e;
-    s->is_evacuated = Fw_Evacuation_IsActive(r, e->domain);
+    take_text(&s->entry.id, kept.id, e->id);
+    take_text(&s->entry.domain, kept.domain, e->domain);
+    s->is_evacuated = Fw_Evacuation_IsActive(r, s->entry.domain);
     s->stage_links = Fw_Links_OfStage(r, e->service, e->stage);
     s->entry.service = s->stage_links->service;
     Fw_Cold_ApplyEntry(s, now_us);
@@ -111,6 +127,8 @@
 {
     if (--s->refs == 0) {
         Fw_List_Remove(&s->link);
+        g_free((char *)s->entry.id);
+        g_free((char *)s->entry.domain);
         g_free(s);
     }
 }
@@ -286,7 +304,8 @@
     Fw_RelayActions_Log(out, r, LOG_NOTICE, "server_seen",
                         "\"server\":\"%s\",\"addr\":\"%s\",\"service\":\"%s\","
                         "\"domain\":\"%s\",\"stage\":%d",
-                        e->id, e->addr, e->service, e->domain, (int)e->stage);
+                        s->entry.id, s->entry.addr, s->entry.service,
+                        s->entry.domain, (int)s->entry.stage);
 }
 
 /* An unknown start time matches any. */
@@ -357,7 +376,7 @@
     return Fw_StoreSync_EntryHash(a) == Fw_StoreSync_EntryHash(b) &&
            a->slots == b->slots && strcmp(a->addr, b->addr) == 0 &&
            strcmp(a->service, b->service) == 0 &&
-           strcmp(a->domain, b->domain) == 0;
+           g_strcmp0(a->domain, b->domain) == 0;
 }
 
 int
--- a/src/relay/servers.h
+++ b/src/relay/servers.h
@@ -205,6 +205,9 @@
 Fw_Servers_Clear(struct fw_relay *r);
 
 /* evacuation.c */
+/* Frees one of the records in @evacuations of struct fw_relay. */
+void
+Fw_Evacuation_Free(gpointer evacuation);
 /* Whether the failure domain is evacuated. */
 int
 Fw_Evacuation_IsActive(const struct fw_relay *r, const char *domain);
--- a/src/relay/types.h
+++ b/src/relay/types.h
@@ -239,7 +239,8 @@
 
 /**
  * struct fw_rl_server_entry - a server as the platform lists it.
- * @service: belongs to the entry's creator; the relay copies it
+ * @id, @service, @domain: belong to the entry's creator; the relay copies
+ *     them
  * @slots: concurrent requests
  * @draining: accepts no new requests
  * @born_ms: start of its process in Unix milliseconds, to distinguish
@@ -247,10 +248,10 @@
  * @cold_us: how much longer it is cold, as of the entry
  */
 struct fw_rl_server_entry {
-    char id[FW_NAME_MAX];
+    const char *id;
     const char *service;
+    const char *domain;
     char addr[FW_URL_MAX];
-    char domain[FW_NAME_MAX];
     int slots;
     int draining;
     enum fw_rl_stage stage;
@@ -258,7 +259,7 @@
     int64_t cold_us;
 };
 
-/* Frees the service of an entry whose creator has allocated it. */
+/* Frees the texts of an entry whose creator has allocated them. */
 void
 Fw_ServerEntry_Clear(struct fw_rl_server_entry *e);
 
--- a/src/relayd/relayd_internal.h
+++ b/src/relayd/relayd_internal.h
@@ -63,7 +63,7 @@
     uint64_t caller_request_id;
     enum fw_rl_upstream_kind kind;
     char request_id[FW_ID_MAX];
-    char server[FW_NAME_MAX];
+    char *server;
     struct fw_exchange *exchange;
     struct fw_rl_upstream_response answer;
     GString *fields;
--- a/src/relayd/upstream.c
+++ b/src/relayd/upstream.c
@@ -102,6 +102,7 @@
         g_string_free(call->fields, TRUE);
     }
     g_byte_array_unref(call->body);
+    g_free(call->server);
     g_free(call);
 }
 
@@ -392,7 +393,7 @@
     call->xid = c->xid;
     call->caller_request_id = c->call;
     call->kind = c->kind;
-    g_strlcpy(call->server, c->server, sizeof(call->server));
+    call->server = g_strdup(c->server);
     call->buffered = c->buffer_response;
     call->is_streaming = c->is_streaming;
     call->content_length = -1;
