Take request ids of any length

What callers saw: a request whose id had 80 bytes or more got 400, though its head was within the limits. Found by reading; the callers of the users send 16 bytes.

Cause: the id was copied into an array of 80 bytes, and one that did not fit counted as malformed.

A request owns its id until it ends; the caller's request and each call to a server have copies of their own.

Evidence: texts_of_a_request_of_any_length_are_read reads ids, hosts, paths and keys up to 16,000 bytes; an id of 80 failed before.

--- a/explore/relay_crash_callers.c
+++ b/explore/relay_crash_callers.c
@@ -79,6 +79,7 @@
 {
     struct fleet *fleet = &env->fleet;
     int i = Fw_RelayFleet_RandBelow(fleet, fleet->n);
+    char text[24];
     struct fw_rl_request_info info = {.tokens_in = 1000,
                                       .tokens_out_max = 500,
                                       .tokens_out_hint = -1,
@@ -101,7 +102,8 @@
     g_array_append_val(env->requests, q);
     info.host = "h";
     info.path = "/gen/x";
-    g_snprintf(info.id, sizeof(info.id), "%d", (int)call);
+    g_snprintf(text, sizeof(text), "%d", (int)call);
+    info.id = text;
     Fw_Relay_Open(fleet->instances[i].relay, call, &info,
                   Fw_RelayFleet_Now(fleet, i), &fleet->instances[i].acts);
     Fw_CrashEnv_ApplyActions(env, i);
--- a/explore/relay_limits.c
+++ b/explore/relay_limits.c
@@ -199,6 +199,7 @@
 static void
 open_requests(struct limit_env *env)
 {
+    char text[24];
     struct fw_rl_request_info info = {.tokens_in = -1,
                                       .tokens_out_max = -1,
                                       .tokens_out_hint = -1,
@@ -215,7 +216,8 @@
         }
         Fw_Relay_Tick(inst->relay, now, &inst->acts);
         if (Fw_RelayFleet_RandBelow(&env->fleet, 5) == 0) {
-            g_snprintf(info.id, sizeof(info.id), "%d", (int)++env->last_call);
+            g_snprintf(text, sizeof(text), "%d", (int)++env->last_call);
+            info.id = text;
             Fw_Relay_Open(inst->relay, env->last_call, &info, now,
                           &inst->acts);
         }
--- a/explore/relay_partition.c
+++ b/explore/relay_partition.c
@@ -279,6 +279,7 @@
 {
     struct fleet_instance *inst = &env->fleet.instances[i];
     int generates = strcmp(path, "/gen/x") == 0;
+    char text[24];
     struct fw_rl_request_info info = {.tokens_in = generates ? 1000 : -1,
                                       .tokens_out_max = generates ? 500 : -1,
                                       .tokens_out_hint = -1,
@@ -290,7 +291,8 @@
     g_array_append_val(env->requests, *q);
     info.host = "h";
     info.path = path;
-    g_snprintf(info.id, sizeof(info.id), "%d", (int)call);
+    g_snprintf(text, sizeof(text), "%d", (int)call);
+    info.id = text;
     Fw_Relay_Open(inst->relay, call, &info, Fw_RelayFleet_Now(&env->fleet, i),
                   &inst->acts);
     apply_actions(env, i);
--- a/explore/relay_ranks.c
+++ b/explore/relay_ranks.c
@@ -339,6 +339,7 @@
     int i = Fw_RelayFleet_RandBelow(fleet, fleet->n);
     struct fleet_instance *inst = &fleet->instances[i];
     struct stream s = {.rank = rank, .instance = i, .asked_us = fleet->now_us};
+    char text[24];
     struct fw_rl_request_info info = {.tokens_in = FW_PROMPT_TOKENS,
                                       .tokens_out_max = 300,
                                       .tokens_out_hint = -1,
@@ -348,7 +349,8 @@
         return;
     }
     g_array_append_val(env->streams, s);
-    g_snprintf(info.id, sizeof(info.id), "%d", (int)env->streams->len);
+    g_snprintf(text, sizeof(text), "%d", (int)env->streams->len);
+    info.id = text;
     info.host = "h";
     info.path = rank ? "/later/x" : "/gen/x";
     Fw_Relay_Open(inst->relay, env->streams->len, &info,
--- a/explore/relay_requests.c
+++ b/explore/relay_requests.c
@@ -261,6 +261,7 @@
 {
     static const char *const paths[] = {"/read/", "/order/", "/gen/"};
     int kind = random_below(env, 3);
+    char text[24];
     struct fw_rl_request_info request = {
         .host = "h",
         .tokens_in = kind == 2 ? 1000 : -1,
@@ -270,7 +271,8 @@
 
     env->requests[id].at_most_once = kind != 0;
     request.path = paths[kind];
-    g_snprintf(request.id, sizeof(request.id), "%d", (int)id);
+    g_snprintf(text, sizeof(text), "%d", (int)id);
+    request.id = text;
     Fw_Relay_Open(env->relay, id, &request, env->now_us, &env->acts);
 }
 
--- a/explore/relay_retries.c
+++ b/explore/relay_retries.c
@@ -293,6 +293,7 @@
     struct fleet_instance *inst = &env->fleet.instances[i];
     struct request q = {.service = Fw_RelayFleet_RandBelow(&env->fleet, 2)};
     int generates = q.service == FW_LLM;
+    char text[24];
     struct fw_rl_request_info info = {.tokens_in = generates ? 1000 : -1,
                                       .tokens_out_max = generates ? 500 : -1,
                                       .tokens_out_hint = -1,
@@ -304,7 +305,8 @@
     g_array_append_val(env->opened_us[q.service], env->fleet.now_us);
     info.host = "h";
     info.path = generates ? "/gen/x" : "/read/x";
-    g_snprintf(info.id, sizeof(info.id), "%d", (int)call);
+    g_snprintf(text, sizeof(text), "%d", (int)call);
+    info.id = text;
     Fw_Relay_Open(inst->relay, call, &info, Fw_RelayFleet_Now(&env->fleet, i),
                   &inst->acts);
     apply_actions(env, i);
--- a/src/relay/call.c
+++ b/src/relay/call.c
@@ -170,6 +170,7 @@
     g_hash_table_remove(r->calls, &c->id);
     Fw_List_Remove(&c->link);
     Fw_RequestInfo_Forget(&c->info);
+    g_free((char *)c->info.id);
     Fw_Rules_Unref(c->rules);
     Fw_Rules_Unref(c->team_rules);
     g_free(c);
--- a/src/relay/open.c
+++ b/src/relay/open.c
@@ -66,17 +66,20 @@
 }
 
 /*
- * Replaces the characters that would let a caller's id inject members into
- * JSON log lines.
+ * A copy without the characters that would let a caller's id inject members
+ * into JSON log lines.
  */
-static void
-sanitize_id(char *id)
+static char *
+sanitized_id(const char *id)
 {
-    for (char *p = id; *p; p++) {
+    char *copy = g_strdup(id ? id : "");
+
+    for (char *p = copy; *p; p++) {
         if (*p < ' ' || *p > '~' || *p == '"' || *p == '\\') {
             *p = '_';
         }
     }
+    return copy;
 }
 
 /* Of a request that is not routed yet. */
@@ -92,10 +95,10 @@
     c->id = id;
     c->info = *info;
     Fw_RequestInfo_Own(&c->info);
+    c->info.id = sanitized_id(info->id);
     c->route = &no_route;
     c->service = "";
     c->team = "";
-    sanitize_id(c->info.id);
     c->opened_us = now_us;
     c->deadline_us = INT64_MAX;
     Fw_List_Append(&r->call_list, &c->link);
--- a/src/relay/types.h
+++ b/src/relay/types.h
@@ -265,7 +265,7 @@
 
 /**
  * struct fw_rl_request_info - a caller's request, without its body.
- * @id: request id
+ * @id: request id, empty for none; not freed with the other texts
  * @host: name of the host in lower case, used to choose a route
  * @path: path of the target without the query, used to choose a route
  * @key: bearer key, empty for none; never logged
@@ -284,7 +284,7 @@
  * @is_handed_over: another instance has handed it over
  */
 struct fw_rl_request_info {
-    char id[FW_ID_MAX];
+    const char *id;
     const char *host;
     const char *path;
     const char *key;
--- a/src/relayd/relayd.c
+++ b/src/relayd/relayd.c
@@ -50,7 +50,7 @@
     c->caller = caller;
     c->head = head;
     c->body = body;
-    g_strlcpy(c->request_id, info.id, sizeof(c->request_id));
+    c->request_id = g_strdup(info.id);
     g_hash_table_insert(d->requests_by_caller, caller, c);
     g_hash_table_insert(d->requests_by_id, &c->id, c);
     /*
@@ -62,7 +62,7 @@
                                     Fw_Relay_ShedsConnections(d->relay, now));
     Fw_RelayActions_Init(&acts);
     Fw_Relay_Open(d->relay, c->id, &info, now, &acts);
-    Fw_RequestInfo_Forget(&info);
+    Fw_Platform_ClearRequest(&info);
     Fw_Relayd_ExecuteActions(d, &acts);
 }
 
@@ -106,6 +106,15 @@
                   NULL);
 }
 
+static void
+free_request(gpointer data)
+{
+    struct fw_caller_request *c = data;
+
+    g_free(c->request_id);
+    g_free(c);
+}
+
 static const struct fw_http_ops caller_ops = {
     .request = on_request,
     .disconnected = Fw_Relayd_CloseRequest,
@@ -388,7 +397,7 @@
     Fw_UpstreamCall_AddMetrics(d);
     d->requests_by_caller = g_hash_table_new(NULL, NULL);
     d->requests_by_id =
-        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_request);
     d->upstream_calls = g_hash_table_new_full(g_int64_hash, g_int64_equal,
                                               NULL, Fw_UpstreamCall_Free);
     g_queue_init(&d->failed_calls);
--- a/src/relayd/relayd_internal.h
+++ b/src/relayd/relayd_internal.h
@@ -25,7 +25,7 @@
     struct fw_http_caller *caller;
     const struct fw_http_head *head;
     GBytes *body;
-    char request_id[FW_ID_MAX];
+    char *request_id;
     uint64_t forwarded_xid;
 };
 
@@ -62,7 +62,7 @@
     uint64_t xid;
     uint64_t caller_request_id;
     enum fw_rl_upstream_kind kind;
-    char request_id[FW_ID_MAX];
+    char *request_id;
     char *server;
     struct fw_exchange *exchange;
     struct fw_rl_upstream_response answer;
--- a/src/relayd/upstream.c
+++ b/src/relayd/upstream.c
@@ -103,6 +103,7 @@
     }
     g_byte_array_unref(call->body);
     g_free(call->server);
+    g_free(call->request_id);
     g_free(call);
 }
 
@@ -400,8 +401,8 @@
     call->started_us = Fw_Conn_NowUs();
     call->body = g_byte_array_new();
     g_hash_table_insert(d->upstream_calls, &call->xid, call);
+    call->request_id = g_strdup(from ? from->request_id : "");
     if (from) {
-        g_strlcpy(call->request_id, from->request_id, FW_ID_MAX);
         call->has_no_body = Fw_UpstreamCall_AnswersCaller(call) &&
                             Fw_Http_MethodIs(from->head, "HEAD");
         opts.no_body = call->has_no_body;
--- a/tests/platform/test_platform.c
+++ b/tests/platform/test_platform.c
@@ -26,7 +26,7 @@
     ck_assert_int_eq(a.tokens_out_max, 80);
     ck_assert_int_eq(a.tokens_out_hint, 44);
     ck_assert_int_eq(a.last_event_id, 7);
-    Fw_RequestInfo_Forget(&a);
+    Fw_Platform_ClearRequest(&a);
     Fw_Http_ClearHead(&h);
 }
 END_TEST
@@ -40,7 +40,7 @@
 
     Fw_Heads_Parse(text, &h);
     ck_assert_int_eq(Fw_Platform_ParseRequest(&h, NULL, out), 0);
-    Fw_RequestInfo_Forget(out);
+    Fw_Platform_ClearRequest(out);
     Fw_Http_ClearHead(&h);
     g_free(text);
 }
@@ -118,21 +118,22 @@
     Fw_Heads_Parse(text, &h);
     ck_assert_int_eq(Fw_Platform_ParseRequest(&h, NULL, &a), 0);
     ck_assert_str_eq(a.key, "");
-    Fw_RequestInfo_Forget(&a);
+    Fw_Platform_ClearRequest(&a);
     Fw_Http_ClearHead(&h);
     g_free(text);
 }
 END_TEST
 
 /* Guards against a text that is cut where a configuration has it whole. */
-START_TEST(hosts_paths_and_keys_of_any_length_are_read)
+START_TEST(texts_of_a_request_of_any_length_are_read)
 {
     for (gsize n = 1; n < 16000; n += n < 600 ? 1 : 997) {
         g_autofree char *x = g_strnfill(n, 'x');
         g_autofree char *text =
             g_strdup_printf("GET /%s/?q=1 HTTP/1.1\r\nHost: %s:80\r\n"
-                            "Authorization: Bearer %s\r\n\r\n",
-                            x, x, x);
+                            "Authorization: Bearer %s\r\n"
+                            "Request-Id: %s\r\n\r\n",
+                            x, x, x, x);
         g_autofree char *path = g_strdup_printf("/%s/", x);
         struct fw_http_head h;
         struct fw_rl_request_info a;
@@ -142,7 +143,8 @@
         ck_assert_str_eq(a.path, path);
         ck_assert_str_eq(a.host, x);
         ck_assert_str_eq(a.key, x);
-        Fw_RequestInfo_Forget(&a);
+        ck_assert_str_eq(a.id, x);
+        Fw_Platform_ClearRequest(&a);
         Fw_Http_ClearHead(&h);
     }
 }
@@ -501,7 +503,7 @@
     tcase_add_loop_test(tc, malformed_fields_are_rejected, 0,
                         G_N_ELEMENTS(bad_fields));
     tcase_add_loop_test(tc, other_schemes_are_no_key, 0, 2);
-    tcase_add_test(tc, hosts_paths_and_keys_of_any_length_are_read);
+    tcase_add_test(tc, texts_of_a_request_of_any_length_are_read);
     tcase_add_test(tc, runs_of_a_report_are_parsed);
     tcase_add_loop_test(tc, response_bodies_are_parsed, 0,
                         G_N_ELEMENTS(bodies));
--- a/tests/relay/engines.c
+++ b/tests/relay/engines.c
@@ -270,6 +270,7 @@
     const struct fw_load_shape *h = &w->plan->shape;
     struct stream s = {
         .call = w->streams->len + 1, .asked_ms = w->now_ms, .engine = -1};
+    char id[FW_ID_MAX];
     struct fw_rl_request_info q = {
         .host = "h", .path = "/g/x", .key = "k", .last_event_id = -1};
 
@@ -277,7 +278,8 @@
                (int64_t)(h->mean_prompt * FW_MAX_PROMPT_FACTOR));
     s.out = MIN((int64_t)log_normal(w->rand, h->mean_answer, h->spread),
                 h->max_answer);
-    format_id(&s, q.id);
+    format_id(&s, id);
+    q.id = id;
     q.tokens_in = s.in;
     q.tokens_out_max = h->max_answer;
     q.tokens_out_hint =
--- a/tests/relay/plain_fleet.c
+++ b/tests/relay/plain_fleet.c
@@ -302,11 +302,13 @@
     struct caller *who = &g_array_index(f->callers, struct caller, at);
     int instance = g_rand_int_range(f->rand, 0, f->plan->instances);
     uint64_t call = (uint64_t)at * 2 + (uint64_t)who->attempts++;
+    char text[24];
     struct fw_rl_request_info q = {
         .host = "h", .tokens_in = -1, .last_event_id = -1};
 
     q.path = who->urgent ? "/u/x" : "/p/x";
-    g_snprintf(q.id, sizeof(q.id), "c%d", (int)call);
+    g_snprintf(text, sizeof(text), "c%d", (int)call);
+    q.id = text;
     q.timeout_us = who->first_us + f->plan->deadline_ms * FW_MSEC - f->now_us;
     q.timeout_us -= q.timeout_us % FW_MSEC;
     Fw_Relay_Open(f->relays[instance], call, &q, f->now_us, &f->acts);
--- a/tests/relay/script.c
+++ b/tests/relay/script.c
@@ -186,7 +186,7 @@
     info.host = "h";
     info.path = run->word[2];
     info.key = key ? key : "";
-    g_strlcpy(info.id, id ? id : run->word[1], sizeof(info.id));
+    info.id = id ? id : run->word[1];
     info.timeout_us = Fw_RelayScript_GetNumber(run, "left_ms", 0) * FW_MSEC;
     info.fingerprint = (uint64_t)Fw_RelayScript_GetNumber(run, "digest", 0);
     info.is_handed_over = Fw_RelayScript_HasWord(run, "handed-over");
