Announce servers that are unlisted before they are removed

Cause: instances fetch the list of servers when the hash of another one's differs. It summed all servers that are still held. One that reads the store keeps an unlisted server, unused, until 2.2 s after the store's recovery, and announced the change only as it removed it.

Why it works: the hash sums what is listed, so that the others see the difference in the next message and fetch the records since their offset.

--- a/src/relay/relay_internal.h
+++ b/src/relay/relay_internal.h
@@ -99,7 +99,7 @@
  * @limited_servers: servers that name a limit, or did a short while ago
  * @limits_changed: one of these limits has changed since they were sent
  * @limits_sent_us: when these limits were last sent to other instances
- * @list_hash: sum of list_hash of @servers
+ * @list_hash: sum of list_hash of those of @servers that are listed
  * @n_removals: servers with removal_us set
  * @largest_fleet: largest number of instances known so far, 0 if unknown
  * @evacuations: struct evacuation, see evacuation.c
--- a/src/relay/servers.c
+++ b/src/relay/servers.c
@@ -110,9 +110,9 @@
     s->stage_links = Fw_Links_OfStage(r, e->service, e->stage);
     s->entry.service = s->stage_links->service;
     Fw_Cold_ApplyEntry(s, now_us);
-    r->list_hash -= s->list_hash;
+    r->list_hash -= Fw_Servers_IsUnlisted(s) ? 0 : s->list_hash;
     s->list_hash = Fw_StoreSync_EntryHash(e);
-    r->list_hash += s->list_hash;
+    r->list_hash += Fw_Servers_IsUnlisted(s) ? 0 : s->list_hash;
 }
 
 struct fw_rl_server *
--- a/src/relay/servers.h
+++ b/src/relay/servers.h
@@ -167,6 +167,9 @@
 /* This instance knows from now on that the server is leaving or gone. */
 void
 Fw_Servers_NoteLeft(struct fw_rl_server *s, int64_t now_us);
+/* Whether the server is to be removed unless it is listed again. */
+int
+Fw_Servers_IsUnlisted(const struct fw_rl_server *s);
 /*
  * The unlisted server is removed then unless it is listed again, 0: it is
  * listed, or removed. Until then it is used, unless few others are unlisted.
--- a/src/relay/unlisted.c
+++ b/src/relay/unlisted.c
@@ -19,6 +19,12 @@
     }
 }
 
+int
+Fw_Servers_IsUnlisted(const struct fw_rl_server *s)
+{
+    return s->removal_us != 0;
+}
+
 /* Whether a listed server can take the place of @s. */
 static int
 has_listed_substitute(const struct fw_relay *r, const struct fw_rl_server *s)
@@ -77,6 +83,8 @@
         return;
     }
     r->n_removals += removal_us ? 1 : -1;
+    /* The others fetch the change before this instance removes the server. */
+    r->list_hash += removal_us ? -s->list_hash : s->list_hash;
     s->removal_us = removal_us;
     update_presumptions(r, now_us);
 }
