review: case 7, a stream in progress is cut 350 ms after it was sent

Cause: a call that can be repeated keeps the time limit of an attempt after its response has begun to reach the caller.

--- /dev/null
+++ b/review/lab/cases.h
@@ -0,0 +1,8 @@
+/* The cases of the second review. Each returns a status of lab.h. */
+#ifndef FW_REVIEW_CASES_H
+#define FW_REVIEW_CASES_H
+
+int
+Case_LongAnswers(void);
+
+#endif
