review: case 8, streams taken late in a stop are cut by its end

Cause: only streaming routes with StickySessions are held against the time that a stream takes when a stopping instance decides whether to take a request.

--- a/review/lab/cases.h
+++ b/review/lab/cases.h
@@ -4,5 +4,8 @@
 
 int
 Case_LongAnswers(void);
+int
+Case_StreamsAtStop(void);
+
 
 #endif
--- a/review/lab/deployment.c
+++ b/review/lab/deployment.c
@@ -18,7 +18,7 @@
         "\"RatePerS\":142851,\"Burst\":142851}]}",
         routes);
 
-    Fw_WireStore_Put(lab.store, "keyed.op", "config", config);
+    Lab_Put("keyed.op", "config", config);
     Lab_Note("configuration 7 is in the store");
 }
 
--- a/review/lab/lab.c
+++ b/review/lab/lab.c
@@ -10,6 +10,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -19,6 +20,11 @@
 /* All machines start within 0.3 s of each other. */
 #define LAB_START_SPREAD_MS 300
 
+/* Ports of instances; deployments side by side begin in different blocks. */
+#define PORTS_FROM 10240
+#define PORT_BLOCK 64
+#define PORT_BLOCKS 320
+
 struct lab lab;
 
 int64_t
@@ -63,21 +69,60 @@
              lab.trouble ? "with the disruption" : "without the disruption");
 }
 
-int
-Lab_FreePort(void)
+void
+Lab_UseOwnStore(void)
+{
+    lab.own_store = Lab_Store_New();
+}
+
+static int
+store_port(void)
+{
+    return lab.own_store ? Lab_Store_Port(lab.own_store)
+                         : Fw_WireStore_Port(lab.store);
+}
+
+void
+Lab_Put(const char *topic, const char *key, const char *value)
+{
+    if (lab.own_store) {
+        Lab_Store_Put(lab.own_store, topic, key, strlen(key), value,
+                      value ? strlen(value) : 0);
+    }
+    else {
+        Fw_WireStore_Put(lab.store, topic, key, value);
+    }
+}
+
+static int
+is_free(int port)
 {
     struct sockaddr_in at = {.sin_family = AF_INET,
+                             .sin_port = htons((uint16_t)port),
                              .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
-    socklen_t len = sizeof(at);
-    int fd = socket(AF_INET, SOCK_STREAM, 0);
-    int port = 0;
+    int tcp = socket(AF_INET, SOCK_STREAM, 0);
+    int udp = socket(AF_INET, SOCK_DGRAM, 0);
+    int ok = bind(tcp, (struct sockaddr *)&at, sizeof(at)) == 0 &&
+             bind(udp, (struct sockaddr *)&at, sizeof(at)) == 0;
+
+    close(tcp);
+    close(udp);
+    return ok;
+}
 
-    if (fd >= 0 && bind(fd, (struct sockaddr *)&at, len) == 0 &&
-        getsockname(fd, (struct sockaddr *)&at, &len) == 0) {
-        port = ntohs(at.sin_port);
+/* Below the ports that the kernel gives to outgoing connections. */
+int
+Lab_FreePort(void)
+{
+    static int next;
+
+    if (!next) {
+        next = PORTS_FROM + getpid() % PORT_BLOCKS * PORT_BLOCK;
     }
-    close(fd);
-    return port;
+    while (!is_free(next)) {
+        next++;
+    }
+    return next++;
 }
 
 /* As deploy/node.ini.in is rendered, with the bounds of fhl-coastal. */
@@ -99,7 +144,7 @@
         "lease-ms = 3000\ngrace-s = 8\n\n"
         "[memory]\nlimit-mb = 260\ndescriptors = 4100\n",
         i->name, i->zone, i->callers_port, i->ready_port, i->metrics_port,
-        i->peers_port, Fw_WireStore_Port(lab.store));
+        i->peers_port, store_port());
 
     i->settings = g_build_filename(lab.dir, file, NULL);
     if (!g_file_set_contents(i->settings, text, -1, NULL)) {
@@ -107,13 +152,15 @@
     }
 }
 
+/* In the new process, which doesn't outlive this one. */
 static void
-open_log(gpointer data)
+prepare_child(gpointer data)
 {
     int fd = open(data, O_WRONLY | O_CREAT | O_APPEND, 0600);
 
     dup2(fd, 1);
     dup2(fd, 2);
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
 }
 
 void
@@ -126,8 +173,8 @@
                                          i->settings, TRUE);
     GError *error = NULL;
 
-    if (!g_spawn_async(NULL, argv, env, G_SPAWN_DO_NOT_REAP_CHILD, open_log,
-                       log, &i->pid, &error)) {
+    if (!g_spawn_async(NULL, argv, env, G_SPAWN_DO_NOT_REAP_CHILD,
+                       prepare_child, log, &i->pid, &error)) {
         fprintf(stderr, "target/fuchsiawardd: %s\n", error->message);
         exit(Lab_Finish(LAB_NOT_RUN));
     }
--- a/review/lab/lab.h
+++ b/review/lab/lab.h
@@ -13,6 +13,7 @@
 #include <stdio.h>
 
 #include "http/server.h"
+#include "review/lab/store.h"
 #include "stand/wire/wire.h"
 
 /* Exit statuses of a case. */
@@ -40,6 +41,7 @@
 /**
  * struct lab - a small deployment.
  * @trouble: the disruption is brought about
+ * @store: the project's stand-in, unless @own_store is used in its place
  */
 struct lab {
     char *dir;
@@ -49,6 +51,7 @@
     int trouble;
     GMainLoop *loop;
     struct fw_wire_store *store;
+    struct lab_store *own_store;
     struct lab_instance instances[LAB_INSTANCES_MAX];
     int n_instances;
     int status;
@@ -65,6 +68,12 @@
 /* Sets up @lab: the record in @dir, the store. */
 void
 Lab_Init(const char *dir);
+/* Uses the laboratory's own store from now on; to be called first. */
+void
+Lab_UseOwnStore(void);
+/* Writes a record; a @value of NULL deletes the key. */
+void
+Lab_Put(const char *topic, const char *key, const char *value);
 /* A TCP port that was free just now. */
 int
 Lab_FreePort(void);
@@ -117,6 +126,9 @@
 /* Removes its entry; it goes on serving. */
 void
 Lab_Server_Unregister(struct lab_server *s);
+/* Ends at once: resets its connections, and leaves its entry to expire. */
+void
+Lab_Server_Crash(struct lab_server *s);
 /* Closes its sockets; its entry must have been removed. */
 void
 Lab_Server_Stop(struct lab_server *s);
--- a/review/lab/main.c
+++ b/review/lab/main.c
@@ -13,6 +13,7 @@
         int (*play)(void);
     } cases[] = {
         {"long-answers", Case_LongAnswers},
+        {"streams-at-stop", Case_StreamsAtStop},
     };
 
     for (size_t i = 0; argc == 3 && i < G_N_ELEMENTS(cases); i++) {
--- a/review/lab/server.c
+++ b/review/lab/server.c
@@ -205,7 +205,7 @@
         s->opts.service, Fw_Server_Port(s->http), s->opts.zone, s->opts.slots,
         ++s->sequence);
 
-    Fw_WireStore_Put(lab.store, "keyed.servers", s->opts.id, entry);
+    Lab_Put("keyed.servers", s->opts.id, entry);
     return G_SOURCE_CONTINUE;
 }
 
@@ -231,10 +231,13 @@
 void
 Lab_Server_Unregister(struct lab_server *s)
 {
-    g_source_remove(s->heartbeat);
-    Fw_WireStore_Put(lab.store, "keyed.servers", s->opts.id, NULL);
+    if (s->heartbeat) {
+        g_source_remove(s->heartbeat);
+    }
+    Lab_Put("keyed.servers", s->opts.id, NULL);
     s->removed_ms = Lab_NowMs();
-    Lab_Note("%s removes its entry and goes on serving", s->opts.id);
+    Lab_Note("the entry of %s is removed%s", s->opts.id,
+             s->http ? "; it goes on serving" : "");
 }
 
 void
@@ -248,6 +251,22 @@
     Lab_Note("%s has ended", s->opts.id);
 }
 
+void
+Lab_Server_Crash(struct lab_server *s)
+{
+    while (s->runs) {
+        struct run *r = s->runs->data;
+
+        Fw_Caller_Abort(r->caller);
+        end_run(r);
+    }
+    Fw_Server_Free(s->http);
+    s->http = NULL;
+    g_source_remove(s->heartbeat);
+    s->heartbeat = 0;
+    Lab_Note("%s has crashed", s->opts.id);
+}
+
 const struct lab_server_opts *
 Lab_Server_Opts(const struct lab_server *s)
 {
