review: case 6, an entry of another writer keeps all instances from starting

Cause: a key with a zero byte makes the whole list of the newest entries unreadable, as a document with an escaped NUL is refused.

--- a/review/lab/cases.h
+++ b/review/lab/cases.h
@@ -7,5 +7,7 @@
 int
 Case_StreamsAtStop(void);
 
+int
+Case_ForeignEntry(void);
 
 #endif
