review: case 9, an instance keeps sending to a server that has left

Cause: deletions handed on by an instance are kept in reverse order, and those after the first older one are left out of the next answer.

--- a/review/lab/cases.h
+++ b/review/lab/cases.h
@@ -2,6 +2,8 @@
 #ifndef FW_REVIEW_CASES_H
 #define FW_REVIEW_CASES_H
 
+int
+Case_RemovedServers(void);
 int
 Case_LongAnswers(void);
 int
--- a/review/lab/main.c
+++ b/review/lab/main.c
@@ -12,6 +12,7 @@
         const char *name;
         int (*play)(void);
     } cases[] = {
+        {"removed-servers", Case_RemovedServers},
         {"foreign-entry", Case_ForeignEntry},
         {"long-answers", Case_LongAnswers},
         {"streams-at-stop", Case_StreamsAtStop},
