review: case 10, a request that crashes servers is let through after a herd kill

Cause: what is in quarantine stands in the memory of the instances only. Change: the case's claim and script.

--- a/review/lab/cases.h
+++ b/review/lab/cases.h
@@ -5,6 +5,8 @@
 int
 Case_RemovedServers(void);
 int
+Case_Poison(void);
+int
 Case_LongAnswers(void);
 int
 Case_StreamsAtStop(void);
--- a/review/lab/main.c
+++ b/review/lab/main.c
@@ -14,6 +14,7 @@
     } cases[] = {
         {"removed-servers", Case_RemovedServers},
         {"foreign-entry", Case_ForeignEntry},
+        {"poison", Case_Poison},
         {"long-answers", Case_LongAnswers},
         {"streams-at-stop", Case_StreamsAtStop},
     };
