review: case 9 plays orders, which are lost as a removed server ends

Cause: the case showed requests at removed servers, but not what callers lose. Change: the requests are orders of 200 ms; what a server runs as it ends is counted.

--- a/review/lab/lab.h
+++ b/review/lab/lab.h
@@ -132,6 +132,9 @@
 /* Closes its sockets; its entry must have been removed. */
 void
 Lab_Server_Stop(struct lab_server *s);
+/* Requests that it is running. */
+int
+Lab_Server_CountRuns(const struct lab_server *s);
 const struct lab_server_opts *
 Lab_Server_Opts(const struct lab_server *s);
 /* When its entry was removed, milliseconds; 0 while it is listed. */
--- a/review/lab/removed_servers.c
+++ b/review/lab/removed_servers.c
@@ -16,7 +16,7 @@
 
 #define INSTANCES 4
 #define SERVERS 40
-#define CALLERS_EACH 3
+#define CALLERS_EACH 5
 #define DRAIN_TIMEOUT_MS 2000
 /* "At times many seconds" longer than DrainTimeoutMs. */
 #define LINGER_MS 10000
@@ -28,6 +28,8 @@
 static int n_made;
 static GPtrArray *listed;
 static int n_late;
+/* Orders that a server was running as it ended. */
+static int n_lost;
 static int64_t stop_ms;
 /* By request: the instance that its caller sent it to. */
 static GHashTable *sent_to;
@@ -70,7 +72,7 @@
     struct lab_server_opts o = {.service = LAB_SERVICE,
                                 .zone = zones[n_made % 3],
                                 .slots = 6,
-                                .head_ms = 60,
+                                .head_ms = 200,
                                 .pieces = 1,
                                 .piece_bytes = 800,
                                 .gap_ms = 1};
@@ -82,9 +84,11 @@
     g_ptr_array_add(listed, s);
 }
 
+/* It ends with what it runs: all of it was sent there far too late. */
 static gboolean
 stop_server(gpointer data)
 {
+    n_lost += Lab_Server_CountRuns(data);
     Lab_Server_Stop(data);
     return G_SOURCE_REMOVE;
 }
@@ -129,7 +133,8 @@
         g_mutex_lock(&sent_lock);
         g_hash_table_insert(sent_to, g_strdup(id), GINT_TO_POINTER(instance));
         g_mutex_unlock(&sent_lock);
-        Lab_Caller_Ask(&t->caller, id, "GET", "/puxa403/2f", 3000, "", &a);
+        Lab_Caller_Ask(&t->caller, id, "POST", "/pule252/2f", 3000,
+                       "Content-Length: 0\r\n", &a);
         if (a.end != LAB_REFUSED) {
             Lab_NoteAnswer(t, &a);
         }
@@ -147,11 +152,11 @@
     listed = g_ptr_array_new();
     Lab_UseOwnStore();
     sent_to = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-    Lab_PutConfig("{\"Name\":\"r-read\",\"Host\":\"" LAB_HOST
-                  "\",\"PathPrefix\":\"/puxa403/\",\"Kind\":\"safe\","
+    Lab_PutConfig("{\"Name\":\"r-order\",\"Host\":\"" LAB_HOST
+                  "\",\"PathPrefix\":\"/pule252/\",\"Kind\":\"unsafe\","
                   "\"TimeoutMs\":1500,\"TargetLatencyMs\":300,\"Priority\":2,"
                   "\"Service\":\"" LAB_SERVICE
-                  "\",\"Attempts\":2,\"AllowAnonymous\":false,"
+                  "\",\"Attempts\":1,\"AllowAnonymous\":false,"
                   "\"StickySessions\":false,\"Resumable\":false}");
     for (int i = 0; i < SERVERS; i++) {
         add_server();
@@ -173,7 +178,8 @@
         Lab_Thread_Stop(&callers[i]);
     }
     Lab_Note("%d requests that instances sent on reached a server "
-             "later than %d ms after its entry was removed",
-             n_late, DRAIN_TIMEOUT_MS);
+             "later than %d ms after its entry was removed; %d orders were "
+             "lost as such a server ended",
+             n_late, DRAIN_TIMEOUT_MS, n_lost);
     return n_late ? LAB_BROKEN : LAB_HELD;
 }
--- a/review/lab/server.c
+++ b/review/lab/server.c
@@ -267,6 +267,12 @@
     Lab_Note("%s has crashed", s->opts.id);
 }
 
+int
+Lab_Server_CountRuns(const struct lab_server *s)
+{
+    return (int)g_list_length(s->runs);
+}
+
 const struct lab_server_opts *
 Lab_Server_Opts(const struct lab_server *s)
 {
