Let a stopping instance start only what can finish before its end

Cause: what was left of the grace period was held against one of two constants, 5.5 s for routes that generate and 1.8 s for all others. Neither is a property of the request.

Fix: each instance keeps the times of the last 64 requests that ended, by service and kind. While it stops, a request is sent to a server only if its own time limit, or the longest of these times and a margin, fits what is left. Otherwise it gets a 503 at once, which is true and leaves its caller time for another instance. The same check stands before further tries, before a prompt is read and before a stream runs, and on queued streams with each tick. The event too_late_to_finish says what was held against what.

--- /dev/null
+++ b/src/decide/finish_time.c
@@ -0,0 +1,39 @@
+#include "decide/finish_time.h"
+
+#include <glib.h>
+
+#include "base/limits.h"
+
+/* Fewer times than this say little about the longest. */
+#define FW_FINISH_TIMES_MIN 8
+/* Margin above the longest time: a part of it, and a least one. */
+#define FW_MARGIN_DIVISOR 4
+#define FW_MARGIN_MIN_US (200 * FW_MSEC)
+
+void
+Fw_FinishTimes_Note(struct fw_finish_times *t, int64_t took_us)
+{
+    t->ms[t->n++ % FW_FINISH_TIMES_KEPT] =
+        (uint32_t)CLAMP(took_us / FW_MSEC, 0, G_MAXUINT32);
+}
+
+int64_t
+Fw_FinishTimes_BoundUs(const struct fw_finish_times *t)
+{
+    uint64_t n = MIN(t->n, FW_FINISH_TIMES_KEPT);
+    int64_t longest_us = 0;
+
+    if (n < FW_FINISH_TIMES_MIN) {
+        return FW_FINISH_UNKNOWN_US;
+    }
+    for (uint64_t i = 0; i < n; i++) {
+        longest_us = MAX(longest_us, (int64_t)t->ms[i] * FW_MSEC);
+    }
+    return longest_us + MAX(longest_us / FW_MARGIN_DIVISOR, FW_MARGIN_MIN_US);
+}
+
+int
+Fw_Finish_Fits(int64_t bound_us, int64_t limit_us, int64_t left_us)
+{
+    return MIN(bound_us, limit_us) <= left_us;
+}
--- /dev/null
+++ b/src/decide/finish_time.h
@@ -0,0 +1,43 @@
+/*
+ * How long the requests of one kind to one service take, as far as that
+ * decides whether another one can finish before this instance stops.
+ *
+ * A request that is cut at the stop has run at its server, and nobody has its
+ * response: one too many costs its caller the response, one too few a further
+ * connection. So the longest recent time counts, with a margin, and without
+ * enough of them only the request's own time limit.
+ */
+#ifndef FW_DECIDE_FINISH_TIME_H
+#define FW_DECIDE_FINISH_TIME_H
+
+#include <stdint.h>
+
+/* Latest requests whose times are kept. */
+#define FW_FINISH_TIMES_KEPT 64
+/* Bound of a kind of which too few times are known. */
+#define FW_FINISH_UNKNOWN_US INT64_MAX
+
+/**
+ * struct fw_finish_times - times of the latest requests; zeroed initially.
+ * @n: number of times noted so far
+ * @ms: ring of them, in milliseconds
+ */
+struct fw_finish_times {
+    uint64_t n;
+    uint32_t ms[FW_FINISH_TIMES_KEPT];
+};
+
+/* A request has taken this time, or at least this time if it timed out. */
+void
+Fw_FinishTimes_Note(struct fw_finish_times *t, int64_t took_us);
+/* Time in us that a further request is unlikely to exceed; see above. */
+int64_t
+Fw_FinishTimes_BoundUs(const struct fw_finish_times *t);
+/*
+ * Whether a request can finish within @left_us.
+ * @bound_us: of its kind; @limit_us: what is left of its own time limit
+ */
+int
+Fw_Finish_Fits(int64_t bound_us, int64_t limit_us, int64_t left_us);
+
+#endif
--- a/src/relay/call.c
+++ b/src/relay/call.c
@@ -240,6 +240,9 @@
     if (!Fw_Refusal_IsTrue(status, c->ran)) {
         status = 502;
     }
+    if (status == 504) {
+        Fw_Stopping_NoteEnd(r, c, now_us);
+    }
     Fw_Relay_CountRejection(r, reason);
     Fw_Ranks_Count(r, c, FW_RL_RANK_REJECTED);
     if (status == 502 || status == 504) {
@@ -248,7 +251,8 @@
     }
     else {
         r->relay_metrics.rejected.value++;
-        retry_us = bounded_retry_us(r, c, retry_us, now_us);
+        retry_us = c->is_too_late ? FW_RL_RETRY_ELSEWHERE_US
+                                  : bounded_retry_us(r, c, retry_us, now_us);
     }
     if (c->is_wait_known) {
         g_snprintf(wait, sizeof(wait), ",\"wait_ms\":%" G_GINT64_FORMAT,
@@ -314,6 +318,7 @@
 {
     if (whole) {
         Fw_Crashes_NoteSound(r, c, now_us);
+        Fw_Stopping_NoteEnd(r, c, now_us);
         Fw_Histogram_Add(&r->relay_metrics.total_s, now_us - c->opened_us);
     }
     else {
--- a/src/relay/calls.h
+++ b/src/relay/calls.h
@@ -19,6 +19,8 @@
 #define FW_RL_REUSE_US (60 * FW_SEC)
 /* A server that does not accept a connection in time is unreachable. */
 #define FW_RL_CONNECT_TIMEOUT_US (250 * FW_MSEC)
+/* Retry-After when another instance can serve the request now. */
+#define FW_RL_RETRY_ELSEWHERE_US (50 * FW_MSEC)
 /* Timeout for releasing a reservation or KV cache, which expire anyway. */
 #define FW_RL_RELEASE_TIMEOUT_US (1 * FW_SEC)
 
@@ -73,6 +75,7 @@
  * @counted_us: when it was counted as a request of its service, 0 if it is
  *     not
  * @sent_by_us: when its caller has sent it at the earliest, as counted then
+ * @is_too_late: this instance stops before a further try could finish
  * @retries_charged: retries of a plain request that the retry budget was
  *     charged for
  * @handovers: instances that it was handed over to
@@ -143,6 +146,7 @@
     int is_declined;
     int64_t counted_us;
     int64_t sent_by_us;
+    int is_too_late;
     int retries_charged;
     int handovers;
     int resumes;
@@ -311,6 +315,29 @@
 Fw_Starting_Resume(struct fw_relay *r, int64_t now_us,
                    struct fw_rl_actions *out);
 
+/* stopping.c */
+void
+Fw_Stopping_Init(struct fw_relay *r);
+void
+Fw_Stopping_Clear(struct fw_relay *r);
+/* @c has got a response as a whole, or has timed out. */
+void
+Fw_Stopping_NoteEnd(struct fw_relay *r, const struct fw_rl_call *c,
+                    int64_t now_us);
+/*
+ * Whether this instance stops before @c could finish if it was sent to a
+ * server now; it is logged then.
+ * @is_begun: it has been admitted before, and is about to be sent
+ */
+int
+Fw_Stopping_Rejects(struct fw_relay *r, struct fw_rl_call *c, int is_begun,
+                    int64_t now_us, struct fw_rl_actions *out);
+/* Return: nonzero if @c was rejected and freed, as the above holds. */
+int
+Fw_Stopping_RejectIfLate(struct fw_relay *r, struct fw_rl_call *c,
+                         int is_begun, int64_t now_us,
+                         struct fw_rl_actions *out);
+
 /* plain.c */
 void
 Fw_Plain_Send(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us,
--- a/src/relay/open.c
+++ b/src/relay/open.c
@@ -12,17 +12,8 @@
  */
 #define FW_RETRY_STARTING_US (150 * FW_MSEC)
 #define FW_STARTING_US (1 * FW_SEC)
-/*
- * Remaining grace period below which a draining instance rejects a request,
- * since it might not be able to complete it. 99 in 100 streams take no longer;
- * a plain request has its time limit.
- */
-#define FW_DRAIN_MIN_STREAM_US (5500 * FW_MSEC)
-#define FW_DRAIN_MIN_PLAIN_US (1800 * FW_MSEC)
 /* Time limit for routes that set none. */
 #define FW_DEFAULT_TIMEOUT_US (60 * FW_SEC)
-/* Retry-After when another instance can serve the request now. */
-#define FW_RETRY_ELSEWHERE_US (50 * FW_MSEC)
 /*
  * Age of the configuration above which callers' connections are closed after a
  * response, so that they reconnect to another instance before their keys are
@@ -145,7 +136,7 @@
         return FW_RETRY_STARTING_US;
     }
     return n_live * 2 < count || Fw_StoreSync_IsBehind(r, now_us)
-               ? FW_RETRY_ELSEWHERE_US
+               ? FW_RL_RETRY_ELSEWHERE_US
                : FW_RETRY_NO_CONFIG_US;
 }
 
@@ -227,21 +218,6 @@
     return charge_team(r, c, t, now_us, out);
 }
 
-/*
- * Requests still arrive at a draining instance until its load balancer has
- * noticed. Those that would not complete within the grace period are rejected,
- * since they would be cut off at its end.
- */
-static int
-must_reject_draining(const struct fw_relay *r, const struct fw_rl_call *c,
-                     int64_t now_us)
-{
-    int64_t left = r->drain_start_us + r->opts.grace_us - now_us;
-
-    return r->draining && left < (c->route->generates ? FW_DRAIN_MIN_STREAM_US
-                                                      : FW_DRAIN_MIN_PLAIN_US);
-}
-
 int
 Fw_Relay_NeedsEngines(const struct fw_relay *r, const struct fw_rl_call *c)
 {
@@ -378,14 +354,12 @@
     }
     Fw_Crashes_BindParts(c);
     set_deadline(c);
-    if (must_reject_draining(r, c, now_us)) {
-        Fw_Call_Reject(r, c, 503, FW_RETRY_ELSEWHERE_US, "stopping", now_us,
-                       out);
+    if (Fw_Stopping_RejectIfLate(r, c, 0, now_us, out)) {
         return;
     }
     if (Fw_Links_AreLostFor(r, c, now_us)) {
         if (c->info.is_handed_over) {
-            Fw_Call_Reject(r, c, 503, FW_RETRY_ELSEWHERE_US, "links_lost",
+            Fw_Call_Reject(r, c, 503, FW_RL_RETRY_ELSEWHERE_US, "links_lost",
                            now_us, out);
             return;
         }
@@ -440,7 +414,7 @@
             Fw_Call_Finish(r, c, 0, now_us, out);
         }
         else {
-            Fw_Call_Reject(r, c, 503, FW_RETRY_ELSEWHERE_US, "stopping",
+            Fw_Call_Reject(r, c, 503, FW_RL_RETRY_ELSEWHERE_US, "stopping",
                            now_us, out);
         }
     }
--- a/src/relay/plain.c
+++ b/src/relay/plain.c
@@ -197,7 +197,8 @@
     struct fw_rl_server *s;
 
     if (c->n_tried >= FW_RL_TRIED_MAX || now_us >= c->deadline_us ||
-        !Fw_Relay_MayServe(r, c, now_us)) {
+        !Fw_Relay_MayServe(r, c, now_us) ||
+        Fw_Stopping_Rejects(r, c, 1, now_us, out)) {
         return NULL;
     }
     s = Fw_Place_Plain(r, c, now_us);
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -56,6 +56,7 @@
     Fw_ServiceDemand_Init(r);
     Fw_Ranks_Init(r);
     Fw_PlainCalls_Init(r);
+    Fw_Stopping_Init(r);
     Fw_List_Init(&r->call_list);
     Fw_List_Init(&r->op_list);
     Fw_List_Init(&r->members);
@@ -92,6 +93,7 @@
     Fw_Ranks_Clear(r);
     Fw_ServiceDemand_Clear(r);
     Fw_PlainCalls_Clear(r);
+    Fw_Stopping_Clear(r);
     g_hash_table_destroy(r->calls);
     g_hash_table_destroy(r->ops);
     g_hash_table_destroy(r->allowances);
@@ -397,6 +399,9 @@
     if (!c->kv_tokens || c->state != FW_RL_QUEUED) {
         return;
     }
+    if (Fw_Stopping_RejectIfLate(r, c, 1, now_us, out)) {
+        return;
+    }
     if (now_us >= c->queue_until_us) {
         if (Fw_Handover_Rescue(r, c, "no_room", now_us, out)) {
             return;
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -12,6 +12,12 @@
 #include "decide/server_limit.h"
 #include "relay/types.h"
 
+/*
+ * Part of the grace period before its end that is reserved for answering the
+ * requests which are still open.
+ */
+#define FW_RL_ANSWER_MARGIN_US (400 * FW_MSEC)
+
 struct fw_relay;
 
 /** enum fw_rl_upstream_kind - operation requested of an upstream. */
--- /dev/null
+++ b/src/relay/stopping.c
@@ -0,0 +1,118 @@
+/*
+ * What an instance still starts after SIGTERM. Callers reach it until its load
+ * balancer has noticed, and on the connections that they have; what is open
+ * when the grace period ends is cut. So a request, or a further try of one, is
+ * only sent to a server if it can finish before. Others are rejected at once
+ * as not run, for another instance to serve.
+ */
+#include "base/hash.h"
+#include "relay/relay_internal.h"
+
+/**
+ * struct kind_times - the requests of one kind to one service.
+ * @whole: from their arrival to the end of the response
+ * @run: from when they were last sent to a server
+ */
+struct kind_times {
+    struct fw_finish_times whole;
+    struct fw_finish_times run;
+};
+
+void
+Fw_Stopping_Init(struct fw_relay *r)
+{
+    r->finish_times =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+}
+
+void
+Fw_Stopping_Clear(struct fw_relay *r)
+{
+    g_hash_table_destroy(r->finish_times);
+}
+
+static uint64_t
+kind_of(const struct fw_rl_call *c)
+{
+    int kind = (int)c->route->kind;
+
+    return Fw_Hash_Bytes(&kind, sizeof(kind), Fw_Hash_Str(c->service));
+}
+
+void
+Fw_Stopping_NoteEnd(struct fw_relay *r, const struct fw_rl_call *c,
+                    int64_t now_us)
+{
+    uint64_t kind = kind_of(c);
+    struct kind_times *t = g_hash_table_lookup(r->finish_times, &kind);
+
+    if (!c->service[0]) {
+        return;
+    }
+    if (!t) {
+        t = g_new0(struct kind_times, 1);
+        g_hash_table_insert(r->finish_times, Fw_Rows_NewKey(kind), t);
+    }
+    Fw_FinishTimes_Note(&t->whole, now_us - c->opened_us);
+    if (c->sent_us) {
+        Fw_FinishTimes_Note(&t->run, now_us - c->sent_us);
+    }
+}
+
+static int64_t
+bound_us(const struct fw_relay *r, const struct fw_rl_call *c, int is_begun)
+{
+    uint64_t kind = kind_of(c);
+    const struct kind_times *t = g_hash_table_lookup(r->finish_times, &kind);
+
+    if (!t) {
+        return FW_FINISH_UNKNOWN_US;
+    }
+    return Fw_FinishTimes_BoundUs(is_begun ? &t->run : &t->whole);
+}
+
+static int64_t
+bound_ms(int64_t us)
+{
+    return us == FW_FINISH_UNKNOWN_US ? -1 : Fw_Relay_UsToMs(us);
+}
+
+int
+Fw_Stopping_Rejects(struct fw_relay *r, struct fw_rl_call *c, int is_begun,
+                    int64_t now_us, struct fw_rl_actions *out)
+{
+    int64_t limit_us = c->deadline_us - now_us;
+    int64_t left_us =
+        r->drain_start_us + r->opts.grace_us - FW_RL_ANSWER_MARGIN_US - now_us;
+    int64_t needed_us;
+
+    if (!r->draining) {
+        return 0;
+    }
+    needed_us = bound_us(r, c, is_begun);
+    if (Fw_Finish_Fits(needed_us, limit_us, left_us)) {
+        return 0;
+    }
+    c->is_too_late = 1;
+    Fw_RelayActions_Log(
+        out, r, LOG_NOTICE, "too_late_to_finish",
+        "\"id\":\"%s\",\"service\":\"%s\",\"begun\":%d,"
+        "\"left_ms\":%" G_GINT64_FORMAT ",\"needed_ms\":%" G_GINT64_FORMAT
+        ",\"limit_ms\":%" G_GINT64_FORMAT,
+        c->info.id, c->service, is_begun, Fw_Relay_UsToMs(left_us),
+        bound_ms(needed_us), Fw_Relay_UsToMs(limit_us));
+    return 1;
+}
+
+int
+Fw_Stopping_RejectIfLate(struct fw_relay *r, struct fw_rl_call *c,
+                         int is_begun, int64_t now_us,
+                         struct fw_rl_actions *out)
+{
+    if (!Fw_Stopping_Rejects(r, c, is_begun, now_us, out)) {
+        return 0;
+    }
+    Fw_Call_Reject(r, c, 503, FW_RL_RETRY_ELSEWHERE_US, "stopping", now_us,
+                   out);
+    return 1;
+}
--- a/src/relay/stream.c
+++ b/src/relay/stream.c
@@ -327,7 +327,8 @@
     };
     char speed[FW_RL_SPEED_TEXT_MAX];
 
-    if (reject_if_stale(r, c, now_us, out)) {
+    if (reject_if_stale(r, c, now_us, out) ||
+        Fw_Stopping_RejectIfLate(r, c, 1, now_us, out)) {
         return;
     }
     if (c->server->is_evacuated) {
@@ -391,7 +392,8 @@
                           out); /* prefill at the decode engine */
         return;
     }
-    if (reject_if_stale(r, c, now_us, out)) {
+    if (reject_if_stale(r, c, now_us, out) ||
+        Fw_Stopping_RejectIfLate(r, c, 1, now_us, out)) {
         return;
     }
     up.team = c->team;
--- a/src/relayd/relayd.c
+++ b/src/relayd/relayd.c
@@ -15,11 +15,7 @@
  * second and sends connections until two checks have failed.
  */
 #define FW_DRAIN_MIN_US (2500 * FW_MSEC)
-/*
- * Parts of the grace period that are reserved for answering the requests which
- * are still open, and for exiting.
- */
-#define FW_ANSWER_MARGIN_US (400 * FW_MSEC)
+/* Part of the grace period that is reserved for exiting. */
 #define FW_EXIT_MARGIN_US (250 * FW_MSEC)
 /* A longer time between two ticks is logged. */
 #define FW_LOOP_STALL_US (500 * FW_MSEC)
@@ -266,7 +262,7 @@
         return;
     }
     Fw_Server_CloseIdle(d->caller_server);
-    if (past >= grace_us - FW_ANSWER_MARGIN_US) {
+    if (past >= grace_us - FW_RL_ANSWER_MARGIN_US) {
         answer_open_requests(d, now);
     }
     if (!is_busy(d) || past >= grace_us - FW_EXIT_MARGIN_US) {
--- a/tests/relay/script.c
+++ b/tests/relay/script.c
@@ -30,6 +30,9 @@
  *   open N PATH [key=K] [in=N] [out=N] [digest=N] [left_ms=N] [id=S]
  *     [handed-over]
  *                               a request of a caller, or of another instance
+ *   served COUNT PATH MS        so many requests without tokens are sent to a
+ *                               server and answered, each after that time;
+ *                               their actions are not printed
  *   gone N                      the caller disconnected
  *   begun X STATUS              the response to call X began
  *   answer X STATUS [name=S] [not-run] [moved] [busy] [orders=N] [stage=S]
@@ -65,6 +68,8 @@
 
 /* Age of the relay's process when a script begins. */
 #define FW_PROCESS_AGE_US (60 * FW_SEC)
+/* Ids of the requests of the command "served". */
+#define FW_SERVED_CALLS 100000
 
 static const char *const call_kind_names[] = {
     "run",    "prefill", "hold",  "drop-hold", "drop-kv",
@@ -195,6 +200,39 @@
                   &run->acts);
 }
 
+static void
+do_served(struct relay_script_run *run)
+{
+    struct fw_rl_request_info info = {.tokens_in = -1,
+                                      .tokens_out_max = -1,
+                                      .tokens_out_hint = -1,
+                                      .last_event_id = -1,
+                                      .host = "h",
+                                      .path = run->word[2],
+                                      .key = "ka"};
+    struct fw_rl_upstream_response ans = {
+        .status = 200, .limit_milli = FW_NO_LIMIT, .orders = -1};
+    int64_t end_us =
+        run->now_us + (int64_t)Fw_RelayScript_GetArg(run, 3) * FW_MSEC;
+    uint64_t first = run->r->last_xid + 1;
+    uint64_t n = Fw_RelayScript_GetArg(run, 1);
+
+    for (uint64_t i = 0; i < n; i++) {
+        g_autofree char *id = g_strdup_printf("served-%d", (int)i);
+
+        info.id = id;
+        Fw_Relay_Open(run->r, FW_SERVED_CALLS + i, &info, run->now_us,
+                      &run->acts);
+    }
+    ck_assert_uint_eq(run->r->last_xid, first + n - 1);
+    for (uint64_t xid = first; xid < first + n; xid++) {
+        Fw_Relay_ResponseHead(run->r, xid, &ans, end_us, &run->acts);
+        Fw_Relay_ResponseBegan(run->r, xid, &ans, end_us, &run->acts);
+        Fw_Relay_ResponseEnded(run->r, xid, &ans, end_us, &run->acts);
+    }
+    g_array_set_size(run->acts.all, 0);
+}
+
 static struct fw_rl_upstream_response
 answer_of(const struct relay_script_run *run)
 {
@@ -410,6 +448,7 @@
     {"spent", Fw_RelayScript_DoSpent},
     {"lead", Fw_RelayScript_DoLead},
     {"open", do_open},
+    {"served", do_served},
     {"gone", do_gone},
     {"begun", do_begun},
     {"answer", do_answer},
