Keep quarantines in the store, so that they outlast all instances

Cause: what is in quarantine was kept by the instances only. One that starts asks the others, which knew nothing when all had been killed.

Fix: the instance that polls the store first writes a record for each quarantine and each release, in the topic that every instance reads at its start. Times decide between the two, so that an append which is executed late changes nothing. An instance whose peers have started as well is not ready before it has read the records, for a second at most; requests that arrive meanwhile wait for them as for the configuration. Records that are old or can't be read say nothing.

The first script of test_starting now also expects that requests wait for the records: the line "registered" stands before what it expected so far.

--- a/src/relay/crash_query.c
+++ b/src/relay/crash_query.c
@@ -1,8 +1,8 @@
 /*
- * What an instance that starts asks others about crashes: what is in
- * quarantine is kept by the instances only, so that one that has started knows
- * nothing of it. It is not ready until one that knows has answered, or several
- * that have just started as well, or for a short time at most.
+ * What an instance that starts asks others about crashes, as it knows nothing
+ * of what is in quarantine. It is not ready until one that knows has answered,
+ * or several that have just started as well and the store's records were read
+ * (crash_store.c), or for a short time at most.
  */
 #include <errno.h>
 
@@ -30,7 +30,8 @@
 {
     int64_t age_us = now_us - r->start_us;
 
-    if (r->crashes.is_answered || age_us >= FW_STARTED_US) {
+    if (r->crashes.is_answered || age_us >= FW_STARTED_US ||
+        (r->crashes.nobody_knows && r->store_sync.members_known)) {
         return 1;
     }
     if (Fw_List_Empty(&r->members)) {
@@ -170,7 +171,8 @@
         return 0;
     }
     m->has_answered_crashes = 1;
-    r->crashes.is_answered |= knows || knows_nobody(r);
+    r->crashes.is_answered |= knows != 0;
+    r->crashes.nobody_knows |= knows_nobody(r);
     return 0;
 }
 
--- a/src/relay/crashes.c
+++ b/src/relay/crashes.c
@@ -43,12 +43,15 @@
 Fw_Crashes_Init(struct fw_relay *r)
 {
     Fw_Blame_Init(&r->crashes.blame);
+    r->crashes.stored =
+        g_array_new(FALSE, FALSE, sizeof(struct fw_rl_stored_key));
 }
 
 void
 Fw_Crashes_Clear(struct fw_relay *r)
 {
     Fw_Blame_Clear(&r->crashes.blame);
+    g_array_unref(r->crashes.stored);
 }
 
 void
@@ -399,9 +402,12 @@
         return;
     }
     Fw_RelayActions_Log(out, r, LOG_NOTICE, "crashes_known",
-                        "\"answered\":%d,\"quarantined\":%d,"
+                        "\"answered\":%d,\"quarantined\":%d,\"stored\":%d,"
                         "\"after_ms\":%" G_GINT64_FORMAT,
-                        r->crashes.is_answered, r->crashes.blame.n_quarantines,
+                        r->crashes.is_answered || r->crashes.nobody_knows,
+                        r->crashes.blame.n_quarantines,
+                        r->store_sync.members_known ? r->crashes.n_stored_read
+                                                    : -1,
                         Fw_Relay_UsToMs(now_us - r->start_us));
 }
 
--- a/src/relay/crashes.h
+++ b/src/relay/crashes.h
@@ -37,6 +37,19 @@
     struct fw_blame_key keys[FW_RL_PARTS_MAX + 1];
 };
 
+/**
+ * struct fw_rl_stored_key - what the store's records say about a key.
+ * @crash_us: its last crash, FW_NEVER_SOUND if there is no such record
+ * @released_us: it was cleared of all crashes until then, FW_NEVER_SOUND if
+ *     there is no such record
+ */
+struct fw_rl_stored_key {
+    uint64_t key;
+    int64_t crash_us;
+    int64_t released_us;
+    int n_crashes;
+};
+
 /**
  * struct fw_rl_crashes - see crashes.c.
  * @runs: ring of broken runs
@@ -47,8 +60,12 @@
  * @sent_us: when other instances were last sent anything
  * @asked_us: when others were last asked for what they know
  * @asking_since_us: when they were first asked, 0 for never
- * @is_answered: they have answered
+ * @is_answered: one that knows what is in quarantine has answered
+ * @nobody_knows: all that were asked have just started as well
  * @is_logged: the log says so
+ * @stored: struct fw_rl_stored_key, as last read from the store
+ * @is_stored_current: no other instance has written to the store since
+ * @n_stored_read: quarantines in the store as it was first read
  */
 struct fw_rl_crashes {
     struct fw_blame blame;
@@ -61,7 +78,11 @@
     int64_t asked_us;
     int64_t asking_since_us;
     int is_answered;
+    int nobody_knows;
     int is_logged;
+    GArray *stored;
+    int is_stored_current;
+    int n_stored_read;
 };
 
 /* crashes.c */
@@ -128,6 +149,11 @@
 Fw_CrashMessage_ReadQuarantines(struct fw_relay *r, const msgpack_object *rows,
                                 int64_t now_us);
 
+/* crash_store.c */
+/* All records were read: takes up what is in quarantine by them. */
+void
+Fw_CrashStore_EndList(struct fw_relay *r, int64_t now_us);
+
 /* crash_query.c */
 /*
  * Whether this instance knows what is in quarantine, as far as the others do:
--- a/src/relay/peers.h
+++ b/src/relay/peers.h
@@ -558,6 +558,9 @@
 /* Whether a member that sent a message recently has a newer configuration. */
 int
 Fw_StoreSync_IsBehind(const struct fw_relay *r, int64_t now_us);
+/* Whether this instance writes to the store for all that know the same. */
+int
+Fw_StoreSync_IsWriter(const struct fw_relay *r, int64_t now_us);
 /* Sends a query to an instance that reads the store, if one is due. */
 void
 Fw_StoreSync_SendQuery(struct fw_relay *r, int64_t now_us,
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -509,7 +509,52 @@
 void
 Fw_Relay_AddMember(struct fw_relay *r, const struct fw_rl_peer *peer,
                    int64_t now_us);
-/* All registered instances have been added with Fw_Relay_AddMember(). */
+/**
+ * enum fw_rl_crash_record_kind - what a record in the store says about a key,
+ * which stands for a request or a part of a prompt.
+ * @FW_RL_RECORD_CRASH: it has crashed servers
+ * @FW_RL_RECORD_RELEASE: it has crashed none until then
+ */
+enum fw_rl_crash_record_kind {
+    FW_RL_RECORD_CRASH,
+    FW_RL_RECORD_RELEASE
+};
+
+/**
+ * struct fw_rl_crash_record - a record in the store; see crash_store.c.
+ * @at_us: the last crash, or until when it was cleared of crashes
+ * @n_crashes: crashes that it is blamed for
+ * @is_deleted: the record is to be removed
+ */
+struct fw_rl_crash_record {
+    enum fw_rl_crash_record_kind kind;
+    uint64_t key;
+    int64_t at_us;
+    int n_crashes;
+    int is_deleted;
+};
+
+/*
+ * Forgets the records about crashes that were read before. It is followed by
+ * Fw_Relay_NoteCrashRecord() for each one and by Fw_Relay_EndMemberList().
+ */
+void
+Fw_Relay_BeginCrashRecords(struct fw_relay *r);
+void
+Fw_Relay_NoteCrashRecord(struct fw_relay *r,
+                         const struct fw_rl_crash_record *rec);
+/*
+ * The next record to append to the store. Return: nonzero if there is one, 0
+ * for none, or -EAGAIN if the records have to be read first. An appended
+ * record counts as written once it was read back.
+ */
+int
+Fw_Relay_DueCrashRecord(struct fw_relay *r, int64_t now_us,
+                        struct fw_rl_crash_record *out);
+/*
+ * All registered instances have been added with Fw_Relay_AddMember(), and all
+ * records about crashes were noted.
+ */
 void
 Fw_Relay_EndMemberList(struct fw_relay *r, int64_t now_us);
 /*
--- a/src/relay/starting.c
+++ b/src/relay/starting.c
@@ -1,16 +1,19 @@
 /*
  * Requests that arrive before an instance that has just started can serve
- * them. It has its configuration and its servers within some tens of
- * milliseconds; a request that was rejected meanwhile would return as its
- * caller's second attempt, which for most callers is the last one. When all
- * instances start at once, there is no other that could serve it.
+ * them. It has its configuration, its servers and what is in quarantine within
+ * some tens of milliseconds; a request that was rejected meanwhile would
+ * return as its caller's second attempt, which for most callers is the last
+ * one. When all instances start at once, there is no other that could serve
+ * it.
  */
 #include "relay/relay_internal.h"
 
 static int
 is_starting(const struct fw_relay *r, int64_t now_us)
 {
-    int can_serve = r->has_server_list && Fw_Relay_AreKeysFresh(r, now_us);
+    int can_serve =
+        r->has_server_list && Fw_Relay_AreKeysFresh(r, now_us) &&
+        (r->store_sync.members_known || Fw_CrashQuery_IsAnswered(r, now_us));
 
     return !r->draining && !can_serve &&
            now_us - r->start_us < r->opts.start_wait_us;
--- a/src/relay/store_sync.c
+++ b/src/relay/store_sync.c
@@ -72,12 +72,27 @@
            now_us - r->start_us < wait_us;
 }
 
-int
-Fw_Relay_ReadsStore(const struct fw_relay *r, int64_t now_us)
+/* Hubs that reach the store and poll it before this one does. */
+static int
+count_pollers_before(const struct fw_relay *r, int64_t now_us)
 {
     struct fw_list *pos;
-    int pollers_before = 0;
+    int n = 0;
+
+    FW_LIST_EACH (pos, &r->members) {
+        const struct fw_rl_member *m =
+            FW_LIST_ENTRY(pos, struct fw_rl_member, link);
+
+        n += m->last_digest_us &&
+             now_us - m->last_digest_us < FW_POLLER_SILENCE_US &&
+             !m->store_unreachable && m->hash < r->hash;
+    }
+    return n;
+}
 
+int
+Fw_Relay_ReadsStore(const struct fw_relay *r, int64_t now_us)
+{
     if (!r->rules || !r->has_server_list) {
         return !waits_after_start(r, now_us);
     }
@@ -87,15 +102,18 @@
     if (now_us - r->rules_fresh_us > FW_STORE_STALE_US) {
         return 1;
     }
-    FW_LIST_EACH (pos, &r->members) {
-        const struct fw_rl_member *m =
-            FW_LIST_ENTRY(pos, struct fw_rl_member, link);
+    return count_pollers_before(r, now_us) < FW_STORE_POLLERS;
+}
 
-        pollers_before += m->last_digest_us &&
-                          now_us - m->last_digest_us < FW_POLLER_SILENCE_US &&
-                          !m->store_unreachable && m->hash < r->hash;
+int
+Fw_StoreSync_IsWriter(const struct fw_relay *r, int64_t now_us)
+{
+    if (!r->rules || !r->store_sync.members_known ||
+        r->store_sync.store_lost) {
+        return 0;
     }
-    return pollers_before < FW_STORE_POLLERS;
+    return r->exchange.is_hub ? !count_pollers_before(r, now_us)
+                              : Fw_Relay_IsIsolated(r, now_us);
 }
 
 /*
@@ -201,6 +219,7 @@
 {
     int is_first = !r->store_sync.members_known;
 
+    Fw_CrashStore_EndList(r, now_us);
     r->store_sync.members_known = 1;
     Fw_Presence_NoteRead(r, now_us);
     Fw_Hubs_UpdateRoles(r, now_us);
--- a/src/relayd/store_apply.c
+++ b/src/relayd/store_apply.c
@@ -108,6 +108,24 @@
     g_array_unref(seen);
 }
 
+/* A deleted record says nothing; one that can't be read is left out. */
+static void
+apply_crash(struct fw_relayd *d, const struct fw_store_record *rec)
+{
+    struct fw_rl_crash_record crash;
+
+    if (!rec->value) {
+        return;
+    }
+    if (Fw_CrashRecord_Parse(rec, Fw_Conn_NowUs(), g_get_real_time(),
+                             &crash)) {
+        Fw_Logger_Log(LOG_WARNING, "quarantine_unreadable", "key", rec->key,
+                      NULL);
+        return;
+    }
+    Fw_Relay_NoteCrashRecord(d->relay, &crash);
+}
+
 static int
 is_own_registration(const struct fw_relayd *d, const struct fw_rl_peer *peer)
 {
@@ -154,6 +172,9 @@
         if (Fw_Presence_Publisher(rec->key)) {
             apply_presence(d, rec, Fw_Presence_Publisher(rec->key));
         }
+        else if (Fw_CrashRecord_IsKey(rec->key)) {
+            apply_crash(d, rec);
+        }
         else {
             apply_instance(d, rec);
         }
--- a/src/relayd/store_client.c
+++ b/src/relayd/store_client.c
@@ -7,6 +7,7 @@
 
 #include "http/conn.h"
 #include "io/json.h"
+#include "io/logger.h"
 #include "relayd/store_internal.h"
 
 /* Timeout of a request to the store, without the wait of a read. */
@@ -214,26 +215,64 @@
     }
 }
 
-/* Appends a record of the instances seen here, if one is due. */
 static void
+append_instance_record(struct fw_topic_client *tc, char *value)
+{
+    tc->append_value = value;
+    tc->op = FW_STORE_OP_APPEND;
+    tc->next_request_us = 0;
+}
+
+/* Return: nonzero if a record of the instances seen here is appended. */
+static int
 publish_presence(struct fw_store_client *s, int64_t now_us)
+{
+    GArray *seen = Fw_Relay_TakePresence(s->d->relay, now_us);
+
+    if (!seen) {
+        return 0;
+    }
+    Fw_Presence_Key(s->d->opts.relay.name, s->instances.append_key,
+                    sizeof(s->instances.append_key));
+    append_instance_record(&s->instances, Fw_Presence_ToJson(seen));
+    g_array_unref(seen);
+    return 1;
+}
+
+/* Appends a record about crashes if one is due, or reads them first. */
+static void
+publish_crashes(struct fw_store_client *s, int64_t now_us)
+{
+    struct fw_topic_client *tc = &s->instances;
+    struct fw_rl_crash_record rec;
+    int rc = Fw_Relay_DueCrashRecord(s->d->relay, now_us, &rec);
+
+    if (rc == -EAGAIN) {
+        tc->snapshot_end = 0;
+        tc->next_request_us = 0;
+    }
+    else if (rc > 0) {
+        Fw_CrashRecord_Key(&rec, tc->append_key, sizeof(tc->append_key));
+        append_instance_record(
+            tc, Fw_CrashRecord_Value(&rec, now_us, g_get_real_time()));
+        Fw_Logger_Log(LOG_NOTICE, "quarantine_stored", "record",
+                      tc->append_key, "deleted", rec.is_deleted ? "1" : "0",
+                      NULL);
+    }
+}
+
+/* Appends a record to the topic of the registrations, if one is due. */
+static void
+publish(struct fw_store_client *s, int64_t now_us)
 {
     struct fw_topic_client *tc = &s->instances;
-    GArray *seen;
 
     if (tc->exchange || tc->append_value || !tc->snapshot_end || tc->paging) {
         return;
     }
-    seen = Fw_Relay_TakePresence(s->d->relay, now_us);
-    if (!seen) {
-        return;
+    if (!publish_presence(s, now_us)) {
+        publish_crashes(s, now_us);
     }
-    tc->append_value = Fw_Presence_ToJson(seen);
-    Fw_Presence_Key(s->d->opts.relay.name, tc->append_key,
-                    sizeof(tc->append_key));
-    tc->op = FW_STORE_OP_APPEND;
-    tc->next_request_us = 0;
-    g_array_unref(seen);
 }
 
 void
@@ -244,7 +283,7 @@
     s->servers.interval_us = s->d->opts.servers_interval_us;
     tick_topic(&s->config, now_us);
     tick_topic(&s->servers, now_us);
-    publish_presence(s, now_us);
+    publish(s, now_us);
     if (s->instances.append_value || s->instances.snapshot_end == 0 ||
         s->instances.exchange || Fw_Relay_IsIsolated(s->d->relay, now_us) ||
         Fw_Relay_WatchesPresence(s->d->relay)) {
--- a/src/relayd/store_internal.h
+++ b/src/relayd/store_internal.h
@@ -126,6 +126,24 @@
 GArray *
 Fw_Presence_Parse(const void *data, size_t len);
 
+/*
+ * crash_record.c: records about crashes, in the topic of the registrations.
+ * @now_us: the time of the core; @wall_us: the same by the calendar
+ */
+int
+Fw_CrashRecord_IsKey(const char *key);
+void
+Fw_CrashRecord_Key(const struct fw_rl_crash_record *rec, char *key,
+                   size_t size);
+/* Value of the record, which the caller frees; empty if it is deleted. */
+char *
+Fw_CrashRecord_Value(const struct fw_rl_crash_record *rec, int64_t now_us,
+                     int64_t wall_us);
+/* Return: 0, or -EBADMSG if @rec can't be read. */
+int
+Fw_CrashRecord_Parse(const struct fw_store_record *rec, int64_t now_us,
+                     int64_t wall_us, struct fw_rl_crash_record *out);
+
 /* store_response.c */
 /* Handles the response in @tc->status and @tc->body. */
 void
--- a/src/relayd/store_response.c
+++ b/src/relayd/store_response.c
@@ -103,6 +103,9 @@
         else if (tc->topic == FW_TOPIC_CONFIG) {
             Fw_Relay_BeginEvacuationList(d->relay);
         }
+        else if (tc->topic == FW_TOPIC_INSTANCES) {
+            Fw_Relay_BeginCrashRecords(d->relay);
+        }
     }
     Fw_StoreClient_ApplyRecords(tc->store->d, tc->topic, tc->snapshot,
                                 response, acts);
--- a/tests/relay/test_starting.c
+++ b/tests/relay/test_starting.c
@@ -16,6 +16,8 @@
              "tick\n"
              "list\n"
              "tick\n"
+             "registered\n"
+             "tick\n"
              "  ask 1 run s1 for 1 team=a left=9960\n"
              "  refuse 2 401 unknown_key ran=no\n"
              "open 3 /read/x key=ka\n"
