Take a status that has not three digits for no answer

What callers saw: nothing yet.

Cause: the parser library reads the digits of a status without counting them.

Fix: the form of the status line is checked with the rest of the head.

--- a/src/http/head.c
+++ b/src/http/head.c
@@ -7,6 +7,7 @@
 
 /* Most digits of a Content-Length; can't overflow 64 bits. */
 #define FW_LENGTH_DIGITS_MAX 18
+#define FW_STATUS_DIGITS 3
 
 static int
 is_token(unsigned char c)
@@ -314,6 +315,23 @@
     return 0;
 }
 
+/* The parser takes any number of digits for a status, which has three. */
+static int
+status_line_is_valid(const char *raw)
+{
+    const char *p = raw + strlen("HTTP/1.1");
+
+    if (*p++ != ' ') {
+        return 0;
+    }
+    for (int i = 0; i < FW_STATUS_DIGITS; i++) {
+        if (!g_ascii_isdigit(*p++)) {
+            return 0;
+        }
+    }
+    return *p == ' ' || *p == '\r';
+}
+
 /*
  * http_parser is more lenient than this interface: the checks before and after
  * it reject the rest.
@@ -341,7 +359,10 @@
     h->minor = p.http_minor;
     if (type == FW_HTTP_RESPONSE) {
         h->status = p.status_code;
-        return h->status >= 100 && h->status <= 599 ? 0 : -EBADMSG;
+        return h->status >= 100 && h->status <= 599 &&
+                       status_line_is_valid(h->raw)
+                   ? 0
+                   : -EBADMSG;
     }
     return check_request(h);
 }
--- a/tests/http/test_client.c
+++ b/tests/http/test_client.c
@@ -119,6 +119,8 @@
     {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n-2\r\nok\r\n", 0,
      NULL, -EBADMSG},
     {"rubbish that is no answer\r\n\r\n", 0, NULL, -EBADMSG},
+    {"HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\nok", 0, NULL, -EBADMSG},
+    {"HTTP/1.1 0200 OK\r\nContent-Length: 2\r\n\r\nok", 0, NULL, -EBADMSG},
     {"HTTP/1.1 200 OK\r\nRequest-Id: other\r\nContent-Length: 3\r\n\r\nbad", 1,
      NULL, -EPIPE},
     {"", 1, NULL, -EPIPE},
