Report a reset that a send has met at the end of the connection

Cause: send_at_once() dropped the error of a failed send. The kernel reports a reset once, to that send; the read after the last data then finds an ordinary end, which ends a response without a length.

Fix: the error of a send is kept, and the read that finds the end reports it.

--- a/src/http/conn.c
+++ b/src/http/conn.c
@@ -72,6 +72,7 @@
  * @wait: pause of reading until @account may hold more
  * @charged_conn, @charged_in, @charged_out: charges
  * @is_prepaid: see Fw_Conn_SetPrepaid
+ * @send_err: error of a send that no callback has reported, 0 for none
  * @sent_total: bytes that the kernel has accepted on this connection
  * @sent_tags: see Fw_Conn_SentTags
  * @shutdown_pending: shut down the sending side when @out is empty
@@ -97,6 +98,7 @@
     size_t charged_in;
     size_t charged_out;
     int is_prepaid;
+    int send_err;
     uint64_t sent_total;
     struct fw_sent_tags sent_tags;
     int connected;
@@ -295,16 +297,22 @@
     return rc;
 }
 
-/* Sends from @data. Return: as io_result; *@sent bytes were accepted. */
+/*
+ * Sends from @data. Return: as io_result; *@sent bytes were accepted. The
+ * kernel reports a reset once: to the send if that comes first, so that the
+ * read after the last data finds an ordinary end. The error is kept for it.
+ */
 static int
 send_some(struct fw_conn *c, const char *data, size_t len, size_t *sent)
 {
     GError *error = NULL;
     gssize n = g_socket_send(c->sock, data, len, NULL, &error);
+    int rc = io_result(error);
 
     *sent = n > 0 ? (size_t)n : 0;
     c->sent_total += *sent;
-    return io_result(error);
+    c->send_err = c->send_err ? c->send_err : MIN(rc, 0);
+    return rc;
 }
 
 static int
@@ -383,7 +391,7 @@
                          &error);
     rc = io_result(error);
     if (rc < 0 || (rc > 0 && n == 0)) {
-        close_conn(c, rc < 0 ? rc : 0);
+        close_conn(c, rc < 0 ? rc : c->send_err);
         return;
     }
     if (rc > 0) {
@@ -558,8 +566,8 @@
 
 /*
  * Sends immediately what the socket buffer takes, usually all of it. Return:
- * bytes sent; all of them on an error, which the next read reports, as no
- * callback is made from here.
+ * bytes sent; all of them on an error, which the read that finds the end of
+ * the connection reports, as no callback is made from here.
  */
 static size_t
 send_at_once(struct fw_conn *c, const char *data, size_t len)
