Let a close end no response before the request was sent whole

What callers saw: with uploads to servers that answer at once with a 200 without a length, send a part and close, 8 to 10 of 66 callers got the part as a complete answer.

Cause: the end of the connection ended such a response also while the request was still being sent, where nothing tells a server that broke off from one that means its answer to end there.

Fix: it counts as a broken connection then.

Evidence: a_close_before_the_request_was_sent_ends_no_response ended well on and fails with EPIPE now.

--- a/src/http/client.c
+++ b/src/http/client.c
@@ -278,13 +278,25 @@
     }
 }
 
+/*
+ * Whether the connection's end is that of the response. An upstream that
+ * closes before it was sent the whole request can't be told from one that
+ * broke off in the middle of its response.
+ */
+static int
+ends_response(const struct fw_exchange *x)
+{
+    return x->head_read && !x->discarding &&
+           Fw_Http_BodyEndsAtClose(&x->body_decoder) &&
+           !Fw_Conn_Unsent(x->conn);
+}
+
 static void
 on_closed(void *ctx, int err)
 {
     struct fw_exchange *x = ctx;
 
-    if (!err && x->head_read && !x->discarding &&
-        Fw_Http_BodyEndsAtClose(&x->body_decoder)) {
+    if (!err && ends_response(x)) {
         x->reusable = 0;
         exchange_end(x);
         return;
--- a/tests/http/test_broken_upload.c
+++ b/tests/http/test_broken_upload.c
@@ -136,6 +136,24 @@
     g_string_free(head, TRUE);
 }
 
+/* Guards against a part that counts as whole as its upstream just closes. */
+START_TEST(a_close_before_the_request_was_sent_ends_no_response)
+{
+    struct fw_conn_pool *p = Fw_ConnPool_New();
+    struct rig_server *s = Fw_RigServer_New();
+    struct outcome o;
+
+    start_upload(p, s, &o);
+    Fw_RigConn_Send(Fw_RigServer_Conn(s, 0), FW_PART, -1);
+    g_socket_shutdown(Fw_RigServer_Conn(s, 0)->sock, FALSE, TRUE, NULL);
+    Fw_Rig_RunUntil(is_over, &o);
+    ck_assert_int_eq(o.err, -EPIPE);
+    g_string_free(o.data, TRUE);
+    Fw_ConnPool_Free(p);
+    Fw_RigServer_Free(s);
+}
+END_TEST
+
 /* Guards against the loss of an answer that came early and has a length. */
 START_TEST(an_early_response_with_a_length_is_whole)
 {
@@ -162,6 +180,7 @@
     TCase *tc = Fw_Suite_New("broken uploads");
 
     tcase_add_test(tc, a_reset_that_a_send_has_met_is_reported);
+    tcase_add_test(tc, a_close_before_the_request_was_sent_ends_no_response);
     tcase_add_test(tc, an_early_response_with_a_length_is_whole);
     return Fw_Suite_Run(tc);
 }
