Give up an overdue request to the store for newer records of others

The store answers some instances and not others for some seconds, while configurations come in quick succession; 44 of 78 instances are up to 3.9 s behind.

Cause: an instance has one request for a topic in flight. The hubs of two failure domains had taken to reading the store themselves; their requests were not answered and timed out after 1.2 s and the wait of the read. Meanwhile other hubs had read the store and told them so, and their leaves waited too.

Fix: a request to the store that takes 250 ms beyond its wait is given up if another instance is known to have newer records, which are taken from there. While nobody has, it goes on as before, and times out as before.

--- a/src/relayd/store_client.c
+++ b/src/relayd/store_client.c
@@ -14,6 +14,11 @@
 #define FW_STORE_TIMEOUT_US (1200 * FW_MSEC)
 /* Longest idle time of a connection that is reused. */
 #define FW_STORE_REUSE_US (10 * FW_SEC)
+/*
+ * A request to the store that takes longer than this, without the wait of a
+ * read, is given up for an instance that has newer records.
+ */
+#define FW_STORE_OVERDUE_US (250 * FW_MSEC)
 /* Shorter than FW_STORE_TIMEOUT_US, to leave time for the response. */
 #define FW_STORE_CONNECT_US (400 * FW_MSEC)
 
@@ -170,6 +175,24 @@
     }
 }
 
+/* Whether another instance has newer records; its address is set then. */
+static int
+take_source(struct fw_topic_client *tc)
+{
+    struct fw_relay *r = tc->store->d->relay;
+
+    switch (tc->topic) {
+    case FW_TOPIC_CONFIG:
+        return Fw_Relay_TakeRulesSource(r, tc->peer_addr);
+    case FW_TOPIC_SERVERS:
+        return Fw_Relay_TakeServerListSource(r, tc->peer_addr);
+    case FW_TOPIC_INSTANCES:
+    case FW_TOPIC_LEADER:
+        break;
+    }
+    return 0;
+}
+
 /*
  * Nonzero when a request for the topic is due. Most instances get the
  * configuration and the server registrations from another instance;
@@ -187,11 +210,8 @@
     }
     switch (tc->topic) {
     case FW_TOPIC_CONFIG:
-        return forced || Fw_Relay_TakeRulesSource(r, tc->peer_addr) ||
-               Fw_Relay_ReadsStore(r, now);
     case FW_TOPIC_SERVERS:
-        return forced || Fw_Relay_TakeServerListSource(r, tc->peer_addr) ||
-               Fw_Relay_ReadsStore(r, now);
+        return forced || take_source(tc) || Fw_Relay_ReadsStore(r, now);
     case FW_TOPIC_LEADER:
         return tc->append_value != NULL;
     case FW_TOPIC_INSTANCES:
@@ -200,9 +220,32 @@
     return 1;
 }
 
+/*
+ * The store may answer others while it does not answer this instance. What
+ * they have read then must not wait until its own request has timed out.
+ */
+static void
+give_up_overdue(struct fw_topic_client *tc, int64_t now)
+{
+    int64_t overdue_us =
+        tc->deadline_us - FW_STORE_TIMEOUT_US + FW_STORE_OVERDUE_US;
+
+    if (!tc->exchange || tc->peer_addr[0] || tc->paging || now < overdue_us ||
+        !take_source(tc)) {
+        return;
+    }
+    Fw_Exchange_Abort(tc->exchange);
+    tc->exchange = NULL;
+    Fw_StoreClient_CountRequest(tc, FW_STORE_OUTCOME_LOST);
+    Fw_Logger_Log(LOG_NOTICE, "store_overdue", "topic",
+                  Fw_TopicClient_Label(tc), "from", tc->peer_addr, NULL);
+    send_request(tc, now);
+}
+
 static void
 tick_topic(struct fw_topic_client *tc, int64_t now)
 {
+    give_up_overdue(tc, now);
     if (tc->exchange && now >= tc->deadline_us) {
         Fw_Exchange_Abort(tc->exchange);
         tc->exchange = NULL;
--- a/src/relayd/store_internal.h
+++ b/src/relayd/store_internal.h
@@ -148,6 +148,9 @@
 /* Handles the response in @tc->status and @tc->body. */
 void
 Fw_TopicClient_OnResponse(struct fw_topic_client *tc);
+/* Name of the topic, for the log. */
+const char *
+Fw_TopicClient_Label(const struct fw_topic_client *tc);
 /* Frees the body of the response. */
 void
 Fw_TopicClient_DropBody(struct fw_topic_client *tc);
--- a/src/relayd/store_response.c
+++ b/src/relayd/store_response.c
@@ -42,6 +42,12 @@
                                            [FW_TOPIC_INSTANCES] = "instances",
                                            [FW_TOPIC_LEADER] = "role"};
 
+const char *
+Fw_TopicClient_Label(const struct fw_topic_client *tc)
+{
+    return topic_labels[tc->topic];
+}
+
 static void
 handle_failure(struct fw_topic_client *tc, enum fw_store_outcome outcome,
                const char *why)
