Keep deletions in order as they are handed on from instance to instance

Cause: instances that do not poll the store get the records since an offset from others. Deletions were sent from the newest to the oldest and kept as they came, while the next instance's request is cut off at the first one that is too old: deletions behind it were left out, with an end offset behind them.

Fix: deletions are kept by offset, once each, and sent from the oldest on.

--- a/src/relayd/peer_snapshot.c
+++ b/src/relayd/peer_snapshot.c
@@ -35,7 +35,7 @@
 /**
  * struct fw_peer_snapshot - records of a topic.
  * @newest: key to struct snapshot_record
- * @deletions: of struct deletion, in order
+ * @deletions: of struct deletion, by offset
  * @deletions_since: offset from which on all deletions are in @deletions
  * @complete: encoded with all records, NULL if records changed since
  */
@@ -99,14 +99,41 @@
     return g_hash_table_contains(s->newest, key);
 }
 
+/* The last deletion before @offset, NULL if there is none. */
+static GList *
+last_before(const struct fw_peer_snapshot *s, uint64_t offset)
+{
+    GList *l = s->deletions.tail;
+
+    while (l && ((struct deletion *)l->data)->offset >= offset) {
+        l = l->prev;
+    }
+    return l;
+}
+
+/*
+ * Keeps the deletions in order, whatever order they come in: what others ask
+ * for from an offset on is cut off there.
+ */
 static void
 note_deletion(struct fw_peer_snapshot *s, const struct fw_store_record *rec)
 {
-    struct deletion *d = g_new(struct deletion, 1);
+    GList *before = last_before(s, rec->offset);
+    const GList *next = before ? before->next : s->deletions.head;
+    struct deletion *d;
 
+    if (next && ((struct deletion *)next->data)->offset == rec->offset) {
+        return;
+    }
+    d = g_new(struct deletion, 1);
     d->offset = rec->offset;
     g_strlcpy(d->key, rec->key, sizeof(d->key));
-    g_queue_push_tail(&s->deletions, d);
+    if (before) {
+        g_queue_insert_after(&s->deletions, before, d);
+    }
+    else {
+        g_queue_push_head(&s->deletions, d);
+    }
     if (g_queue_get_length(&s->deletions) > FW_DELETIONS_MAX) {
         d = g_queue_pop_head(&s->deletions);
         s->deletions_since = d->offset + 1;
@@ -148,19 +175,20 @@
     msgpack_pack_bin_body(pk, data, len);
 }
 
-/* Packs the deletions from @since on. Return: their number. */
+/*
+ * Packs the deletions from @since on, in order, which versions before rely on.
+ * Return: their number.
+ */
 static size_t
 pack_deletions(const struct fw_peer_snapshot *s, uint64_t since,
                msgpack_packer *pk)
 {
+    const GList *l = last_before(s, since);
     size_t n = 0;
 
-    for (GList *l = s->deletions.tail; l; l = l->prev) {
+    for (l = l ? l->next : s->deletions.head; l; l = l->next) {
         const struct deletion *d = l->data;
 
-        if (d->offset < since) {
-            break;
-        }
         n++;
         pack_record(pk, d->offset, d->key, NULL, 0);
     }
--- a/tests/relayd/test_peer_snapshot.c
+++ b/tests/relayd/test_peer_snapshot.c
@@ -132,6 +132,103 @@
 }
 END_TEST
 
+/* Takes up what @from has from @since on, as the instance that has @to. */
+static void
+hand_on(struct fw_peer_snapshot *from, uint64_t since, uint64_t end,
+        struct fw_peer_snapshot *to)
+{
+    GByteArray *body = g_byte_array_new();
+    struct fw_store_response got;
+    uint64_t from_offset;
+
+    Fw_PeerSnapshot_Encode(from, since, end, body);
+    ck_assert_int_eq(
+        Fw_PeerSnapshot_Decode(body->data, body->len, &from_offset, &got), 0);
+    ck_assert_uint_eq(from_offset, since);
+    for (guint i = 0; i < got.records->len; i++) {
+        Fw_PeerSnapshot_Update(
+            to, &g_array_index(got.records, struct fw_store_record, i));
+    }
+    Fw_Platform_ClearStoreResponse(&got);
+    g_byte_array_unref(body);
+}
+
+static struct fw_peer_snapshot *
+new_with_servers(uint64_t end)
+{
+    struct fw_peer_snapshot *s = Fw_PeerSnapshot_New();
+    char key[2] = "a";
+
+    Fw_PeerSnapshot_Begin(s, end);
+    for (uint64_t offset = 1; offset < end; offset++) {
+        update(s, offset, key, "1");
+        key[0]++;
+    }
+    return s;
+}
+
+/* Guards against a removal that is lost on its way over two instances. */
+START_TEST(deletions_are_handed_on_whatever_order_they_came_in)
+{
+    /* Which deletions the second instance gets first, and what it hands on. */
+    static const uint64_t firsts[] = {10, 11, 12, 13};
+    struct fw_peer_snapshot *first = new_with_servers(10);
+    struct fw_peer_snapshot *second = new_with_servers(10);
+    struct fw_peer_snapshot *third = new_with_servers(10);
+
+    for (uint64_t offset = 10; offset < 14; offset++) {
+        char key[2] = {(char)('a' + offset - 10), 0};
+
+        update(first, offset, key, NULL);
+        if (offset < firsts[_i]) {
+            update(third, offset, key, NULL);
+        }
+    }
+    hand_on(first, 10, 14, second);
+    hand_on(second, firsts[_i], 14, third);
+    for (char key[2] = "a"; key[0] < 'e'; key[0]++) {
+        ck_assert_msg(!Fw_PeerSnapshot_Contains(third, key), "%s is left",
+                      key);
+    }
+    Fw_PeerSnapshot_Free(first);
+    Fw_PeerSnapshot_Free(second);
+    Fw_PeerSnapshot_Free(third);
+}
+END_TEST
+
+/* Guards against a removal that is dropped as it comes late, or twice. */
+START_TEST(deletions_that_come_late_or_twice_are_kept_in_order)
+{
+    struct fw_peer_snapshot *s = new_with_servers(10);
+    struct fw_peer_snapshot *other = new_with_servers(10);
+    GByteArray *body = g_byte_array_new();
+    struct fw_store_response got;
+    uint64_t since;
+
+    update(s, 13, "d", NULL);
+    update(s, 11, "b", NULL);
+    update(s, 12, "c", NULL);
+    update(s, 11, "b", NULL);
+    Fw_PeerSnapshot_Encode(s, 10, 14, body);
+    ck_assert_int_eq(
+        Fw_PeerSnapshot_Decode(body->data, body->len, &since, &got), 0);
+    ck_assert_uint_eq(got.records->len, 3);
+    for (guint i = 0; i < got.records->len; i++) {
+        ck_assert_uint_eq(
+            g_array_index(got.records, struct fw_store_record, i).offset,
+            11 + i);
+    }
+    hand_on(s, 12, 14, other);
+    ck_assert(Fw_PeerSnapshot_Contains(other, "b"));
+    ck_assert(!Fw_PeerSnapshot_Contains(other, "c"));
+    ck_assert(!Fw_PeerSnapshot_Contains(other, "d"));
+    Fw_Platform_ClearStoreResponse(&got);
+    g_byte_array_unref(body);
+    Fw_PeerSnapshot_Free(s);
+    Fw_PeerSnapshot_Free(other);
+}
+END_TEST
+
 /* Bodies that another version, or a program that is no instance, may send. */
 static const struct {
     const char *name;
@@ -233,6 +330,9 @@
 
     tcase_set_timeout(tc, 30);
     tcase_add_test(tc, the_newest_record_of_each_key_is_kept);
+    tcase_add_loop_test(
+        tc, deletions_are_handed_on_whatever_order_they_came_in, 0, 4);
+    tcase_add_test(tc, deletions_that_come_late_or_twice_are_kept_in_order);
     tcase_add_loop_test(tc, records_since_an_offset_are_sent, 0,
                         G_N_ELEMENTS(since_cases));
     tcase_add_loop_test(tc, malformed_snapshots_are_rejected, 0,
