Let a key that is no text hide no other record of the page

Cause: Fw_Json_Parse() refuses a document for one escaped NUL; bytes that are no UTF-8, and half a surrogate pair, failed it too. The page of the newest records is one document with the keys of all.

Fix: what is no character is marked before the page is parsed, and only items whose key has a mark are skipped, counted and logged.

--- a/src/io/json.c
+++ b/src/io/json.c
@@ -3,6 +3,9 @@
 #include <errno.h>
 #include <string.h>
 
+/* Length of an escaped code unit, as in "\\u0000". */
+#define FW_ESCAPE_BYTES 6
+
 /*
  * Returns the index of the closing quote of the string that opens at @i, at
  * least @len when it is not closed, or 0 when it has an escaped NUL.
@@ -68,6 +71,78 @@
     return root;
 }
 
+/* Return: code unit of the escape at @p, or -1 if there is none. */
+static int
+escaped_unit(const char *p, const char *end)
+{
+    int unit = 0;
+
+    if (end - p < FW_ESCAPE_BYTES || p[0] != '\\' || p[1] != 'u') {
+        return -1;
+    }
+    for (int i = 2; i < FW_ESCAPE_BYTES; i++) {
+        int digit = g_ascii_xdigit_value(p[i]);
+
+        if (digit < 0) {
+            return -1;
+        }
+        unit = unit * 16 + digit;
+    }
+    return unit;
+}
+
+/* Appends the escape at @p, marked if it can't be kept. Return: its bytes. */
+static size_t
+append_escape(GString *out, const char *p, const char *end)
+{
+    int unit = escaped_unit(p, end);
+    size_t n = unit < 0 ? (size_t)MIN(end - p, 2) : FW_ESCAPE_BYTES;
+    int is_high = unit >= 0xd800 && unit < 0xdc00;
+    int next = is_high ? escaped_unit(p + n, end) : -1;
+
+    if (is_high && next >= 0xdc00 && next < 0xe000) {
+        n += FW_ESCAPE_BYTES;
+    }
+    else if (unit == 0 || (unit >= 0xd800 && unit < 0xe000)) {
+        g_string_append(out, FW_JSON_DAMAGED);
+        return n;
+    }
+    g_string_append_len(out, p, (gssize)n);
+    return n;
+}
+
+/* Appends the character at @p, marked if it is none. Return: its bytes. */
+static size_t
+append_char(GString *out, const char *p, const char *end)
+{
+    gunichar c = g_utf8_get_char_validated(p, end - p);
+    size_t n = 1;
+
+    if (!*p || c == (gunichar)-1 || c == (gunichar)-2) {
+        g_string_append(out, FW_JSON_DAMAGED);
+        return n;
+    }
+    n = (size_t)(g_utf8_next_char(p) - p);
+    g_string_append_len(out, p, (gssize)n);
+    return n;
+}
+
+JsonNode *
+Fw_Json_ParseMarked(const char *data, size_t len)
+{
+    GString *marked = g_string_sized_new(len);
+    const char *end = data + len;
+    JsonNode *root;
+
+    for (const char *p = data; p && p < end;) {
+        p += *p == '\\' ? append_escape(marked, p, end)
+                        : append_char(marked, p, end);
+    }
+    root = Fw_Json_Parse(marked->str, marked->len);
+    g_string_free(marked, TRUE);
+    return root;
+}
+
 /* Returns the member, or NULL when it is missing or null. */
 static JsonNode *
 member(JsonObject *obj, const char *name)
--- a/src/io/json.h
+++ b/src/io/json.h
@@ -19,6 +19,17 @@
 JsonNode *
 Fw_Json_Parse(const char *data, size_t len);
 
+/* Stands for what a string has that is no character: U+FFFD. */
+#define FW_JSON_DAMAGED "\xef\xbf\xbd"
+
+/*
+ * As above for a document whose strings come from different writers: a NUL,
+ * half a surrogate pair, or bytes that are no UTF-8 are replaced by
+ * FW_JSON_DAMAGED, and the other strings are kept.
+ */
+JsonNode *
+Fw_Json_ParseMarked(const char *data, size_t len);
+
 /*
  * Read member @name. Return 0, -ENOENT when it is missing or null, or -EBADMSG
  * when it has another type or does not fit; @out is unchanged on -ENOENT.
--- a/tests/platform/test_store_records.c
+++ b/tests/platform/test_store_records.c
@@ -39,6 +39,16 @@
     {"[]", 1},
     {"7", 1},
     {"null", 1},
+    {"{\"Key\":\"i-\\u0000\\u0001\",\"Value\":\"eA==\",\"Offset\":2}", 1},
+    {"{\"Key\":\"k\",\"Value\":\"\\u0000\",\"Offset\":2}", 0},
+    {"{\"Key\":\"\\ud800\",\"Value\":\"eA==\",\"Offset\":2}", 1},
+    {"{\"Key\":\"\\udc00\\ud800\",\"Value\":\"eA==\",\"Offset\":2}", 1},
+    {"{\"Key\":\"\\ud83d\\ude00\",\"Value\":\"eA==\",\"Offset\":2}", 0},
+    {"{\"Key\":\"\xff\xfe\",\"Value\":\"eA==\",\"Offset\":2}", 1},
+    {"{\"Key\":\"k\xc3\",\"Value\":\"eA==\",\"Offset\":2}", 1},
+    {"{\"Key\":\"\xef\xbf\xbd\",\"Value\":\"eA==\",\"Offset\":2}", 1},
+    {"{\"Key\":\"\\\\u0000\",\"Value\":\"eA==\",\"Offset\":2}", 0},
+    {"{\"Key\":\"\\\"\\u0000\",\"Value\":\"eA==\",\"Offset\":2}", 1},
 };
 
 static void
@@ -106,6 +116,7 @@
     struct fw_store_response r;
 
     append_record(raw, with_null, 3, 3);
+    append_record(raw, "\xff\xfe", 2, 2);
     append_record(raw, key, (gsize)_i, (gsize)_i);
     append_record(raw, "short", 5, FW_KEY_BYTES_MAX);
     append_record(raw, "z", 1, 1);
@@ -115,8 +126,8 @@
     ck_assert_ptr_null(find(&r, "a"));
     ck_assert_ptr_nonnull(find(&r, key));
     ck_assert_ptr_nonnull(find(&r, "z"));
-    ck_assert_int_eq(r.n_skipped, 2);
-    ck_assert_uint_eq(r.next_offset, 5);
+    ck_assert_int_eq(r.n_skipped, 3);
+    ck_assert_uint_eq(r.next_offset, 6);
     Fw_Platform_ClearStoreResponse(&r);
     g_string_free(raw, TRUE);
 }
