--- a/src/decide/finish_time.c
+++ b/src/decide/finish_time.c
@@ -1,6 +1,8 @@
 #include "decide/finish_time.h"
 
 #include <glib.h>
+#include <stdlib.h>
+#include <string.h>
 
 #include "base/limits.h"
 
@@ -17,6 +19,29 @@
         (uint32_t)CLAMP(took_us / FW_MSEC, 0, G_MAXUINT32);
 }
 
+static int
+compare_ms(const void *a, const void *b)
+{
+    uint32_t x = *(const uint32_t *)a;
+    uint32_t y = *(const uint32_t *)b;
+
+    return (x > y) - (x < y);
+}
+
+int64_t
+Fw_FinishTimes_QuantileUs(const struct fw_finish_times *t, int permille)
+{
+    uint64_t n = MIN(t->n, FW_FINISH_TIMES_KEPT);
+    uint32_t sorted[FW_FINISH_TIMES_KEPT];
+
+    if (!n) {
+        return 0;
+    }
+    memcpy(sorted, t->ms, n * sizeof(sorted[0]));
+    qsort(sorted, n, sizeof(sorted[0]), compare_ms);
+    return (int64_t)sorted[(n - 1) * (uint64_t)permille / 1000] * FW_MSEC;
+}
+
 int64_t
 Fw_FinishTimes_BoundUs(const struct fw_finish_times *t)
 {
--- a/src/decide/finish_time.h
+++ b/src/decide/finish_time.h
@@ -30,6 +30,12 @@
 /* A request has taken this time, or at least this time if it timed out. */
 void
 Fw_FinishTimes_Note(struct fw_finish_times *t, int64_t took_us);
+/*
+ * Time in us that @permille of a thousand of them have not exceeded, 0 if none
+ * is known.
+ */
+int64_t
+Fw_FinishTimes_QuantileUs(const struct fw_finish_times *t, int permille);
 /* Time in us that a further request is unlikely to exceed; see above. */
 int64_t
 Fw_FinishTimes_BoundUs(const struct fw_finish_times *t);
--- a/src/relay/call.c
+++ b/src/relay/call.c
@@ -241,7 +241,7 @@
         status = 502;
     }
     if (status == 504) {
-        Fw_Stopping_NoteEnd(r, c, now_us);
+        Fw_KindTimes_NoteEnd(r, c, now_us);
     }
     Fw_Relay_CountRejection(r, reason);
     Fw_Ranks_Count(r, c, FW_RL_RANK_REJECTED);
@@ -318,7 +318,7 @@
 {
     if (whole) {
         Fw_Crashes_NoteSound(r, c, now_us);
-        Fw_Stopping_NoteEnd(r, c, now_us);
+        Fw_KindTimes_NoteEnd(r, c, now_us);
         Fw_Histogram_Add(&r->relay_metrics.total_s, now_us - c->opened_us);
     }
     else {
--- a/src/relay/calls.h
+++ b/src/relay/calls.h
@@ -2,6 +2,7 @@
 #ifndef FW_RELAY_CALLS_H
 #define FW_RELAY_CALLS_H
 
+#include "decide/finish_time.h"
 #include "decide/length.h"
 #include "relay/servers.h"
 #include "route/queue.h"
@@ -185,6 +186,8 @@
  * @server: the server called, NULL if another instance is
  * @instance: hash of the name of the instance called
  * @deadline_us: when it times out
+ * @overdue_us: when a second attempt is looked for, 0 for never
+ * @is_overdue: its server was found to be late
  * @n_running: requests of all instances at the server then
  * @had_free_slot: the server had a free slot when the call was sent
  * @had_idle_server: half of the server's slots were free then
@@ -199,6 +202,8 @@
     uint64_t instance;
     int64_t sent_us;
     int64_t deadline_us;
+    int64_t overdue_us;
+    int is_overdue;
     int n_running;
     int had_free_slot;
     int had_idle_server;
@@ -315,15 +320,32 @@
 Fw_Starting_Resume(struct fw_relay *r, int64_t now_us,
                    struct fw_rl_actions *out);
 
-/* stopping.c */
+/**
+ * struct fw_rl_kind_times - requests of one kind to one service.
+ * @whole: from their arrival to the end of the response
+ * @run: from when they were last sent to a server
+ * @begin: from then until the response began, if it was good
+ */
+struct fw_rl_kind_times {
+    struct fw_finish_times whole;
+    struct fw_finish_times run;
+    struct fw_finish_times begin;
+};
+
+/* kind_times.c */
 void
-Fw_Stopping_Init(struct fw_relay *r);
+Fw_KindTimes_Init(struct fw_relay *r);
 void
-Fw_Stopping_Clear(struct fw_relay *r);
+Fw_KindTimes_Clear(struct fw_relay *r);
+/* The times of requests like @c, NULL if none is known. */
+const struct fw_rl_kind_times *
+Fw_KindTimes_Find(const struct fw_relay *r, const struct fw_rl_call *c);
 /* @c has got a response as a whole, or has timed out. */
 void
-Fw_Stopping_NoteEnd(struct fw_relay *r, const struct fw_rl_call *c,
-                    int64_t now_us);
+Fw_KindTimes_NoteEnd(struct fw_relay *r, const struct fw_rl_call *c,
+                     int64_t now_us);
+
+/* stopping.c */
 /*
  * Whether this instance stops before @c could finish if it was sent to a
  * server now; it is logged then.
@@ -354,6 +376,13 @@
 void
 Fw_Plain_HandleRefusal(struct fw_relay *r, struct fw_rl_op *op, int64_t now_us,
                        struct fw_rl_actions *out);
+/*
+ * The server of @op, which may be tried elsewhere, has not begun to respond in
+ * time. Return: nonzero if the attempt is to be given up.
+ */
+int
+Fw_Plain_GivesUp(struct fw_relay *r, struct fw_rl_op *op, int64_t now_us,
+                 struct fw_rl_actions *out);
 void
 Fw_Plain_HandleFailure(struct fw_relay *r, struct fw_rl_op *op, int err,
                        int sent, int64_t now_us, struct fw_rl_actions *out);
--- a/src/relay/limits.h
+++ b/src/relay/limits.h
@@ -133,6 +133,10 @@
 void
 Fw_RetryBudget_TakeBack(struct fw_relay *r, const char *service,
                         int64_t counted_us, int retries, int64_t now_us);
+/* Whether the budget allows for @n retries now; charges nothing. */
+int
+Fw_RetryBudget_Allows(struct fw_relay *r, const struct fw_rl_call *c, int n,
+                      int64_t now_us);
 /*
  * Charges the service of @c for @n calls that reach its servers beyond the
  * first of a request. Return: nonzero if the budget allows them.
--- a/src/relay/plain.c
+++ b/src/relay/plain.c
@@ -8,13 +8,9 @@
 #include <string.h>
 
 #include "base/fault.h"
+#include "decide/second_attempt.h"
 #include "relay/relay_internal.h"
 
-/*
- * Timeout of an attempt that can be retried: three times the slowest usual
- * response, and before an objective of 300 ms has passed twice.
- */
-#define FW_ATTEMPT_TIMEOUT_US (350 * FW_MSEC)
 /* Retry-After when no server is available. */
 #define FW_RETRY_NO_SERVER_US (1 * FW_SEC)
 /*
@@ -109,6 +105,15 @@
     }
 }
 
+/* Times until responses to requests like @c begin, NULL if unknown. */
+static const struct fw_finish_times *
+begin_times(const struct fw_relay *r, const struct fw_rl_call *c)
+{
+    const struct fw_rl_kind_times *t = Fw_KindTimes_Find(r, c);
+
+    return t && t->begin.n ? &t->begin : NULL;
+}
+
 /* Starts an attempt at @s, which must not be NULL. */
 static void
 send_attempt(struct fw_relay *r, struct fw_rl_call *c, struct fw_rl_server *s,
@@ -125,14 +130,10 @@
         .reuse_us =
             is_retryable(c) ? FW_RL_REUSE_US : FW_RL_REUSE_NON_IDEMPOTENT_US,
     };
-    int64_t timeout_at_us = c->deadline_us;
     char speed[FW_RL_SPEED_TEXT_MAX];
     struct fw_rl_load load;
 
     Fw_Place_Load(r, s, now_us, &load);
-    if (is_retryable(c) && c->attempts + 1 < c->route->attempts) {
-        timeout_at_us = MIN(timeout_at_us, now_us + FW_ATTEMPT_TIMEOUT_US);
-    }
     c->server = Fw_Servers_Ref(s);
     c->server->running++;
     c->state = FW_RL_RUNNING;
@@ -142,7 +143,10 @@
         c->tried[c->n_tried++] = s->hash;
     }
     up.team = c->team;
-    op = Fw_Call_Upstream(r, c, s, &up, timeout_at_us, now_us, out);
+    op = Fw_Call_Upstream(r, c, s, &up, c->deadline_us, now_us, out);
+    if (is_retryable(c) && c->attempts < c->route->attempts) {
+        op->overdue_us = now_us + Fw_SecondAttempt_WaitUs(begin_times(r, c));
+    }
     op->had_free_slot = load.running < s->entry.slots;
     op->had_idle_server = load.running <= s->entry.slots / 2;
     op->n_running = load.running;
@@ -186,12 +190,11 @@
 }
 
 /*
- * Returns the server to retry @c at and charges the retry budget, or NULL if
- * it may not be retried. Overloaded servers get no retries, which would delay
- * the requests queued there.
+ * Returns a server to retry @c at, or NULL if there is none. Overloaded
+ * servers get no retries, which would delay the requests queued there.
  */
 static struct fw_rl_server *
-take_retry_server(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us,
+find_retry_server(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us,
                   struct fw_rl_actions *out)
 {
     struct fw_rl_server *s;
@@ -202,8 +205,20 @@
         return NULL;
     }
     s = Fw_Place_Plain(r, c, now_us);
-    if (!s || reason_to_reject(r, c, s, now_us) ||
-        !Fw_RetryBudget_Take(r, c, 1, now_us, out)) {
+    return s && !reason_to_reject(r, c, s, now_us) ? s : NULL;
+}
+
+/*
+ * Returns the server to retry @c at and charges the retry budget, or NULL if
+ * it may not be retried.
+ */
+static struct fw_rl_server *
+take_retry_server(struct fw_relay *r, struct fw_rl_call *c, int64_t now_us,
+                  struct fw_rl_actions *out)
+{
+    struct fw_rl_server *s = find_retry_server(r, c, now_us, out);
+
+    if (!s || !Fw_RetryBudget_Take(r, c, 1, now_us, out)) {
         return NULL;
     }
     c->retries_charged++;
@@ -249,6 +264,61 @@
                    FW_RETRY_NO_SERVER_US, reason, now_us, out);
 }
 
+/*
+ * A server that is late for what its requests usually take is avoided. It
+ * counts as one that this instance may not reach in any case.
+ */
+static void
+note_overdue(struct fw_relay *r, struct fw_rl_op *op, int is_unusual,
+             int64_t now_us)
+{
+    if (op->is_overdue) {
+        return;
+    }
+    op->is_overdue = 1;
+    Fw_Links_NoteFailure(r, op, 1, now_us);
+    if (is_unusual) {
+        Fw_Servers_NoteResponse(op->server, 1, now_us - op->sent_us);
+    }
+}
+
+/* Whether another server may be tried now, and is likely to answer. */
+static int
+has_second_attempt(struct fw_relay *r, struct fw_rl_op *op, int64_t now_us,
+                   struct fw_rl_actions *out)
+{
+    struct fw_rl_call *c = op->call;
+    const struct fw_rl_server *s;
+
+    if (!Fw_SecondAttempt_Fits(begin_times(r, c), now_us - op->sent_us,
+                               c->deadline_us - now_us) ||
+        !Fw_RetryBudget_Allows(r, c, 1, now_us)) {
+        return 0;
+    }
+    s = find_retry_server(r, c, now_us, out);
+    return s && s != op->server;
+}
+
+int
+Fw_Plain_GivesUp(struct fw_relay *r, struct fw_rl_op *op, int64_t now_us,
+                 struct fw_rl_actions *out)
+{
+    struct fw_rl_call *c = op->call;
+    const struct fw_finish_times *begin = begin_times(r, c);
+
+    if (c->is_forwarded) {
+        op->overdue_us = 0;
+        return 0;
+    }
+    note_overdue(r, op, begin != NULL, now_us);
+    if (has_second_attempt(r, op, now_us, out) ||
+        Fw_SecondAttempt_IsLost(begin, now_us - op->sent_us)) {
+        return 1;
+    }
+    op->overdue_us = now_us + Fw_SecondAttempt_WaitUs(begin);
+    return 0;
+}
+
 static int
 may_retry(const struct fw_rl_call *c)
 {
@@ -342,8 +412,10 @@
         Fw_Servers_NoteUnreachable(s, now_us);
     }
     else {
-        Fw_Servers_NoteResponse(
-            s, 1, err == -ETIMEDOUT ? FW_ATTEMPT_TIMEOUT_US : -1);
+        if (!op->is_overdue) {
+            Fw_Servers_NoteResponse(
+                s, 1, err == -ETIMEDOUT ? now_us - op->sent_us : -1);
+        }
         if (err != -ETIMEDOUT) {
             Fw_Crashes_NoteDisconnect(r, c, s, now_us, out);
         }
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -56,7 +56,7 @@
     Fw_ServiceDemand_Init(r);
     Fw_Ranks_Init(r);
     Fw_PlainCalls_Init(r);
-    Fw_Stopping_Init(r);
+    Fw_KindTimes_Init(r);
     Fw_List_Init(&r->call_list);
     Fw_List_Init(&r->op_list);
     Fw_List_Init(&r->members);
@@ -93,7 +93,7 @@
     Fw_Ranks_Clear(r);
     Fw_ServiceDemand_Clear(r);
     Fw_PlainCalls_Clear(r);
-    Fw_Stopping_Clear(r);
+    Fw_KindTimes_Clear(r);
     g_hash_table_destroy(r->calls);
     g_hash_table_destroy(r->ops);
     g_hash_table_destroy(r->allowances);
@@ -348,6 +348,19 @@
     Fw_Crashes_Update(r, now_us, out);
 }
 
+/* A call's own time limit is that of its request, see tick_call(). */
+static int
+has_ended(struct fw_relay *r, struct fw_rl_op *op, int64_t now_us,
+          struct fw_rl_actions *out)
+{
+    if (op->overdue_us && now_us >= op->overdue_us &&
+        Fw_Plain_GivesUp(r, op, now_us, out)) {
+        return 1;
+    }
+    return now_us >= op->deadline_us &&
+           !(op->call && op->deadline_us >= op->call->deadline_us);
+}
+
 static void
 tick_ops(struct fw_relay *r, int64_t now_us, struct fw_rl_actions *out)
 {
@@ -357,8 +370,7 @@
         struct fw_rl_op *op = FW_LIST_ENTRY(pos, struct fw_rl_op, link);
         uint64_t xid = op->xid;
 
-        if (now_us < op->deadline_us ||
-            (op->call && op->deadline_us >= op->call->deadline_us)) {
+        if (!has_ended(r, op, now_us, out)) {
             pos = pos->next;
             continue;
         }
--- a/src/relay/relay_internal.h
+++ b/src/relay/relay_internal.h
@@ -5,7 +5,6 @@
 #include <msgpack.h>
 #include <syslog.h>
 
-#include "decide/finish_time.h"
 #include "decide/service_stats.h"
 #include "decide/upstream_links.h"
 #include "relay/calls.h"
@@ -126,7 +125,7 @@
  * @links_failed_us: when a call to a server last failed, 0 for never
  * @next_probe_us: when a server may be probed next
  * @drain_start_us: when draining began
- * @finish_times: hash of service and kind to struct kind_times, see stopping.c
+ * @kind_times: hash of service and kind to struct fw_rl_kind_times
  * @n_starting: requests that wait until this instance can serve them
  */
 struct fw_relay {
@@ -187,7 +186,7 @@
     int64_t next_probe_us;
     int draining;
     int64_t drain_start_us;
-    GHashTable *finish_times;
+    GHashTable *kind_times;
     int n_starting;
 };
 
--- a/src/relay/retry_budget.c
+++ b/src/relay/retry_budget.c
@@ -99,25 +99,47 @@
     }
 }
 
+/* Retries of this instance in the window, spent and allowed. */
+static void
+count_retries(struct fw_relay *r, const struct fw_rl_retry_budget *b,
+              int instances, int64_t now_us, int64_t *spent, int64_t *allowed)
+{
+    int64_t requests = 0;
+
+    *spent = 0;
+    for (int i = 0; i < FW_RL_RETRY_BUDGET_SLOTS; i++) {
+        requests += b->requests[i];
+        *spent += b->retries[i];
+    }
+    /* The ring is two slots longer than the window: scale the requests. */
+    *allowed = requests * r->opts.retry_ratio_ppm *
+               (FW_RL_RETRY_BUDGET_SLOTS - 2) / FW_RL_RETRY_BUDGET_SLOTS /
+               1000000;
+    *allowed += fixed_share(r, instances, now_us);
+}
+
+int
+Fw_RetryBudget_Allows(struct fw_relay *r, const struct fw_rl_call *c, int n,
+                      int64_t now_us)
+{
+    int64_t spent;
+    int64_t allowed;
+
+    count_retries(r, find_or_add_budget(r, c->service, now_us),
+                  Fw_Members_Count(r, now_us, NULL), now_us, &spent, &allowed);
+    return spent + n <= allowed;
+}
+
 int
 Fw_RetryBudget_Take(struct fw_relay *r, const struct fw_rl_call *c, int n,
                     int64_t now_us, struct fw_rl_actions *out)
 {
     struct fw_rl_retry_budget *b = find_or_add_budget(r, c->service, now_us);
     int instances = Fw_Members_Count(r, now_us, NULL);
-    int64_t requests = 0;
-    int64_t retries = 0;
+    int64_t retries;
     int64_t allowed;
 
-    for (int i = 0; i < FW_RL_RETRY_BUDGET_SLOTS; i++) {
-        requests += b->requests[i];
-        retries += b->retries[i];
-    }
-    /* The ring is two slots longer than the window: scale the requests. */
-    allowed = requests * r->opts.retry_ratio_ppm *
-              (FW_RL_RETRY_BUDGET_SLOTS - 2) / FW_RL_RETRY_BUDGET_SLOTS /
-              1000000;
-    allowed += fixed_share(r, instances, now_us);
+    count_retries(r, b, instances, now_us, &retries, &allowed);
     if (retries + n > allowed) {
         r->relay_metrics.retries_denied.value++;
         Fw_RelayActions_Log(
--- a/src/relay/stopping.c
+++ b/src/relay/stopping.c
@@ -5,65 +5,12 @@
  * only sent to a server if it can finish before. Others are rejected at once
  * as not run, for another instance to serve.
  */
-#include "base/hash.h"
 #include "relay/relay_internal.h"
 
-/**
- * struct kind_times - the requests of one kind to one service.
- * @whole: from their arrival to the end of the response
- * @run: from when they were last sent to a server
- */
-struct kind_times {
-    struct fw_finish_times whole;
-    struct fw_finish_times run;
-};
-
-void
-Fw_Stopping_Init(struct fw_relay *r)
-{
-    r->finish_times =
-        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
-}
-
-void
-Fw_Stopping_Clear(struct fw_relay *r)
-{
-    g_hash_table_destroy(r->finish_times);
-}
-
-static uint64_t
-kind_of(const struct fw_rl_call *c)
-{
-    int kind = (int)c->route->kind;
-
-    return Fw_Hash_Bytes(&kind, sizeof(kind), Fw_Hash_Str(c->service));
-}
-
-void
-Fw_Stopping_NoteEnd(struct fw_relay *r, const struct fw_rl_call *c,
-                    int64_t now_us)
-{
-    uint64_t kind = kind_of(c);
-    struct kind_times *t = g_hash_table_lookup(r->finish_times, &kind);
-
-    if (!c->service[0]) {
-        return;
-    }
-    if (!t) {
-        t = g_new0(struct kind_times, 1);
-        g_hash_table_insert(r->finish_times, Fw_Rows_NewKey(kind), t);
-    }
-    Fw_FinishTimes_Note(&t->whole, now_us - c->opened_us);
-    if (c->sent_us) {
-        Fw_FinishTimes_Note(&t->run, now_us - c->sent_us);
-    }
-}
-
 static int64_t
 bound_us(const struct fw_relay *r, const struct fw_rl_call *c, int is_begun)
 {
-    uint64_t kind = kind_of(c);
-    const struct kind_times *t = g_hash_table_lookup(r->finish_times, &kind);
+    const struct fw_rl_kind_times *t = Fw_KindTimes_Find(r, c);
 
     if (!t) {
         return FW_FINISH_UNKNOWN_US;
