Blame a culprit again when what seemed to explain its crashes is cleared

Cause: a key whose crashes other keys explain was released as if it had run well. When the other key was cleared, by a sound request with the same digest here, the culprit had been cleared of these crashes too, at all instances.

Fix: a key that others explain is released only as long as they do; sound runs alone clear it.

--- a/src/decide/crash_judge.c
+++ b/src/decide/crash_judge.c
@@ -204,13 +204,22 @@
     g_array_append_val(changes, ch);
 }
 
-/*
- * Whether the key, which was not chosen, stays in quarantine. It does not if
- * all crashes that it was blamed for are known here and it was cleared of some
- * of them by sound runs, or other keys explain the rest.
+/**
+ * enum blame - what a judgement says about a key that was not chosen.
+ * @FW_STILL_BLAMED: not all crashes that it was blamed for are known here, or
+ *     no other key explains some of them
+ * @FW_CLEARED: sound runs have cleared it of some, and the rest is too little
+ * @FW_EXPLAINED: other keys explain all of them, as far as is known now; these
+ *     may be cleared later
  */
-static int
-is_still_blamed(const struct judgement *j, struct fw_quarantine *q)
+enum blame {
+    FW_STILL_BLAMED,
+    FW_CLEARED,
+    FW_EXPLAINED
+};
+
+static enum blame
+review_blame(const struct judgement *j, struct fw_quarantine *q)
 {
     int n_known = 0;
     int n_cleared = 0;
@@ -231,7 +240,10 @@
             q->crash_us = MAX(q->crash_us, c->at_us);
         }
     }
-    return n_known < MAX(q->n_crashes, 1) || (n_unexplained && !n_cleared);
+    if (n_known < MAX(q->n_crashes, 1) || (n_unexplained && !n_cleared)) {
+        return FW_STILL_BLAMED;
+    }
+    return n_cleared ? FW_CLEARED : FW_EXPLAINED;
 }
 
 static void
@@ -249,9 +261,26 @@
 }
 
 /*
- * A key that is blamed no longer is released as if it had run well, so that
- * other instances learn of it.
+ * A key that was cleared is released as if it had run well, so that other
+ * instances learn of it. One that others explain is released for as long as
+ * they do: a request that all share may be taken for the culprit at first.
  */
+static int
+is_released(struct judgement *j, struct fw_quarantine *q)
+{
+    enum blame blame;
+
+    if (is_chosen(j, q->key) ||
+        q->crash_us <= Fw_Blame_SoundUs(j->b, q->key)) {
+        return 0;
+    }
+    blame = review_blame(j, q);
+    if (blame == FW_CLEARED) {
+        Fw_Blame_NoteSound(j->b, q->key, q->crash_us, 0, 1, j->now_us);
+    }
+    return blame == FW_EXPLAINED;
+}
+
 static void
 review_quarantines(struct judgement *j, GArray *changes)
 {
@@ -260,14 +289,10 @@
     for (int i = 0; i < b->n_quarantines; i++) {
         struct fw_quarantine *q = &b->quarantines[i];
         int64_t age_us = j->now_us - q->crash_us;
+        int released = is_released(j, q);
 
-        if (!is_chosen(j, q->key) &&
-            q->crash_us > Fw_Blame_SoundUs(b, q->key) &&
-            !is_still_blamed(j, q)) {
-            Fw_Blame_NoteSound(b, q->key, q->crash_us, 0, 1, j->now_us);
-        }
         set_active(q,
-                   age_us < FW_QUARANTINE_US &&
+                   !released && age_us < FW_QUARANTINE_US &&
                        q->crash_us > Fw_Blame_SoundUs(b, q->key),
                    j->now_us, changes);
         if (age_us >= FW_CRASH_KEPT_US) {
--- a/src/relay/crash_store.c
+++ b/src/relay/crash_store.c
@@ -129,11 +129,11 @@
                          : q->crash_us;
         return differs(q, s, now_us);
     }
-    if (!s || sound_us < q->crash_us) {
+    if (!s || now_us - q->crash_us >= FW_QUARANTINE_US) {
         return 0;
     }
     out->kind = FW_RL_RECORD_RELEASE;
-    out->at_us = MAX(sound_us, s->crash_us);
+    out->at_us = MAX(MAX(sound_us, q->crash_us), s->crash_us);
     return is_in_quarantine(s, now_us);
 }
 
--- a/tests/decide/test_crash_blame.c
+++ b/tests/decide/test_crash_blame.c
@@ -101,6 +101,19 @@
              "crash 4 1200 p:0 c:1\n"
              "at 1300\n"
              "  p\n"},
+    /* Guards against a culprit that is forgotten as another key seemed it. */
+    {.name = "what another key explained is blamed again when that is cleared",
+     .text = "crash 1 0 p:0 w:w\n"
+             "crash 2 400 p:0 x:1\n"
+             "crash 3 800 p:0 w:w\n"
+             "at 900\n"
+             "  p\n"
+             "crash 2 400 w:w\n"
+             "at 1000\n"
+             "  w\n"
+             "sound w 950\n"
+             "at 1100\n"
+             "  p\n"},
     /* Guards against a part of all requests that stays refused for minutes. */
     {.name = "what all requests share is released when too few crashes are "
              "left after those that it was cleared of",
