Play kills of all instances before a store that keeps quarantines

The property quarantines-outlast-all: fleets of 3 to 300 instances, a part that crashes engines, up to three kills of all instances at once or one after the other, a store that goes away for up to 2 s. Requests with the part may reach three engines after the bound, also right after a start.

--- a/explore/p_relay.h
+++ b/explore/p_relay.h
@@ -39,6 +39,8 @@
 void
 Fw_Explore_RelayCrashingParts(struct fw_run *run);
 void
+Fw_Explore_RelayKills(struct fw_run *run);
+void
 Fw_Explore_RelayCrashes(struct fw_run *run);
 /* response_ends.c */
 void
--- a/explore/relay_crash_env.h
+++ b/explore/relay_crash_env.h
@@ -66,6 +66,7 @@
  * @same_body: requests differ in nothing but the parts of their prompts
  * @restarts_all: whether all instances are killed and started at once
  * @all_restart_us: when, 0 for no more
+ * @store: the platform's store, NULL if no instance reaches it
  */
 struct crash_env {
     struct fleet fleet;
@@ -82,10 +83,30 @@
     int same_body;
     int restarts_all;
     int64_t all_restart_us;
+    struct crash_store *store;
     int sent[FW_PHASES];
     int served[FW_PHASES];
 };
 
+/* relay_crash_store.c */
+struct crash_store *
+Fw_CrashRecords_New(void);
+void
+Fw_CrashRecords_Free(struct crash_store *s);
+/* Instances read and write; the store goes away and returns. */
+void
+Fw_CrashRecords_Advance(struct crash_env *env);
+/* The instance @i has started, and reads the records if the store is there. */
+void
+Fw_CrashRecords_Start(struct crash_env *env, int i);
+/*
+ * Kills instances some time after the bound of a culprit, at once or one after
+ * the other, each of which starts anew.
+ */
+void
+Fw_CrashRecords_KillInstances(struct crash_env *env,
+                              void (*restart)(struct crash_env *, int));
+
 /* Whether the instance has run without a disturbance for the stable window. */
 int
 Fw_CrashEnv_IsInTouch(const struct crash_env *env, int i);
--- a/explore/relay_crashing_parts.c
+++ b/explore/relay_crashing_parts.c
@@ -9,6 +9,10 @@
  *
  * Beside it engines crash and reset connections, instances restart and freeze,
  * most requests reach one instance for a while, and messages are lost.
+ *
+ * quarantines-outlast-all: the first of these holds over kills of all
+ * instances, at once or one after the other, before a store that goes away and
+ * comes back. Requests that instances send right after their start count too.
  */
 #include <errno.h>
 #include <string.h>
@@ -112,7 +116,7 @@
     }
     b = &env->culprits[q->culprit];
     if (!b->bound_us || env->fleet.now_us < b->bound_us || q->has_reached ||
-        !Fw_CrashEnv_IsInTouch(env, c->instance)) {
+        (!env->store && !Fw_CrashEnv_IsInTouch(env, c->instance))) {
         return;
     }
     q->has_reached = 1;
@@ -240,6 +244,9 @@
     Fw_RelayFleet_Restart(&env->fleet, i);
     Fw_CrashEngines_List(&env->engines, &env->fleet, i);
     env->disturbed_us[i] = env->fleet.now_us;
+    if (env->store) {
+        Fw_CrashRecords_Start(env, i);
+    }
 }
 
 static void
@@ -306,7 +313,13 @@
 static void
 step(struct crash_env *env, int is_last)
 {
-    disturb_instances(env);
+    if (env->store) {
+        Fw_CrashRecords_Advance(env);
+        Fw_CrashRecords_KillInstances(env, restart);
+    }
+    else {
+        disturb_instances(env);
+    }
     disturb_engines(env);
     Fw_RelayFleet_Advance(&env->fleet, FW_STEP_US);
     advance_calls(env);
@@ -366,6 +379,21 @@
     g_free(env);
 }
 
+void
+Fw_Explore_RelayKills(struct fw_run *run)
+{
+    struct crash_env *env = g_new0(struct crash_env, 1);
+
+    env->n_culprits = 1;
+    env->culprits[0].kind =
+        (enum culprit_kind)g_rand_int_range(run->rand, 0, FW_CULPRIT_KINDS);
+    env->culprits[0].per_s = g_rand_double_range(run->rand, 1.2, 8);
+    env->store = Fw_CrashRecords_New();
+    run_fleet(env, run);
+    Fw_CrashRecords_Free(env->store);
+    g_free(env);
+}
+
 void
 Fw_Explore_RelayCrashes(struct fw_run *run)
 {
--- a/src/relay/crash_store.c
+++ b/src/relay/crash_store.c
@@ -168,7 +168,7 @@
     int is_due = 0;
 
     if ((!b->n_quarantines && !r->crashes.stored->len) ||
-        FW_FAULT("crashes-kept-alone")) {
+        FW_FAULT("crashes-kept-alone") || FW_FAULT("quarantines-unstored")) {
         return 0;
     }
     if (!Fw_StoreSync_IsWriter(r, now_us)) {
