--- a/src/decide/crash_judge.c
+++ b/src/decide/crash_judge.c
@@ -206,8 +206,8 @@
 
 /**
  * enum blame - what a judgement says about a key that was not chosen.
- * @FW_STILL_BLAMED: not all crashes that it was blamed for are known here, or
- *     no other key explains some of them
+ * @FW_STILL_BLAMED: not all crashes that it was blamed for are known here; or
+ *     it was cleared of none, and no other key explains some of them
  * @FW_CLEARED: sound runs have cleared it of some, and the rest is too little
  * @FW_EXPLAINED: other keys explain all of them, as far as is known now; these
  *     may be cleared later
@@ -215,7 +215,7 @@
 enum blame {
     FW_STILL_BLAMED,
     FW_CLEARED,
-    FW_EXPLAINED
+    FW_EXPLAINED,
 };
 
 static enum blame
--- a/src/decide/finish_time.h
+++ b/src/decide/finish_time.h
@@ -1,11 +1,10 @@
 /*
- * How long the requests of one kind to one service take, as far as that
- * decides whether another one can finish before this instance stops.
+ * How long the latest requests of one kind to one service took.
  *
- * A request that is cut at the stop has run at its server, and nobody has its
- * response: one too many costs its caller the response, one too few a further
- * connection. So the longest recent time counts, with a margin, and without
- * enough of them only the request's own time limit.
+ * Their longest time, with a margin, decides whether another one is started by
+ * an instance that is about to stop. One that is cut has run at its server,
+ * and nobody has its response; one that is rejected costs a further
+ * connection. So without enough times only the request's own limit counts.
  */
 #ifndef FW_DECIDE_FINISH_TIME_H
 #define FW_DECIDE_FINISH_TIME_H
--- a/src/http/client.c
+++ b/src/http/client.c
@@ -280,8 +280,8 @@
 
 /*
  * Whether the connection's end is that of the response. An upstream that
- * closes before it was sent the whole request can't be told from one that
- * broke off in the middle of its response.
+ * closes before it was sent the whole request looks like one that broke off in
+ * the middle of its response.
  */
 static int
 ends_response(const struct fw_exchange *x)
--- a/src/io/json.c
+++ b/src/io/json.c
@@ -127,6 +127,18 @@
     return n;
 }
 
+/* Bytes at @p that need no look: most of a document. */
+static size_t
+count_plain(const char *p, const char *end)
+{
+    const char *from = p;
+
+    while (p < end && *p >= ' ' && *p < 0x7f && *p != '\\') {
+        p++;
+    }
+    return (size_t)(p - from);
+}
+
 JsonNode *
 Fw_Json_ParseMarked(const char *data, size_t len)
 {
@@ -135,8 +147,16 @@
     JsonNode *root;
 
     for (const char *p = data; p && p < end;) {
-        p += *p == '\\' ? append_escape(marked, p, end)
-                        : append_char(marked, p, end);
+        size_t n = count_plain(p, end);
+
+        if (n) {
+            g_string_append_len(marked, p, (gssize)n);
+        }
+        else {
+            n = *p == '\\' ? append_escape(marked, p, end)
+                           : append_char(marked, p, end);
+        }
+        p += n;
     }
     root = Fw_Json_Parse(marked->str, marked->len);
     g_string_free(marked, TRUE);
