Excuse a cut of an instance that was paused while it stopped, in the soak

The rule counts such cuts "with no unplanned impairment from StableWindowMs before the request to its end"; the check looked for one up to the SIGTERM only. An instance that is disturbed between the request and its end is excused now, as it is in the other checks.

--- a/soak/check.c
+++ b/soak/check.c
@@ -306,7 +306,7 @@
     struct soak *s = q->soak;
     const struct soak_relay *r = &s->relays[q->relay];
     int64_t now = Fw_Soak_NowUs();
-    int stops = r->term_us && r->planned_stop;
+    int stops = r->term_us && r->planned_stop && !was_disturbed(r, q->sent_us);
 
     if (q->life == r->life && is_server_calm(q->server, q->sent_us) &&
         is_server_calm(q->server, now) &&
