Take what usually finishes until the stop of an instance is noticed

Cause: with the longest recent time and its margin from the SIGTERM on, an instance rejects most streams of a service where some take 8 s.

Change: in the first 2.5 s, until the load balancer has noticed, the time that nine in ten requests took is enough. After that none may be cut: the bound stands as it was.

--- a/src/decide/finish_time.c
+++ b/src/decide/finish_time.c
@@ -11,6 +11,7 @@
 /* Margin above the longest time: a part of it, and a least one. */
 #define FW_MARGIN_DIVISOR 4
 #define FW_MARGIN_MIN_US (200 * FW_MSEC)
+#define FW_USUAL_PERMILLE 900
 
 void
 Fw_FinishTimes_Note(struct fw_finish_times *t, int64_t took_us)
@@ -57,6 +58,14 @@
     return longest_us + MAX(longest_us / FW_MARGIN_DIVISOR, FW_MARGIN_MIN_US);
 }
 
+int64_t
+Fw_FinishTimes_UsualUs(const struct fw_finish_times *t)
+{
+    return t->n < FW_FINISH_TIMES_MIN
+               ? FW_FINISH_UNKNOWN_US
+               : Fw_FinishTimes_QuantileUs(t, FW_USUAL_PERMILLE);
+}
+
 int
 Fw_Finish_Fits(int64_t bound_us, int64_t limit_us, int64_t left_us)
 {
--- a/src/decide/finish_time.h
+++ b/src/decide/finish_time.h
@@ -38,6 +38,12 @@
 /* Time in us that a further request is unlikely to exceed; see above. */
 int64_t
 Fw_FinishTimes_BoundUs(const struct fw_finish_times *t);
+/*
+ * Time in us that nine in ten of them took; FW_FINISH_UNKNOWN_US as above if
+ * too few are known.
+ */
+int64_t
+Fw_FinishTimes_UsualUs(const struct fw_finish_times *t);
 /*
  * Whether a request can finish within @left_us.
  * @bound_us: of its kind; @limit_us: what is left of its own time limit
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -12,6 +12,11 @@
 #include "decide/server_limit.h"
 #include "relay/types.h"
 
+/*
+ * Time from SIGTERM until no load balancer sends new connections: it checks
+ * readiness once a second, until two checks have failed.
+ */
+#define FW_RL_STOP_NOTICED_US (2500 * FW_MSEC)
 /*
  * Part of the grace period before its end that is reserved for answering the
  * requests which are still open.
--- a/src/relay/stopping.c
+++ b/src/relay/stopping.c
@@ -7,19 +7,29 @@
  */
 #include "relay/relay_internal.h"
 
+/*
+ * As long as the load balancer has not noticed, a caller that is rejected may
+ * reach another instance that stops as well, and most have only one retry: one
+ * in ten may fail to finish then. Later on all must.
+ */
 static int64_t
-bound_us(const struct fw_relay *r, const struct fw_rl_call *c, int is_begun)
+needed_us(const struct fw_relay *r, const struct fw_rl_call *c, int is_begun,
+          int64_t now_us)
 {
     const struct fw_rl_kind_times *t = Fw_KindTimes_Find(r, c);
+    const struct fw_finish_times *times;
 
     if (!t) {
         return FW_FINISH_UNKNOWN_US;
     }
-    return Fw_FinishTimes_BoundUs(is_begun ? &t->run : &t->whole);
+    times = is_begun ? &t->run : &t->whole;
+    return now_us - r->drain_start_us < FW_RL_STOP_NOTICED_US
+               ? Fw_FinishTimes_UsualUs(times)
+               : Fw_FinishTimes_BoundUs(times);
 }
 
 static int64_t
-bound_ms(int64_t us)
+needed_ms(int64_t us)
 {
     return us == FW_FINISH_UNKNOWN_US ? -1 : Fw_Relay_UsToMs(us);
 }
@@ -31,13 +41,13 @@
     int64_t limit_us = c->deadline_us - now_us;
     int64_t left_us =
         r->drain_start_us + r->opts.grace_us - FW_RL_ANSWER_MARGIN_US - now_us;
-    int64_t needed_us;
+    int64_t need_us;
 
     if (!r->draining) {
         return 0;
     }
-    needed_us = bound_us(r, c, is_begun);
-    if (Fw_Finish_Fits(needed_us, limit_us, left_us)) {
+    need_us = needed_us(r, c, is_begun, now_us);
+    if (Fw_Finish_Fits(need_us, limit_us, left_us)) {
         return 0;
     }
     c->is_too_late = 1;
@@ -47,7 +57,7 @@
         "\"left_ms\":%" G_GINT64_FORMAT ",\"needed_ms\":%" G_GINT64_FORMAT
         ",\"limit_ms\":%" G_GINT64_FORMAT,
         c->info.id, c->service, is_begun, Fw_Relay_UsToMs(left_us),
-        bound_ms(needed_us), Fw_Relay_UsToMs(limit_us));
+        needed_ms(need_us), Fw_Relay_UsToMs(limit_us));
     return 1;
 }
 
--- a/src/relayd/relayd.c
+++ b/src/relayd/relayd.c
@@ -10,11 +10,6 @@
 #include "io/logger.h"
 #include "relayd/relayd_internal.h"
 
-/*
- * Minimum time from SIGTERM to exit. The load balancer checks readiness once a
- * second and sends connections until two checks have failed.
- */
-#define FW_DRAIN_MIN_US (2500 * FW_MSEC)
 /* Part of the grace period that is reserved for exiting. */
 #define FW_EXIT_MARGIN_US (250 * FW_MSEC)
 /* A longer time between two ticks is logged. */
@@ -258,7 +253,7 @@
     if (d->drain_start_us && FW_FAULT("stop-at-once")) {
         d->stopped = 1;
     }
-    if (!d->drain_start_us || past < FW_DRAIN_MIN_US) {
+    if (!d->drain_start_us || past < FW_RL_STOP_NOTICED_US) {
         return;
     }
     Fw_Server_CloseIdle(d->caller_server);
